Lay out the workspace, the shared types and the contracts between slices

Ruled out: one package with folders (the import contract could not keep the arrows one way), and protobuf messages as the scheduler's types (it does no I/O and needs none).

Conclusion: the contracts are enough to begin state, decisions and service independently.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+PACKAGES := core state scheduling service cli standins
+SOURCES := $(foreach p,$(PACKAGES),packages/agateferry-$(p))
+EMPTY :=
+SPACE := $(EMPTY) $(EMPTY)
+export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agateferry-$(p)))
+export PATH := $(abspath $(BIN)):$(PATH)
+
+.PHONY: setup demo test lint format measure budget soak generate
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -c constraints.txt -r requirements-dev.txt $(foreach s,$(SOURCES),-e $(s))
+	touch $@
+
+test: setup
+	$(BIN)/python -m pytest -n 6
+
+lint: setup
+	$(BIN)/black --check -q packages
+	$(BIN)/ruff check -q packages
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/agateferry-$(p)/agateferry_$(p))
+	$(BIN)/lint-imports --no-cache
+
+format: setup
+	$(BIN)/black -q packages
+	$(BIN)/ruff check -q --fix packages
+
+generate: setup
+	$(BIN)/python tools/generate.py
+
+demo: setup
+	$(BIN)/python -m agateferry_standins.demo
+
+measure: setup
+	$(BIN)/python -m agateferry_scheduling.measure
+
+budget: setup
+	$(BIN)/python -m agateferry_standins.budget
+
+soak: setup
+	$(BIN)/python -m agateferry_standins.soak
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler's one entry: events in, decisions out."""
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replica/protocols.py
@@ -0,0 +1,89 @@
+"""What the slices above ask of replicated state, and what it asks of them.
+
+A `StateMachine` is a deterministic function of the commands applied to it. A `Replica` gets
+commands agreed upon by a quorum, stored, and applied in one order on every member. Neither names
+a disk or a network, so that a test can put a machine behind a replica that lives in memory.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any, Protocol
+
+from expression import Result
+
+
+class ProposeErrorKind(StrEnum):
+    """Say what became of a command that was not applied here."""
+
+    NOT_LEADER = "not-leader"
+    """The command was not appended; ask the leader."""
+
+    UNKNOWN = "unknown"
+    """The command was appended but its fate was not learned; it may still be applied."""
+
+    STORAGE_FAILED = "storage-failed"
+    """The disk refused the command; this host no longer counts it as written."""
+
+    STOPPED = "stopped"
+    """This replica is shutting down; the command was not appended."""
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeError:
+    """Why a proposal has no outcome; `leader` is the member to ask instead, where known."""
+
+    kind: ProposeErrorKind
+    leader: str | None = None
+    detail: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """The log index of an applied command and what the state machine made of it."""
+
+    index: int
+    outcome: Any
+
+
+class StateMachine(Protocol):
+    """A deterministic machine that is driven by agreed commands."""
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Apply one command and return its outcome; must depend on nothing but its arguments."""
+
+    def snapshot(self) -> bytes:
+        """Return the whole state in a form that `restore` takes."""
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+
+
+class Replica(Protocol):
+    """One member of a replicated state machine, seen from the slices above."""
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this member leads under a lease that is valid now."""
+
+    @property
+    def leader(self) -> str | None:
+        """Return the member that leads, as far as this one knows."""
+
+    @property
+    def term(self) -> int:
+        """Return the term of the present leader; it only goes up."""
+
+    async def start(self) -> None:
+        """Recover what the disk holds and begin to take part."""
+
+    async def stop(self) -> None:
+        """Hand leadership on where possible, finish what is under way and close the files."""
+
+    async def propose(self, command: bytes) -> Result[Applied, ProposeError]:
+        """Have a command agreed upon, stored and applied, and return the machine's outcome."""
+
+    async def read_barrier(self) -> Result[int, ProposeError]:
+        """Return once the local state holds all that was agreed before the call.
+
+        The value is the log index that the local state has reached.
+        """
