Add the request ledger and the running of attempts

Ruled out: a separate lease id per send (a new leader could not repeat the call safely) and a "stopped" command beside "attempt failed" (two ways to end the same attempt).

Change: ledger with keys, attempts, cancellation and expiry; worker client; attempts with reserve, start, look-up over fresh connections, preemption and undo of gangs.

Measured: 26 tests of the service pass; no timing yet. Conclusion: a lease name made of request, attempt and member makes every worker call repeatable.

--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/machine.py
@@ -0,0 +1,72 @@
+"""The state machine of one availability zone's cell."""
+
+from collections.abc import Callable
+from typing import Any
+
+from agateferry_service.endpoints.registry import Registry
+from agateferry_service.requests.ledger import Ledger
+from agateferry_service.rpc import commands_pb2 as pb
+from agateferry_state.records import RecordStore
+
+
+class CellMachine:
+    """Apply the cell's commands to the ledger, the registry and the zone's copy of the records.
+
+    `listeners` are called after each command with the command and its outcome, on every host.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.ledger = Ledger()
+        self.registry = Registry(zone)
+        self.records = RecordStore()
+        self.listeners: list[Callable[[pb.Command, Any], None]] = []
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Apply one command and return the outcome of the part that it belongs to."""
+        message = pb.Command.FromString(command)
+        outcome = self._apply_message(message)
+        for listener in self.listeners:
+            listener(message, outcome)
+        return outcome
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as one message."""
+        stored = pb.StoredCell(
+            requests=self.ledger.store(),
+            workers=self.registry.store(),
+            records=self.records.snapshot(),
+        )
+        return stored.SerializeToString()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by that of a snapshot."""
+        stored = pb.StoredCell.FromString(data)
+        self.ledger.load(stored.requests)
+        self.registry.load(list(stored.workers))
+        self.records.restore(stored.records)
+
+    def _apply_message(self, message: pb.Command) -> Any:
+        match message.WhichOneof("kind"):
+            case "accept":
+                return self.ledger.accept(message.accept)
+            case "place":
+                return self.ledger.place(message.place)
+            case "progress":
+                return self.ledger.progress(message.progress)
+            case "finish":
+                return self.ledger.finish(message.finish)
+            case "cancel":
+                return self.ledger.cancel(message.cancel)
+            case "attempt_failed":
+                return self.ledger.attempt_failed(message.attempt_failed)
+            case "give_up":
+                return self.ledger.give_up(message.give_up)
+            case "forget":
+                return self.ledger.forget(message.forget)
+            case "worker":
+                return self.registry.change(message.worker)
+            case "adopt":
+                return self.records.adopt(message.adopt.revisions)
+            case unknown:
+                raise ValueError(f"a command of an unknown kind in the cell's log: {unknown}")
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Running attempts on workers under leases."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -0,0 +1,163 @@
+import asyncio
+import random
+
+import testtools
+from expression import Error, Ok
+
+from agateferry_core.clock import SystemClock
+from agateferry_core.support import run_async
+from agateferry_service.dispatch.attempt import Attempt, AttemptTimes, Member
+from agateferry_service.dispatch.client import StartOrder
+from agateferry_service.dispatch.messages import (
+    AttemptEnd,
+    LeaseState,
+    LeaseView,
+    WorkerError,
+    WorkerErrorKind,
+)
+from agateferry_service.requests.state import Run
+
+TIMES = AttemptTimes(hold_ms=20, resolve_ms=60, backoff_ms=5, look_ms=5)
+
+
+class FakeWorkers:
+    """Answer calls from scripts; a script is a list of replies whose last one is repeated."""
+
+    def __init__(self, **scripts):
+        self.scripts = scripts
+        self.calls = []
+
+    async def reserve(self, address, order, ttl_ms):
+        return self._next(order.lease, "reserve", LeaseState.RESERVED)
+
+    async def start(self, address, order, wait_ms):
+        return self._next(order.lease, "start", LeaseState.FINISHED)
+
+    async def look(self, address, lease):
+        await asyncio.sleep(0)
+        return self._next(lease, "look", LeaseState.RUNNING)
+
+    async def act(self, address, lease, verb, reason=""):
+        return self._next(lease, verb, LeaseState.STOPPED)
+
+    def _next(self, lease, verb, otherwise):
+        self.calls.append((lease, verb))
+        script = self.scripts.get(f"{lease}_{verb}", [otherwise])
+        reply = script.pop(0) if len(script) > 1 else script[0]
+        if isinstance(reply, WorkerErrorKind):
+            return Error(WorkerError(reply, "no-capacity" if reply == "refused" else ""))
+        return Ok(LeaseView(lease, reply, answer=lease, checkpoint_step=2))
+
+
+def members(count):
+    return [
+        Member(
+            StartOrder(f"m{i}", "z.1", 1, i, count, 0, 1, 1, "i", "j", "t", "p", -1, None),
+            f"w{i}",
+            "a",
+        )
+        for i in range(count)
+    ]
+
+
+def attempt(fake, count=1, may_act=lambda: True, **options):
+    return Attempt(members(count), fake, SystemClock(), may_act, random.Random(1), TIMES, **options)
+
+
+class SingleTests(testtools.TestCase):
+    def test_returns_the_answer_of_a_quick_task(self):
+        result = run_async(attempt(FakeWorkers()).run())
+        self.assertEqual((AttemptEnd.FINISHED, ("m0",)), (result.end, result.answers))
+
+    def test_a_refused_start_was_not_run(self):
+        result = run_async(attempt(FakeWorkers(m0_start=[WorkerErrorKind.REFUSED])).run())
+        self.assertEqual(
+            (Run.NOT_RUN, False, "no-capacity"), (result.run, result.counts, result.reason)
+        )
+
+    def test_a_worker_that_was_not_reached_did_not_run_it(self):
+        fake = FakeWorkers(m0_start=[WorkerErrorKind.UNREACHED])
+        result = run_async(attempt(fake).run())
+        self.assertEqual((Run.NOT_RUN, ("w0",)), (result.run, result.failed_workers))
+
+    def test_a_lost_answer_is_looked_up_and_not_started_again(self):
+        fake = FakeWorkers(m0_start=[WorkerErrorKind.SILENT], m0_look=[LeaseState.FINISHED])
+        result = run_async(attempt(fake).run())
+        self.assertEqual(AttemptEnd.FINISHED, result.end)
+        self.assertEqual(1, fake.calls.count(("m0", "start")))
+
+    def test_what_cannot_be_learned_may_have_run(self):
+        fake = FakeWorkers(m0_start=[WorkerErrorKind.SILENT], m0_look=[WorkerErrorKind.SILENT])
+        result = run_async(attempt(fake).run())
+        self.assertEqual((AttemptEnd.FAILED, Run.MAY_HAVE_RUN), (result.end, result.run))
+
+    def test_a_refusal_after_a_lost_start_may_have_run(self):
+        fake = FakeWorkers(
+            m0_start=[WorkerErrorKind.SILENT, WorkerErrorKind.REFUSED],
+            m0_look=[WorkerErrorKind.UNKNOWN_LEASE],
+        )
+        self.assertEqual(Run.MAY_HAVE_RUN, run_async(attempt(fake).run()).run)
+
+    def test_a_deposed_leader_starts_nothing(self):
+        fake = FakeWorkers()
+        run_async(attempt(fake, may_act=lambda: False).run())
+        self.assertNotIn(("m0", "start"), fake.calls)
+
+    def test_a_cancellation_stops_what_runs_and_tells_how_far_it_got(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING])
+        tried = attempt(fake)
+        tried.stop(AttemptEnd.CANCELLED)
+        result = run_async(tried.run())
+        self.assertEqual(AttemptEnd.CANCELLED, result.end)
+
+    def test_a_finish_that_a_stop_finds_is_a_finish(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m0_stop=[LeaseState.FINISHED])
+
+        async def main():
+            tried = attempt(fake, on_running=lambda: tried.stop(AttemptEnd.CANCELLED))
+            return await tried.run()
+
+        self.assertEqual(AttemptEnd.FINISHED, run_async(main()).end)
+
+    def test_a_preemption_takes_a_checkpoint_first(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m0_checkpoint=[LeaseState.RUNNING])
+
+        async def main():
+            tried = attempt(
+                fake, checkpointable=True, on_running=lambda: tried.stop(AttemptEnd.PREEMPTED)
+            )
+            return await tried.run()
+
+        result = run_async(main())
+        self.assertEqual((AttemptEnd.PREEMPTED, 2), (result.end, result.checkpoint_step))
+        self.assertEqual([("m0", "checkpoint"), ("m0", "stop")], fake.calls[-2:])
+
+
+class GangTests(testtools.TestCase):
+    def test_nothing_starts_unless_all_members_hold(self):
+        fake = FakeWorkers(m1_reserve=[WorkerErrorKind.REFUSED])
+        result = run_async(attempt(fake, 3).run())
+        self.assertEqual((AttemptEnd.FAILED, Run.NOT_RUN), (result.end, result.run))
+        self.assertEqual([], [call for call in fake.calls if call[1] == "start"])
+
+    def test_answers_come_in_the_order_of_members(self):
+        result = run_async(attempt(FakeWorkers(), 3).run())
+        self.assertEqual(("m0", "m1", "m2"), result.answers)
+
+    def test_when_one_member_fails_the_others_are_stopped(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m1_start=[LeaseState.FAILED])
+        result = run_async(attempt(fake, 2).run())
+        self.assertEqual(
+            (AttemptEnd.FAILED, Run.RAN, ("w1",)), (result.end, result.run, result.failed_workers)
+        )
+        self.assertIn(("m0", "stop"), fake.calls)
+
+    def test_a_lost_worker_fails_the_whole_gang(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m1_start=[LeaseState.RUNNING])
+
+        async def main():
+            tried = attempt(fake, 2, on_running=lambda: tried.lose_worker("w1", "silent"))
+            return await tried.run()
+
+        result = run_async(main())
+        self.assertEqual(("worker-lost", ("w1",)), (result.reason, result.failed_workers))
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/requests/ledger.py
@@ -0,0 +1,252 @@
+"""The state machine of all requests of one availability zone.
+
+Every move of a request is a command of the cell's log, applied here in the same order on every
+host. Nothing is acted on or told to a caller before its command has been applied. The ledger reads
+no clock: the times in commands come from the leader that proposed them.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
+
+from agateferry_service.requests.codec import (
+    placement_from_pb,
+    request_from_pb,
+    request_to_pb,
+    spec_from_pb,
+)
+from agateferry_service.requests.messages import Outcome, OutcomeKind
+from agateferry_service.requests.state import (
+    Placement,
+    Request,
+    RequestState,
+    Run,
+    parse_lease,
+)
+from agateferry_service.rpc import commands_pb2 as pb
+
+REASON_CANCELLED = "cancelled"
+REASON_DEADLINE = "deadline"
+
+
+class Ledger:
+    """Hold every request that has not been forgotten, by id and by idempotency key."""
+
+    def __init__(self) -> None:
+        self._requests: dict[str, Request] = {}
+        self._by_key: dict[tuple[str, str], str] = {}
+        self._ended: deque[str] = deque()
+
+    def __len__(self) -> int:
+        """Return how many requests are remembered."""
+        return len(self._requests)
+
+    def get(self, request_id: str) -> Request | None:
+        """Return a request, or None when it is unknown or forgotten."""
+        return self._requests.get(request_id)
+
+    def by_key(self, team: str, key: str) -> Request | None:
+        """Return the request that a team's idempotency key belongs to."""
+        request_id = self._by_key.get((team, key))
+        return self._requests.get(request_id) if request_id else None
+
+    def unended(self) -> Iterator[Request]:
+        """Yield every request without a final answer, in the order of acceptance."""
+        return (request for request in self._requests.values() if not request.ended)
+
+    def wants_lease(self, lease: str) -> bool:
+        """Tell whether a lease belongs to an attempt whose result is still waited for."""
+        parsed = parse_lease(lease)
+        if parsed is None:
+            return False
+        request = self._requests.get(parsed[0])
+        return request is not None and request.holds_workers and request.attempt == parsed[1]
+
+    def accept(self, command: pb.Accept) -> Outcome:
+        """Store a new request, or find the one that this is a resend of."""
+        spec = spec_from_pb(command.spec)
+        known = self._requests.get(spec.id)
+        if known is None and spec.key:
+            known = self.by_key(spec.team, spec.key)
+        if known is not None:
+            return self._resend_outcome(known, spec.body_digest)
+        request = Request(spec)
+        self._requests[spec.id] = request
+        if spec.key:
+            self._by_key[(spec.team, spec.key)] = spec.id
+        if command.placements:
+            self._begin_attempt(request, _placements(command.placements))
+        return Outcome(OutcomeKind.DONE, request)
+
+    def place(self, command: pb.Place) -> Outcome:
+        """Store the intent to start an attempt; only a waiting request can be placed."""
+        request = self._requests.get(command.request_id)
+        if request is None:
+            return Outcome(OutcomeKind.UNKNOWN_REQUEST)
+        waits = request.state is RequestState.ACCEPTED
+        if not waits or command.attempt != request.attempt + 1:
+            return Outcome(OutcomeKind.STALE, request)
+        self._begin_attempt(request, _placements(command.placements))
+        return Outcome(OutcomeKind.DONE, request)
+
+    def progress(self, command: pb.Progress) -> Outcome:
+        """Store that an attempt has started, how far it is and its last checkpoint."""
+        found = self._current_attempt(command.request_id, command.attempt)
+        if found.kind is not OutcomeKind.DONE or found.request is None:
+            return found
+        request = found.request
+        request.state = RequestState.RUNNING
+        request.run = Run.RAN
+        _advance(request, command.progress, command.checkpoint_step)
+        return found
+
+    def finish(self, command: pb.Finish) -> Outcome:
+        """Store the whole answer; it wins over a cancellation that is still under way."""
+        found = self._current_attempt(command.request_id, command.attempt)
+        if found.kind is not OutcomeKind.DONE or found.request is None:
+            return found
+        request = found.request
+        request.answers = tuple(command.answers)
+        request.progress = 1.0
+        request.run = Run.RAN
+        self._end(request, RequestState.FINISHED, command.wall_ms)
+        return found
+
+    def cancel(self, command: pb.RequestCancel) -> Outcome:
+        """Cancel at once what waits; mark what runs, to be cancelled when it has stopped."""
+        request = self._requests.get(command.request_id)
+        if request is None:
+            return Outcome(OutcomeKind.UNKNOWN_REQUEST)
+        if request.ended:
+            return Outcome(OutcomeKind.ALREADY_ENDED, request)
+        if request.holds_workers:
+            request.cancelling = True
+        else:
+            self._end(request, RequestState.CANCELLED, command.wall_ms, REASON_CANCELLED)
+        return Outcome(OutcomeKind.DONE, request)
+
+    def attempt_failed(self, command: pb.AttemptFailed) -> Outcome:
+        """End an attempt without an answer.
+
+        The request is cancelled if that was asked for, has failed for good, or waits again.
+        """
+        found = self._current_attempt(command.request_id, command.attempt)
+        if found.kind is not OutcomeKind.DONE or found.request is None:
+            return found
+        request = found.request
+        _advance(request, command.progress, command.checkpoint_step)
+        request.run = _combined_run(request.run, Run(command.run))
+        request.detail = command.detail
+        if command.counts:
+            request.failures += 1
+        if request.cancelling:
+            self._end(request, RequestState.CANCELLED, command.wall_ms, REASON_CANCELLED)
+        elif _is_final(request, command):
+            self._end(request, RequestState.FAILED, command.wall_ms, command.reason)
+        else:
+            request.state = RequestState.ACCEPTED
+            request.placements = ()
+        return found
+
+    def give_up(self, command: pb.GiveUp) -> Outcome:
+        """End a waiting request that will not be placed."""
+        request = self._requests.get(command.request_id)
+        if request is None:
+            return Outcome(OutcomeKind.UNKNOWN_REQUEST)
+        if request.state is not RequestState.ACCEPTED:
+            return Outcome(OutcomeKind.STALE, request)
+        request.detail = command.detail
+        self._end(request, RequestState.FAILED, command.wall_ms, command.reason)
+        return Outcome(OutcomeKind.DONE, request)
+
+    def forget(self, command: pb.Forget) -> Outcome:
+        """Drop requests that ended before the given time, with their keys and answers."""
+        while self._ended:
+            request = self._requests.get(self._ended[0])
+            if request is not None and request.ended_wall_ms >= command.ended_before_wall_ms:
+                break
+            self._ended.popleft()
+            if request is not None:
+                self._drop(request)
+        return Outcome(OutcomeKind.DONE)
+
+    def oldest_end_wall_ms(self) -> int | None:
+        """Return when the request that ended first did so."""
+        request = self._requests.get(self._ended[0]) if self._ended else None
+        return request.ended_wall_ms if request else None
+
+    def store(self) -> list[pb.StoredRequest]:
+        """Write all requests, those that ended in the order in which they did."""
+        ended = [self._requests[request_id] for request_id in self._ended]
+        return [request_to_pb(request) for request in [*ended, *self.unended()]]
+
+    def load(self, stored: Iterable[pb.StoredRequest]) -> None:
+        """Replace all requests by stored ones."""
+        self.__init__()  # type: ignore[misc]
+        for message in stored:
+            request = request_from_pb(message)
+            self._requests[request.id] = request
+            if request.spec.key:
+                self._by_key[(request.spec.team, request.spec.key)] = request.id
+            if request.ended:
+                self._ended.append(request.id)
+
+    def _resend_outcome(self, known: Request, body_digest: bytes) -> Outcome:
+        same_body = known.spec.body_digest == body_digest
+        return Outcome(OutcomeKind.DUPLICATE if same_body else OutcomeKind.KEY_REUSED, known)
+
+    def _begin_attempt(self, request: Request, placements: tuple[Placement, ...]) -> None:
+        request.attempt += 1
+        request.placements = placements
+        request.state = RequestState.PLACED
+
+    def _current_attempt(self, request_id: str, attempt: int) -> Outcome:
+        request = self._requests.get(request_id)
+        if request is None:
+            return Outcome(OutcomeKind.UNKNOWN_REQUEST)
+        if request.ended:
+            return Outcome(OutcomeKind.ALREADY_ENDED, request)
+        if not request.holds_workers or request.attempt != attempt:
+            return Outcome(OutcomeKind.STALE, request)
+        return Outcome(OutcomeKind.DONE, request)
+
+    def _end(self, request: Request, state: RequestState, wall_ms: int, reason: str = "") -> None:
+        if state is not RequestState.FINISHED:
+            request.stage = request.reached_stage()
+        request.state = state
+        request.reason = reason
+        request.ended_wall_ms = wall_ms
+        request.placements = ()
+        request.spec = replace(request.spec, payload="")
+        self._ended.append(request.id)
+
+    def _drop(self, request: Request) -> None:
+        del self._requests[request.id]
+        if request.spec.key:
+            self._by_key.pop((request.spec.team, request.spec.key), None)
+
+
+def _placements(messages: Iterable[pb.Placement]) -> tuple[Placement, ...]:
+    return tuple(placement_from_pb(message) for message in messages)
+
+
+def _advance(request: Request, progress: float, checkpoint_step: int) -> None:
+    request.progress = max(request.progress, progress)
+    request.checkpoint_step = max(request.checkpoint_step, checkpoint_step)
+
+
+def _combined_run(before: Run, now: Run) -> Run:
+    """Return what is known over two attempts: a certain run outweighs a possible one."""
+    if Run.RAN in (before, now):
+        return Run.RAN
+    if Run.MAY_HAVE_RUN in (before, now):
+        return Run.MAY_HAVE_RUN
+    return Run.NOT_RUN
+
+
+def _is_final(request: Request, command: pb.AttemptFailed) -> bool:
+    if command.reason == REASON_DEADLINE:
+        return True
+    if not request.spec.idempotent and command.run != Run.NOT_RUN:
+        return True
+    return request.failures >= request.spec.max_attempts
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/requests/tests/test_ledger.py
@@ -0,0 +1,147 @@
+import testtools
+
+from agateferry_core.demand import Demand, Urgency
+from agateferry_service.requests import Ledger, OutcomeKind, RequestState, Run, Spec, Stage
+from agateferry_service.requests.codec import spec_to_pb
+from agateferry_service.rpc import commands_pb2 as pb
+
+
+def make_spec(request_id="z.1", key="", digest=b"d", idempotent=True, max_attempts=3):
+    return Spec(
+        id=request_id,
+        team="t",
+        job="j",
+        key=key,
+        body_digest=digest,
+        payload="p",
+        demand=Demand(),
+        urgency=Urgency.NORMAL,
+        idempotent=idempotent,
+        preemptible=True,
+        checkpointable=False,
+        max_attempts=max_attempts,
+        declared_run_ms=1,
+        deadline_wall_ms=0,
+        submitted_wall_ms=0,
+    )
+
+
+def accept(ledger, placed=False, **fields):
+    placements = [pb.Placement(member=0, worker="w", incarnation="i")] if placed else []
+    return ledger.accept(pb.Accept(spec=spec_to_pb(make_spec(**fields)), placements=placements))
+
+
+def fail(ledger, run, attempt=1, reason="failed"):
+    return ledger.attempt_failed(
+        pb.AttemptFailed(
+            request_id="z.1",
+            attempt=attempt,
+            reason=reason,
+            run=run,
+            counts=True,
+            checkpoint_step=-1,
+        )
+    )
+
+
+class KeyTests(testtools.TestCase):
+    def test_a_resend_finds_the_first_request(self):
+        ledger = Ledger()
+        accept(ledger, key="k")
+        outcome = accept(ledger, key="k", request_id="z.2")
+        self.assertEqual((OutcomeKind.DUPLICATE, "z.1"), (outcome.kind, outcome.request.id))
+
+    def test_a_key_with_another_body_is_refused(self):
+        ledger = Ledger()
+        accept(ledger, key="k")
+        outcome = accept(ledger, key="k", request_id="z.2", digest=b"other")
+        self.assertEqual((OutcomeKind.KEY_REUSED, 1), (outcome.kind, len(ledger)))
+
+    def test_keys_survive_a_snapshot_and_go_with_their_request(self):
+        ledger = Ledger()
+        accept(ledger, key="k")
+        ledger.cancel(pb.RequestCancel(request_id="z.1", wall_ms=5))
+        copy = Ledger()
+        copy.load(ledger.store())
+        self.assertEqual("z.1", copy.by_key("t", "k").id)
+        copy.forget(pb.Forget(ended_before_wall_ms=6))
+        self.assertIsNone(copy.by_key("t", "k"))
+
+
+class CancellationTests(testtools.TestCase):
+    def test_a_waiting_request_is_cancelled_at_once_and_has_not_run(self):
+        ledger = Ledger()
+        accept(ledger)
+        request = ledger.cancel(pb.RequestCancel(request_id="z.1")).request
+        self.assertEqual(
+            (RequestState.CANCELLED, Stage.ACCEPTED, Run.NOT_RUN),
+            (request.state, request.stage, request.run),
+        )
+
+    def test_a_finish_before_the_stop_wins_and_the_stop_changes_nothing(self):
+        ledger = Ledger()
+        accept(ledger, placed=True)
+        ledger.cancel(pb.RequestCancel(request_id="z.1"))
+        ledger.finish(pb.Finish(request_id="z.1", attempt=1, answers=["a"]))
+        late = fail(ledger, Run.RAN)
+        self.assertEqual(OutcomeKind.ALREADY_ENDED, late.kind)
+        self.assertEqual(
+            (RequestState.FINISHED, ("a",)), (late.request.state, late.request.answers)
+        )
+
+    def test_tells_the_checkpoint_that_was_reached(self):
+        ledger = Ledger()
+        accept(ledger, placed=True)
+        ledger.cancel(pb.RequestCancel(request_id="z.1"))
+        stopped = pb.AttemptFailed(
+            request_id="z.1", attempt=1, run=Run.RAN, progress=0.5, checkpoint_step=4
+        )
+        request = ledger.attempt_failed(stopped).request
+        self.assertEqual(
+            (Stage.CHECKPOINTED, 4, 0.5), (request.stage, request.checkpoint_step, request.progress)
+        )
+
+    def test_cancelling_twice_gives_the_same_end(self):
+        ledger = Ledger()
+        accept(ledger)
+        first = ledger.cancel(pb.RequestCancel(request_id="z.1", wall_ms=1)).request
+        again = ledger.cancel(pb.RequestCancel(request_id="z.1", wall_ms=9))
+        self.assertEqual((OutcomeKind.ALREADY_ENDED, 1), (again.kind, first.ended_wall_ms))
+
+
+class AttemptTests(testtools.TestCase):
+    def test_work_that_is_not_idempotent_is_never_tried_again_once_it_may_have_run(self):
+        ledger = Ledger()
+        accept(ledger, placed=True, idempotent=False)
+        request = fail(ledger, Run.MAY_HAVE_RUN).request
+        self.assertEqual((RequestState.FAILED, Run.MAY_HAVE_RUN), (request.state, request.run))
+        again = ledger.place(pb.Place(request_id="z.1", attempt=2))
+        self.assertEqual(OutcomeKind.STALE, again.kind)
+
+    def test_work_that_is_not_idempotent_waits_again_when_it_was_certainly_not_run(self):
+        ledger = Ledger()
+        accept(ledger, placed=True, idempotent=False)
+        self.assertEqual(RequestState.ACCEPTED, fail(ledger, Run.NOT_RUN).request.state)
+
+    def test_attempts_are_bounded(self):
+        ledger = Ledger()
+        accept(ledger, placed=True, max_attempts=2)
+        fail(ledger, Run.RAN)
+        ledger.place(pb.Place(request_id="z.1", attempt=2))
+        self.assertEqual(RequestState.FAILED, fail(ledger, Run.RAN, attempt=2).request.state)
+
+    def test_a_late_answer_of_an_older_attempt_is_dropped(self):
+        ledger = Ledger()
+        accept(ledger, placed=True)
+        fail(ledger, Run.RAN)
+        ledger.place(pb.Place(request_id="z.1", attempt=2))
+        late = ledger.finish(pb.Finish(request_id="z.1", attempt=1, answers=["old"]))
+        self.assertEqual((OutcomeKind.STALE, ()), (late.kind, late.request.answers))
+
+    def test_a_lease_is_wanted_only_by_its_own_attempt(self):
+        ledger = Ledger()
+        accept(ledger, placed=True)
+        self.assertEqual(
+            [True, False, False],
+            [ledger.wants_lease(lease) for lease in ("z.1.1.0", "z.1.2.0", "other")],
+        )
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and stubs of the protocols between entry hosts."""
