--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""How long work really runs, learned from what it declared."""
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/__init__.py
@@ -0,0 +1,1 @@
+"""Which shapes each team is promised, and where they can be laid out."""
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/health/__init__.py
@@ -0,0 +1,1 @@
+"""Which workers and jobs fail."""
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/first_fit.py
@@ -0,0 +1,47 @@
+"""First fit: take the first workers with room, in the order in which they joined."""
+
+from collections.abc import Iterable
+
+from agateferry_core.demand import Adjacency, Assignment, Demand
+
+from agateferry_scheduling.topology import Topology, WorkerState
+
+Counts = dict[str, int]
+
+
+def assignments_of(demand: Demand, counts: Counts) -> tuple[Assignment, ...]:
+    """Number the members worker by worker, for example {"w1": 2} gives members 0 and 1 on w1."""
+    names = [name for name, count in counts.items() for _ in range(count)]
+    return tuple(
+        Assignment(member=member, worker=name, accelerators=demand.accelerators)
+        for member, name in enumerate(names)
+    )
+
+
+def first_fit(topology: Topology, demand: Demand) -> Counts | None:
+    """Return how many members go to which worker, or None when the whole gang does not fit."""
+    if demand.adjacency is Adjacency.ANY:
+        return _fill(topology.open_workers(), demand)
+    if demand.adjacency is Adjacency.RACK:
+        for rack in topology.racks.values():
+            counts = _fill((w for w in rack.workers.values() if w.is_open()), demand)
+            if counts is not None:
+                return counts
+        return None
+    for worker in topology.open_workers():
+        if worker.room_for(demand) >= demand.members:
+            return {worker.name: demand.members}
+    return None
+
+
+def _fill(workers: Iterable[WorkerState], demand: Demand) -> Counts | None:
+    counts: Counts = {}
+    missing = demand.members
+    for worker in workers:
+        taken = min(worker.room_for(demand), missing)
+        if taken:
+            counts[worker.name] = taken
+            missing -= taken
+        if missing == 0:
+            return counts
+    return None
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/preemption/__init__.py
@@ -0,0 +1,1 @@
+"""What to take back, and for whom."""
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Which waiting request comes next."""
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded events, their replay and what is measured of it."""
