Read the settings of agateferryd from one table

Cause: the daemon needs checked settings. Ruled out: hand-written pydantic models beside the defaults, since the docs and error texts need the same bounds; the models are made from the table.

--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/settings/models.py
@@ -0,0 +1,75 @@
+"""The validated form of a settings file, made from the table of settings.
+
+Models are strict: a number in quotes is not a number, and a key that the table does not have is an
+error.
+"""
+
+import ipaddress
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints, create_model
+
+from agateferry_service.settings.settings import Address
+from agateferry_service.settings.table import NAME_PATTERN, SECTIONS, SETTINGS, Form, Setting
+
+MAX_PORT = 65_535
+STRICT = ConfigDict(strict=True, extra="forbid", frozen=True)
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in `ip:port`; raise ValueError when it is none."""
+    ip, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise ValueError("no port")
+    return Address(str(ipaddress.ip_address(ip.removeprefix("[").removesuffix("]"))), int(port))
+
+
+def _path(text: str) -> Path:
+    return Path(text)
+
+
+def _kind(setting: Setting) -> Any:
+    match setting.form:
+        case Form.NAME:
+            return Annotated[str, StringConstraints(pattern=NAME_PATTERN)]
+        case Form.ADDRESS:
+            return Annotated[str, AfterValidator(parse_address)]
+        case Form.PATH:
+            return Annotated[str, StringConstraints(min_length=1), AfterValidator(_path)]
+        case Form.NUMBER:
+            return Annotated[int, Field(ge=setting.low, le=setting.high)]
+        case Form.FLAG:
+            return bool
+        case Form.LEVEL:
+            return Literal["debug", "info", "warning", "error"]
+
+
+def _field(setting: Setting) -> Any:
+    if setting.required:
+        return (_kind(setting), ...)
+    if setting.default is None:
+        return (_kind(setting) | None, None)
+    return (_kind(setting), setting.default)
+
+
+def _section_model(section: str) -> type[BaseModel]:
+    fields = {s.key: _field(s) for s in SETTINGS if s.section == section}
+    return create_model(f"{section.title()}Model", __config__=STRICT, **fields)
+
+
+def _section_field(section: str, model: type[BaseModel]) -> Any:
+    if section == "peers":
+        return (Annotated[list[model], Field(min_length=1)], ...)  # type: ignore[valid-type]
+    if any(setting.required for setting in SETTINGS if setting.section == section):
+        return (model, ...)
+    return (model, Field(default_factory=model))
+
+
+SECTION_MODELS = {section: _section_model(section) for section in SECTIONS}
+
+FileModel: type[BaseModel] = create_model(
+    "FileModel",
+    __config__=STRICT,
+    **{name: _section_field(name, model) for name, model in SECTION_MODELS.items()},
+)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/settings/table.py
@@ -0,0 +1,196 @@
+"""The one table of settings: key, default, bounds, unit and meaning of each.
+
+The validated models, the error texts and the test of docs/settings.md are all made from it.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Form(StrEnum):
+    """Say what kind of value a setting takes."""
+
+    NAME = "name"
+    ADDRESS = "address"
+    PATH = "path"
+    NUMBER = "number"
+    FLAG = "flag"
+    LEVEL = "level"
+
+
+LEVELS = ("debug", "info", "warning", "error")
+NAME_PATTERN = r"^[a-z0-9][a-z0-9-]{0,62}$"
+DAY_MS = 86_400_000
+
+
+@dataclass(frozen=True, slots=True)
+class Setting:
+    """One setting; `required` settings have no default, and None as a default means absent."""
+
+    section: str
+    key: str
+    form: Form
+    meaning: str
+    default: str | int | bool | None = None
+    required: bool = False
+    unit: str = ""
+    low: int = 0
+    high: int = 0
+
+    def allowed(self) -> str:
+        """Return the values that this setting takes, in words."""
+        match self.form:
+            case Form.NAME:
+                return "needs a name of 1 to 63 small letters, digits and hyphens"
+            case Form.ADDRESS:
+                return "needs an IP number and a port, such as 127.0.0.1:7400"
+            case Form.PATH:
+                return "needs a path, not empty"
+            case Form.NUMBER:
+                unit = f" ({self.unit})" if self.unit else ""
+                return f"needs a whole number from {self.low} to {self.high}{unit}"
+            case Form.FLAG:
+                return "needs true or false"
+            case Form.LEVEL:
+                return f"needs one of {', '.join(LEVELS)}"
+
+
+def _name(section: str, key: str, meaning: str) -> Setting:
+    return Setting(section, key, Form.NAME, meaning, required=True)
+
+
+def _address(section: str, key: str, meaning: str) -> Setting:
+    return Setting(section, key, Form.ADDRESS, meaning, required=True)
+
+
+def _path(section: str, key: str, meaning: str) -> Setting:
+    return Setting(section, key, Form.PATH, meaning)
+
+
+def _flag(section: str, key: str, default: bool, meaning: str) -> Setting:
+    return Setting(section, key, Form.FLAG, meaning, default=default)
+
+
+def _number(
+    section: str, key: str, default: int, unit: str, low: int, high: int, meaning: str
+) -> Setting:
+    return Setting(section, key, Form.NUMBER, meaning, default, False, unit, low, high)
+
+
+def _limit(key: str, default: int, unit: str, low: int, high: int, meaning: str) -> Setting:
+    return _number("limits", key, default, unit, low, high, meaning)
+
+
+def _timeout(key: str, default: int, low: int, high: int, meaning: str) -> Setting:
+    return _number("timeouts", key, default, "ms", low, high, meaning)
+
+
+SETTINGS = (
+    _name("host", "name", "Name of this host, unique in the system."),
+    _name("host", "zone", "Availability zone of this host."),
+    _path("host", "data_folder", "Folder of the host's own state; absent on a host with no disk."),
+    _address("listen", "callers", "Where callers send requests."),
+    _address("listen", "operators", "Where operators and the metrics collector connect."),
+    _address("listen", "endpoints", "Where workers announce themselves."),
+    _address("listen", "peers", "Where the other entry hosts connect."),
+    _name("peers", "name", "Name of the entry host."),
+    _name("peers", "zone", "Availability zone of the entry host."),
+    _address("peers", "peers", "Address of its `listen.peers`."),
+    _address("peers", "callers", "Address of its `listen.callers`."),
+    _address("peers", "operators", "Address of its `listen.operators`."),
+    _flag("peers", "disk", True, "Whether the host has a disk."),
+    _flag("peers", "records_voter", False, "Whether the host votes on operators' records."),
+    _limit("max_body_bytes", 1_048_576, "bytes", 1_024, 67_108_864, "Longest body taken."),
+    _limit("max_connections_callers", 2_000, "", 1, 65_536, "Open connections of callers."),
+    _limit("max_connections_operators", 100, "", 1, 65_536, "Open connections of operators."),
+    _limit("max_connections_endpoints", 1_000, "", 1, 65_536, "Open connections of workers."),
+    _limit(
+        "request_head_timeout_ms",
+        5_000,
+        "ms",
+        100,
+        600_000,
+        "How long a client may take to send a request's head.",
+    ),
+    _limit(
+        "request_body_timeout_ms",
+        10_000,
+        "ms",
+        100,
+        600_000,
+        "How long a client may take to send a request's body.",
+    ),
+    _limit("max_wait_ms", 60_000, "ms", 0, 600_000, "Longest `Prefer: wait` that is held."),
+    _limit(
+        "retry_budget_percent",
+        20,
+        "percent",
+        0,
+        100,
+        "Retries to workers allowed for each hundred first attempts.",
+    ),
+    _timeout("worker_heartbeat_ms", 2_000, 100, 60_000, "How often a worker announces itself."),
+    _timeout("worker_silence_ms", 7_000, 300, 600_000, "Silence after which a worker is lost."),
+    _timeout(
+        "worker_leaving_ms",
+        3_000,
+        100,
+        60_000,
+        "Time by which no host sends a leaving worker work.",
+    ),
+    _timeout("reservation_ttl_ms", 5_000, 100, 600_000, "When an unused reservation lapses."),
+    _timeout("rpc_ms", 1_000, 50, 60_000, "How long a call to a peer may take."),
+    _timeout(
+        "endpoint_silence_ms",
+        3_000,
+        100,
+        600_000,
+        "Silence of a connection to a worker after which a new one is opened to ask.",
+    ),
+    _timeout("retry_pause_ms", 100, 1, 60_000, "First pause before a retry; it doubles each time."),
+    _timeout("drain_ms", 30_000, 0, DAY_MS, "Time for a planned stop to finish held requests."),
+    _timeout(
+        "answer_keep_ms", 3_600_000, 1_000, DAY_MS, "How long an answer is kept after the end."
+    ),
+    _number("replication", "heartbeat_ms", 250, "ms", 10, 60_000, "Pace of a leader's heartbeats."),
+    _number(
+        "replication",
+        "election_timeout_ms",
+        1_000,
+        "ms",
+        50,
+        600_000,
+        "Silence of a leader after which a new one is elected.",
+    ),
+    _number(
+        "replication",
+        "snapshot_entries",
+        5_000,
+        "entries",
+        10,
+        1_000_000,
+        "Log entries between two snapshots.",
+    ),
+    Setting("log", "level", Form.LEVEL, "Least severe lines that are written.", "info"),
+    _flag("log", "as_json", True, "Whether lines are JSON; otherwise a form for people."),
+    _path("recording", "trace_file", "File for the trace of scheduler events; absent: off."),
+)
+
+SECTIONS = tuple(dict.fromkeys(setting.section for setting in SETTINGS))
+
+RENAMED = {
+    ("host", "availability_zone"): "zone",
+    ("host", "data_dir"): "data_folder",
+    ("limits", "max_body"): "max_body_bytes",
+    ("timeouts", "drain"): "drain_ms",
+}
+
+
+def keys_of(section: str) -> tuple[str, ...]:
+    """Return the keys of a section in the order of the table."""
+    return tuple(setting.key for setting in SETTINGS if setting.section == section)
+
+
+def find(section: str, key: str) -> Setting | None:
+    """Return one setting, or None where there is none by that name."""
+    return next((s for s in SETTINGS if (s.section, s.key) == (section, key)), None)
