--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/__init__.py
@@ -0,0 +1,1 @@
+"""One availability zone's cell: its state machine, and what its leader does."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/decider.py
@@ -0,0 +1,64 @@
+"""The scheduler of a zone, driven by its leader."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from agateferry_core.clock import Clock
+from agateferry_scheduling.scheduler.messages import (
+    Decision,
+    Explanation,
+    PendingRequest,
+    Reject,
+    RequestQueued,
+    Scheduler,
+    SchedulerEvent,
+    Start,
+)
+
+
+class DecisionHandler(Protocol):
+    """Carry decisions out; a handler must not feed the scheduler before it returns."""
+
+    def carry_out(self, decision: Decision) -> None:
+        """Begin to carry out one decision."""
+
+
+class Decider:
+    """Feed events to a scheduler and pass its decisions on, in order."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        clock: Clock,
+        handler: DecisionHandler,
+        record: Callable[[SchedulerEvent, int], None] | None = None,
+    ) -> None:
+        self._scheduler = scheduler
+        self._clock = clock
+        self._handler = handler
+        self._record = record
+
+    def feed(self, event: SchedulerEvent) -> None:
+        """Take an event in and carry out all that follows."""
+        for decision in self._step(event):
+            self._handler.carry_out(decision)
+
+    def feed_new(self, request: PendingRequest) -> Start | Reject | None:
+        """Queue a new request and return what was decided on it at once, not carried out."""
+        own: Start | Reject | None = None
+        for decision in self._step(RequestQueued(request)):
+            if isinstance(decision, Start | Reject) and decision.request_id == request.request_id:
+                own = decision
+            else:
+                self._handler.carry_out(decision)
+        return own
+
+    def explain(self, request_id: str) -> Explanation:
+        """Tell why a request is where it is."""
+        return self._scheduler.explain(request_id, self._clock.now_ms())
+
+    def _step(self, event: SchedulerEvent) -> list[Decision]:
+        now_ms = self._clock.now_ms()
+        if self._record is not None:
+            self._record(event, now_ms)
+        return self._scheduler.step(event, now_ms)
--- a/packages/agateferry-service/agateferry_service/cell/machine.py
+++ b/packages/agateferry-service/agateferry_service/cell/machine.py
@@ -6,7 +6,7 @@
 from agateferry_service.endpoints.registry import Registry
 from agateferry_service.requests.ledger import Ledger
 from agateferry_service.rpc import commands_pb2 as pb
-from agateferry_state.records import RecordStore
+from agateferry_state.records import RecordStore, decode_revisions
 
 
 class CellMachine:
@@ -67,6 +67,6 @@
             case "worker":
                 return self.registry.change(message.worker)
             case "adopt":
-                return self.records.adopt(message.adopt.revisions)
+                return self.records.adopt(decode_revisions(message.adopt.revisions))
             case unknown:
                 raise ValueError(f"a command of an unknown kind in the cell's log: {unknown}")
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/proposer.py
@@ -0,0 +1,40 @@
+"""Proposing commands to the cell's log."""
+
+from expression import Error, Ok, Result
+
+from agateferry_service.cell.refusals import COME_BACK_MS, RefusalReason, not_leader, refusal
+from agateferry_service.rpc import cell_pb2, commands_pb2
+from agateferry_state.replica import ProposeError, ProposeErrorKind, Replica
+
+
+class Proposer:
+    """Turn commands into log entries and failures into refusals."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    async def propose(self, **command: object) -> Result[object, ProposeError]:
+        """Propose one command, named by its field, and return the machine's outcome.
+
+        For example `await proposer.propose(cancel=pb.RequestCancel(request_id="z.1"))`.
+        """
+        message = commands_pb2.Command(**command)  # type: ignore[arg-type]
+        result = await self._replica.propose(message.SerializeToString())
+        if result.is_error():
+            return Error(result.error)
+        return Ok(result.ok.outcome)
+
+
+def propose_refusal(error: ProposeError) -> cell_pb2.Refusal:
+    """Tell a caller why its command has no outcome."""
+    match error.kind:
+        case ProposeErrorKind.NOT_LEADER:
+            return not_leader(error.leader)
+        case ProposeErrorKind.STOPPED:
+            return refusal(RefusalReason.STOPPING, "this host is stopping", COME_BACK_MS)
+        case ProposeErrorKind.STORAGE_FAILED:
+            detail = error.detail or "the disk failed"
+            return refusal(RefusalReason.STORAGE_FAILED, detail, COME_BACK_MS)
+        case ProposeErrorKind.UNKNOWN:
+            detail = "the state's answer was lost; ask again with the same key"
+            return refusal(RefusalReason.OUTCOME_UNKNOWN, detail, COME_BACK_MS)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/waiters.py
@@ -0,0 +1,45 @@
+"""Callers that wait for the end of a request."""
+
+import asyncio
+from typing import Any
+
+from agateferry_service.requests import Outcome, Request
+from agateferry_service.rpc import commands_pb2 as pb
+
+
+class Waiters:
+    """Wake those who wait when the request they wait for has ended.
+
+    It listens to the cell's machine, so it tells nothing that has not been committed.
+    """
+
+    def __init__(self) -> None:
+        self._events: dict[str, asyncio.Event] = {}
+        self._counts: dict[str, int] = {}
+
+    def on_applied(self, command: pb.Command, outcome: Any) -> None:
+        """Take in one applied command."""
+        if not isinstance(outcome, Outcome) or outcome.request is None:
+            return
+        event = self._events.get(outcome.request.id)
+        if event is not None and outcome.request.ended:
+            event.set()
+
+    async def until_ended(self, request: Request, wait_ms: int) -> None:
+        """Return when the request has ended, or after `wait_ms` milliseconds."""
+        if request.ended or wait_ms <= 0:
+            return
+        event = self._events.setdefault(request.id, asyncio.Event())
+        self._counts[request.id] = self._counts.get(request.id, 0) + 1
+        try:
+            await asyncio.wait_for(event.wait(), wait_ms / 1000)
+        except TimeoutError:
+            return
+        finally:
+            self._leave(request.id)
+
+    def _leave(self, request_id: str) -> None:
+        self._counts[request_id] -= 1
+        if self._counts[request_id] == 0:
+            del self._counts[request_id]
+            del self._events[request_id]
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/watch.py
@@ -0,0 +1,123 @@
+"""Announcements of workers, and workers that have fallen silent."""
+
+from collections.abc import Callable
+
+from agateferry_scheduling.scheduler.messages import (
+    UsageReported,
+    WorkerJoined,
+    WorkerLeaving,
+    WorkerLost,
+)
+from agateferry_service.cell import events
+from agateferry_service.cell.attempts import Attempts
+from agateferry_service.cell.context import CellContext
+from agateferry_service.cell.decider import Decider
+from agateferry_service.cell.proposer import propose_refusal
+from agateferry_service.dispatch.messages import FINAL_LEASE_STATES
+from agateferry_service.endpoints.registry import (
+    RegisteredWorker,
+    WorkerState,
+    worker_from_pb,
+    worker_to_pb,
+)
+from agateferry_service.rpc import cell_pb2 as pb
+
+FINAL_STATES = frozenset(state.value for state in FINAL_LEASE_STATES)
+
+
+class WorkerWatch:
+    """Keep the leader's view of workers: who was heard of when, and who is lost.
+
+    The times of heartbeats are this leader's own; only changes of a worker go to the log. A new
+    leader counts every worker as heard of when it begins.
+    """
+
+    def __init__(
+        self, ctx: CellContext, attempts: Attempts, decider: Callable[[], Decider]
+    ) -> None:
+        self._ctx = ctx
+        self._attempts = attempts
+        self._decider = decider
+        self._heard_ms: dict[str, int] = {}
+
+    def begin(self) -> None:
+        """Count every worker as heard of now, and tell the scheduler of all of them."""
+        now_ms = self._ctx.clock.now_ms()
+        self._heard_ms.clear()
+        for registered in self._ctx.machine.registry:
+            if registered.state is not WorkerState.LOST:
+                self._heard_ms[registered.worker.name] = now_ms
+                self._tell_scheduler(registered)
+
+    def heard_ms(self, worker: str) -> int | None:
+        """Return when a worker was last heard of, on the monotonic clock."""
+        return self._heard_ms.get(worker)
+
+    async def announce(self, req: pb.AnnounceRequest) -> pb.AnnounceReply:
+        """Take an announcement in and tell the worker which leases to stop or to release."""
+        self._heard_ms[req.worker.name] = self._ctx.clock.now_ms()
+        refused = await self._store_change(req)
+        if refused is not None:
+            return pb.AnnounceReply(refusal=refused)
+        self._report_usage(req)
+        reply = pb.AnnounceReply(heartbeat_ms=self._ctx.times.worker_heartbeat_ms)
+        for lease in req.leases:
+            self._take_lease(lease, reply)
+        return reply
+
+    async def lose_silent(self) -> None:
+        """Give up workers that have not been heard of for too long."""
+        now_ms = self._ctx.clock.now_ms()
+        silence_ms = self._ctx.times.worker_silence_ms
+        silent = [name for name, heard in self._heard_ms.items() if now_ms - heard > silence_ms]
+        for name in silent:
+            await self._lose(name)
+
+    async def _lose(self, name: str) -> None:
+        self._heard_ms.pop(name, None)
+        registered = self._ctx.machine.registry.get(name)
+        if registered is None:
+            return
+        self._ctx.log.warning(events.WORKER_LOST, worker=name)
+        self._decider().feed(WorkerLost(name))
+        self._attempts.lose_worker(name, "no announcement came in time")
+        command = worker_to_pb(registered.worker, WorkerState.LOST)
+        await self._ctx.proposer.propose(worker=command)
+
+    async def _store_change(self, req: pb.AnnounceRequest) -> pb.Refusal | None:
+        """Store what is new about a worker; heartbeats that bring nothing new are not stored."""
+        known = self._ctx.machine.registry.get(req.worker.name)
+        announced = worker_from_pb(req.worker, self._ctx.machine.zone)
+        state = WorkerState(req.worker.state)
+        if known is not None and known == RegisteredWorker(announced, state):
+            return None
+        result = await self._ctx.proposer.propose(worker=req.worker)
+        if result.is_error():
+            return propose_refusal(result.error)
+        self._ctx.log.info(events.WORKER_CHANGED, worker=announced.name, state=state.value)
+        if known is not None and known.worker.incarnation != announced.incarnation:
+            self._decider().feed(WorkerLost(announced.name))
+            self._attempts.lose_worker(announced.name, "the worker started anew")
+        self._tell_scheduler(RegisteredWorker(announced, state))
+        return None
+
+    def _tell_scheduler(self, registered: RegisteredWorker) -> None:
+        self._decider().feed(WorkerJoined(registered.worker))
+        if registered.state is WorkerState.LEAVING:
+            self._decider().feed(WorkerLeaving(registered.worker.name))
+
+    def _report_usage(self, req: pb.AnnounceRequest) -> None:
+        as_of_ms = self._ctx.clock.now_ms() - req.usage_age_ms
+        usage = UsageReported(req.worker.name, as_of_ms, req.slots_used, req.accelerators_used)
+        self._decider().feed(usage)
+
+    def _take_lease(self, lease: pb.LeaseReport, reply: pb.AnnounceReply) -> None:
+        final = lease.state in FINAL_STATES
+        if self._ctx.machine.ledger.wants_lease(lease.lease):
+            self._attempts.notify(lease.lease, final, lease.checkpoint_step, lease.progress)
+        elif final:
+            reply.release.append(lease.lease)
+        else:
+            self._ctx.metrics.count_late_result()
+            self._ctx.log.info(events.LATE_RESULT, lease=lease.lease, state=lease.state)
+            reply.stop.append(lease.lease)
