Keep versioned records of teams, jobs and configuration

Cause: operators race with equal versions and resend after lost answers, and callers of schema v1 and v2 live side by side. Change: a pure store with one internal form; a put names the version that it replaces; a resend is known by a digest of schema and content; cells adopt revisions, whose number only goes up; v1 is read on top of the standing record. Ruled out: a put id from the operator, which a lost terminal forgets; comparing internal forms, by which a v1 put could repeat another v2 put.

--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/records/codec.py
@@ -0,0 +1,140 @@
+"""Bytes of revisions, puts and whole stores, for logs, snapshots and messages between hosts.
+
+The form is JSON. What is decoded was checked when it was accepted and is not checked again, so that
+a later and stricter check cannot keep a host from reading its own state.
+"""
+
+import json
+from collections.abc import Iterable
+from typing import Any
+
+from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
+
+from agateferry_state.records.forms import (
+    ConfigRecord,
+    JobRecord,
+    Kind,
+    Record,
+    Schema,
+    TeamRecord,
+    WeightsRecord,
+    ZoneGuarantee,
+)
+from agateferry_state.records.messages import RecordPut, Revision
+from agateferry_state.records.schemas import show
+
+FORM = 1
+
+
+def encode_put(put: RecordPut) -> bytes:
+    """Return a put as one command of a replicated log."""
+    fields = {
+        "kind": put.kind,
+        "name": put.name,
+        "schema": put.schema,
+        "replaces": put.replaces,
+        "content": put.content,
+        "operator": put.operator,
+    }
+    return _dump(fields)
+
+
+def decode_put(data: bytes) -> RecordPut:
+    """Return the put of a command that `encode_put` made."""
+    fields = json.loads(data)
+    return RecordPut(
+        Kind(fields["kind"]),
+        fields["name"],
+        Schema(fields["schema"]),
+        fields["replaces"],
+        fields["content"],
+        fields["operator"],
+    )
+
+
+def encode_revisions(revisions: Iterable[Revision]) -> bytes:
+    """Return revisions as a message from the records plane to a cell."""
+    return _dump([_revision_fields(one) for one in revisions])
+
+
+def decode_revisions(data: bytes) -> tuple[Revision, ...]:
+    """Return the revisions of a message that `encode_revisions` made."""
+    return tuple(_revision(fields) for fields in json.loads(data))
+
+
+def encode_store(revision: int, revisions: Iterable[Revision]) -> bytes:
+    """Return a snapshot of a store."""
+    kept = [_revision_fields(one) for one in revisions]
+    return _dump({"form": FORM, "revision": revision, "revisions": kept})
+
+
+def decode_store(data: bytes) -> tuple[int, tuple[Revision, ...]]:
+    """Return the newest revision number and the kept revisions of a snapshot."""
+    fields = json.loads(data)
+    if fields["form"] != FORM:
+        raise ValueError(f"a snapshot of records has form {fields['form']}, known is {FORM}")
+    return int(fields["revision"]), tuple(_revision(one) for one in fields["revisions"])
+
+
+def _dump(fields: Any) -> bytes:
+    return json.dumps(fields, separators=(",", ":")).encode()
+
+
+def _revision_fields(revision: Revision) -> dict[str, Any]:
+    return {
+        "number": revision.number,
+        "kind": revision.kind,
+        "name": revision.name,
+        "version": revision.version,
+        "record": show(revision.record, Schema.V2),
+        "schema": revision.schema,
+        "digest": revision.digest,
+        "operator": revision.operator,
+    }
+
+
+def _revision(fields: dict[str, Any]) -> Revision:
+    kind = Kind(fields["kind"])
+    return Revision(
+        fields["number"],
+        kind,
+        fields["name"],
+        fields["version"],
+        _record(kind, fields["record"]),
+        Schema(fields["schema"]),
+        fields["digest"],
+        fields["operator"],
+    )
+
+
+def _record(kind: Kind, fields: dict[str, Any]) -> Record:
+    match kind:
+        case Kind.JOB:
+            return _job(fields)
+        case Kind.TEAM:
+            return _team(fields)
+        case Kind.CONFIG:
+            return _config(fields)
+
+
+def _job(fields: dict[str, Any]) -> JobRecord:
+    demand = {**fields["demand"], "adjacency": Adjacency(fields["demand"]["adjacency"])}
+    urgency = Urgency(fields["urgency"])
+    return JobRecord(**{**fields, "demand": Demand(**demand), "urgency": urgency})
+
+
+def _team(fields: dict[str, Any]) -> TeamRecord:
+    guarantees = tuple(
+        ZoneGuarantee(entry["zone"], tuple(_shape(shape) for shape in entry["shapes"]))
+        for entry in fields["guarantees"]
+    )
+    return TeamRecord(float(fields["weight"]), fields["max_queued"], guarantees)
+
+
+def _shape(fields: dict[str, Any]) -> Shape:
+    return Shape(**{**fields, "adjacency": Adjacency(fields["adjacency"])})
+
+
+def _config(fields: dict[str, Any]) -> ConfigRecord:
+    weights = fields.get("weights")
+    return ConfigRecord(**{**fields, "weights": WeightsRecord(**weights) if weights else None})
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/records/schema_v2.py
@@ -0,0 +1,163 @@
+"""Schema v2: contents that say all that the internal form holds."""
+
+from dataclasses import asdict
+from typing import Annotated, Any, Self
+
+from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
+from pydantic import Field, model_validator
+
+from agateferry_state.records.bounds import (
+    MAX_ACCELERATORS,
+    MAX_CPU_CORES,
+    MAX_MEMBERS,
+    MAX_MEMORY_MB,
+    MAX_SHAPES,
+    MAX_ZONES,
+    AcceleratorsField,
+    AdjacencyField,
+    AttemptsField,
+    Content,
+    MembersField,
+    MillisecondsField,
+    QueuedField,
+    ShareField,
+    UrgencyField,
+    WeightField,
+    ZoneField,
+    check_total,
+)
+from agateferry_state.records.forms import (
+    ConfigRecord,
+    JobRecord,
+    TeamRecord,
+    WeightsRecord,
+    ZoneGuarantee,
+)
+
+WEIGHTS_TOLERANCE = 1e-9
+
+
+class DemandV2(Content):
+    """What a request of the job asks for when it does not say itself."""
+
+    members: MembersField = 1
+    accelerators: AcceleratorsField = 0
+    cpu_cores: Annotated[int, Field(ge=0, le=MAX_CPU_CORES)] = 1
+    memory_mb: Annotated[int, Field(ge=0, le=MAX_MEMORY_MB)] = 256
+    adjacency: AdjacencyField = Adjacency.ANY
+
+    @model_validator(mode="after")
+    def _total(self) -> Self:
+        check_total(self.members, self.accelerators)
+        return self
+
+
+class JobV2(Content):
+    """A job."""
+
+    urgency: UrgencyField = Urgency.NORMAL
+    idempotent: bool = False
+    demand: DemandV2 = DemandV2()
+    declared_run_ms: MillisecondsField = 60_000
+    preemptible: bool = True
+    checkpointable: bool = False
+    max_attempts: AttemptsField = 3
+
+
+class ShapeV2(Content):
+    """A guaranteed shape."""
+
+    accelerators: Annotated[int, Field(ge=1, le=MAX_ACCELERATORS)]
+    adjacency: AdjacencyField = Adjacency.WORKER
+    count: Annotated[int, Field(ge=1, le=MAX_MEMBERS)] = 1
+
+
+class ZoneGuaranteeV2(Content):
+    """The shapes guaranteed in one zone."""
+
+    zone: ZoneField
+    shapes: Annotated[list[ShapeV2], Field(max_length=MAX_SHAPES)] = []
+
+
+class TeamV2(Content):
+    """A team."""
+
+    weight: WeightField = 1.0
+    max_queued: QueuedField = 1_000
+    guarantees: Annotated[list[ZoneGuaranteeV2], Field(max_length=MAX_ZONES)] = []
+
+    @model_validator(mode="after")
+    def _one_entry_for_each_zone(self) -> Self:
+        zones = [guarantee.zone for guarantee in self.guarantees]
+        if len(zones) != len(set(zones)):
+            raise ValueError("guarantees name a zone twice; give each zone one entry")
+        return self
+
+
+class WeightsV2(Content):
+    """The weights of the two measures."""
+
+    completion_time: ShareField
+    fragmentation: ShareField
+
+    @model_validator(mode="after")
+    def _add_up_to_one(self) -> Self:
+        if abs(self.completion_time + self.fragmentation - 1.0) > WEIGHTS_TOLERANCE:
+            raise ValueError("weights must add up to 1")
+        return self
+
+
+class ConfigV2(Content):
+    """The scheduling configuration."""
+
+    weights: WeightsV2 | None = None
+    urgent_start_ms: MillisecondsField | None = None
+    reclaim_ms: MillisecondsField | None = None
+    large_wait_ms: MillisecondsField | None = None
+    max_queued_total: QueuedField | None = None
+    urgent_headroom_slots: QueuedField | None = None
+    quarantine_after_failures: AttemptsField | None = None
+    quarantine_probe_ms: MillisecondsField | None = None
+
+
+def read_job(content: JobV2) -> JobRecord:
+    """Return the internal form of a job."""
+    fields = {name: getattr(content, name) for name in JobV2.model_fields}
+    return JobRecord(**{**fields, "demand": Demand(**content.demand.model_dump())})
+
+
+def read_team(content: TeamV2) -> TeamRecord:
+    """Return the internal form of a team, its zones in order of their names."""
+    guarantees = (
+        ZoneGuarantee(entry.zone, tuple(Shape(**shape.model_dump()) for shape in entry.shapes))
+        for entry in content.guarantees
+    )
+    ordered = tuple(sorted(guarantees, key=lambda guarantee: guarantee.zone))
+    return TeamRecord(content.weight, content.max_queued, ordered)
+
+
+def read_config(content: ConfigV2) -> ConfigRecord:
+    """Return the internal form of a configuration."""
+    fields = {name: getattr(content, name) for name in ConfigV2.model_fields}
+    if content.weights is not None:
+        fields["weights"] = WeightsRecord(**content.weights.model_dump())
+    return ConfigRecord(**fields)
+
+
+def show_job(record: JobRecord) -> dict[str, Any]:
+    """Return a job as JSON."""
+    return asdict(record)
+
+
+def show_team(record: TeamRecord) -> dict[str, Any]:
+    """Return a team as JSON."""
+    guarantees = [
+        {"zone": entry.zone, "shapes": [asdict(shape) for shape in entry.shapes]}
+        for entry in record.guarantees
+    ]
+    return {"weight": record.weight, "max_queued": record.max_queued, "guarantees": guarantees}
+
+
+def show_config(record: ConfigRecord) -> dict[str, Any]:
+    """Return a configuration as JSON, without the fields that are at their defaults."""
+    return {name: value for name, value in asdict(record).items() if value is not None}
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/records/tests/test_checks.py
@@ -0,0 +1,78 @@
+import testtools
+
+from agateferry_state.records import Kind, RecordPut, Schema, parse_put, read_content
+
+
+class ParsePutTests(testtools.TestCase):
+    def problems(self, kind="job", name="barn-count", **body):
+        whole = {"schema": "v2", "replaces": 0, "content": {}} | body
+        return str(parse_put(kind, name, whole).error)
+
+    def test_a_good_put_is_typed(self):
+        body = {"schema": "v1", "replaces": 3, "content": {"urgent": True}}
+        expected = RecordPut(Kind.JOB, "barn-count", Schema.V1, 3, {"urgent": True}, "ada")
+        self.assertEqual(expected, parse_put("job", "barn-count", body, "ada").ok)
+
+    def test_an_unknown_schema_names_the_known_ones(self):
+        self.assertIn("schema: 'v3' is not one of v1, v2", self.problems(schema="v3"))
+
+    def test_an_unknown_kind_names_the_known_ones(self):
+        self.assertIn("kind: 'jobs' is not one of team, job, config", self.problems(kind="jobs"))
+
+    def test_a_version_must_be_a_number(self):
+        for replaces in (True, "1", -1, 2**60, None, 1.0):
+            self.assertIn("replaces: needs the version number", self.problems(replaces=replaces))
+
+    def test_names_are_plain(self):
+        for name in ("", "A", "../x", "a b", "x" * 64):
+            self.assertIn("name: needs 1 to 63", self.problems(name=name))
+
+    def test_the_configuration_has_one_name(self):
+        self.assertIn("must be scheduling", self.problems(kind="config", name="other"))
+
+    def test_a_body_must_be_an_object(self):
+        self.assertIn("needs a JSON object", str(parse_put("job", "j", [1]).error))
+
+    def test_unknown_fields_get_a_near_name(self):
+        found = self.problems(content={"urgenci": "long"}, replace=1)
+        self.assertIn("replace: is not known; did you mean replaces?", found)
+        found = self.problems(content={"urgenci": "long"})
+        self.assertIn("urgenci: is not known; did you mean urgency?", found)
+
+
+class ReadContentTests(testtools.TestCase):
+    def refused(self, kind, content, schema=Schema.V2):
+        result = read_content(kind, schema, content, None)
+        self.assertTrue(result.is_error(), content)
+        return str(result.error)
+
+    def test_huge_and_negative_numbers_are_refused(self):
+        for value in (0, -1, 10**30, 1.5, "5", True, None):
+            self.assertIn("declared_run_ms", self.refused(Kind.JOB, {"declared_run_ms": value}))
+
+    def test_shapes_that_make_no_sense_are_refused(self):
+        demand = {"members": 1000, "accelerators": 1000}
+        self.assertIn("members x accelerators", self.refused(Kind.JOB, {"demand": demand}))
+        self.assertIn("members x accelerators", self.refused(Kind.JOB, demand, Schema.V1))
+        shapes = [{"zone": "a", "shapes": [{"accelerators": 0}]}]
+        self.assertIn("guarantees.0.shapes.0", self.refused(Kind.TEAM, {"guarantees": shapes}))
+
+    def test_a_zone_has_one_entry(self):
+        twice = [{"zone": "a"}, {"zone": "a"}]
+        self.assertIn("name a zone twice", self.refused(Kind.TEAM, {"guarantees": twice}))
+
+    def test_weights_add_up_to_one(self):
+        weights = {"completion_time": 0.9, "fragmentation": 0.9}
+        self.assertIn("add up to 1", self.refused(Kind.CONFIG, {"weights": weights}))
+
+    def test_numbers_that_are_not_finite_are_refused(self):
+        for value in (float("nan"), float("inf")):
+            self.assertIn("not plain JSON", self.refused(Kind.TEAM, {"weight": value}))
+
+    def test_a_large_content_is_refused(self):
+        self.assertIn("at most 65536", self.refused(Kind.JOB, {"urgency": "x" * 70_000}))
+
+    def test_all_faults_are_told_at_once(self):
+        found = self.refused(Kind.JOB, {"urgency": "soon", "max_attempts": 0})
+        self.assertIn("urgency: 'soon'", found)
+        self.assertIn("max_attempts: 0", found)
