--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/__main__.py
@@ -0,0 +1,5 @@
+"""Run agateferryd as a module."""
+
+from agateferry_service.daemon.main import run
+
+run()
--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -9,6 +9,7 @@
 from agateferry_service.cell import events
 from agateferry_service.cell.admission import pending_request
 from agateferry_service.cell.context import CellContext
+from agateferry_service.cell.counting import count_end
 from agateferry_service.cell.decider import Decider
 from agateferry_service.dispatch.attempt import REASON_WORKER_LOST, Attempt, Member
 from agateferry_service.dispatch.client import StartOrder
@@ -176,9 +177,7 @@
         )
         return self._outcome(request, await self._ctx.proposer.propose(attempt_failed=command))
 
-    def _outcome(
-        self, request: Request, result: Result[object, ProposeError]
-    ) -> Outcome | None:
+    def _outcome(self, request: Request, result: Result[object, ProposeError]) -> Outcome | None:
         if result.is_error():
             fields = {"kind": result.error.kind.value, "detail": result.error.detail}
             self._ctx.log.warning(events.PROPOSAL_FAILED, request=request.id, **fields)
@@ -203,12 +202,12 @@
         if result.end is AttemptEnd.FAILED:
             self._ctx.log.warning(events.ATTEMPT_FAILED, **fields)
         if request.ended:
-            self._ctx.metrics.count_end(request)
+            count_end(self._ctx.metrics, request)
             self._ctx.log.info(
                 events.ENDED, request=request.id, team=request.spec.team, state=request.state.value
             )
         elif request.state is RequestState.ACCEPTED:
-            self._ctx.metrics.count_retry(result.reason)
+            self._ctx.metrics.retried(result.reason)
 
     def _requeue(self, request: Request, result: AttemptResult) -> None:
         """Queue a request again, the later the more often workers refused it."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/cell.py
@@ -0,0 +1,88 @@
+"""One host's share in its zone's cell: the replica, and the leader's work while it leads."""
+
+import asyncio
+import contextlib
+
+from agateferry_service.cell.context import CellContext
+from agateferry_service.cell.leader import CellLeader, SchedulerMaker
+from agateferry_service.cell.refusals import not_leader
+from agateferry_service.cell.views import CellViews
+from agateferry_service.rpc import cell_pb2 as pb
+
+FOLLOW_EVERY_S = 0.05
+
+
+class Cell:
+    """Begin and end the leader's work as leadership comes and goes, and answer calls to it.
+
+    Every call is refused with `not-leader` and the leader's name while another host leads.
+    """
+
+    def __init__(self, ctx: CellContext, make_scheduler: SchedulerMaker) -> None:
+        self.ctx = ctx
+        self.leader = CellLeader(ctx, make_scheduler)
+        self._views = CellViews(self.leader)
+        self._follower: asyncio.Task[None] | None = None
+        ctx.machine.listeners.append(ctx.waiters.on_applied)
+
+    async def start(self) -> None:
+        """Start the replica and follow its leadership."""
+        await self.ctx.replica.start()
+        self._follower = asyncio.create_task(self._follow())
+
+    async def stop(self) -> None:
+        """Hand leadership on and stop taking part."""
+        await self.ctx.replica.stop()
+        if self._follower is not None:
+            self._follower.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._follower
+        await self.leader.end()
+
+    async def submit(self, req: pb.SubmitRequest) -> pb.RequestReply:
+        """Admit a request, if this host leads."""
+        if not self.leader.active:
+            return pb.RequestReply(refusal=self._not_leader())
+        return await self.leader.submit(req)
+
+    async def look(self, req: pb.LookRequest) -> pb.RequestReply:
+        """Return a request, if this host leads."""
+        if not self.leader.active:
+            return pb.RequestReply(refusal=self._not_leader())
+        reply = await self.leader.look(req)
+        return reply if self.leader.active else pb.RequestReply(refusal=self._not_leader())
+
+    async def cancel(self, req: pb.CancelRequest) -> pb.RequestReply:
+        """Cancel a request, if this host leads."""
+        if not self.leader.active:
+            return pb.RequestReply(refusal=self._not_leader())
+        return await self.leader.cancel(req)
+
+    async def announce(self, req: pb.AnnounceRequest) -> pb.AnnounceReply:
+        """Take a worker's announcement in, if this host leads."""
+        if not self.leader.active:
+            return pb.AnnounceReply(refusal=self._not_leader())
+        return await self.leader.watch.announce(req)
+
+    async def query(self, req: pb.QueryRequest) -> pb.QueryReply:
+        """Answer an operator's question, if this host leads."""
+        if not self.leader.active:
+            return pb.QueryReply(refusal=self._not_leader())
+        return self._views.answer(req.what, req.name)
+
+    def _not_leader(self) -> pb.Refusal:
+        leader = self.ctx.replica.leader
+        return not_leader(None if leader == self.ctx.host else leader)
+
+    async def _follow(self) -> None:
+        """Watch leadership; a change of term ends the old leader's work before the new begins."""
+        led_term = 0
+        while True:
+            leads = self.ctx.replica.is_leader
+            term = self.ctx.replica.term
+            if led_term and (not leads or term != led_term):
+                await self.leader.end()
+                led_term = 0
+            if leads and not led_term and await self.leader.begin():
+                led_term = term
+            await asyncio.sleep(FOLLOW_EVERY_S)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
+from agateferry_core.demand import Assignment
 from agateferry_scheduling.scheduler.messages import (
     ConfigChanged,
     Decision,
@@ -25,11 +27,11 @@
     TeamsChanged,
     Tick,
 )
-from agateferry_core.demand import Assignment
 from agateferry_service.cell import events
 from agateferry_service.cell.admission import Admission, pending_of, pending_request
 from agateferry_service.cell.attempts import Attempts
 from agateferry_service.cell.context import CellContext
+from agateferry_service.cell.counting import count_end
 from agateferry_service.cell.decider import Decider
 from agateferry_service.cell.proposer import propose_refusal
 from agateferry_service.cell.refusals import RefusalReason, refusal
@@ -38,7 +40,7 @@
 from agateferry_service.requests import Outcome, OutcomeKind, Placement, Request, Spec
 from agateferry_service.requests.codec import placement_to_pb, spec_to_pb, view_to_pb
 from agateferry_service.rpc import cell_pb2, commands_pb2
-from agateferry_state.replica import ProposeErrorKind
+from agateferry_state.replica import ProposeError
 
 SchedulerMaker = Callable[[str], Scheduler]
 
@@ -54,6 +56,7 @@
         self.watch = WorkerWatch(ctx, self.attempts, self.decider)
         self.quarantined: dict[str, str] = {}
         self.at_risk: tuple[str, ...] = ()
+        self.background: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self._revision_told = -1
 
     @property
@@ -79,7 +82,8 @@
         self._tell_records()
         self.watch.begin()
         self._resume_requests()
-        self.ctx.tasks.spawn(self._tick_for_ever())
+        for work in (self._tick_for_ever, *self.background):
+            self.ctx.tasks.spawn(work())
         return True
 
     async def end(self) -> None:
@@ -167,7 +171,7 @@
         )
         result = await self.ctx.proposer.propose(accept=command)
         if result.is_error():
-            return await self._refuse_unstored(spec, decision, result.error.kind, result.error)
+            return await self._refuse_unstored(spec, decision, result.error)
         outcome = result.ok
         if not isinstance(outcome, Outcome) or outcome.request is None:
             raise TypeError("the ledger gave no outcome for an accepted request")
@@ -175,19 +179,19 @@
         if outcome.kind is not OutcomeKind.DONE:
             self._retract(spec.id, decision)
             return await self._reply_to_resend(request, spec, wait_ms)
-        self.ctx.metrics.count_accepted(request)
+        self.ctx.metrics.accepted(request.spec.urgency.value)
         self.ctx.log.info(events.ACCEPTED, request=request.id, team=spec.team, job=spec.job)
         if placements:
             self._launch(request)
         return await self._reply(request, wait_ms)
 
     async def _refuse_unstored(
-        self, spec: Spec, decision: Start | None, kind: ProposeErrorKind, error: object
+        self, spec: Spec, decision: Start | None, error: ProposeError
     ) -> cell_pb2.RequestReply:
         if self._decider is not None:
             self._retract(spec.id, decision)
-        refused = propose_refusal(error)  # type: ignore[arg-type]
-        self.ctx.metrics.count_refusal(refused.reason)
+        refused = propose_refusal(error)
+        self.ctx.metrics.refused(refused.reason)
         return cell_pb2.RequestReply(refusal=refused)
 
     def _retract(self, request_id: str, decision: Start | None) -> None:
@@ -201,7 +205,8 @@
         workers = [place.worker for place in request.placements]
         fields = {"request": request.id, "team": request.spec.team, "attempt": request.attempt}
         self.ctx.log.info(events.PLACED, workers=workers, **fields)
-        self.ctx.metrics.observe_waiting(request, self.ctx.clock.wall_ms())
+        waited_ms = self.ctx.clock.wall_ms() - request.spec.submitted_wall_ms
+        self.ctx.metrics.started(request.spec.urgency.value, max(0, waited_ms))
         self.attempts.launch(request)
 
     def _placements(self, assignments: tuple[Assignment, ...]) -> tuple[Placement, ...]:
@@ -210,9 +215,7 @@
     def _placement(self, assignment: Assignment) -> Placement:
         registered = self.ctx.machine.registry.get(assignment.worker)
         incarnation = registered.worker.incarnation if registered else ""
-        return Placement(
-            assignment.member, assignment.worker, incarnation, assignment.accelerators
-        )
+        return Placement(assignment.member, assignment.worker, incarnation, assignment.accelerators)
 
     async def _place(self, decision: Start) -> None:
         """Store the intent that a decision to start gives, and begin the attempt."""
@@ -226,9 +229,9 @@
         if result.is_error() or self._decider is None:
             return
         outcome = result.ok
-        done = isinstance(outcome, Outcome) and outcome.kind is OutcomeKind.DONE
-        if done and outcome.request is not None:
-            self._launch(outcome.request)
+        placed = outcome.request if isinstance(outcome, Outcome) else None
+        if placed is not None and outcome.kind is OutcomeKind.DONE:
+            self._launch(placed)
             return
         self.attempts.forget_stop(decision.request_id)
         self.decider().feed(RequestEnded(decision.request_id, EndReason.CANCELLED, 0))
@@ -242,11 +245,11 @@
         )
         result = await self.ctx.proposer.propose(give_up=command)
         if result.is_ok() and isinstance(result.ok, Outcome) and result.ok.request is not None:
-            self.ctx.metrics.count_end(result.ok.request)
+            count_end(self.ctx.metrics, result.ok.request)
 
     def _carry_out_cancel(self, request: Request) -> None:
         if request.ended:
-            self.ctx.metrics.count_end(request)
+            count_end(self.ctx.metrics, request)
             self.decider().feed(RequestWithdrawn(request.id))
         else:
             self.attempts.stop(request.id, AttemptEnd.CANCELLED)
@@ -255,10 +258,8 @@
         await self.ctx.waiters.until_ended(request, wait_ms)
         return cell_pb2.RequestReply(view=view_to_pb(request))
 
-    def _refuse(
-        self, reason: str, detail: str, retry_after_ms: int = 0
-    ) -> cell_pb2.RequestReply:
-        self.ctx.metrics.count_refusal(reason)
+    def _refuse(self, reason: str, detail: str, retry_after_ms: int = 0) -> cell_pb2.RequestReply:
+        self.ctx.metrics.refused(reason)
         return cell_pb2.RequestReply(refusal=refusal(reason, detail, retry_after_ms))
 
     def _note_quarantine(self, worker: str, lifted: bool, detail: str) -> None:
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/views.py
@@ -0,0 +1,109 @@
+"""What operators see of a zone, as JSON documents."""
+
+import json
+from dataclasses import asdict
+from typing import Any
+
+from agateferry_service.cell.leader import CellLeader
+from agateferry_service.cell.refusals import RefusalReason, refusal
+from agateferry_service.endpoints.registry import RegisteredWorker
+from agateferry_service.rpc import cell_pb2 as pb
+
+MAX_LISTED = 1_000
+
+
+class CellViews:
+    """Answer operators' questions from the leader's state."""
+
+    def __init__(self, leader: CellLeader) -> None:
+        self._leader = leader
+
+    def answer(self, what: str, name: str) -> pb.QueryReply:
+        """Answer one question: workers, teams, queue or explain."""
+        match what:
+            case "workers":
+                return _reply({"workers": self._workers()})
+            case "teams":
+                return _reply({"teams": self._teams()})
+            case "queue":
+                return _reply({"requests": self._queue()})
+            case "explain":
+                return self._explain(name)
+        detail = f"no such question: {what}"
+        return pb.QueryReply(refusal=refusal(RefusalReason.INVALID, detail))
+
+    def _workers(self) -> list[dict[str, Any]]:
+        machine = self._leader.ctx.machine
+        held: dict[str, tuple[int, int]] = {}
+        for request in machine.ledger.unended():
+            for place in request.placements:
+                slots, accelerators = held.get(place.worker, (0, 0))
+                held[place.worker] = (slots + 1, accelerators + place.accelerators)
+        return [self._worker(item, held.get(item.worker.name, (0, 0))) for item in machine.registry]
+
+    def _worker(self, registered: RegisteredWorker, held: tuple[int, int]) -> dict[str, Any]:
+        worker = registered.worker
+        heard_ms = self._leader.watch.heard_ms(worker.name)
+        now_ms = self._leader.ctx.clock.now_ms()
+        quarantined = worker.name in self._leader.quarantined
+        return {
+            "name": worker.name,
+            "zone": worker.zone,
+            "rack": worker.rack,
+            "state": registered.state.value,
+            "accelerators": worker.accelerators,
+            "accelerators_free": worker.accelerators - held[1],
+            "slots": worker.slots,
+            "slots_free": worker.slots - held[0],
+            "last_seen_ms": None if heard_ms is None else now_ms - heard_ms,
+            "health": "quarantined" if quarantined else "healthy",
+        }
+
+    def _teams(self) -> list[dict[str, Any]]:
+        counts: dict[str, list[int]] = {}
+        for request in self._leader.ctx.machine.ledger.unended():
+            team = counts.setdefault(request.spec.team, [0, 0, 0])
+            team[0] += sum(place.accelerators for place in request.placements)
+            team[1 if request.holds_workers else 2] += 1
+        return [
+            {
+                "name": team.name,
+                "guarantee": [asdict(shape) for shape in team.guarantee],
+                "accelerators_held": counts.get(team.name, [0, 0, 0])[0],
+                "running": counts.get(team.name, [0, 0, 0])[1],
+                "queued": counts.get(team.name, [0, 0, 0])[2],
+                "at_risk": team.name in self._leader.at_risk,
+            }
+            for team in self._leader.ctx.catalog.teams()
+        ]
+
+    def _queue(self) -> list[dict[str, Any]]:
+        wall_ms = self._leader.ctx.clock.wall_ms()
+        listed = []
+        for request in self._leader.ctx.machine.ledger.unended():
+            if len(listed) == MAX_LISTED:
+                break
+            listed.append(
+                {
+                    "id": request.id,
+                    "team": request.spec.team,
+                    "job": request.spec.job,
+                    "urgency": request.spec.urgency.value,
+                    "state": request.state.value,
+                    "waiting_ms": wall_ms - request.spec.submitted_wall_ms,
+                }
+            )
+        return listed
+
+    def _explain(self, request_id: str) -> pb.QueryReply:
+        request = self._leader.ctx.machine.ledger.get(request_id)
+        if request is None:
+            detail = f"no request {request_id} is known"
+            return pb.QueryReply(refusal=refusal(RefusalReason.UNKNOWN_REQUEST, detail))
+        explanation = asdict(self._leader.decider().explain(request_id))
+        explanation["state"] = request.state.value
+        return _reply(explanation)
+
+
+def _reply(document: dict[str, Any]) -> pb.QueryReply:
+    return pb.QueryReply(body=json.dumps(document))
--- a/packages/agateferry-service/agateferry_service/cell/watch.py
+++ b/packages/agateferry-service/agateferry_service/cell/watch.py
@@ -118,6 +118,6 @@
         elif final:
             reply.release.append(lease.lease)
         else:
-            self._ctx.metrics.count_late_result()
+            self._ctx.metrics.late_answer("stale-lease")
             self._ctx.log.info(events.LATE_RESULT, lease=lease.lease, state=lease.state)
             reply.stop.append(lease.lease)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -0,0 +1,208 @@
+"""The parts of one daemon, in the order in which they start and stop."""
+
+import asyncio
+import random
+
+import grpc
+
+from agateferry_core.clock import Clock, SystemClock
+from agateferry_core.logs import EventLogger
+from agateferry_core.metrics import Metrics
+from agateferry_service.cell.cell import Cell
+from agateferry_service.cell.context import CellContext, CellTimes
+from agateferry_service.cell.machine import CellMachine
+from agateferry_service.cell.proposer import Proposer
+from agateferry_service.cell.servicer import CellServicer
+from agateferry_service.cell.waiters import Waiters
+from agateferry_service.daemon import events
+from agateferry_service.daemon.replicas import Replicas
+from agateferry_service.dispatch.client import WorkerClient
+from agateferry_service.endpoints.app import EndpointsApp
+from agateferry_service.entry.app import Entry
+from agateferry_service.http.server import HttpServer
+from agateferry_service.operators.app import Operators
+from agateferry_service.operators.hosts import Hosts
+from agateferry_service.records.follower import RecordsFollower
+from agateferry_service.records.plane import RecordsPlane, WatchedRecords
+from agateferry_service.records.servicer import RecordsServicer
+from agateferry_service.routing import Channels
+from agateferry_service.routing.calls import CellCalls, RecordsCalls
+from agateferry_service.routing.router import Call
+from agateferry_service.routing.zones import Zones
+from agateferry_service.rpc import cell_pb2
+from agateferry_service.rpc.cell_pb2_grpc import (
+    add_CellServicer_to_server,
+    add_RecordsServicer_to_server,
+)
+from agateferry_service.settings import Settings
+from agateferry_scheduling.scheduler.baseline import BaselineScheduler
+
+READY_POLL_S = 0.05
+FETCH_PATIENCE_MS = 2_000
+
+
+class Host:
+    """One entry host: its share in the cell and the records plane, and its ports."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.clock: Clock = SystemClock()
+        self.metrics = Metrics()
+        self.rng = random.Random()
+        self.log = EventLogger(host=settings.host.name, zone=settings.host.zone)
+        self._ready = False
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Start every part; raise OSError when a port or the data folder cannot be had."""
+        self.log.info(events.STARTING)
+        self._build_state()
+        self._build_routing()
+        self._build_ports()
+        await self._start_peers_port()
+        await self.cell.start()
+        if self.plane is not None:
+            await self.plane.replica.start()
+        for server in self.http_servers:
+            await server.start()
+        self._background = [
+            asyncio.create_task(self._become_ready()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop gracefully: turn callers away, finish what is held, hand leadership on."""
+        self.log.info(events.STOPPING)
+        self._stopping = True
+        self._ready = False
+        await asyncio.sleep(self.settings.timeouts.drain_notice_ms / 1000)
+        for server in self.http_servers:
+            if server.name == "callers":
+                await server.stop()
+        await self._close()
+        self.log.info(events.STOPPED)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send callers here."""
+        return self._ready and not self._stopping
+
+    def _build_state(self) -> None:
+        settings = self.settings
+        self.replicas = Replicas(settings, self.clock, self.metrics, self.rng)
+        machine = CellMachine(settings.host.zone)
+        replica = self.replicas.cell(machine)
+        self.workers = WorkerClient()
+        self.records_machine = WatchedRecords()
+        self.plane: RecordsPlane | None = None
+        if settings.own_peer().records_voter:
+            plane_replica = self.replicas.records(self.records_machine)
+            self.plane = RecordsPlane(
+                settings.host.name, self.records_machine, plane_replica, self.metrics
+            )
+        ctx = CellContext(
+            host=settings.host.name,
+            machine=machine,
+            replica=replica,
+            proposer=Proposer(replica),
+            workers=self.workers,
+            clock=self.clock,
+            rng=self.rng,
+            metrics=self.metrics,
+            log=self.log,
+            waiters=Waiters(),
+            times=_cell_times(settings),
+        )
+        self.cell = Cell(ctx, BaselineScheduler)
+
+    def _build_routing(self) -> None:
+        self.channels = Channels()
+        self.zones = Zones(self.settings, self.channels, self.clock, self.metrics, self.rng)
+        self.cell_calls = CellCalls(self.cell)
+        self.records_calls = RecordsCalls(self.plane)
+        ctx = self.cell.ctx
+        follower = RecordsFollower(ctx.machine, ctx.proposer, self._fetch_records, self.log)
+        self.cell.leader.background.append(follower.follow)
+
+    def _build_ports(self) -> None:
+        settings, limits = self.settings, self.settings.limits
+        zone = settings.host.zone
+        entry = Entry(
+            zone, self.zones, self.cell.ctx.catalog, self.cell_calls, limits, self.metrics
+        )
+        operators = Operators(
+            zone,
+            self.zones,
+            self.cell_calls,
+            self.records_calls,
+            self.cell.ctx.machine.records,
+            Hosts(settings, self.cell, self.plane),
+            limits,
+            self.metrics,
+            lambda: self.is_ready,
+        )
+        endpoints = EndpointsApp(
+            zone, self.zones.router(zone), self.cell_calls, limits, self.metrics
+        )
+        listen = settings.listen
+        self.http_servers = [
+            HttpServer("callers", entry.app(), listen.callers, limits.max_connections_callers),
+            HttpServer(
+                "operators", operators.app(), listen.operators, limits.max_connections_operators
+            ),
+            HttpServer(
+                "endpoints", endpoints.app(), listen.endpoints, limits.max_connections_endpoints
+            ),
+        ]
+
+    async def _start_peers_port(self) -> None:
+        self.peers_server = grpc.aio.server(options=(("grpc.so_reuseport", 0),))
+        add_CellServicer_to_server(CellServicer(self.cell), self.peers_server)
+        if self.plane is not None:
+            add_RecordsServicer_to_server(RecordsServicer(self.plane), self.peers_server)
+        self.replicas.add_to(self.peers_server)
+        address = str(self.settings.listen.peers)
+        try:
+            self.peers_server.add_insecure_port(address)
+        except RuntimeError as exc:
+            raise OSError(f"the peers' port {address} cannot be bound") from exc
+        await self.peers_server.start()
+
+    async def _fetch_records(self, req: cell_pb2.RecordsRequest) -> cell_pb2.RecordsReply:
+        since: Call = self.records_calls.since
+        reply: cell_pb2.RecordsReply = await self.zones.records.call(
+            since, req, FETCH_PATIENCE_MS, req.wait_ms
+        )
+        return reply
+
+    async def _become_ready(self) -> None:
+        """Become ready once the zone has a leader that answers."""
+        query = cell_pb2.QueryRequest(what="teams")
+        router = self.zones.router(self.settings.host.zone)
+        while not self._ready:
+            reply = await router.call(self.cell_calls.query, query, FETCH_PATIENCE_MS)
+            self._ready = not reply.HasField("refusal")
+            await asyncio.sleep(READY_POLL_S)
+        self.log.info(events.READY)
+
+    async def _close(self) -> None:
+        for task in self._background:
+            task.cancel()
+        await self.cell.stop()
+        if self.plane is not None:
+            await self.plane.replica.stop()
+        for server in self.http_servers:
+            if server.name != "callers":
+                await server.stop()
+        await self.peers_server.stop(grace=1.0)
+        await self.replicas.close()
+        await self.channels.close()
+        await self.workers.close()
+
+
+def _cell_times(settings: Settings) -> CellTimes:
+    timeouts = settings.timeouts
+    return CellTimes(
+        worker_heartbeat_ms=timeouts.worker_heartbeat_ms,
+        worker_silence_ms=timeouts.worker_silence_ms,
+        answer_keep_ms=timeouts.answer_keep_ms,
+    )
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' port: requests in, whole answers out."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/entry/views.py
@@ -0,0 +1,38 @@
+"""A request as callers see it."""
+
+import hashlib
+import json
+from typing import Any
+
+from agateferry_service.rpc import commands_pb2 as pb
+
+ENDED = frozenset({"finished", "cancelled", "failed"})
+
+
+def has_ended(view: pb.RequestView) -> bool:
+    """Tell whether a request has its final answer."""
+    return view.state in ENDED
+
+
+def request_json(view: pb.RequestView) -> dict[str, Any]:
+    """Return the JSON document of a request; a gang's answer is an array of its members'."""
+    answer = None
+    if view.state == "finished":
+        answer = view.answers[0] if view.members == 1 else json.dumps(list(view.answers))
+    return {
+        "id": view.id,
+        "team": view.team,
+        "job": view.job,
+        "state": view.state,
+        "attempt": view.attempt,
+        "progress": view.progress,
+        "checkpoint_step": view.checkpoint_step if view.checkpoint_step >= 0 else None,
+        "answer": answer,
+        "digest": hashlib.sha256(answer.encode()).hexdigest() if answer is not None else None,
+        "stage": view.stage or None,
+        "run": view.run,
+        "reason": view.reason,
+        "detail": view.detail,
+        "submitted_ms": view.submitted_wall_ms,
+        "ended_ms": view.ended_wall_ms or None,
+    }
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/http/__init__.py
@@ -0,0 +1,1 @@
+"""What the HTTP ports share: problem details, bodies, waits and serving."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' port: records, views of the zone, health and metrics."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/operators/app.py
@@ -0,0 +1,208 @@
+"""The operators' HTTP application."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from pydantic import BaseModel, ConfigDict, Field
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from agateferry_core.metrics import CONTENT_TYPE, Metrics
+from agateferry_service.entry.homes import zone_of_id
+from agateferry_service.http.bodies import read_model
+from agateferry_service.http.problems import problem, refused
+from agateferry_service.operators.hosts import Hosts
+from agateferry_service.records.plane import read_records
+from agateferry_service.routing.calls import CellCalls, RecordsCalls
+from agateferry_service.routing.zones import Zones
+from agateferry_service.rpc import cell_pb2 as pb
+from agateferry_service.settings import LimitSettings
+from agateferry_state.records import Kind, RecordStore, Schema
+
+PATIENCE_MS = 5_000
+READ_PATIENCE_MS = 1_500
+JSON = "application/json"
+
+
+class PutBody(BaseModel):
+    """A new version of a record; the content is checked by the records plane."""
+
+    model_config = ConfigDict(extra="forbid", strict=True)
+
+    schema_: str = Field(alias="schema")
+    replaces: int = Field(ge=0, le=2**53)
+    content: dict[str, Any]
+
+
+class Operators:
+    """Answer operators, from this host where it can and from the leaders where it must."""
+
+    def __init__(
+        self,
+        zone: str,
+        zones: Zones,
+        cell_calls: CellCalls,
+        records_calls: RecordsCalls,
+        copy: RecordStore,
+        hosts: Hosts,
+        limits: LimitSettings,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self._zone = zone
+        self._zones = zones
+        self._cell_calls = cell_calls
+        self._records_calls = records_calls
+        self._copy = copy
+        self._hosts = hosts
+        self._limits = limits
+        self._metrics = metrics
+        self._is_ready = is_ready
+
+    def app(self) -> Starlette:
+        """Return the application with its routes."""
+        return Starlette(
+            routes=[
+                Route("/v1/records/{kind}", self.list_records, methods=["GET"]),
+                Route("/v1/records/{kind}/{name}", self.get_record, methods=["GET"]),
+                Route("/v1/records/{kind}/{name}", self.put_record, methods=["PUT"]),
+                Route("/v1/records/{kind}/{name}/history", self.history, methods=["GET"]),
+                Route("/v1/records-status", self.records_status, methods=["GET"]),
+                Route("/v1/workers", self.workers, methods=["GET"]),
+                Route("/v1/teams", self.teams, methods=["GET"]),
+                Route("/v1/queue", self.queue, methods=["GET"]),
+                Route("/v1/requests/{id}/explain", self.explain, methods=["GET"]),
+                Route("/v1/cell", self.cell, methods=["GET"]),
+                Route("/v1/cells", self.cells, methods=["GET"]),
+                Route("/healthz", self.healthz, methods=["GET"]),
+                Route("/readyz", self.readyz, methods=["GET"]),
+                Route("/metrics", self.metrics, methods=["GET"]),
+            ]
+        )
+
+    async def put_record(self, req: Request) -> Response:
+        """Store a new version of a record."""
+        limits = self._limits
+        parsed = await read_model(
+            req, PutBody, limits.max_body_bytes, limits.request_body_timeout_ms
+        )
+        if parsed.is_error():
+            return parsed.error
+        body = parsed.ok[0]
+        message = pb.PutRecordRequest(
+            kind=req.path_params["kind"],
+            name=req.path_params["name"],
+            schema=body.schema_,
+            replaces=body.replaces,
+            content=json.dumps(body.content),
+        )
+        put = self._records_calls.put
+        reply = await self._zones.records.call(put, message, PATIENCE_MS)
+        return _query_response(reply)
+
+    async def get_record(self, req: Request) -> Response:
+        """Return what stands under a name."""
+        return await self._read(req, "get")
+
+    async def list_records(self, req: Request) -> Response:
+        """Return all records of a kind."""
+        return await self._read(req, "list")
+
+    async def history(self, req: Request) -> Response:
+        """Return the kept versions of a record."""
+        return await self._read(req, "history")
+
+    async def records_status(self, req: Request) -> Response:
+        """Return the revision in force on each host."""
+        hosts = await self._hosts.all()
+        listed = [
+            {
+                "host": host["host"],
+                "zone": host["zone"],
+                "revision": host.get("records", {}).get("revision"),
+                "reachable": host["reachable"],
+            }
+            for host in hosts
+        ]
+        newest = max((host["revision"] or 0 for host in listed), default=0)
+        return _json({"hosts": listed, "newest": newest})
+
+    async def workers(self, req: Request) -> Response:
+        """Return the workers of this zone."""
+        return await self._query(self._zone, "workers", "")
+
+    async def teams(self, req: Request) -> Response:
+        """Return the teams and what they hold in this zone."""
+        return await self._query(self._zone, "teams", "")
+
+    async def queue(self, req: Request) -> Response:
+        """Return the requests of this zone that have no end yet."""
+        return await self._query(self._zone, "queue", "")
+
+    async def explain(self, req: Request) -> Response:
+        """Tell why a request is where it is."""
+        request_id = req.path_params["id"]
+        home = zone_of_id(request_id)
+        if home not in self._zones.names:
+            detail = f"no zone here issued an id like {request_id}"
+            return problem(404, "unknown-request", detail, run=None)
+        return await self._query(home, "explain", request_id)
+
+    async def cell(self, req: Request) -> Response:
+        """Return this host's share in its cell and in the records plane."""
+        return _json(self._hosts.own())
+
+    async def cells(self, req: Request) -> Response:
+        """Return the same for every host."""
+        return _json({"hosts": await self._hosts.all()})
+
+    async def healthz(self, req: Request) -> Response:
+        """Answer that the daemon lives."""
+        return PlainTextResponse("alive\n")
+
+    async def readyz(self, req: Request) -> Response:
+        """Tell the balancer whether to send callers here."""
+        if self._is_ready():
+            return PlainTextResponse("ready\n")
+        return PlainTextResponse("not ready\n", status_code=503)
+
+    async def metrics(self, req: Request) -> Response:
+        """Return the metrics in the text form of Prometheus."""
+        rendered = await asyncio.to_thread(self._metrics.render)
+        return Response(rendered, media_type=CONTENT_TYPE)
+
+    async def _read(self, req: Request, what: str) -> Response:
+        """Read from the records plane; when it cannot be reached, from the zone's copy."""
+        kind, schema = req.path_params["kind"], req.query_params.get("schema", "v2")
+        if kind not in list(Kind) or schema not in list(Schema):
+            detail = "kinds are team, job and config; schemas are v1 and v2"
+            return problem(404, "unknown-record", detail, run=None)
+        message = pb.QueryRequest(
+            what=what, name=f"{kind}/{req.path_params.get('name', '')}/{schema}"
+        )
+        read = self._records_calls.read
+        reply = await self._zones.records.call(read, message, READ_PATIENCE_MS)
+        if reply.HasField("refusal") and reply.refusal.reason != "unknown-record":
+            resp = _query_response(read_records(self._copy, message))
+            resp.headers["Agateferry-Stale"] = "true"
+            return resp
+        return _query_response(reply)
+
+    async def _query(self, zone: str, what: str, name: str) -> Response:
+        query = self._cell_calls.query if zone == self._zone else CellCalls(None).query
+        message = pb.QueryRequest(what=what, name=name)
+        return _query_response(await self._zones.router(zone).call(query, message, PATIENCE_MS))
+
+
+def _json(document: Any) -> Response:
+    return Response(json.dumps(document), media_type=JSON)
+
+
+def _query_response(reply: pb.QueryReply) -> Response:
+    if reply.HasField("refusal"):
+        return refused(reply.refusal)
+    return Response(reply.body, media_type=JSON)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/operators/hosts.py
@@ -0,0 +1,63 @@
+"""What each host says of its share in its cell and in the records plane."""
+
+import asyncio
+from typing import Any
+
+import aiohttp
+
+from agateferry_service.cell.cell import Cell
+from agateferry_service.records.plane import RecordsPlane
+from agateferry_service.settings import PeerSettings, Settings
+from agateferry_state.replica import Replica
+
+ASK_TIMEOUT_S = 1.0
+
+
+class Hosts:
+    """Ask every host of the system, over its operators' port, how it stands."""
+
+    def __init__(self, settings: Settings, cell: Cell, plane: RecordsPlane | None) -> None:
+        self._settings = settings
+        self._cell = cell
+        self._plane = plane
+
+    def own(self) -> dict[str, Any]:
+        """Return how this host stands."""
+        host = self._settings.host
+        replica = self._cell.ctx.replica
+        document = {
+            "host": host.name,
+            "zone": host.zone,
+            "reachable": True,
+            **replica_status(replica),
+            "records": {"revision": self._cell.ctx.machine.records.revision},
+        }
+        if self._plane is not None:
+            document["records"].update(replica_status(self._plane.replica))
+        return document
+
+    async def all(self) -> list[dict[str, Any]]:
+        """Return how every host stands; one that does not answer is marked unreachable."""
+        timeout = aiohttp.ClientTimeout(total=ASK_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            asked = (self._ask(session, peer) for peer in self._settings.peers)
+            return list(await asyncio.gather(*asked))
+
+    async def _ask(self, session: aiohttp.ClientSession, peer: PeerSettings) -> dict[str, Any]:
+        if peer.name == self._settings.host.name:
+            return self.own()
+        try:
+            async with session.get(f"http://{peer.operators}/v1/cell") as resp:
+                document: dict[str, Any] = await resp.json()
+                return document
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            return {"host": peer.name, "zone": peer.zone, "reachable": False}
+
+
+def replica_status(replica: Replica) -> dict[str, Any]:
+    """Return the role, the term and the leader that a replica knows of."""
+    return {
+        "term": replica.term,
+        "role": "leader" if replica.is_leader else "follower",
+        "leader": replica.leader,
+    }
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/records/follower.py
@@ -0,0 +1,55 @@
+"""A zone's copy of the records, kept up by the leader of its cell."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from agateferry_core.logs import EventLogger
+from agateferry_service.cell import events
+from agateferry_service.cell.machine import CellMachine
+from agateferry_service.cell.proposer import Proposer
+from agateferry_service.rpc import cell_pb2, commands_pb2
+
+WAIT_MS = 4_000
+PAUSE_S = 1.0
+
+Fetch = Callable[[cell_pb2.RecordsRequest], Awaitable[cell_pb2.RecordsReply]]
+
+
+class RecordsFollower:
+    """Ask the records plane for newer revisions and put them into the cell's log.
+
+    The copy goes through the log so that a host which restarts in a cut-off zone finds the newest
+    revision that its zone had, and never an older one.
+    """
+
+    def __init__(
+        self, machine: CellMachine, proposer: Proposer, fetch: Fetch, log: EventLogger
+    ) -> None:
+        self._machine = machine
+        self._proposer = proposer
+        self._fetch = fetch
+        self._log = log
+        self._reached = True
+
+    async def follow(self) -> None:
+        """Follow the records plane until cancelled."""
+        while True:
+            if not await self._follow_once():
+                await asyncio.sleep(PAUSE_S)
+
+    async def _follow_once(self) -> bool:
+        after = self._machine.records.revision
+        reply = await self._fetch(cell_pb2.RecordsRequest(after_revision=after, wait_ms=WAIT_MS))
+        if reply.HasField("refusal"):
+            if self._reached:
+                self._log.warning(events.RECORDS_UNREACHED, detail=reply.refusal.detail)
+            self._reached = False
+            return False
+        self._reached = True
+        if reply.newest <= after:
+            return True
+        command = commands_pb2.AdoptRecords(revisions=reply.revisions)
+        result = await self._proposer.propose(adopt=command)
+        if result.is_ok():
+            self._log.info(events.RECORDS_ADOPTED, revision=self._machine.records.revision)
+        return bool(result.is_ok())
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/records/plane.py
@@ -0,0 +1,155 @@
+"""One host's share in the records plane, the log that operators' records are agreed upon in."""
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+from agateferry_core.metrics import Metrics
+from agateferry_service.cell.proposer import propose_refusal
+from agateferry_service.cell.refusals import RefusalReason, not_leader, refusal
+from agateferry_service.rpc import cell_pb2 as pb
+from agateferry_state.records import (
+    Accepted,
+    Conflict,
+    Invalid,
+    Kind,
+    PutOutcome,
+    RecordsMachine,
+    RecordStore,
+    Revision,
+    Schema,
+    encode_put,
+    encode_revisions,
+    parse_put,
+    show,
+)
+from agateferry_state.replica import Replica
+
+
+class WatchedRecords(RecordsMachine):
+    """Tell those who wait when a newer revision has been agreed upon."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._changed = asyncio.Event()
+
+    def apply(self, index: int, command: bytes) -> PutOutcome:
+        """Apply one put and wake those who wait."""
+        outcome = super().apply(index, command)
+        self._wake()
+        return outcome
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole store by a snapshot and wake those who wait."""
+        super().restore(data)
+        self._wake()
+
+    async def until_newer(self, revision: int, wait_ms: int) -> None:
+        """Return when a revision after the given one stands, or after `wait_ms`."""
+        if self.store.revision > revision or wait_ms <= 0:
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class RecordsPlane:
+    """Answer puts and reads while this host leads, and pass revisions on to the zones."""
+
+    def __init__(
+        self, host: str, machine: WatchedRecords, replica: Replica, metrics: Metrics
+    ) -> None:
+        self._host = host
+        self._machine = machine
+        self._replica = replica
+        self._metrics = metrics
+
+    @property
+    def replica(self) -> Replica:
+        """Return this host's replica of the plane."""
+        return self._replica
+
+    async def put(self, req: pb.PutRecordRequest) -> pb.QueryReply:
+        """Store a new version of a record; the answer comes only after it was agreed upon."""
+        if not self._replica.is_leader:
+            return pb.QueryReply(refusal=self._not_leader())
+        body = {
+            "schema": req.schema,
+            "replaces": req.replaces,
+            "content": json.loads(req.content),
+        }
+        put = parse_put(req.kind, req.name, body)
+        if put.is_error():
+            return self._refuse(RefusalReason.INVALID, str(put.error))
+        result = await self._replica.propose(encode_put(put.ok))
+        if result.is_error():
+            return pb.QueryReply(refusal=propose_refusal(result.error))
+        return self._put_reply(result.ok.outcome, Schema(req.schema))
+
+    async def read(self, req: pb.QueryRequest) -> pb.QueryReply:
+        """Read records as they stand now; `name` is kind/name/what/schema."""
+        if not self._replica.is_leader or (await self._replica.read_barrier()).is_error():
+            return pb.QueryReply(refusal=self._not_leader())
+        return read_records(self._machine.store, req)
+
+    async def since(self, req: pb.RecordsRequest) -> pb.RecordsReply:
+        """Return revisions after one, as soon as there are any or after the wait asked for."""
+        await self._machine.until_newer(req.after_revision, req.wait_ms)
+        store = self._machine.store
+        revisions = store.since(req.after_revision)
+        return pb.RecordsReply(revisions=encode_revisions(revisions), newest=store.revision)
+
+    def _put_reply(self, outcome: Any, schema: Schema) -> pb.QueryReply:
+        match outcome:
+            case Accepted(revision=revision):
+                return pb.QueryReply(body=json.dumps(describe(revision, schema)))
+            case Conflict(current=current):
+                self._metrics.refused(RefusalReason.VERSION_CONFLICT)
+                refused = refusal(RefusalReason.VERSION_CONFLICT, "another version stands")
+                refused.current = json.dumps(describe(current, schema) if current else None)
+                return pb.QueryReply(refusal=refused)
+            case Invalid():
+                return self._refuse(RefusalReason.INVALID, str(outcome))
+        raise TypeError(f"the records gave an unknown outcome: {outcome!r}")
+
+    def _refuse(self, reason: RefusalReason, detail: str) -> pb.QueryReply:
+        self._metrics.refused(reason)
+        return pb.QueryReply(refusal=refusal(reason, detail))
+
+    def _not_leader(self) -> pb.Refusal:
+        leader = self._replica.leader
+        return not_leader(None if leader == self._host else leader)
+
+
+def describe(revision: Revision, schema: Schema) -> dict[str, Any]:
+    """Return a record in the form of a schema, as operators read it."""
+    return {
+        "kind": revision.kind.value,
+        "name": revision.name,
+        "version": revision.version,
+        "revision": revision.number,
+        "schema": schema.value,
+        "content": show(revision.record, schema),
+    }
+
+
+def read_records(store: RecordStore, req: pb.QueryRequest) -> pb.QueryReply:
+    """Answer a read: one record, all of a kind, or the history of one."""
+    kind_text, name, schema_text = req.name.split("/")
+    kind, schema = Kind(kind_text), Schema(schema_text)
+    match req.what:
+        case "list":
+            records = [describe(revision, schema) for revision in store.all_of(kind)]
+            return pb.QueryReply(body=json.dumps({"records": records}))
+        case "history":
+            versions = [describe(revision, schema) for revision in store.history(kind, name)]
+            return pb.QueryReply(body=json.dumps({"versions": versions}))
+    revision = store.get(kind, name)
+    if revision is None:
+        detail = f"no {kind.value} record is named {name}"
+        return pb.QueryReply(refusal=refusal(RefusalReason.UNKNOWN_RECORD, detail))
+    return pb.QueryReply(body=json.dumps(describe(revision, schema)))
