--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/journal/__init__.py
@@ -0,0 +1,25 @@
+"""What one host keeps on its disk: a log, a vote, a snapshot and the folder's incarnation."""
+
+from agateferry_state.journal.files import Files, OsFiles
+from agateferry_state.journal.journal import Journal, JournalSettings
+from agateferry_state.journal.messages import (
+    JournalError,
+    JournalErrorKind,
+    Record,
+    Recovered,
+    Snapshot,
+    Vote,
+)
+
+__all__ = [
+    "Files",
+    "Journal",
+    "JournalError",
+    "JournalErrorKind",
+    "JournalSettings",
+    "OsFiles",
+    "Record",
+    "Recovered",
+    "Snapshot",
+    "Vote",
+]
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
@@ -0,0 +1,301 @@
+import errno
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from agateferry_state.journal import (
+    Journal,
+    JournalErrorKind,
+    JournalSettings,
+    OsFiles,
+    Record,
+    Snapshot,
+    Vote,
+)
+
+
+class FailingFiles(OsFiles):
+    """Raise an error of the system from the calls that a test has named."""
+
+    def __init__(self):
+        self.fail = {}
+        self.fail_renames_to = ""
+
+    def write(self, fd, data):
+        if "write" in self.fail:
+            super().write(fd, data[: len(data) // 2])
+            raise OSError(self.fail["write"], "injected")
+        super().write(fd, data)
+
+    def sync(self, fd):
+        if "sync" in self.fail:
+            raise OSError(self.fail["sync"], "injected")
+        super().sync(fd)
+
+    def rename(self, source, target):
+        if target.name == self.fail_renames_to:
+            raise OSError(errno.EIO, "injected")
+        super().rename(source, target)
+
+
+def records(first, last, term=1, size=20):
+    return [Record(index, term, b"%d" % index * size) for index in range(first, last + 1)]
+
+
+class JournalCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data" / "cell"
+
+    def open(self, files=None, segment_bytes=4096):
+        result = Journal.open(self.folder, files, JournalSettings(segment_bytes))
+        self.assertTrue(result.is_ok(), result)
+        self.addCleanup(result.ok[0].close)
+        return result.ok
+
+    def reopen(self, journal, **how):
+        journal.close()
+        return self.open(**how)
+
+    def write(self, journal, *batches):
+        for batch in batches:
+            journal.append(batch)
+            self.assertTrue(journal.sync().is_ok())
+
+    def newest_segment(self):
+        return sorted(self.folder.glob("segment-*"))[-1]
+
+    def refusal(self):
+        return Journal.open(self.folder).error.kind
+
+
+class JournalTests(JournalCase):
+    def test_recovers_what_was_synced(self):
+        journal, first = self.open()
+        self.write(journal, records(1, 3), records(4, 4, term=2))
+        journal.save_vote(Vote(3, "b"))
+        _, second = self.reopen(journal)
+        self.assertEqual(tuple(records(1, 3) + records(4, 4, term=2)), second.records)
+        self.assertEqual(Vote(3, "b"), second.vote)
+        self.assertEqual((True, False), (first.fresh, second.fresh))
+        self.assertEqual(first.incarnation, second.incarnation)
+
+    def test_does_not_keep_what_was_not_synced(self):
+        journal, _ = self.open()
+        journal.append(records(1, 2))
+        _, again = self.reopen(journal)
+        self.assertEqual((), again.records)
+
+    def test_spreads_over_segments_and_replays_them_in_order(self):
+        journal, _ = self.open(segment_bytes=100)
+        self.write(journal, *[records(n, n) for n in range(1, 40)])
+        self.assertGreater(len(list(self.folder.glob("segment-*"))), 5)
+        _, again = self.reopen(journal)
+        self.assertEqual(tuple(records(1, 39)), again.records)
+
+    def test_a_replaced_tail_stays_replaced(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 6), records(4, 4, term=2))
+        journal, again = self.reopen(journal)
+        self.assertEqual(tuple(records(1, 3) + records(4, 4, term=2)), again.records)
+        self.write(journal, records(5, 5, term=2))
+        _, third = self.reopen(journal)
+        self.assertEqual(5, len(third.records))
+
+    def test_refuses_a_gap(self):
+        journal, _ = self.open()
+        with testtools.ExpectedException(ValueError):
+            journal.append(records(2, 2))
+
+    def test_a_new_folder_has_another_incarnation(self):
+        journal, first = self.open()
+        journal.close()
+        self.folder.rename(self.folder.with_name("old"))
+        _, second = self.open()
+        self.assertNotEqual(first.incarnation, second.incarnation)
+
+    def test_two_journals_cannot_have_one_folder(self):
+        self.open()
+        self.assertEqual(JournalErrorKind.LOCKED, self.refusal())
+
+    def test_set_up_goes_on_after_a_crash_in_it(self):
+        journal, _ = self.open()
+        journal.close()
+        (self.folder / "incarnation").unlink()
+        _, again = self.open()
+        self.assertTrue(again.fresh)
+
+
+class CompactionTests(JournalCase):
+    def test_a_snapshot_replaces_what_it_covers(self):
+        journal, _ = self.open(segment_bytes=200)
+        self.write(journal, *[records(n, n) for n in range(1, 30)])
+        before = len(list(self.folder.glob("segment-*")))
+        journal.save_snapshot(Snapshot(20, 1, b"state"))
+        self.assertLess(len(list(self.folder.glob("segment-*"))), before)
+        _, again = self.reopen(journal)
+        self.assertEqual(Snapshot(20, 1, b"state"), again.snapshot)
+        self.assertEqual(tuple(records(21, 29)), again.records)
+
+    def test_a_snapshot_from_a_leader_replaces_the_log(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 5))
+        journal.save_snapshot(Snapshot(9, 3, b"theirs"))
+        self.write(journal, records(10, 11, term=3))
+        journal, again = self.reopen(journal)
+        self.assertEqual(tuple(records(10, 11, term=3)), again.records)
+        journal.save_snapshot(Snapshot(11, 3, b"ours"))
+        self.assertEqual(1, len(list(self.folder.glob("segment-*"))))
+
+    def test_a_crash_while_a_snapshot_is_installed_keeps_the_snapshot_alone(self):
+        files = FailingFiles()
+        journal, _ = self.open(files)
+        self.write(journal, records(1, 5))
+        files.fail_renames_to = "segment-000000000002"
+        self.assertTrue(journal.save_snapshot(Snapshot(4, 2, b"theirs")).is_error())
+        journal, again = self.reopen(journal)
+        self.assertEqual((Snapshot(4, 2, b"theirs"), ()), (again.snapshot, again.records))
+        self.write(journal, records(5, 5, term=2))
+        self.assertEqual(tuple(records(5, 5, term=2)), self.reopen(journal)[1].records)
+
+    def test_a_replaced_tail_survives_compaction(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 10), records(8, 12, term=2))
+        journal.save_snapshot(Snapshot(11, 2, b"state"))
+        _, again = self.reopen(journal)
+        self.assertEqual(tuple(records(12, 12, term=2)), again.records)
+
+
+class TornTests(JournalCase):
+    def test_a_batch_cut_at_any_byte_is_dropped_whole(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2))
+        whole = self.newest_segment().stat().st_size
+        self.write(journal, records(3, 4))
+        journal.close()
+        content = self.newest_segment().read_bytes()
+        for size in range(whole, len(content)):
+            self.newest_segment().write_bytes(content[:size])
+            journal, again = self.open()
+            journal.close()
+            self.assertEqual(tuple(records(1, 2)), again.records, size)
+            self.assertEqual(size - whole, again.cut_bytes)
+
+    def test_sectors_that_were_never_written_are_a_torn_tail(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2))
+        whole = self.newest_segment().stat().st_size
+        self.write(journal, records(3, 4, size=2000))
+        journal.close()
+        content = self.newest_segment().read_bytes()
+        for start in (whole, 1024):
+            self.newest_segment().write_bytes(
+                content[:start] + bytes(1024) + content[start + 1024 :]
+            )
+            journal, again = self.open()
+            journal.close()
+            self.assertEqual(tuple(records(1, 2)), again.records)
+
+    def test_a_half_written_new_segment_is_no_segment(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2))
+        (self.folder / "segment-000000000002.tmp").write_bytes(b"half")
+        _, again = self.reopen(journal)
+        self.assertEqual(2, len(again.records))
+
+
+class RotTests(JournalCase):
+    def test_any_flipped_bit_of_a_synced_batch_is_a_lost_disk(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2), records(3, 3), records(4, 5))
+        journal.close()
+        content = self.newest_segment().read_bytes()
+        for at in range(len(content)):
+            rotten = bytearray(content)
+            rotten[at] ^= 0x10
+            self.newest_segment().write_bytes(rotten)
+            self.assertEqual(JournalErrorKind.LOST_DISK, self.refusal(), at)
+
+    def test_a_zeroed_middle_is_a_lost_disk(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2, size=2000), records(3, 4, size=2000))
+        journal.close()
+        content = self.newest_segment().read_bytes()
+        self.newest_segment().write_bytes(content[:512] + bytes(1024) + content[1536:])
+        self.assertEqual(JournalErrorKind.LOST_DISK, self.refusal())
+
+    def test_rot_in_the_small_files_is_a_lost_disk(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2))
+        journal.save_vote(Vote(1, "a"))
+        journal.save_snapshot(Snapshot(1, 1, b"state"))
+        journal.close()
+        for name in ("vote", "incarnation", "snapshot-000000000001"):
+            content = (self.folder / name).read_bytes()
+            (self.folder / name).write_bytes(content[:-1] + b"?")
+            self.assertEqual(JournalErrorKind.LOST_DISK, self.refusal(), name)
+            (self.folder / name).write_bytes(content)
+
+    def test_a_missing_segment_or_snapshot_is_a_lost_disk(self):
+        journal, _ = self.open(segment_bytes=100)
+        self.write(journal, *[records(n, n) for n in range(1, 40)])
+        journal.save_snapshot(Snapshot(20, 1, b"state"))
+        journal.close()
+        segments = sorted(self.folder.glob("segment-*"))
+        for path in (segments[2], self.folder / "snapshot-000000000020"):
+            content = path.read_bytes()
+            path.unlink()
+            self.assertEqual(JournalErrorKind.LOST_DISK, self.refusal(), path.name)
+            path.write_bytes(content)
+
+
+class FailureTests(JournalCase):
+    def check_refuses_until_reopened(self, call, error, kind):
+        files = FailingFiles()
+        journal, _ = self.open(files)
+        self.write(journal, records(1, 2))
+        files.fail[call] = error
+        journal.append(records(3, 4))
+        self.assertEqual(kind, journal.sync().error.kind)
+        files.fail.clear()
+        self.assertEqual(JournalErrorKind.CLOSED, journal.sync().error.kind)
+        self.assertEqual(JournalErrorKind.CLOSED, journal.save_vote(Vote(1, "a")).error.kind)
+        journal, again = self.reopen(journal)
+        self.assertEqual(tuple(records(1, 2)), again.records[:2])
+        self.write(journal, records(len(again.records) + 1, len(again.records) + 1))
+
+    def test_a_full_disk_is_an_outcome(self):
+        self.check_refuses_until_reopened("write", errno.ENOSPC, JournalErrorKind.DISK_FULL)
+
+    def test_a_failed_sync_is_an_outcome(self):
+        self.check_refuses_until_reopened("sync", errno.EIO, JournalErrorKind.SYNC_FAILED)
+
+    def test_a_failed_sync_of_the_vote_is_an_outcome(self):
+        files = FailingFiles()
+        journal, _ = self.open(files)
+        files.fail["sync"] = errno.EIO
+        self.assertEqual(JournalErrorKind.SYNC_FAILED, journal.save_vote(Vote(1, "a")).error.kind)
+        self.assertEqual(Vote(), self.reopen(journal)[1].vote)
+
+    def test_opening_syncs_what_it_has_read(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2))
+        journal.close()
+        files = FailingFiles()
+        files.fail["sync"] = errno.EIO
+        result = Journal.open(self.folder, files)
+        self.assertEqual(JournalErrorKind.SYNC_FAILED, result.error.kind)
+
+    def test_a_folder_that_cannot_be_made_is_an_outcome(self):
+        self.folder.parent.parent.mkdir(exist_ok=True)
+        self.folder.parent.write_bytes(b"")
+        self.assertEqual(JournalErrorKind.IO_FAILED, self.refusal())
+
+    def test_a_failed_open_gives_up_the_lock(self):
+        files = FailingFiles()
+        files.fail["sync"] = errno.ENOSPC
+        self.assertEqual(JournalErrorKind.DISK_FULL, Journal.open(self.folder, files).error.kind)
+        self.open()
--- a/packages/agateferry-state/agateferry_state/replica/__init__.py
+++ b/packages/agateferry-state/agateferry_state/replica/__init__.py
@@ -7,5 +7,13 @@
     Replica,
     StateMachine,
 )
+from agateferry_state.replica.solo import SoloReplica
 
-__all__ = ["Applied", "ProposeError", "ProposeErrorKind", "Replica", "StateMachine"]
+__all__ = [
+    "Applied",
+    "ProposeError",
+    "ProposeErrorKind",
+    "Replica",
+    "SoloReplica",
+    "StateMachine",
+]
