--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and service of the replication traffic between hosts."""
