--- /dev/null
+++ b/packages/agateferry-standins/agateferry_standins/callers/__init__.py
@@ -0,0 +1,8 @@
+"""Stand-in callers that retry honestly and check every answer."""
+
+from agateferry_standins.callers.caller import Caller
+from agateferry_standins.callers.load import Load, run_load
+from agateferry_standins.callers.messages import JobKind, RequestRecord
+from agateferry_standins.callers.tally import Tally
+
+__all__ = ["Caller", "JobKind", "Load", "RequestRecord", "Tally", "run_load"]
