--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -229,9 +229,9 @@
         if result.is_error() or self._decider is None:
             return
         outcome = result.ok
-        placed = outcome.request if isinstance(outcome, Outcome) else None
-        if placed is not None and outcome.kind is OutcomeKind.DONE:
-            self._launch(placed)
+        placed = outcome if isinstance(outcome, Outcome) else Outcome(OutcomeKind.STALE)
+        if placed.request is not None and placed.kind is OutcomeKind.DONE:
+            self._launch(placed.request)
             return
         self.attempts.forget_stop(decision.request_id)
         self.decider().feed(RequestEnded(decision.request_id, EndReason.CANCELLED, 0))
--- a/packages/agateferry-service/agateferry_service/cell/views.py
+++ b/packages/agateferry-service/agateferry_service/cell/views.py
@@ -79,7 +79,7 @@
 
     def _queue(self) -> list[dict[str, Any]]:
         wall_ms = self._leader.ctx.clock.wall_ms()
-        listed = []
+        listed: list[dict[str, Any]] = []
         for request in self._leader.ctx.machine.ledger.unended():
             if len(listed) == MAX_LISTED:
                 break
--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -8,6 +8,7 @@
 from agateferry_core.clock import Clock, SystemClock
 from agateferry_core.logs import EventLogger
 from agateferry_core.metrics import Metrics
+from agateferry_scheduling.scheduler.baseline import BaselineScheduler
 from agateferry_service.cell.cell import Cell
 from agateferry_service.cell.context import CellContext, CellTimes
 from agateferry_service.cell.machine import CellMachine
@@ -35,7 +36,6 @@
     add_RecordsServicer_to_server,
 )
 from agateferry_service.settings import Settings
-from agateferry_scheduling.scheduler.baseline import BaselineScheduler
 
 READY_POLL_S = 0.05
 FETCH_PATIENCE_MS = 2_000
--- a/packages/agateferry-service/agateferry_service/entry/app.py
+++ b/packages/agateferry-service/agateferry_service/entry/app.py
@@ -91,9 +91,10 @@
         home = zone_of_id(request_id)
         if home not in self._zones.names:
             return _unknown_request(request_id)
-        call = self._calls.cancel if home == self._zone else CellCalls(None).cancel
         message = pb.CancelRequest(request_id=request_id)
-        reply = await self._zones.router(home).call(call, message, PATIENCE_MS, PATIENCE_MS)
+        reply = await self._zones.router(home).call(
+            self._calls.cancel, message, PATIENCE_MS, PATIENCE_MS
+        )
         return self._response(reply, fresh=False)
 
     def _home(self, body: SubmitBody, key: str) -> str:
@@ -130,9 +131,8 @@
         self, home: str, message: pb.SubmitRequest, req: Request
     ) -> pb.RequestReply:
         """Submit, and cancel when the caller hangs up and has asked for that."""
-        call = self._calls.submit if home == self._zone else CellCalls(None).submit
         work = asyncio.ensure_future(
-            self._zones.router(home).call(call, message, PATIENCE_MS, message.wait_ms)
+            self._zones.router(home).call(self._calls.submit, message, PATIENCE_MS, message.wait_ms)
         )
         wish = req.headers.get("agateferry-cancel-on-disconnect", "").lower() == "true"
         while wish and not work.done():
@@ -145,9 +145,8 @@
 
     async def _cancel_abandoned(self, home: str, request_id: str) -> None:
         self._metrics.caller_hung_up(True)
-        call = self._calls.cancel if home == self._zone else CellCalls(None).cancel
         message = pb.CancelRequest(request_id=request_id)
-        await self._zones.router(home).call(call, message, PATIENCE_MS, PATIENCE_MS)
+        await self._zones.router(home).call(self._calls.cancel, message, PATIENCE_MS, PATIENCE_MS)
 
     async def _look(self, request_id: str, held_ms: int) -> pb.RequestReply:
         """Ask the owning zone again and again until the request ends or the wait is over."""
@@ -155,13 +154,12 @@
         if home not in self._zones.names:
             refusal = pb.Refusal(reason="unknown-request", detail=f"no request {request_id}")
             return pb.RequestReply(refusal=refusal)
-        call = self._calls.look if home == self._zone else CellCalls(None).look
         until = time.monotonic() + held_ms / 1000
         while True:
             slice_ms = max(0, min(LOOK_SLICE_MS, int((until - time.monotonic()) * 1000)))
             message = pb.LookRequest(request_id=request_id, wait_ms=slice_ms)
             reply: pb.RequestReply = await self._zones.router(home).call(
-                call, message, PATIENCE_MS, slice_ms
+                self._calls.look, message, PATIENCE_MS, slice_ms
             )
             ended = reply.HasField("view") and has_ended(reply.view)
             over = time.monotonic() >= until
@@ -186,7 +184,7 @@
             began = time.monotonic()
             resp: Response = await handler(req)
             took_ms = (time.monotonic() - began) * 1000
-            self._metrics.answered_http("callers", str(resp.status_code), took_ms)
+            self._metrics.answered_http("callers", resp.status_code, took_ms)
             return resp
 
         return timed
--- a/packages/agateferry-service/agateferry_service/operators/app.py
+++ b/packages/agateferry-service/agateferry_service/operators/app.py
@@ -193,7 +193,7 @@
         return _query_response(reply)
 
     async def _query(self, zone: str, what: str, name: str) -> Response:
-        query = self._cell_calls.query if zone == self._zone else CellCalls(None).query
+        query = self._cell_calls.query
         message = pb.QueryRequest(what=what, name=name)
         return _query_response(await self._zones.router(zone).call(query, message, PATIENCE_MS))
 
--- a/packages/agateferry-service/agateferry_service/routing/channels.py
+++ b/packages/agateferry-service/agateferry_service/routing/channels.py
@@ -37,7 +37,7 @@
         """Drop the channel to an address, so that the next call opens a fresh connection."""
         channel = self._channels.pop(address, None)
         if channel is not None:
-            await channel.close()
+            await channel.close(grace=None)
 
     async def close(self) -> None:
         """Close every channel."""
--- a/packages/agateferry-service/agateferry_service/settings/settings.py
+++ b/packages/agateferry-service/agateferry_service/settings/settings.py
@@ -77,6 +77,7 @@
     rpc_ms: int
     endpoint_silence_ms: int
     retry_pause_ms: int
+    drain_notice_ms: int
     drain_ms: int
     answer_keep_ms: int
 
--- a/packages/agateferry-service/agateferry_service/settings/table.py
+++ b/packages/agateferry-service/agateferry_service/settings/table.py
@@ -148,6 +148,9 @@
         "Silence of a connection to a worker after which a new one is opened to ask.",
     ),
     _timeout("retry_pause_ms", 100, 1, 60_000, "First pause before a retry; it doubles each time."),
+    _timeout(
+        "drain_notice_ms", 1_500, 0, DAY_MS, "Time for the balancer to see that a host stops."
+    ),
     _timeout("drain_ms", 30_000, 0, DAY_MS, "Time for a planned stop to finish held requests."),
     _timeout(
         "answer_keep_ms", 3_600_000, 1_000, DAY_MS, "How long an answer is kept after the end."
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_solo.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_solo.py
@@ -4,9 +4,9 @@
 from pathlib import Path
 
 import testtools
+
 from agateferry_core.clock import ManualClock
 from agateferry_core.support import run_async
-
 from agateferry_state.journal import Journal, OsFiles
 from agateferry_state.replica import ProposeErrorKind
 from agateferry_state.replica.solo import SoloReplica
