Add the agateferry command line

Cause: operators and callers need verbs with tables, JSON and stable exit codes. Change: one module for each verb; a client that passes over hosts that cannot answer; submits always carry an idempotency key; records put takes back what records get prints; failures say what to do next and never show a traceback. Ruled out: rich's live status line, which refreshes from a thread of its own.

--- /dev/null
+++ b/packages/agateferry-cli/agateferry_cli/output/__init__.py
@@ -0,0 +1,6 @@
+"""What verbs print, for people and for scripts."""
+
+from agateferry_cli.output.output import Output
+from agateferry_cli.output.progress import ProgressLine
+
+__all__ = ["Output", "ProgressLine"]
--- /dev/null
+++ b/packages/agateferry-cli/agateferry_cli/verbs/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each verb of the command line."""
--- /dev/null
+++ b/packages/agateferry-cli/agateferry_cli/verbs/cell.py
@@ -0,0 +1,41 @@
+"""`agateferry cell`: show the replicated state of the zones."""
+
+from expression import Result
+
+from agateferry_cli.client import Answer, ExitCode, Failure, Port
+from agateferry_cli.client.views import CellView, views_of
+from agateferry_cli.output import Output
+from agateferry_cli.verbs.run import run_get
+
+COLUMNS = ("zone", "host", "role", "term", "leader", "members")
+
+
+def status(*, operators: str = "", json: bool = False) -> int:
+    """Show the cell of each zone as every host that answers sees it.
+
+    :param operators: operators' addresses of entry hosts, IP:PORT with commas between
+    :param json: print the cells as JSON
+    """
+    output = Output(json)
+
+    def shown(answer: Answer) -> Result[ExitCode, Failure]:
+        views = views_of(CellView, answer.body, "hosts")
+        return views.map(lambda found: _show(output, found))
+
+    return run_get(Port.OPERATORS, operators, output, "/v1/cells", shown)
+
+
+def _show(output: Output, views: list[CellView]) -> ExitCode:
+    ordered = sorted(views, key=lambda view: (view.zone, view.host))
+    output.table(COLUMNS, [_row(view) for view in ordered], "No host answers.")
+    return ExitCode.OK
+
+
+def _row(view: CellView) -> tuple[object, ...]:
+    members = " ".join(_member_name(member) for member in view.members)
+    role = view.role if view.reachable else "unreachable"
+    return (view.zone, view.host, role, view.term, view.leader, members)
+
+
+def _member_name(member: object) -> str:
+    return str(member.get("name", member)) if isinstance(member, dict) else str(member)
--- /dev/null
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
@@ -0,0 +1,79 @@
+import tempfile
+from pathlib import Path
+from unittest import mock
+
+from agateferry_cli import main as main_module
+from agateferry_cli.client import ExitCode
+from agateferry_cli.verbs.tests.case import VerbCase
+
+SETTINGS = """
+[host]
+name = "{name}"
+zone = "a"
+data_folder = "data"
+[listen]
+callers = "127.0.0.1:7001"
+operators = "127.0.0.1:7002"
+endpoints = "127.0.0.1:7003"
+peers = "127.0.0.1:7004"
+[[peers]]
+name = "{name}"
+zone = "a"
+peers = "127.0.0.1:7004"
+callers = "127.0.0.1:7001"
+operators = "127.0.0.1:7002"
+records_voter = true
+"""
+
+
+class LocalCase(VerbCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def file(self, name, text):
+        path = self.folder / name
+        path.write_text(text, encoding="utf-8")
+        return path
+
+
+class CheckConfigTests(LocalCase):
+    def test_a_good_file(self):
+        file = self.file("a.toml", SETTINGS.format(name="a1"))
+        self.assertEqual(ExitCode.OK, self.run_verb("check-config", file))
+        self.assertIn("1 settings file(s) are valid", self.out)
+
+    def test_faults_are_listed(self):
+        file = self.file("a.toml", SETTINGS.format(name="a1") + "[limits]\nmax_wait = 4\n")
+        self.assertEqual(ExitCode.USAGE, self.run_verb("check-config", file, "--json"))
+        (problem,) = self.json_out()["problems"]
+        self.assertEqual("limits.max_wait", problem["key"])
+
+    def test_hosts_with_different_peers_are_told(self):
+        files = [self.file(f"{n}.toml", SETTINGS.format(name=n)) for n in ("a1", "a2")]
+        self.assertEqual(ExitCode.USAGE, self.run_verb("check-config", *files))
+        self.assertIn("differ from those in", self.out)
+
+
+class MainTests(LocalCase):
+    def test_a_fault_shows_no_traceback(self):
+        with mock.patch.object(main_module, "_dispatch", side_effect=KeyError("x")):
+            self.assertEqual(ExitCode.INTERNAL, self.run_verb("status", "x"))
+        self.assertNotIn("Traceback", self.err)
+
+    def test_an_interrupt_has_its_code(self):
+        with mock.patch.object(main_module, "_dispatch", side_effect=KeyboardInterrupt):
+            self.assertEqual(ExitCode.INTERRUPTED, self.run_verb("watch", "x"))
+
+    def test_an_unknown_verb_is_a_usage_error(self):
+        self.assertEqual(ExitCode.USAGE, self.run_verb("statu"))
+
+    def test_every_verb_has_help_and_json(self):
+        for name, verb in main_module.VERBS.items():
+            nested = verb if isinstance(verb, dict) else {None: verb}
+            for inner in nested:
+                argv = [part for part in (name, inner) if part]
+                self.assertEqual(ExitCode.OK, self.run_verb(*argv, "--help"))
+                self.assertIn("--json", self.out)
