Serve a request from one end to the other, and prove the leader's promises on fakes

Ruled out: checking leadership only when an announcement arrives (a leader deposed while it stores a change would have a worker stop a newer attempt). Change: the cell answers announcements only if it still leads afterwards; tests of submit, cancel, leader change and lost workers against a replica in memory and fake workers.

--- a/packages/agateferry-service/agateferry_service/cell/cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/cell.py
@@ -59,10 +59,15 @@
         return await self.leader.cancel(req)
 
     async def announce(self, req: pb.AnnounceRequest) -> pb.AnnounceReply:
-        """Take a worker's announcement in, if this host leads."""
+        """Take a worker's announcement in, if this host leads.
+
+        The lease is checked again afterwards: a leader that was deposed meanwhile may not know of
+        a newer attempt, and must not have the worker stop it.
+        """
         if not self.leader.active:
             return pb.AnnounceReply(refusal=self._not_leader())
-        return await self.leader.watch.announce(req)
+        reply = await self.leader.watch.announce(req)
+        return reply if self.leader.active else pb.AnnounceReply(refusal=self._not_leader())
 
     async def query(self, req: pb.QueryRequest) -> pb.QueryReply:
         """Answer an operator's question, if this host leads."""
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -0,0 +1,174 @@
+"""Fakes at the interfaces of a cell: a replica in memory and workers that keep their leases."""
+
+import asyncio
+import random
+
+from expression import Error, Ok
+
+from agateferry_core.clock import SystemClock
+from agateferry_core.logs import EventLogger
+from agateferry_core.metrics import Metrics
+from agateferry_scheduling.scheduler.baseline import BaselineScheduler
+from agateferry_service.cell.cell import Cell
+from agateferry_service.cell.context import CellContext, CellTimes
+from agateferry_service.cell.machine import CellMachine
+from agateferry_service.cell.proposer import Proposer
+from agateferry_service.cell.waiters import Waiters
+from agateferry_service.dispatch.attempt import AttemptTimes
+from agateferry_service.dispatch.messages import (
+    LeaseState,
+    LeaseView,
+    WorkerError,
+    WorkerErrorKind,
+)
+from agateferry_service.rpc import cell_pb2, commands_pb2
+from agateferry_state.records import RecordStore, encode_revisions, parse_put
+from agateferry_state.replica import Applied, ProposeError, ProposeErrorKind
+
+TIMES = CellTimes(
+    attempt=AttemptTimes(hold_ms=10, resolve_ms=50, backoff_ms=5, look_ms=20, reserve_ms=1_000),
+    tick_ms=10,
+    worker_silence_ms=100_000,
+    requeue_ms=5,
+)
+
+
+class MemoryReplica:
+    """Apply each command at once; `is_leader` and `failing` are switched by tests."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.is_leader = True
+        self.leader = "h1"
+        self.term = 1
+        self.failing = None
+        self._index = 0
+
+    async def start(self):
+        pass
+
+    async def stop(self):
+        self.is_leader = False
+
+    async def propose(self, command):
+        await asyncio.sleep(0)
+        if not self.is_leader:
+            return Error(ProposeError(ProposeErrorKind.NOT_LEADER, "h2"))
+        if self.failing is not None:
+            return Error(ProposeError(self.failing))
+        self._index += 1
+        return Ok(Applied(self._index, self.machine.apply(self._index, command)))
+
+    async def read_barrier(self):
+        return Ok(self._index)
+
+
+class FakeWorkers:
+    """Keep leases as workers do; `starts` counts what really ran, by request and member."""
+
+    def __init__(self):
+        self.leases = {}
+        self.starts = {}
+        self.silent = set()
+        self.refusing = {}
+        self.finish_at_once = True
+
+    async def reserve(self, address, order, ttl_ms):
+        if address in self.refusing:
+            return Error(WorkerError(WorkerErrorKind.REFUSED, self.refusing[address]))
+        return Ok(self.leases.setdefault(order.lease, LeaseView(order.lease, LeaseState.RESERVED)))
+
+    async def start(self, address, order, wait_ms):
+        if address in self.refusing:
+            return Error(WorkerError(WorkerErrorKind.REFUSED, self.refusing[address]))
+        known = self.leases.get(order.lease)
+        if known is None or known.state is LeaseState.RESERVED:
+            key = (order.request_id, order.member)
+            self.starts[key] = self.starts.get(key, 0) + 1
+            self._put(order.lease, LeaseState.RUNNING)
+            if self.finish_at_once:
+                self.finish(order.lease)
+        return self._answer(address, order.lease)
+
+    async def look(self, address, lease):
+        if address not in self.silent and lease not in self.leases:
+            return Error(WorkerError(WorkerErrorKind.UNKNOWN_LEASE))
+        return self._answer(address, lease)
+
+    async def act(self, address, lease, verb, reason=""):
+        known = self.leases.get(lease)
+        if verb == "stop" and (known is None or not known.final):
+            self._put(lease, LeaseState.STOPPED)
+        return self._answer(address, lease)
+
+    def finish(self, lease):
+        self._put(lease, LeaseState.FINISHED, answer=f"answer of {lease}")
+
+    def _put(self, lease, state, answer=""):
+        self.leases[lease] = LeaseView(lease, state, 0.5, answer=answer)
+
+    def _answer(self, address, lease):
+        if address in self.silent:
+            return Error(WorkerError(WorkerErrorKind.SILENT))
+        return Ok(self.leases[lease])
+
+
+def make_context(machine=None, workers=None, times=TIMES):
+    machine = machine or CellMachine("z")
+    replica = MemoryReplica(machine)
+    return CellContext(
+        host="h1",
+        machine=machine,
+        replica=replica,
+        proposer=Proposer(replica),
+        workers=workers or FakeWorkers(),
+        clock=SystemClock(),
+        rng=random.Random(1),
+        metrics=Metrics(),
+        log=EventLogger(),
+        waiters=Waiters(),
+        times=times,
+    )
+
+
+def make_cell(ctx):
+    return Cell(ctx, BaselineScheduler)
+
+
+def give_records(machine):
+    """Put a team and three jobs in force: quick, once (not idempotent) and gang (three members)."""
+    store = RecordStore()
+    gang = {"members": 3, "accelerators": 4, "adjacency": "rack"}
+    contents = {
+        ("team", "t"): {},
+        ("job", "quick"): {"urgency": "urgent", "idempotent": True},
+        ("job", "once"): {"idempotent": False},
+        ("job", "gang"): {"urgency": "long", "idempotent": True, "demand": gang},
+    }
+    for (kind, name), content in contents.items():
+        body = {"schema": "v2", "replaces": 0, "content": content}
+        store.put(parse_put(kind, name, body).ok)
+    adopt = commands_pb2.AdoptRecords(revisions=encode_revisions(store.since(0)))
+    machine.apply(0, commands_pb2.Command(adopt=adopt).SerializeToString())
+
+
+def announcement(name, leases=(), **fields):
+    worker = {
+        "name": name,
+        "rack": "r1",
+        "accelerators": 8,
+        "cpu_cores": 64,
+        "memory_mb": 65536,
+        "slots": 8,
+        "address": name,
+        "incarnation": "i1",
+        "state": "serving",
+    }
+    worker.update(fields)
+    return cell_pb2.AnnounceRequest(worker=commands_pb2.WorkerChanged(**worker), leases=leases)
+
+
+def submission(job="quick", key="", wait_ms=2_000, request_id="z.1", digest=b"d", **fields):
+    return cell_pb2.SubmitRequest(
+        id=request_id, team="t", job=job, key=key, body_digest=digest, wait_ms=wait_ms, **fields
+    )
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -0,0 +1,277 @@
+import asyncio
+import contextlib
+
+import testtools
+
+from agateferry_core.support import run_async
+from agateferry_service.cell.tests.support import (
+    FakeWorkers,
+    announcement,
+    give_records,
+    make_cell,
+    make_context,
+    submission,
+)
+from agateferry_service.rpc import cell_pb2 as pb
+from agateferry_state.replica import ProposeErrorKind
+
+
+@contextlib.asynccontextmanager
+async def running_cell(workers=None, names=("w1", "w2"), machine=None):
+    ctx = make_context(machine, workers)
+    if machine is None:
+        give_records(ctx.machine)
+    cell = make_cell(ctx)
+    await cell.start()
+    while not cell.leader.active:
+        await asyncio.sleep(0.01)
+    for name in names:
+        await cell.announce(announcement(name))
+    try:
+        yield cell
+    finally:
+        await cell.stop()
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class SubmitTests(testtools.TestCase):
+    def test_a_request_is_answered_whole(self):
+        async def main():
+            async with running_cell() as cell:
+                return (await cell.submit(submission())).view
+
+        view = run_async(main())
+        self.assertEqual(("finished", ["answer of z.1.1.0"]), (view.state, list(view.answers)))
+
+    def test_a_refused_request_leaves_no_trace_and_was_not_run(self):
+        async def main():
+            async with running_cell() as cell:
+                reply = await cell.submit(submission(job="nonsense"))
+                return reply.refusal.reason, len(cell.ctx.machine.ledger)
+
+        self.assertEqual(("unknown-job", 0), run_async(main()))
+
+    def test_work_that_is_not_idempotent_needs_a_key(self):
+        async def main():
+            async with running_cell() as cell:
+                return (await cell.submit(submission(job="once"))).refusal.reason
+
+        self.assertEqual("key-required", run_async(main()))
+
+    def test_what_can_never_run_is_told_at_once(self):
+        async def main():
+            async with running_cell() as cell:
+                huge = pb.SubmitRequest()
+                huge.CopyFrom(submission())
+                huge.demand.members, huge.demand.accelerators = 1, 64
+                huge.demand.adjacency = "worker"
+                return (await cell.submit(huge)).refusal
+
+        refusal = run_async(main())
+        self.assertEqual(("infeasible", 0), (refusal.reason, refusal.retry_after_ms))
+
+    def test_a_resend_with_the_same_key_runs_nothing_again(self):
+        workers = FakeWorkers()
+
+        async def main():
+            async with running_cell(workers) as cell:
+                first = await cell.submit(submission("once", key="k"))
+                again = await cell.submit(submission("once", key="k", request_id="z.2"))
+                return first.view.id, again.view.id
+
+        self.assertEqual(("z.1", "z.1"), run_async(main()))
+        self.assertEqual({("z.1", 0): 1}, workers.starts)
+
+    def test_two_sends_at_the_same_moment_run_once(self):
+        workers = FakeWorkers()
+
+        async def main():
+            async with running_cell(workers) as cell:
+                sends = (
+                    cell.submit(submission("once", key="k", request_id=f"z.{n}")) for n in (1, 2)
+                )
+                return {reply.view.id for reply in await asyncio.gather(*sends)}
+
+        self.assertEqual(1, len(run_async(main())))
+        self.assertEqual([1], list(workers.starts.values()))
+
+    def test_the_same_key_with_another_body_is_refused(self):
+        async def main():
+            async with running_cell() as cell:
+                await cell.submit(submission("once", key="k"))
+                other = submission("once", key="k", request_id="z.2", digest=b"other")
+                return (await cell.submit(other)).refusal.reason
+
+        self.assertEqual("key-reused", run_async(main()))
+
+    def test_a_lost_outcome_is_not_told_as_not_run(self):
+        async def main():
+            async with running_cell() as cell:
+                cell.ctx.replica.failing = ProposeErrorKind.UNKNOWN
+                return (await cell.submit(submission())).refusal.reason
+
+        self.assertEqual("outcome-unknown", run_async(main()))
+
+
+class CancelTests(testtools.TestCase):
+    def test_a_running_request_is_stopped_and_told_its_stage(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+
+        async def main():
+            async with running_cell(workers) as cell:
+                await cell.submit(submission(wait_ms=0))
+                await until(lambda: workers.starts)
+                return (await cell.cancel(pb.CancelRequest(request_id="z.1"))).view
+
+        view = run_async(main())
+        self.assertEqual(("cancelled", "running", "ran"), (view.state, view.stage, view.run))
+
+    def test_a_waiting_request_is_cancelled_without_a_start(self):
+        workers = FakeWorkers()
+
+        async def main():
+            async with running_cell(workers, names=("w1",)) as cell:
+                workers.finish_at_once = False
+                for number in range(9):
+                    request_id = f"z.{number}"
+                    await cell.submit(submission(wait_ms=0, request_id=request_id))
+                return (await cell.cancel(pb.CancelRequest(request_id="z.8"))).view
+
+        view = run_async(main())
+        self.assertEqual(("cancelled", "accepted", "not-run"), (view.state, view.stage, view.run))
+        self.assertNotIn(("z.8", 0), workers.starts)
+
+    def test_cancelling_again_gives_the_same_answer(self):
+        async def main():
+            async with running_cell() as cell:
+                await cell.submit(submission())
+                cancel = pb.CancelRequest(request_id="z.1")
+                return (await cell.cancel(cancel)).view, (await cell.cancel(cancel)).view
+
+        first, again = run_async(main())
+        self.assertEqual("finished", first.state)
+        self.assertEqual(first, again)
+
+
+class LeaderChangeTests(testtools.TestCase):
+    def test_the_next_leader_takes_an_attempt_up_without_a_second_start(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+
+        async def main():
+            async with running_cell(workers) as cell:
+                await cell.submit(submission("once", key="k", wait_ms=0))
+                await until(lambda: workers.starts)
+                machine = cell.ctx.machine
+            async with running_cell(workers, names=(), machine=machine) as cell:
+                workers.finish("z.1.1.0")
+                return (await cell.look(pb.LookRequest(request_id="z.1", wait_ms=2_000))).view
+
+        self.assertEqual("finished", run_async(main()).state)
+        self.assertEqual({("z.1", 0): 1}, workers.starts)
+
+    def test_an_intent_that_was_never_sent_is_carried_out_by_the_next_leader(self):
+        workers = FakeWorkers()
+        workers.silent.add("w1")
+        workers.silent.add("w2")
+
+        async def main():
+            async with running_cell(workers) as cell:
+                cell.ctx.workers = FakeWorkers()
+                cell.ctx.workers.finish_at_once = False
+                await cell.submit(submission("once", key="k", wait_ms=0))
+                machine = cell.ctx.machine
+            workers.silent.clear()
+            async with running_cell(workers, names=(), machine=machine) as cell:
+                return (await cell.look(pb.LookRequest(request_id="z.1", wait_ms=2_000))).view
+
+        self.assertEqual("finished", run_async(main()).state)
+        self.assertEqual({("z.1", 0): 1}, workers.starts)
+
+    def test_a_deposed_leader_answers_nothing(self):
+        async def main():
+            async with running_cell() as cell:
+                cell.ctx.replica.is_leader = False
+                cell.ctx.replica.leader = "h2"
+                return (await cell.submit(submission())).refusal
+
+        refusal = run_async(main())
+        self.assertEqual(("not-leader", "h2"), (refusal.reason, refusal.leader))
+
+
+class WorkerTests(testtools.TestCase):
+    def test_a_leaving_worker_gets_nothing_new(self):
+        async def main():
+            async with running_cell(names=("w1",)) as cell:
+                await cell.announce(announcement("w1", state="leaving"))
+                return (await cell.submit(submission(wait_ms=30))).view.state
+
+        self.assertEqual("accepted", run_async(main()))
+
+    def test_idempotent_work_of_a_lost_worker_runs_elsewhere(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+
+        async def main():
+            async with running_cell(workers, names=("w1",)) as cell:
+                await cell.submit(submission(wait_ms=0))
+                await until(lambda: workers.starts)
+                await cell.announce(announcement("w2"))
+                workers.finish_at_once = True
+                await cell.announce(announcement("w1", incarnation="i2", state="leaving"))
+                return (await cell.look(pb.LookRequest(request_id="z.1", wait_ms=2_000))).view
+
+        view = run_async(main())
+        self.assertEqual(("finished", 2), (view.state, view.attempt))
+
+    def test_other_work_of_a_lost_worker_may_have_run_and_runs_no_second_time(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+
+        async def main():
+            async with running_cell(workers) as cell:
+                await cell.submit(submission("once", key="k", wait_ms=0))
+                await until(lambda: workers.starts)
+                for name in ("w1", "w2"):
+                    workers.silent.add(name)
+                    await cell.announce(announcement(name, incarnation="i2"))
+                return (await cell.look(pb.LookRequest(request_id="z.1", wait_ms=2_000))).view
+
+        view = run_async(main())
+        self.assertEqual("failed", view.state)
+        self.assertNotEqual("not-run", view.run)
+        self.assertEqual([1], list(workers.starts.values()))
+
+    def test_leases_that_nobody_waits_for_are_stopped_or_released(self):
+        async def main():
+            async with running_cell() as cell:
+                await cell.submit(submission())
+                reports = [
+                    pb.LeaseReport(lease="z.1.1.0", state="finished"),
+                    pb.LeaseReport(lease="z.9.1.0", state="running"),
+                ]
+                return await cell.announce(announcement("w1", leases=reports))
+
+        reply = run_async(main())
+        self.assertEqual((["z.1.1.0"], ["z.9.1.0"]), (list(reply.release), list(reply.stop)))
+
+    def test_a_refused_gang_starts_nowhere_and_is_tried_again(self):
+        workers = FakeWorkers()
+        workers.refusing["w2"] = "no-capacity"
+
+        async def main():
+            async with running_cell(workers) as cell:
+                await cell.submit(submission("gang", wait_ms=50))
+                started_while_refused = dict(workers.starts)
+                workers.refusing.clear()
+                look = pb.LookRequest(request_id="z.1", wait_ms=3_000)
+                return started_while_refused, (await cell.look(look)).view
+
+        started, view = run_async(main())
+        self.assertEqual(({}, "finished", 3), (started, view.state, len(view.answers)))
