--- a/packages/agateferry-scheduling/agateferry_scheduling/placement/first_fit.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/first_fit.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 
 from agateferry_core.demand import Adjacency, Assignment, Demand
-
 from agateferry_scheduling.topology import Topology, WorkerState
 
 Counts = dict[str, int]
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_baseline.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_baseline.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.demand import Adjacency, Demand, Urgency, Worker
 
+from agateferry_core.demand import Adjacency, Demand, Urgency, Worker
 from agateferry_scheduling.scheduler.baseline import BaselineScheduler
 from agateferry_scheduling.scheduler.messages import (
     EndReason,
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/feasible.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/feasible.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 
 from agateferry_core.demand import Adjacency, Demand, Worker
-
 from agateferry_scheduling.topology.state import capacity_for
 
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
@@ -9,7 +9,6 @@
 from enum import StrEnum
 
 from agateferry_core.demand import Assignment, Demand, Worker
-
 from agateferry_scheduling.scheduler.messages import PendingRequest
 
 
--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -176,9 +176,7 @@
         )
         return self._outcome(request, await self._ctx.proposer.propose(attempt_failed=command))
 
-    def _outcome(
-        self, request: Request, result: Result[object, ProposeError]
-    ) -> Outcome | None:
+    def _outcome(self, request: Request, result: Result[object, ProposeError]) -> Outcome | None:
         if result.is_error():
             fields = {"kind": result.error.kind.value, "detail": result.error.detail}
             self._ctx.log.warning(events.PROPOSAL_FAILED, request=request.id, **fields)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 
+from agateferry_core.demand import Assignment
 from agateferry_scheduling.scheduler.messages import (
     ConfigChanged,
     Decision,
@@ -25,7 +26,6 @@
     TeamsChanged,
     Tick,
 )
-from agateferry_core.demand import Assignment
 from agateferry_service.cell import events
 from agateferry_service.cell.admission import Admission, pending_of, pending_request
 from agateferry_service.cell.attempts import Attempts
@@ -210,9 +210,7 @@
     def _placement(self, assignment: Assignment) -> Placement:
         registered = self.ctx.machine.registry.get(assignment.worker)
         incarnation = registered.worker.incarnation if registered else ""
-        return Placement(
-            assignment.member, assignment.worker, incarnation, assignment.accelerators
-        )
+        return Placement(assignment.member, assignment.worker, incarnation, assignment.accelerators)
 
     async def _place(self, decision: Start) -> None:
         """Store the intent that a decision to start gives, and begin the attempt."""
@@ -255,9 +253,7 @@
         await self.ctx.waiters.until_ended(request, wait_ms)
         return cell_pb2.RequestReply(view=view_to_pb(request))
 
-    def _refuse(
-        self, reason: str, detail: str, retry_after_ms: int = 0
-    ) -> cell_pb2.RequestReply:
+    def _refuse(self, reason: str, detail: str, retry_after_ms: int = 0) -> cell_pb2.RequestReply:
         self.ctx.metrics.count_refusal(reason)
         return cell_pb2.RequestReply(refusal=refusal(reason, detail, retry_after_ms))
 
--- a/packages/agateferry-standins/agateferry_standins/balancer/tests/test_balancer.py
+++ b/packages/agateferry-standins/agateferry_standins/balancer/tests/test_balancer.py
@@ -1,8 +1,8 @@
 import aiohttp
 import testtools
-from agateferry_core.support import run_async
 from aiohttp import web
 
+from agateferry_core.support import run_async
 from agateferry_standins.balancer import balancer
 from agateferry_standins.balancer.balancer import Backend, Balancer
 
--- a/packages/agateferry-standins/agateferry_standins/callers/tally.py
+++ b/packages/agateferry-standins/agateferry_standins/callers/tally.py
@@ -91,6 +91,17 @@
             partial_gangs=len(log.partial_gangs()),
         )
 
+    def __add__(self, other: "Verdict") -> "Verdict":
+        """Return the counts of two runs together."""
+        return Verdict(
+            self.accepted + other.accepted,
+            self.answered + other.answered,
+            self.lost + other.lost,
+            self.duplicated + other.duplicated,
+            self.wrong + other.wrong,
+            self.partial_gangs + other.partial_gangs,
+        )
+
     @property
     def clean(self) -> bool:
         """Tell whether everything that was accepted got its own answer, once."""
--- a/packages/agateferry-standins/agateferry_standins/callers/tests/test_caller.py
+++ b/packages/agateferry-standins/agateferry_standins/callers/tests/test_caller.py
@@ -2,9 +2,9 @@
 import json
 
 import testtools
-from agateferry_core.support import run_async
 from aiohttp import web
 
+from agateferry_core.support import run_async
 from agateferry_standins.callers import caller
 from agateferry_standins.callers.load import Load, run_load
 from agateferry_standins.callers.messages import End, JobKind
--- /dev/null
+++ b/packages/agateferry-standins/agateferry_standins/deployment/tests/test_plan.py
@@ -0,0 +1,77 @@
+import shutil
+import socket
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from agateferry_service.settings import load_settings
+from agateferry_standins.deployment.plan import (
+    PlanError,
+    check_ports,
+    claim_folder,
+    free_ports,
+    make_plan,
+    note_pid,
+)
+from agateferry_standins.deployment.samples import LAGERTELLER, PASS_SERVICE
+
+
+def temporary_folder(test):
+    folder = tempfile.mkdtemp()
+    test.addCleanup(shutil.rmtree, folder)
+    return Path(folder)
+
+
+class PlanTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.folder = temporary_folder(self)
+        self.plan = make_plan(LAGERTELLER.zones, self.folder / "run")
+
+    def test_every_settings_file_is_valid(self):
+        self.plan.write()
+        for host in self.plan.hosts:
+            settings = load_settings(host.settings_file).ok
+            self.assertEqual(host.zone, settings.host.zone)
+            self.assertEqual(3, len(settings.zone_peers()))
+            self.assertEqual(5, len(settings.records_voters()))
+
+    def test_a_relay_stands_before_one_host_for_the_others_alone(self):
+        first, second = self.plan.hosts[:2]
+        plan = self.plan.with_peers_seen(first.name, "127.0.0.1:9")
+        plan.write()
+        own = load_settings(first.settings_file).ok
+        other = load_settings(second.settings_file).ok
+        self.assertEqual(first.peers, str(own.own_peer().peers))
+        self.assertEqual("127.0.0.1:9", str(other.peers[0].peers))
+
+    def test_a_taken_port_is_named(self):
+        with socket.socket() as sock:
+            host, _, port = self.plan.hosts[4].peers.rpartition(":")
+            sock.bind((host, int(port)))
+            sock.listen()
+            exc = self.assertRaises(PlanError, check_ports, self.plan)
+            self.assertIn(self.plan.hosts[4].peers, str(exc))
+
+    def test_free_ports_differ(self):
+        self.assertEqual(40, len(set(free_ports(40))))
+
+
+class ClaimFolderTests(testtools.TestCase):
+    def test_a_folder_of_an_earlier_run_is_named(self):
+        folder = temporary_folder(self) / "run"
+        claim_folder(folder)
+        note_pid(folder, 1)
+        exc = self.assertRaises(PlanError, claim_folder, folder)
+        self.assertIn(str(folder), str(exc))
+        self.assertNotIn("kill", str(exc))
+
+
+class SampleTests(testtools.TestCase):
+    def test_every_kind_has_its_job_and_its_team(self):
+        for deployment in (LAGERTELLER, PASS_SERVICE):
+            names = {(record.kind, record.name) for record in deployment.records}
+            for kind in deployment.kinds:
+                self.assertIn(("job", kind.job), names)
+                self.assertIn(("team", kind.team), names)
--- a/packages/agateferry-standins/agateferry_standins/relay/tests/test_relay.py
+++ b/packages/agateferry-standins/agateferry_standins/relay/tests/test_relay.py
@@ -1,8 +1,8 @@
 import asyncio
 
 import testtools
-from agateferry_core.support import run_async
 
+from agateferry_core.support import run_async
 from agateferry_standins.relay.relay import Direction, Flow, Relay
 
 SILENCE_S = 0.1
--- /dev/null
+++ b/packages/agateferry-standins/agateferry_standins/tests/test_demo.py
@@ -0,0 +1,39 @@
+import shutil
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+import testtools
+
+from agateferry_standins import demo
+from agateferry_standins.deployment.plan import free_ports
+
+
+class DemoTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.parent = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.parent)
+        self.said = []
+        self.patch(demo, "say", self.said.append)
+
+    def run_demo(self, base_port):
+        arguments = ["demo", "--folder", str(self.parent / "run"), "--base-port", str(base_port)]
+        self.patch(sys, "argv", arguments)
+        return demo.main()
+
+    def test_an_old_run_left_over_is_a_clear_error(self):
+        (self.parent / "run").mkdir()
+        self.assertEqual(demo.EXIT_NOT_STARTED, self.run_demo(free_ports(1)[0]))
+        self.assertIn("an earlier run left", self.said[-1])
+        self.assertTrue((self.parent / "run").exists())
+
+    def test_a_taken_port_is_a_clear_error(self):
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            sock.listen()
+            port = sock.getsockname()[1]
+            self.assertEqual(demo.EXIT_NOT_STARTED, self.run_demo(port))
+        self.assertIn(f"127.0.0.1:{port}", self.said[-1])
+        self.assertFalse((self.parent / "run").exists())
--- a/packages/agateferry-standins/agateferry_standins/worker/__main__.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/__main__.py
@@ -17,7 +17,6 @@
 from typing import Any
 
 from agateferry_core.logs import configure
-
 from agateferry_standins.worker.behaviour import Behaviour
 from agateferry_standins.worker.start_log import StartLog
 from agateferry_standins.worker.worker import StandInWorker, WorkerPlace
--- a/packages/agateferry-standins/agateferry_standins/worker/announcer.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/announcer.py
@@ -5,8 +5,8 @@
 from typing import Any, Protocol
 
 import aiohttp
-from agateferry_core.logs import EventLogger
 
+from agateferry_core.logs import EventLogger
 from agateferry_standins.events import ANNOUNCE_FAILED
 
 FIRST_HEARTBEAT_MS = 1_000
--- a/packages/agateferry-standins/agateferry_standins/worker/leases.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/leases.py
@@ -6,9 +6,9 @@
 
 from dataclasses import replace
 
-from agateferry_core.clock import Clock
 from expression import Error, Ok, Result
 
+from agateferry_core.clock import Clock
 from agateferry_standins.worker.messages import (
     CHECKPOINT_STEPS,
     Lease,
--- a/packages/agateferry-standins/agateferry_standins/worker/tests/test_leases.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/tests/test_leases.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.clock import ManualClock
 
+from agateferry_core.clock import ManualClock
 from agateferry_standins.worker.leases import LeaseTable
 from agateferry_standins.worker.messages import (
     LeaseRequest,
--- a/packages/agateferry-standins/agateferry_standins/worker/tests/test_worker.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/tests/test_worker.py
@@ -3,9 +3,9 @@
 
 import aiohttp
 import testtools
-from agateferry_core.support import run_async
 from aiohttp import web
 
+from agateferry_core.support import run_async
 from agateferry_standins.worker.behaviour import Behaviour
 from agateferry_standins.worker.start_log import StartLog
 from agateferry_standins.worker.worker import StandInWorker, WorkerPlace
--- a/packages/agateferry-standins/agateferry_standins/worker/worker.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/worker.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from agateferry_core.clock import Clock, SystemClock
 from aiohttp import web
 from aiohttp.typedefs import Handler
 
+from agateferry_core.clock import Clock, SystemClock
 from agateferry_standins.worker.announcer import Announcer, Instructions
 from agateferry_standins.worker.behaviour import Behaviour, Faults
 from agateferry_standins.worker.leases import LeaseTable
--- a/packages/agateferry-state/agateferry_state/records/bounds.py
+++ b/packages/agateferry-state/agateferry_state/records/bounds.py
@@ -6,9 +6,10 @@
 
 from typing import Annotated
 
-from agateferry_core.demand import Adjacency, Urgency
 from pydantic import BaseModel, ConfigDict, Field, StringConstraints
 
+from agateferry_core.demand import Adjacency, Urgency
+
 MAX_MEMBERS = 1_024
 MAX_ACCELERATORS = 1_024
 MAX_REQUEST_ACCELERATORS = 16_384
--- a/packages/agateferry-state/agateferry_state/records/codec.py
+++ b/packages/agateferry-state/agateferry_state/records/codec.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
-
 from agateferry_state.records.forms import (
     ConfigRecord,
     JobRecord,
--- a/packages/agateferry-state/agateferry_state/records/schema_v1.py
+++ b/packages/agateferry-state/agateferry_state/records/schema_v1.py
@@ -8,9 +8,9 @@
 from dataclasses import replace
 from typing import Annotated, Any, Self
 
-from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
 from pydantic import Field, model_validator
 
+from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
 from agateferry_state.records.bounds import (
     MAX_ZONES,
     AcceleratorsField,
--- a/packages/agateferry-state/agateferry_state/records/schema_v2.py
+++ b/packages/agateferry-state/agateferry_state/records/schema_v2.py
@@ -3,9 +3,9 @@
 from dataclasses import asdict
 from typing import Annotated, Any, Self
 
-from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
 from pydantic import Field, model_validator
 
+from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
 from agateferry_state.records.bounds import (
     MAX_ACCELERATORS,
     MAX_CPU_CORES,
--- a/packages/agateferry-state/agateferry_state/records/tests/test_schemas.py
+++ b/packages/agateferry-state/agateferry_state/records/tests/test_schemas.py
@@ -1,8 +1,8 @@
 import testtools
-from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from agateferry_core.demand import Adjacency, Demand, Shape, Urgency
 from agateferry_state.records import (
     Accepted,
     ConfigRecord,
