--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agateferry-$(p)))
 export PATH := $(abspath $(BIN)):$(PATH)
 
-.PHONY: setup demo test lint format measure budget soak generate
+.PHONY: setup demo test lint format measure budget capacity soak generate
 
 setup: $(VENV)/.ready
 
@@ -42,5 +42,8 @@
 budget: setup
 	$(BIN)/python -m agateferry_standins.budget
 
+capacity: setup
+	$(BIN)/python -m agateferry_standins.capacity
+
 soak: setup
 	$(BIN)/python -m agateferry_standins.soak
--- a/packages/agateferry-service/agateferry_service/requests/ledger.py
+++ b/packages/agateferry-service/agateferry_service/requests/ledger.py
@@ -3,9 +3,12 @@
 Every move of a request is a command of the cell's log, applied here in the same order on every
 host. Nothing is acted on or told to a caller before its command has been applied. The ledger reads
 no clock: the times in commands come from the leader that proposed them.
+
+Requests that have ended are many and rarely asked for, so they are kept in the compact form that
+snapshots take. Those without an end have their compact form remembered until they change, so that
+a snapshot costs little more than what changed since the last one.
 """
 
-from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
@@ -33,61 +36,69 @@
     """Hold every request that has not been forgotten, by id and by idempotency key."""
 
     def __init__(self) -> None:
-        self._requests: dict[str, Request] = {}
+        self._open: dict[str, Request] = {}
+        self._ended: dict[str, bytes] = {}
         self._by_key: dict[tuple[str, str], str] = {}
-        self._ended: deque[str] = deque()
+        self._compact: dict[str, bytes] = {}
 
     def __len__(self) -> int:
         """Return how many requests are remembered."""
-        return len(self._requests)
+        return len(self._open) + len(self._ended)
 
     def get(self, request_id: str) -> Request | None:
-        """Return a request, or None when it is unknown or forgotten."""
-        return self._requests.get(request_id)
+        """Return a request, or None when it is unknown or forgotten.
+
+        One that has ended is read from its compact form; changing what is returned has no effect.
+        """
+        known = self._open.get(request_id)
+        if known is not None:
+            return known
+        compact = self._ended.get(request_id)
+        return _expand(compact) if compact is not None else None
 
     def by_key(self, team: str, key: str) -> Request | None:
         """Return the request that a team's idempotency key belongs to."""
         request_id = self._by_key.get((team, key))
-        return self._requests.get(request_id) if request_id else None
+        return self.get(request_id) if request_id else None
 
     def unended(self) -> Iterator[Request]:
         """Yield every request without a final answer, in the order of acceptance."""
-        return (request for request in self._requests.values() if not request.ended)
+        return iter(self._open.values())
 
     def wants_lease(self, lease: str) -> bool:
         """Tell whether a lease belongs to an attempt whose result is still waited for."""
         parsed = parse_lease(lease)
         if parsed is None:
             return False
-        request = self._requests.get(parsed[0])
+        request = self._open.get(parsed[0])
         return request is not None and request.holds_workers and request.attempt == parsed[1]
 
     def accept(self, command: pb.Accept) -> Outcome:
         """Store a new request, or find the one that this is a resend of."""
         spec = spec_from_pb(command.spec)
-        known = self._requests.get(spec.id)
+        known = self.get(spec.id)
         if known is None and spec.key:
             known = self.by_key(spec.team, spec.key)
         if known is not None:
             return self._resend_outcome(known, spec.body_digest)
         request = Request(spec)
-        self._requests[spec.id] = request
+        self._open[spec.id] = request
         if spec.key:
             self._by_key[(spec.team, spec.key)] = spec.id
         if command.placements:
             self._begin_attempt(request, _placements(command.placements))
-        return Outcome(OutcomeKind.DONE, request)
+        return self._changed(request)
 
     def place(self, command: pb.Place) -> Outcome:
         """Store the intent to start an attempt; only a waiting request can be placed."""
-        request = self._requests.get(command.request_id)
+        request = self.get(command.request_id)
         if request is None:
             return Outcome(OutcomeKind.UNKNOWN_REQUEST)
         waits = request.state is RequestState.ACCEPTED
         if not waits or command.attempt != request.attempt + 1:
             return Outcome(OutcomeKind.STALE, request)
         self._begin_attempt(request, _placements(command.placements))
-        return Outcome(OutcomeKind.DONE, request)
+        return self._changed(request)
 
     def progress(self, command: pb.Progress) -> Outcome:
         """Store that an attempt has started, how far it is and its last checkpoint."""
@@ -114,7 +125,7 @@
 
     def cancel(self, command: pb.RequestCancel) -> Outcome:
         """Cancel at once what waits; mark what runs, to be cancelled when it has stopped."""
-        request = self._requests.get(command.request_id)
+        request = self.get(command.request_id)
         if request is None:
             return Outcome(OutcomeKind.UNKNOWN_REQUEST)
         if request.ended:
@@ -123,7 +134,7 @@
             request.cancelling = True
         else:
             self._end(request, RequestState.CANCELLED, command.wall_ms, REASON_CANCELLED)
-        return Outcome(OutcomeKind.DONE, request)
+        return self._changed(request)
 
     def attempt_failed(self, command: pb.AttemptFailed) -> Outcome:
         """End an attempt without an answer.
@@ -150,46 +161,48 @@
 
     def give_up(self, command: pb.GiveUp) -> Outcome:
         """End a waiting request that will not be placed."""
-        request = self._requests.get(command.request_id)
+        request = self.get(command.request_id)
         if request is None:
             return Outcome(OutcomeKind.UNKNOWN_REQUEST)
         if request.state is not RequestState.ACCEPTED:
             return Outcome(OutcomeKind.STALE, request)
         request.detail = command.detail
         self._end(request, RequestState.FAILED, command.wall_ms, command.reason)
-        return Outcome(OutcomeKind.DONE, request)
+        return self._changed(request)
 
     def forget(self, command: pb.Forget) -> Outcome:
         """Drop requests that ended before the given time, with their keys and answers."""
         while self._ended:
-            request = self._requests.get(self._ended[0])
-            if request is not None and request.ended_wall_ms >= command.ended_before_wall_ms:
+            request = _expand(next(iter(self._ended.values())))
+            if request.ended_wall_ms >= command.ended_before_wall_ms:
                 break
-            self._ended.popleft()
-            if request is not None:
-                self._drop(request)
+            self._drop(request)
         return Outcome(OutcomeKind.DONE)
 
     def oldest_end_wall_ms(self) -> int | None:
         """Return when the request that ended first did so."""
-        request = self._requests.get(self._ended[0]) if self._ended else None
-        return request.ended_wall_ms if request else None
+        oldest = next(iter(self._ended.values()), None)
+        return _expand(oldest).ended_wall_ms if oldest is not None else None
 
-    def store(self) -> list[pb.StoredRequest]:
-        """Write all requests, those that ended in the order in which they did."""
-        ended = [self._requests[request_id] for request_id in self._ended]
-        return [request_to_pb(request) for request in [*ended, *self.unended()]]
+    def store(self) -> list[bytes]:
+        """Write all requests, those that ended first and in the order in which they did."""
+        for request in self._open.values():
+            if request.id not in self._compact:
+                self._compact[request.id] = _compact(request)
+        return [*self._ended.values(), *(self._compact[request_id] for request_id in self._open)]
 
-    def load(self, stored: Iterable[pb.StoredRequest]) -> None:
+    def load(self, stored: Iterable[bytes]) -> None:
         """Replace all requests by stored ones."""
         self.__init__()  # type: ignore[misc]
-        for message in stored:
-            request = request_from_pb(message)
-            self._requests[request.id] = request
+        for compact in stored:
+            request = _expand(compact)
             if request.spec.key:
                 self._by_key[(request.spec.team, request.spec.key)] = request.id
             if request.ended:
-                self._ended.append(request.id)
+                self._ended[request.id] = compact
+            else:
+                self._open[request.id] = request
+                self._compact[request.id] = compact
 
     def _resend_outcome(self, known: Request, body_digest: bytes) -> Outcome:
         same_body = known.spec.body_digest == body_digest
@@ -200,15 +213,19 @@
         request.placements = placements
         request.state = RequestState.PLACED
 
+    def _changed(self, request: Request) -> Outcome:
+        self._compact.pop(request.id, None)
+        return Outcome(OutcomeKind.DONE, request)
+
     def _current_attempt(self, request_id: str, attempt: int) -> Outcome:
-        request = self._requests.get(request_id)
+        request = self.get(request_id)
         if request is None:
             return Outcome(OutcomeKind.UNKNOWN_REQUEST)
         if request.ended:
             return Outcome(OutcomeKind.ALREADY_ENDED, request)
         if not request.holds_workers or request.attempt != attempt:
             return Outcome(OutcomeKind.STALE, request)
-        return Outcome(OutcomeKind.DONE, request)
+        return self._changed(request)
 
     def _end(self, request: Request, state: RequestState, wall_ms: int, reason: str = "") -> None:
         if state is not RequestState.FINISHED:
@@ -218,14 +235,24 @@
         request.ended_wall_ms = wall_ms
         request.placements = ()
         request.spec = replace(request.spec, payload="")
-        self._ended.append(request.id)
+        del self._open[request.id]
+        self._ended[request.id] = _compact(request)
 
     def _drop(self, request: Request) -> None:
-        del self._requests[request.id]
+        del self._ended[request.id]
         if request.spec.key:
             self._by_key.pop((request.spec.team, request.spec.key), None)
 
 
+def _compact(request: Request) -> bytes:
+    data: bytes = request_to_pb(request).SerializeToString()
+    return data
+
+
+def _expand(compact: bytes) -> Request:
+    return request_from_pb(pb.StoredRequest.FromString(compact))
+
+
 def _placements(messages: Iterable[pb.Placement]) -> tuple[Placement, ...]:
     return tuple(placement_from_pb(message) for message in messages)
 
