Add the fair policy, traces with their replay, and the proof of the guarantee layout

Cause: the baseline starts no urgent work in time and keeps no guarantee. The policy composes guarantees as a witnessed layout, fair queueing with one reservation, packing, bounded reclaim, learned estimates and worker health.

--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/check.py
@@ -0,0 +1,85 @@
+"""Check that a layout proves the guarantees, from nothing but the placements themselves.
+
+This repeats none of the sums that the layout keeps, so a fault in them shows.
+"""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+from agateferry_core.demand import Adjacency, Worker
+
+from agateferry_scheduling.guarantees.layout import Cell, Layout
+from agateferry_scheduling.scheduler.messages import Team
+from agateferry_scheduling.topology import Backing, Topology
+
+ShapeCounts = Counter[tuple[str, int, Adjacency]]
+
+
+def broken_guarantee(topology: Topology, layout: Layout, teams: Iterable[Team]) -> str | None:
+    """Return how the guarantee invariant is broken, or None when it holds.
+
+    Cells that the layout itself calls missing are passed over: that is a guarantee at risk, told
+    to operators, and not a fault of placement.
+    """
+    if _wanted(teams) != Counter(_kind(cell) for cell in layout.cells):
+        return "the cells are not the teams' guaranteed shapes"
+    for cell in layout.cells:
+        if cell.places and not _is_shaped(cell, topology):
+            return f"a cell of {cell.team} does not have its shape: {cell.places}"
+    return _overlap(topology, layout)
+
+
+def _wanted(teams: Iterable[Team]) -> ShapeCounts:
+    wanted: ShapeCounts = Counter()
+    for team in teams:
+        for shape in team.guarantee:
+            wanted[(team.name, shape.accelerators, shape.adjacency)] += shape.count
+    return wanted
+
+
+def _kind(cell: Cell) -> tuple[str, int, Adjacency]:
+    return cell.team, cell.accelerators, cell.adjacency
+
+
+def _is_shaped(cell: Cell, topology: Topology) -> bool:
+    workers: list[Worker] = []
+    for name in cell.places:
+        state = topology.workers.get(name)
+        if state is None or not state.is_open():
+            return False
+        workers.append(state.worker)
+    if sum(cell.places.values()) != cell.accelerators:
+        return False
+    if cell.adjacency is Adjacency.WORKER:
+        return len(workers) == 1
+    if cell.adjacency is Adjacency.RACK:
+        return len({worker.rack for worker in workers}) == 1
+    return True
+
+
+def _overlap(topology: Topology, layout: Layout) -> str | None:
+    laid: Counter[str] = Counter()
+    team_laid: Counter[tuple[str, str]] = Counter()
+    for cell in layout.cells:
+        for name, count in cell.places.items():
+            laid[name] += count
+            team_laid[(cell.team, name)] += count
+    pinned: Counter[str] = Counter()
+    own: dict[tuple[str, str], int] = defaultdict(int)
+    for allocation in topology.allocations.values():
+        request = allocation.request
+        for name, members in allocation.counts.items():
+            taken = members * request.demand.accelerators
+            if allocation.backing is Backing.PINNED:
+                pinned[name] += taken
+            elif allocation.backing is Backing.GUARANTEED:
+                own[(request.team, name)] += taken
+            elif not request.preemptible:
+                return f"{request.request_id} is borrowed but cannot be taken back"
+    for (team, name), taken in own.items():
+        if name in topology.workers and taken > team_laid[(team, name)]:
+            return f"guaranteed work of {team} lies outside its cells on {name}"
+    for name, count in laid.items():
+        if count + pinned[name] > topology.workers[name].worker.accelerators:
+            return f"cells and pinned work overlap on {name}"
+    return None
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
@@ -0,0 +1,243 @@
+"""A layout of all teams' guaranteed shapes at once, kept as the proof that all can be had.
+
+The invariant is that of HiveD (Zhao et al., OSDI 2020): for all teams at once, the guaranteed
+shapes can be laid out on accelerators that are free, the team's own, or borrowed and can be taken
+back. The layout is a witness of it. Each cell is one group of a shape at a stated place. Guaranteed
+work lies within its team's cells, pinned work lies outside all cells, and borrowed work, which can
+be taken back, may lie anywhere. A placement that would need an impossible layout is not made.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from agateferry_core.demand import Adjacency, Demand
+
+from agateferry_scheduling.scheduler.messages import Team
+from agateferry_scheduling.topology import Allocation, Backing, Topology, WorkerState
+from agateferry_scheduling.topology.amount import Amount, share, whole
+
+STRICTNESS = {Adjacency.WORKER: 0, Adjacency.RACK: 1, Adjacency.ANY: 2}
+
+
+@dataclass(slots=True, eq=False)
+class Cell:
+    """One group of a team's shape, and the accelerators of each worker where it is laid."""
+
+    team: str
+    accelerators: int
+    adjacency: Adjacency
+    places: dict[str, int] = field(default_factory=dict)
+
+
+class Layout:
+    """Keep every team's cells laid out, and say what room they leave.
+
+    `own` counts guaranteed work for each team and worker, `pinned` counts pinned work.
+    """
+
+    def __init__(self, topology: Topology) -> None:
+        self.topology = topology
+        self.cells: list[Cell] = []
+        self.laid: dict[str, int] = defaultdict(int)
+        self.team_laid: dict[str, dict[str, int]] = defaultdict(dict)
+        self.own: dict[str, dict[str, Amount]] = defaultdict(dict)
+        self.pinned: dict[str, Amount] = {}
+
+    def set_teams(self, teams: tuple[Team, ...]) -> None:
+        """Make the cells anew for this list of teams, largest and most adjacent first."""
+        self.cells = [
+            Cell(team.name, shape.accelerators, shape.adjacency)
+            for team in teams
+            for shape in team.guarantee
+            for _ in range(shape.count)
+        ]
+        self.cells.sort(key=lambda cell: (-cell.accelerators, STRICTNESS[cell.adjacency]))
+        self.lay_all()
+
+    def missing(self) -> tuple[str, ...]:
+        """Return the teams whose shapes cannot all be laid out now."""
+        return tuple(sorted({cell.team for cell in self.cells if not cell.places}))
+
+    def lay_all(self) -> None:
+        """Lay every cell out anew, first around the team's own guaranteed work."""
+        self.laid.clear()
+        self.team_laid.clear()
+        for cell in self.cells:
+            cell.places = {}
+        self._settle()
+
+    def refresh(self) -> None:
+        """Take cells off workers that are gone or closed and lay them out elsewhere."""
+        self._settle()
+        if self.missing():
+            self.lay_all()
+
+    def lay(self, cell: Cell) -> bool:
+        """Lay a cell where there is room outside other cells and pinned work, if anywhere."""
+        for places in self._options(cell):
+            self._put(cell, places)
+            return True
+        return False
+
+    def room_own(self, team: str, state: WorkerState, demand: Demand) -> int:
+        """Return how many members fit into the team's cells on a worker beside its own work."""
+        laid = self.team_laid[team].get(state.name, 0)
+        if laid == 0:
+            return 0
+        within = share(state.worker, laid)
+        used = self.own[team].get(state.name)
+        if used is not None:
+            within = within.minus(used)
+        return within.room_for(demand)
+
+    def slack(self, state: WorkerState) -> Amount:
+        """Return what no cell and no pinned work takes on a worker."""
+        left = whole(state.worker).minus(share(state.worker, self.laid.get(state.name, 0)))
+        pinned = self.pinned.get(state.name)
+        return left.minus(pinned) if pinned is not None else left
+
+    def charge(self, allocation: Allocation, sign: int) -> None:
+        """Count guaranteed or pinned work in (1) or out (-1)."""
+        if allocation.backing is Backing.BORROWED:
+            return
+        book = self.pinned
+        if allocation.backing is Backing.GUARANTEED:
+            book = self.own[allocation.request.team]
+        for name, members in allocation.counts.items():
+            amount = book.setdefault(name, Amount())
+            amount.add(allocation.request.demand, sign * members)
+            if amount == Amount():
+                del book[name]
+
+    def is_movable(self, cell: Cell) -> bool:
+        """Tell whether the team's own work is covered without this cell."""
+        for name, laid in cell.places.items():
+            used = self.own[cell.team].get(name)
+            if used is None:
+                continue
+            state = self.topology.workers[name]
+            rest = share(state.worker, self.team_laid[cell.team][name] - laid)
+            if rest.minus(used).is_negative():
+                return False
+        return True
+
+    def move(self, cell: Cell, places: dict[str, int]) -> bool:
+        """Move a cell to another place, or swap it with another team's equal cell there."""
+        before = cell.places
+        self._lift(cell)
+        if all(self._takes(name, count) for name, count in places.items()):
+            self._put(cell, places)
+            return True
+        for other in self.cells:
+            if other.places == places and other.team != cell.team and self.is_movable(other):
+                self._lift(other)
+                self._put(cell, places)
+                self._put(other, before)
+                return True
+        self._put(cell, before)
+        return False
+
+    def _takes(self, name: str, accelerators: int) -> bool:
+        state = self.topology.workers.get(name)
+        if state is None or not state.is_open():
+            return False
+        return not self.slack(state).minus(share(state.worker, accelerators)).is_negative()
+
+    def _room(self, cell: Cell, state: WorkerState) -> int:
+        """Return how many accelerators of a cell a worker can take."""
+        slack = self.slack(state)
+        room = min(slack.accelerators, cell.accelerators)
+        while room > 0 and slack.minus(share(state.worker, room)).is_negative():
+            room -= 1
+        return max(room, 0)
+
+    def _options(self, cell: Cell) -> list[dict[str, int]]:
+        """Return the best place for a cell, in a list that is empty when there is none."""
+        own = self.own[cell.team]
+        rooms: dict[str, list[tuple[bool, int, int, str]]] = defaultdict(list)
+        for state in self.topology.open_workers():
+            room = self._room(cell, state) if state.worker.accelerators else 0
+            if room:
+                uncovered = state.name in own and not self.team_laid[cell.team].get(state.name)
+                rooms[state.worker.rack].append((not uncovered, room, state.number, state.name))
+        if cell.adjacency is Adjacency.WORKER:
+            fits = [r for rack in rooms.values() for r in rack if r[1] >= cell.accelerators]
+            fits.sort(key=lambda r: (r[0], self._slack_of(r[3]), r[2]))
+            return [{fits[0][3]: cell.accelerators}] if fits else []
+        groups = list(rooms.values())
+        if cell.adjacency is Adjacency.ANY:
+            groups = [[r for rack in groups for r in rack]]
+        groups = [g for g in groups if sum(r[1] for r in g) >= cell.accelerators]
+        groups.sort(key=lambda g: (all(r[0] for r in g), sum(r[1] for r in g)))
+        return [self._spread(groups[0], cell.accelerators)] if groups else []
+
+    def _slack_of(self, name: str) -> int:
+        return self.slack(self.topology.workers[name]).accelerators
+
+    def _spread(self, rooms: list[tuple[bool, int, int, str]], wanted: int) -> dict[str, int]:
+        places: dict[str, int] = {}
+        for _, room, _, name in sorted(rooms, key=lambda r: (r[0], -r[1], r[2])):
+            taken = min(room, wanted)
+            places[name] = taken
+            wanted -= taken
+            if wanted == 0:
+                break
+        return places
+
+    def _put(self, cell: Cell, places: dict[str, int]) -> None:
+        cell.places = places
+        team = self.team_laid[cell.team]
+        for name, count in places.items():
+            self.laid[name] += count
+            team[name] = team.get(name, 0) + count
+
+    def _lift(self, cell: Cell) -> None:
+        team = self.team_laid[cell.team]
+        for name, count in cell.places.items():
+            self.laid[name] -= count
+            team[name] -= count
+            if team[name] == 0:
+                del team[name]
+        cell.places = {}
+
+    def _holds(self, name: str) -> bool:
+        """Tell whether a worker is open and large enough for what is laid on it."""
+        state = self.topology.workers.get(name)
+        return state is not None and state.is_open() and not self.slack(state).is_negative()
+
+    def _covers(self, team: str, name: str) -> bool:
+        used = self.own[team].get(name)
+        if used is None:
+            return True
+        state = self.topology.workers.get(name)
+        if state is None:
+            return False
+        return not share(state.worker, self.team_laid[team].get(name, 0)).minus(used).is_negative()
+
+    def _settle(self) -> None:
+        """Lay out what is not, and demote guaranteed work without a cell, until nothing changes."""
+        for cell in self.cells:
+            if not all(self._holds(name) for name in cell.places):
+                self._lift(cell)
+        for cell in self.cells:
+            if not cell.places:
+                self.lay(cell)
+        if self._demote_uncovered():
+            self._settle()
+
+    def _demote_uncovered(self) -> bool:
+        """Count guaranteed work that no cell covers any more as borrowed or pinned."""
+        pairs = [(team, name) for team, book in self.own.items() for name in book]
+        bare = {(team, name) for team, name in pairs if not self._covers(team, name)}
+        found = False
+        for allocation in list(self.topology.allocations.values()) if bare else []:
+            request = allocation.request
+            if allocation.backing is not Backing.GUARANTEED:
+                continue
+            if any((request.team, name) in bare for name in allocation.counts):
+                self.charge(allocation, -1)
+                backing = Backing.BORROWED if request.preemptible else Backing.PINNED
+                self.topology.change(allocation, backing=backing)
+                self.charge(allocation, 1)
+                found = True
+        return found
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/choice.py
@@ -0,0 +1,94 @@
+"""Choose workers for a whole gang from candidates with room and a cost."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from agateferry_core.demand import Adjacency, Demand
+
+from agateferry_scheduling.placement.first_fit import Counts
+from agateferry_scheduling.topology import WorkerState
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A worker with room for so many members; a lower cost is better."""
+
+    state: WorkerState
+    room: int
+    cost: float
+
+
+def choose(candidates: Iterable[Candidate], demand: Demand) -> Counts | None:
+    """Return how many members go to which worker, or None when the whole gang does not fit.
+
+    A gang that may spread still goes to one rack where one has room, because fewer racks are then
+    broken into.
+    """
+    if demand.members == 1 or demand.adjacency is Adjacency.WORKER:
+        return _one_worker(candidates, demand)
+    racks: dict[str, list[Candidate]] = defaultdict(list)
+    for candidate in candidates:
+        racks[candidate.state.worker.rack].append(candidate)
+    fitting = [rack for rack in racks.values() if _room(rack) >= demand.members]
+    if fitting:
+        return _fill(min(fitting, key=lambda rack: _cost(rack, demand)), demand)
+    if demand.adjacency is Adjacency.RACK:
+        return None
+    return _fill_racks(sorted(racks.values(), key=_room, reverse=True), demand)
+
+
+def _one_worker(candidates: Iterable[Candidate], demand: Demand) -> Counts | None:
+    best: Candidate | None = None
+    for candidate in candidates:
+        if candidate.room < demand.members:
+            continue
+        if best is None or candidate.cost < best.cost:
+            best = candidate
+    return None if best is None else {best.state.name: demand.members}
+
+
+def _room(rack: list[Candidate]) -> int:
+    return sum(candidate.room for candidate in rack)
+
+
+def _cost(rack: list[Candidate], demand: Demand) -> tuple[float, int]:
+    """Weigh a rack by its cheapest workers first and then by the room left over."""
+    missing = demand.members
+    cost = 0.0
+    for candidate in sorted(rack, key=_order):
+        taken = min(candidate.room, missing)
+        cost += candidate.cost * taken
+        missing -= taken
+        if missing == 0:
+            break
+    return cost, _room(rack)
+
+
+def _order(candidate: Candidate) -> tuple[float, int]:
+    return candidate.cost, candidate.state.number
+
+
+def _fill(rack: list[Candidate], demand: Demand) -> Counts:
+    counts: Counts = {}
+    missing = demand.members
+    for candidate in sorted(rack, key=_order):
+        taken = min(candidate.room, missing)
+        counts[candidate.state.name] = taken
+        missing -= taken
+        if missing == 0:
+            break
+    return counts
+
+
+def _fill_racks(racks: list[list[Candidate]], demand: Demand) -> Counts | None:
+    counts: Counts = {}
+    missing = demand.members
+    for rack in racks:
+        for candidate in sorted(rack, key=_order):
+            taken = min(candidate.room, missing)
+            counts[candidate.state.name] = taken
+            missing -= taken
+            if missing == 0:
+                return counts
+    return None
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
@@ -0,0 +1,139 @@
+"""The waiting requests, by urgency, team and likeness.
+
+Requests of one team and job that ask for the same are alike: when the oldest of them finds no
+place, the others find none either. So a decision step tries groups, and not requests.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from itertools import islice
+
+from agateferry_core.demand import Demand, Urgency
+
+from agateferry_scheduling.scheduler.messages import PendingRequest
+
+LARGE_ACCELERATORS = 8
+LARGE_MEMBERS = 4
+
+
+@dataclass(frozen=True, slots=True)
+class GroupKey:
+    """What alike requests have in common."""
+
+    team: str
+    job: str
+    urgency: Urgency
+    demand: Demand
+    preemptible: bool
+
+
+@dataclass(slots=True)
+class Group:
+    """Alike requests in the order in which they came, and why the oldest waits."""
+
+    key: GroupKey
+    requests: OrderedDict[str, PendingRequest] = field(default_factory=OrderedDict)
+    waits_for: str = "its turn"
+    tried_ms: int = -1
+    reclaim_tried_ms: int = -1
+
+    def head(self) -> PendingRequest:
+        """Return the oldest request."""
+        return next(iter(self.requests.values()))
+
+
+def key_of(request: PendingRequest) -> GroupKey:
+    """Return the key of the group that a request belongs to."""
+    return GroupKey(request.team, request.job, request.urgency, request.demand, request.preemptible)
+
+
+def is_large(request: PendingRequest) -> bool:
+    """Tell whether a request is a gang that small work can starve."""
+    demand = request.demand
+    wanted = demand.members * demand.accelerators
+    large = wanted >= LARGE_ACCELERATORS or demand.members >= LARGE_MEMBERS
+    return large and request.urgency is not Urgency.URGENT
+
+
+class Queue:
+    """Keep waiting requests in groups, and count them for each team."""
+
+    def __init__(self) -> None:
+        self.groups: dict[GroupKey, Group] = {}
+        self.by_request: dict[str, Group] = {}
+        self.by_team: dict[bool, dict[str, OrderedDict[GroupKey, Group]]] = {True: {}, False: {}}
+        self.counts: dict[str, int] = {}
+        self._large: dict[GroupKey, Group] = {}
+        self._deadlines: list[tuple[int, str]] = []
+
+    def __len__(self) -> int:
+        return len(self.by_request)
+
+    def add(self, request: PendingRequest) -> Group:
+        """Add a request to its group."""
+        key = key_of(request)
+        group = self.groups.get(key)
+        if group is None:
+            group = Group(key)
+            self.groups[key] = group
+            if is_large(request):
+                self._large[key] = group
+            urgent = key.urgency is Urgency.URGENT
+            self.by_team[urgent].setdefault(key.team, OrderedDict())[key] = group
+        group.requests[request.request_id] = request
+        if len(group.requests) > 1 and request.submitted_ms < group.head().submitted_ms:
+            group.requests.move_to_end(request.request_id, last=False)
+        self.by_request[request.request_id] = group
+        if request.deadline_ms is not None:
+            heappush(self._deadlines, (request.deadline_ms, request.request_id))
+        self.counts[key.team] = self.counts.get(key.team, 0) + 1
+        return group
+
+    def remove(self, request_id: str) -> PendingRequest | None:
+        """Take a request out; return None when it does not wait."""
+        group = self.by_request.pop(request_id, None)
+        if group is None:
+            return None
+        request = group.requests.pop(request_id)
+        self.counts[request.team] -= 1
+        if not group.requests:
+            del self.groups[group.key]
+            self._large.pop(group.key, None)
+            teams = self.by_team[group.key.urgency is Urgency.URGENT]
+            del teams[request.team][group.key]
+            if not teams[request.team]:
+                del teams[request.team]
+        return request
+
+    def get(self, request_id: str) -> PendingRequest | None:
+        """Return a waiting request."""
+        group = self.by_request.get(request_id)
+        return None if group is None else group.requests[request_id]
+
+    def take_expired(self, now_ms: int) -> list[PendingRequest]:
+        """Take out the requests whose deadline has come."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now_ms:
+            deadline_ms, request_id = heappop(self._deadlines)
+            request = self.get(request_id)
+            if request is not None and request.deadline_ms == deadline_ms:
+                self.remove(request_id)
+                expired.append(request)
+        return expired
+
+    def oldest_large(self) -> PendingRequest | None:
+        """Return the large request that waits longest."""
+        heads = [group.head() for group in self._large.values()]
+        return min(heads, key=lambda r: (r.submitted_ms, r.request_id), default=None)
+
+    def next_groups(self, urgent: bool, team: str, limit: int) -> list[Group]:
+        """Return some groups of a team and let the others come first next time."""
+        groups = self.by_team[urgent].get(team)
+        if not groups:
+            return []
+        some = list(islice(groups.values(), limit))
+        if len(groups) > limit:
+            for group in some[1:]:
+                groups.move_to_end(group.key)
+        return some
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -0,0 +1,206 @@
+"""Find the workers on which a request can start now, or could once others stop."""
+
+from collections.abc import Iterable, Iterator
+
+from agateferry_core.demand import Adjacency, Demand, Urgency
+
+from agateferry_scheduling.guarantees import Cell
+from agateferry_scheduling.placement.choice import Candidate, choose
+from agateferry_scheduling.placement.cost import cost_of
+from agateferry_scheduling.placement.first_fit import Counts
+from agateferry_scheduling.preemption.victims import Allowed, Plan, plan_for
+from agateferry_scheduling.queueing import is_large
+from agateferry_scheduling.queueing.reservation import Reservation
+from agateferry_scheduling.scheduler.messages import PendingRequest
+from agateferry_scheduling.scheduler.zone import ZoneState
+from agateferry_scheduling.topology import Backing, WorkerState
+
+
+class Finder:
+    """Look for places by right: within the team's cells, borrowed, pinned, or by taking back."""
+
+    def __init__(self, zone: ZoneState) -> None:
+        self._zone = zone
+
+    def within_cells(self, request: PendingRequest) -> Counts | None:
+        """Return free workers within the team's cells."""
+        demand = request.demand
+        layout = self._zone.layout
+        candidates = []
+        for state in self._cell_workers(request):
+            room = min(state.room_for(demand), layout.room_own(request.team, state, demand))
+            if room:
+                candidates.append(self._candidate(state, room, demand))
+        return choose(candidates, demand)
+
+    def free(self, request: PendingRequest, now_ms: int) -> Counts | None:
+        """Return free workers, outside what is reserved for others and kept for urgent work."""
+        demand = request.demand
+        if self._eats_headroom(request):
+            return None
+        ends_ms = now_ms + self._zone.estimates.at_most_ms(request)
+        candidates = []
+        for state in self._open(request):
+            room = state.room_for(demand)
+            if room and not self._kept_out(request, state, ends_ms):
+                candidates.append(self._candidate(state, room, demand))
+        return choose(candidates, demand)
+
+    def outside_cells(self, request: PendingRequest, now_ms: int) -> Counts | None:
+        """Return free workers where work that cannot be taken back breaks no guarantee."""
+        demand = request.demand
+        ends_ms = now_ms + self._zone.estimates.at_most_ms(request)
+        candidates = []
+        for state in self._open(request):
+            room = state.room_for(demand)
+            if not room or self._kept_out(request, state, ends_ms):
+                continue
+            room = min(room, self._zone.layout.slack(state).room_for(demand))
+            if room:
+                candidates.append(self._candidate(state, room, demand))
+        return choose(candidates, demand)
+
+    def cover(self, request: PendingRequest, counts: Counts) -> bool:
+        """Move the team's unused cells onto these workers; tell whether they cover the request."""
+        layout = self._zone.layout
+        demand = request.demand
+        for name, members in counts.items():
+            state = self._zone.topology.workers[name]
+            if layout.room_own(request.team, state, demand) >= members:
+                continue
+            if not self._bring_cell(request, state, demand.accelerators * members):
+                return False
+        return all(
+            layout.room_own(request.team, self._zone.topology.workers[name], demand) >= members
+            for name, members in counts.items()
+        )
+
+    def reclaim(self, request: PendingRequest, now_ms: int) -> tuple[Counts, Plan] | None:
+        """Return workers within the team's cells, and what to stop there."""
+        demand = request.demand
+        layout = self._zone.layout
+        rooms = {}
+        for state in self._cell_workers(request):
+            own = layout.room_own(request.team, state, demand)
+            room = min(own, state.after_reclaim(urgent_too=True).room_for(demand))
+            if room:
+                rooms[state.name] = room
+        return self._cheapest(demand, rooms, lambda allocation: True, now_ms)
+
+    def take_back(
+        self, request: PendingRequest, names: Iterable[str], allowed: Allowed, now_ms: int
+    ) -> tuple[Counts, Plan] | None:
+        """Return some of these workers, and which borrowed work to stop there."""
+        demand = request.demand
+        avoided = self._zone.health.avoided(request.request_id)
+        rooms = {}
+        for name in names:
+            state = self._zone.topology.workers.get(name)
+            if state is None or not state.is_open() or name in avoided:
+                continue
+            room = state.after_reclaim(urgent_too=False).room_for(demand)
+            if not request.preemptible:
+                room = min(room, self._zone.layout.slack(state).room_for(demand))
+            if room:
+                rooms[name] = room
+        return self._cheapest(demand, rooms, allowed, now_ms)
+
+    def breaks_whole(self, counts: Counts) -> bool:
+        """Tell whether a small placement would break into a worker that is wholly free."""
+        for name in counts:
+            state = self._zone.topology.workers[name]
+            if state.worker.accelerators and state.free_accelerators == state.worker.accelerators:
+                return True
+        return False
+
+    def _cheapest(
+        self, demand: Demand, rooms: dict[str, int], allowed: Allowed, now_ms: int
+    ) -> tuple[Counts, Plan] | None:
+        topology = self._zone.topology
+        needed_each = demand.members if demand.adjacency is Adjacency.WORKER else 1
+        candidates = []
+        for name, room in rooms.items():
+            state = topology.workers[name]
+            if room < needed_each:
+                continue
+            plan = plan_for(topology, state, demand, room, allowed, now_ms)
+            while plan is None and room > needed_each:
+                room -= 1
+                plan = plan_for(topology, state, demand, room, allowed, now_ms)
+            if plan is not None:
+                candidates.append(Candidate(state, room, plan.lost_ms / room))
+        counts = choose(candidates, demand)
+        if counts is None:
+            return None
+        victims = {}
+        for name, members in counts.items():
+            state = topology.workers[name]
+            plan = plan_for(topology, state, demand, members, allowed, now_ms)
+            if plan is None:
+                return None
+            victims.update({victim.request.request_id: victim for victim in plan.victims})
+        return counts, Plan(tuple(victims.values()), 0)
+
+    def _bring_cell(self, request: PendingRequest, state: WorkerState, wanted: int) -> bool:
+        layout = self._zone.layout
+        for cell in layout.cells:
+            if cell.team != request.team or not cell.places or state.name in cell.places:
+                continue
+            if cell.accelerators < wanted or not layout.is_movable(cell):
+                continue
+            for places in self._new_places(cell, state):
+                if layout.move(cell, places):
+                    return True
+        return False
+
+    def _new_places(self, cell: Cell, state: WorkerState) -> list[dict[str, int]]:
+        """Return where a cell could lie so that it includes a worker."""
+        first = min(state.worker.accelerators, cell.accelerators)
+        if first == cell.accelerators:
+            return [{state.name: first}]
+        if cell.adjacency is Adjacency.WORKER:
+            return []
+        places = {state.name: first}
+        missing = cell.accelerators - first
+        rack = self._zone.topology.racks[state.worker.rack]
+        others = [w for w in rack.workers.values() if w.is_open() and w.name != state.name]
+        for other in sorted(others, key=lambda w: (-w.free_accelerators, w.number)):
+            taken = min(max(other.free_accelerators, 0), missing)
+            if taken:
+                places[other.name] = taken
+                missing -= taken
+        return [places] if missing == 0 else []
+
+    def _cell_workers(self, request: PendingRequest) -> Iterator[WorkerState]:
+        avoided = self._zone.health.avoided(request.request_id)
+        for name in self._zone.layout.team_laid[request.team]:
+            state = self._zone.topology.workers.get(name)
+            if state is not None and state.is_open() and name not in avoided:
+                yield state
+
+    def _open(self, request: PendingRequest) -> Iterator[WorkerState]:
+        avoided = self._zone.health.avoided(request.request_id)
+        for state in self._zone.topology.workers.values():
+            if state.free_slots > 0 and state.is_open() and state.name not in avoided:
+                yield state
+
+    def _candidate(self, state: WorkerState, room: int, demand: Demand) -> Candidate:
+        rack = self._zone.topology.racks[state.worker.rack]
+        return Candidate(state, room, cost_of(state, rack, demand))
+
+    def _kept_out(self, request: PendingRequest, state: WorkerState, ends_ms: int) -> bool:
+        reservation: Reservation | None = self._zone.reservation
+        if reservation is None or request.urgency is Urgency.URGENT:
+            return False
+        return reservation.keeps_out(state.name, request.request_id, ends_ms)
+
+    def _eats_headroom(self, request: PendingRequest) -> bool:
+        if request.urgency is Urgency.URGENT or is_large(request):
+            return False
+        left = self._zone.topology.free_slots - request.demand.members
+        return left < self._zone.config.urgent_headroom_slots
+
+
+def backing_of(request: PendingRequest) -> Backing:
+    """Return by what right a request holds workers outside its team's cells."""
+    return Backing.BORROWED if request.preemptible else Backing.PINNED
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from agateferry_core.demand import Assignment, Demand, Worker
+from agateferry_core.demand import Assignment, Demand, Urgency, Worker
 
 from agateferry_scheduling.scheduler.messages import PendingRequest
+from agateferry_scheduling.topology.amount import Amount
 
 
 class Backing(StrEnum):
@@ -27,13 +28,14 @@
 
 @dataclass(slots=True)
 class Allocation:
-    """A request that holds workers."""
+    """A request that holds workers, or, while `pending`, was promised them once others stop."""
 
     request: PendingRequest
     assignments: tuple[Assignment, ...]
     started_ms: int
     backing: Backing = Backing.BORROWED
     stopping: bool = False
+    pending: bool = False
     counts: dict[str, int] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -44,7 +46,12 @@
 
 @dataclass(slots=True)
 class WorkerState:
-    """One worker with what it has free."""
+    """One worker with what it has free.
+
+    What is promised to pending allocations is not free, so free amounts may be negative until
+    others stop. `stopping` sums what will be given back soon, `borrowed` what could be taken back,
+    and `borrowed_urgent` the part of it that urgent work holds, which is taken last.
+    """
 
     worker: Worker
     number: int
@@ -55,6 +62,10 @@
     draining: bool = False
     quarantined: bool = False
     requests: set[str] = field(default_factory=set)
+    promised: Amount = field(default_factory=Amount)
+    stopping: Amount = field(default_factory=Amount)
+    borrowed: Amount = field(default_factory=Amount)
+    borrowed_urgent: Amount = field(default_factory=Amount)
 
     @property
     def name(self) -> str:
@@ -76,6 +87,31 @@
             room = min(room, self.free_memory // demand.memory_mb)
         return max(room, 0)
 
+    def free(self) -> Amount:
+        """Return what is free and not promised."""
+        return Amount(self.free_accelerators, self.free_slots, self.free_cpu, self.free_memory)
+
+    def vacant(self) -> Amount:
+        """Return what nothing runs on, promised or not."""
+        return self.free().plus(self.promised)
+
+    def after_reclaim(self, urgent_too: bool) -> Amount:
+        """Return what would be free if all that is borrowed were taken back."""
+        amount = self.free().plus(self.stopping).plus(self.borrowed)
+        return amount.plus(self.borrowed_urgent) if urgent_too else amount
+
+    def book_for(self, allocation: Allocation) -> Amount | None:
+        """Return the sum that an allocation belongs to, if any."""
+        if allocation.pending:
+            return self.promised
+        if allocation.stopping:
+            return self.stopping
+        if allocation.backing is not Backing.BORROWED:
+            return None
+        if allocation.request.urgency is Urgency.URGENT:
+            return self.borrowed_urgent
+        return self.borrowed
+
     def reset(self) -> None:
         """Set everything free again."""
         self.free_accelerators = self.worker.accelerators
@@ -111,8 +147,8 @@
 class Topology:
     """Keep the workers and allocations of one zone.
 
-    `seen` also holds workers that were lost, so that a demand is called infeasible only when the
-    zone never had the machines for it.
+    `version` grows whenever room may have grown. `seen` also holds workers that were lost, so that
+    a demand is called infeasible only when the zone never had the machines for it.
     """
 
     def __init__(self, zone: str) -> None:
@@ -121,6 +157,11 @@
         self.workers: dict[str, WorkerState] = {}
         self.seen: dict[str, Worker] = {}
         self.allocations: dict[str, Allocation] = {}
+        self.version = 0
+        self.joined = 0
+        self.accelerators = 0
+        self.slots = 0
+        self.free_slots = 0
 
     def join(self, worker: Worker) -> bool:
         """Add a worker or take its new size over; return whether it belongs to this zone."""
@@ -128,14 +169,19 @@
             return False
         self.lose(worker.name)
         self.seen[worker.name] = worker
-        state = WorkerState(worker=worker, number=len(self.workers))
+        self.version += 1
+        self.joined += 1
+        state = WorkerState(worker=worker, number=self.joined)
         state.reset()
         self.workers[worker.name] = state
         rack = self.racks.setdefault(worker.rack, RackState(name=worker.rack))
         rack.workers[worker.name] = state
         rack.accelerators += worker.accelerators
         rack.free_accelerators += worker.accelerators
+        self.accelerators += worker.accelerators
+        self.slots += worker.slots
         self._retake(state, rack)
+        self.free_slots += state.free_slots
         return True
 
     def drain(self, name: str) -> None:
@@ -150,6 +196,9 @@
             return
         rack = self.racks[state.worker.rack]
         del rack.workers[name]
+        self.accelerators -= state.worker.accelerators
+        self.slots -= state.worker.slots
+        self.free_slots -= state.free_slots
         rack.accelerators -= state.worker.accelerators
         rack.free_accelerators -= state.free_accelerators
         if not rack.workers:
@@ -167,17 +216,43 @@
             self._take(allocation, -1)
         return allocation
 
+    def change(
+        self,
+        allocation: Allocation,
+        backing: Backing | None = None,
+        stopping: bool | None = None,
+        pending: bool | None = None,
+    ) -> None:
+        """Change an allocation's standing and keep the sums of its workers right."""
+        self._book(allocation, -1)
+        allocation.backing = allocation.backing if backing is None else backing
+        allocation.stopping = allocation.stopping if stopping is None else stopping
+        allocation.pending = allocation.pending if pending is None else pending
+        self._book(allocation, 1)
+
     def open_workers(self) -> Iterator[WorkerState]:
         """Yield the workers that may be given work, in the order in which they joined."""
         return (state for state in self.workers.values() if state.is_open())
 
+    def _book(self, allocation: Allocation, sign: int) -> None:
+        for name, members in allocation.counts.items():
+            state = self.workers.get(name)
+            if state is None:
+                continue
+            book = state.book_for(allocation)
+            if book is not None:
+                book.add(allocation.request.demand, sign * members)
+
     def _take(self, allocation: Allocation, sign: int) -> None:
+        self.version += sign < 0
+        self._book(allocation, sign)
         demand = allocation.request.demand
         for name, members in allocation.counts.items():
             state = self.workers.get(name)
             if state is None:
                 continue
             state.take(demand, sign * members)
+            self.free_slots -= sign * members
             rack = self.racks[state.worker.rack]
             rack.free_accelerators -= sign * members * demand.accelerators
             if sign > 0:
@@ -191,5 +266,8 @@
             if members == 0:
                 continue
             state.take(allocation.request.demand, members)
+            book = state.book_for(allocation)
+            if book is not None:
+                book.add(allocation.request.demand, members)
             rack.free_accelerators -= members * allocation.request.demand.accelerators
             state.requests.add(request_id)
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/recorder.py
@@ -0,0 +1,87 @@
+"""Record the events that a scheduler takes, so that they can be replayed later."""
+
+from collections.abc import Callable
+
+from agateferry_scheduling.scheduler.messages import (
+    ConfigChanged,
+    EndReason,
+    RequestEnded,
+    RequestQueued,
+    RequestWithdrawn,
+    SchedulerEvent,
+    TeamsChanged,
+    UsageReported,
+    WorkerJoined,
+    WorkerLeaving,
+    WorkerLost,
+)
+from agateferry_scheduling.traces.records import (
+    Cancelled,
+    ConfigSet,
+    Ended,
+    Record,
+    Submitted,
+    TeamsSet,
+    UsageSeen,
+    WorkerDown,
+    WorkerLeft,
+    WorkerUp,
+    line_of,
+)
+
+
+class Recorder:
+    """Turn scheduler events into trace lines and hand each to `write`.
+
+    For example `Recorder(lambda line: file.write(line + "\\n")).record(event, now_ms)`. A request
+    that is queued again is recorded once, and a run counts when it came to its own end.
+    """
+
+    def __init__(self, write: Callable[[str], object]) -> None:
+        self._write = write
+        self._open: set[str] = set()
+
+    def record(self, event: SchedulerEvent, now_ms: int) -> None:
+        """Write the line of an event, if it has one."""
+        record = self._record_of(event, now_ms)
+        if record is not None:
+            self._write(line_of(record))
+
+    def _record_of(self, event: SchedulerEvent, now_ms: int) -> Record | None:
+        match event:
+            case RequestQueued(request=request) if request.request_id not in self._open:
+                self._open.add(request.request_id)
+                return Submitted(now_ms, request)
+            case RequestWithdrawn(request_id=request_id):
+                self._open.discard(request_id)
+                return Cancelled(now_ms, request_id)
+            case RequestEnded():
+                return self._end_of(event, now_ms)
+            case _:
+                return _change_of(event, now_ms)
+
+    def _end_of(self, event: RequestEnded, now_ms: int) -> Record | None:
+        if event.reason in (EndReason.PREEMPTED, EndReason.WORKER_LOST):
+            return None
+        self._open.discard(event.request_id)
+        if event.reason is EndReason.CANCELLED:
+            return Cancelled(now_ms, event.request_id)
+        fails = event.reason is EndReason.FAILED
+        return Ended(now_ms, event.request_id, event.run_ms, fails)
+
+
+def _change_of(event: SchedulerEvent, now_ms: int) -> Record | None:
+    match event:
+        case WorkerJoined(worker=worker):
+            return WorkerUp(now_ms, worker)
+        case WorkerLeaving(name=name):
+            return WorkerLeft(now_ms, name)
+        case WorkerLost(name=name):
+            return WorkerDown(now_ms, name)
+        case TeamsChanged(teams=teams):
+            return TeamsSet(now_ms, teams)
+        case ConfigChanged(config=config):
+            return ConfigSet(now_ms, config)
+        case UsageReported(name=name, as_of_ms=as_of_ms, slots_used=slots, accelerators_used=used):
+            return UsageSeen(now_ms, name, as_of_ms, slots, used)
+    return None
