Put each zone's cell and the records plane on the replicated log

Ruled out: one log over all nine hosts (a zone that is cut off could not go on). Change: `Replicas` gives each host a member of its zone's cell and, where it votes, of the records plane, over one transport. Tests of the ports' answers to bad input.

--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -8,7 +8,7 @@
 from agateferry_core.clock import Clock, SystemClock
 from agateferry_core.logs import EventLogger
 from agateferry_core.metrics import Metrics
-from agateferry_scheduling.scheduler.baseline import BaselineScheduler
+from agateferry_scheduling.scheduler.scheduler import FairScheduler
 from agateferry_service.cell.cell import Cell
 from agateferry_service.cell.context import CellContext, CellTimes
 from agateferry_service.cell.machine import CellMachine
@@ -71,8 +71,10 @@
 
     async def stop(self) -> None:
         """Stop gracefully: turn callers away, finish what is held, hand leadership on."""
-        self.log.info(events.STOPPING)
+        if self._stopping:
+            return
         self._stopping = True
+        self.log.info(events.STOPPING)
         self._ready = False
         await asyncio.sleep(self.settings.timeouts.drain_notice_ms / 1000)
         for server in self.http_servers:
@@ -88,7 +90,7 @@
 
     def _build_state(self) -> None:
         settings = self.settings
-        self.replicas = Replicas(settings, self.clock, self.metrics, self.rng)
+        self.replicas = Replicas(settings, self.clock, self.rng)
         machine = CellMachine(settings.host.zone)
         replica = self.replicas.cell(machine)
         self.workers = WorkerClient()
@@ -112,7 +114,7 @@
             waiters=Waiters(),
             times=_cell_times(settings),
         )
-        self.cell = Cell(ctx, BaselineScheduler)
+        self.cell = Cell(ctx, FairScheduler)
 
     def _build_routing(self) -> None:
         self.channels = Channels()
--- a/packages/agateferry-service/agateferry_service/daemon/replicas.py
+++ b/packages/agateferry-service/agateferry_service/daemon/replicas.py
@@ -1,41 +1,71 @@
 """The replicas that one host holds: its zone's cell and perhaps the records plane."""
 
 import random
+from collections.abc import Sequence
 
 import grpc
 
 from agateferry_core.clock import Clock
-from agateferry_core.metrics import Metrics
-from agateferry_service.settings import Settings
-from agateferry_state.replica import Replica, StateMachine
-from agateferry_state.replica.solo import SoloReplica
+from agateferry_service.settings import PeerSettings, Settings
+from agateferry_state.replica import StateMachine
+from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
+from agateferry_state.replica.transport import GrpcTransport
+from agateferry_state.replication import Settings as ReplicationCoreSettings
+from agateferry_state.rpc.replication_pb2_grpc import add_ReplicationServicer_to_server
+
+RECORDS_GROUP = "records"
+ELECTION_SPREAD = 2
+LEASE_MARGIN_PERCENT = 10
 
 
 class Replicas:
     """Make a host's replicas and carry what they say to their peers."""
 
-    def __init__(
-        self, settings: Settings, clock: Clock, metrics: Metrics, rng: random.Random
-    ) -> None:
+    def __init__(self, settings: Settings, clock: Clock, rng: random.Random) -> None:
         self._settings = settings
         self._clock = clock
+        self._rng = rng
+        self._transport = GrpcTransport({}, rng)
 
-    def cell(self, machine: StateMachine) -> Replica:
+    def cell(self, machine: StateMachine) -> NodeReplica:
         """Return this host's replica of its zone's cell."""
-        return self._solo("cell", machine)
+        group = f"cell-{self._settings.host.zone}"
+        return self._node(group, self._settings.zone_peers(), machine)
 
-    def records(self, machine: StateMachine) -> Replica:
+    def records(self, machine: StateMachine) -> NodeReplica:
         """Return this host's replica of the records plane."""
-        return self._solo("records", machine)
+        return self._node(RECORDS_GROUP, self._settings.records_voters(), machine)
 
     def add_to(self, server: grpc.aio.Server) -> None:
         """Serve the replicas' peers on the host's peers' port."""
+        add_ReplicationServicer_to_server(self._transport, server)
 
     async def close(self) -> None:
         """Close the connections to peers."""
+        await self._transport.close()
 
-    def _solo(self, group: str, machine: StateMachine) -> Replica:
+    def _node(
+        self, group: str, hosts: Sequence[PeerSettings], machine: StateMachine
+    ) -> NodeReplica:
         host = self._settings.host
-        if host.data_folder is None:
-            raise OSError("a host that votes alone needs host.data_folder")
-        return SoloReplica.open(host.data_folder / group, machine, host.name, self._clock)
+        cfg = NodeConfig(
+            group=group,
+            name=host.name,
+            peers=tuple(Peer(peer.name, str(peer.peers), peer.zone, peer.disk) for peer in hosts),
+            folder=host.data_folder / group if host.data_folder else None,
+            settings=core_settings(self._settings),
+        )
+        return NodeReplica(cfg, machine, self._transport, self._clock, self._rng)
+
+
+def core_settings(settings: Settings) -> ReplicationCoreSettings:
+    """Return the pace of the replicated logs; a lease ends well before an election can begin."""
+    pace = settings.replication
+    election_ms = pace.election_timeout_ms
+    return ReplicationCoreSettings(
+        heartbeat_ms=pace.heartbeat_ms,
+        election_timeout_min_ms=election_ms,
+        election_timeout_max_ms=election_ms * ELECTION_SPREAD,
+        lease_ms=election_ms * (100 - LEASE_MARGIN_PERCENT) // 100,
+        snapshot_every_entries=pace.snapshot_entries,
+    )
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
@@ -0,0 +1,174 @@
+import asyncio
+
+import testtools
+
+from agateferry_core.support import run_async
+from agateferry_service.daemon.tests.support import running_host
+
+QUICK = {"urgency": "urgent", "idempotent": True}
+
+
+def on_host(work):
+    async def main():
+        async with running_host() as client:
+            return await work(client)
+
+    return run_async(main())
+
+
+async def in_force(client, job):
+    """Wait until a job record is in force in the zone."""
+    async with asyncio.timeout(10):
+        while client.host.cell.ctx.catalog.job(job) is None:
+            await asyncio.sleep(0.01)
+
+
+class BadInputTests(testtools.TestCase):
+    def submit(self, **options):
+        async def work(client):
+            status, body, _ = await client.call("callers", "POST", "/v1/requests", **options)
+            alive, _, _ = await client.call("operators", "GET", "/healthz")
+            return status, body["reason"], body["run"], alive
+
+        return on_host(work)
+
+    def test_broken_json(self):
+        self.assertEqual((400, "broken-json", "not-run", 200), self.submit(data=b'{"team": '))
+
+    def test_an_unknown_field_is_named(self):
+        document = {"team": "t", "job": "j", "colour": "red"}
+        self.assertEqual((422, "invalid", "not-run", 200), self.submit(json=document))
+
+    def test_a_body_over_the_limit(self):
+        document = {"team": "t", "job": "j", "payload": "x" * 5000}
+        self.assertEqual((413, "body-too-large", "not-run", 200), self.submit(json=document))
+
+    def test_a_body_that_is_no_json(self):
+        form = {"data": {"team": "t"}}
+        self.assertEqual((415, "not-json", "not-run", 200), self.submit(**form))
+
+    def test_huge_numbers(self):
+        document = {"team": "t", "job": "j", "deadline_ms": 10**400}
+        self.assertEqual((422, "invalid", "not-run", 200), self.submit(json=document))
+
+    def test_an_unknown_schema_version(self):
+        document = {"schema": "v9", "team": "t", "job": "j"}
+        self.assertEqual((422, "invalid", "not-run", 200), self.submit(json=document))
+
+    def test_a_shape_that_makes_no_sense(self):
+        document = {"team": "t", "job": "j", "demand": {"members": 0}}
+        self.assertEqual((422, "invalid", "not-run", 200), self.submit(json=document))
+
+    def test_deep_nesting(self):
+        self.assertEqual(
+            (400, "broken-json", "not-run", 200), self.submit(data=b"[" * 2000 + b"]" * 2000)
+        )
+
+    def test_a_slow_sender(self):
+        async def slow():
+            yield b'{"team"'
+            await asyncio.sleep(2)
+
+        headers = {"content-type": "application/json"}
+        self.assertEqual(
+            (408, "slow-body", "not-run", 200), self.submit(data=slow(), headers=headers)
+        )
+
+    def test_an_unknown_zone(self):
+        document = {"team": "t", "job": "j", "zone": "atlantis"}
+        self.assertEqual((404, "unknown-zone", "not-run", 200), self.submit(json=document))
+
+    def test_an_id_that_no_zone_issued(self):
+        async def work(client):
+            return (await client.call("callers", "GET", "/v1/requests/nonsense"))[0]
+
+        self.assertEqual(404, on_host(work))
+
+
+class RequestTests(testtools.TestCase):
+    def test_is_accepted_looked_up_and_cancelled(self):
+        async def work(client):
+            await client.put("team", "t", {})
+            await client.put("job", "quick", QUICK)
+            await in_force(client, "quick")
+            announced, _, _ = await client.announce("w1", state="leaving")
+            status, body, headers = await client.submit({"team": "t", "job": "quick"})
+            looked, seen, _ = await client.call("callers", "GET", headers["Location"])
+            gone, ended, _ = await client.call("callers", "DELETE", headers["Location"])
+            return announced, status, body["state"], looked, seen["id"] == body["id"], gone, ended
+
+        announced, status, state, looked, same, gone, ended = on_host(work)
+        self.assertEqual(
+            (200, 202, "accepted", 200, True, 200), (announced, status, state, looked, same, gone)
+        )
+        self.assertEqual(
+            ("cancelled", "accepted", "not-run"), (ended["state"], ended["stage"], ended["run"])
+        )
+
+    def test_an_unknown_team_was_not_run(self):
+        async def work(client):
+            status, body, _ = await client.submit({"team": "nobody", "job": "quick"})
+            return status, body["run"]
+
+        self.assertEqual((403, "not-run"), on_host(work))
+
+    def test_an_announcement_for_another_zone_is_misdirected(self):
+        async def work(client):
+            return (await client.announce("w1", zone="other"))[0]
+
+        self.assertEqual(421, on_host(work))
+
+
+class RecordTests(testtools.TestCase):
+    def test_of_two_equal_versions_one_wins_and_the_other_sees_what_stands(self):
+        async def work(client):
+            puts = (client.put("job", "quick", {**QUICK, "declared_run_ms": n}) for n in (1, 2))
+            return await asyncio.gather(*puts)
+
+        replies = on_host(work)
+        self.assertEqual([200, 409], sorted(status for status, _, _ in replies))
+        lost = next(body for status, body, _ in replies if status == 409)
+        won = next(body for status, body, _ in replies if status == 200)
+        self.assertEqual(won["content"], lost["current"]["content"])
+
+    def test_a_resend_gets_the_first_answer(self):
+        async def work(client):
+            first = await client.put("job", "quick", QUICK)
+            again = await client.put("job", "quick", QUICK)
+            return first[:2], again[:2]
+
+        first, again = on_host(work)
+        self.assertEqual((200, first), (first[0], again))
+
+    def test_an_unknown_schema_is_refused(self):
+        async def work(client):
+            return (await client.put("job", "quick", QUICK, schema="v9"))[0]
+
+        self.assertEqual(422, on_host(work))
+
+    def test_both_schemas_are_read_and_written(self):
+        async def work(client):
+            await client.put("job", "quick", {"urgent": True, "idempotent": True}, schema="v1")
+            _, newer, _ = await client.call("operators", "GET", "/v1/records/job/quick?schema=v2")
+            _, older, _ = await client.call("operators", "GET", "/v1/records/job/quick?schema=v1")
+            return newer["content"]["urgency"], older["content"]["urgent"]
+
+        self.assertEqual(("urgent", True), on_host(work))
+
+
+class StopTests(testtools.TestCase):
+    def test_a_planned_stop_cuts_no_held_request_short(self):
+        async def work(client):
+            await client.put("team", "t", {})
+            await client.put("job", "quick", QUICK)
+            await in_force(client, "quick")
+            await client.announce("w1", state="leaving")
+            held = asyncio.create_task(
+                client.submit({"team": "t", "job": "quick"}, Prefer="wait=1")
+            )
+            while not len(client.host.cell.ctx.machine.ledger):
+                await asyncio.sleep(0.01)
+            await client.host.stop()
+            return (await held)[0]
+
+        self.assertIn(on_host(work), (200, 202))
