--- a/packages/agateferry-state/agateferry_state/members/members.py
+++ b/packages/agateferry-state/agateferry_state/members/members.py
@@ -37,10 +37,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Members:
-    """The voters and learners in force; learners receive the log and count in no quorum."""
+    """The voters and learners in force; learners receive the log and count in no quorum.
+
+    `removed` names the hosts that an operator took out; they are not let in again by themselves.
+    `is_forming` is true from the bootstrap until a majority of the first hosts votes.
+    """
 
     voters: tuple[Member, ...] = ()
     learners: tuple[Member, ...] = ()
+    removed: tuple[str, ...] = ()
+    is_forming: bool = False
 
     @property
     def voter_ids(self) -> frozenset[MemberId]:
@@ -69,11 +75,12 @@
         """Return a copy in which the member votes and is no longer a learner."""
         learners = tuple(m for m in self.learners if m.id != member.id)
         voters = tuple(m for m in self.voters if m.id != member.id)
-        return Members(voters=(*voters, member), learners=learners)
+        return replace(self, voters=(*voters, member), learners=learners)
 
     def without(self, member_id: MemberId) -> "Members":
         """Return a copy in which the member takes no part."""
-        return Members(
+        return replace(
+            self,
             voters=tuple(m for m in self.voters if m.id != member_id),
             learners=tuple(m for m in self.learners if m.id != member_id),
         )
@@ -81,7 +88,12 @@
     def encode(self) -> bytes:
         """Return the bytes of a MEMBERS entry."""
         return json.dumps(
-            {"voters": _plain(self.voters), "learners": _plain(self.learners)},
+            {
+                "voters": _plain(self.voters),
+                "learners": _plain(self.learners),
+                "removed": self.removed,
+                "is_forming": self.is_forming,
+            },
             separators=(",", ":"),
         ).encode()
 
@@ -89,7 +101,12 @@
     def decode(cls, data: bytes) -> "Members":
         """Read the bytes of a MEMBERS entry; raises ValueError where they are none."""
         fields = json.loads(data)
-        return cls(voters=_parse(fields["voters"]), learners=_parse(fields["learners"]))
+        return cls(
+            voters=_parse(fields["voters"]),
+            learners=_parse(fields["learners"]),
+            removed=tuple(fields["removed"]),
+            is_forming=fields["is_forming"],
+        )
 
 
 def _plain(members: Iterable[Member]) -> list[list[str | bool]]:
--- a/packages/agateferry-state/agateferry_state/replication/__init__.py
+++ b/packages/agateferry-state/agateferry_state/replication/__init__.py
@@ -1,1 +1,8 @@
 """Agreement on one log among the members of a cell, as a core that does no I/O."""
+
+from agateferry_state.replication.core import Core
+from agateferry_state.replication.messages import StoredState
+from agateferry_state.replication.settings import Settings
+from agateferry_state.replication.state import Role
+
+__all__ = ["Core", "Role", "Settings", "StoredState"]
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -0,0 +1,267 @@
+"""The replication core: one member of a replicated log, with no I/O.
+
+It is Raft as in Ongaro, "Consensus: Bridging Theory and Practice" (2014), with pre-vote,
+check-quorum, leader lease, leadership transfer and single-server membership changes. For example
+
+    core = Core(me, settings, stored, random.Random(7), now_ms=clock.now_ms())
+    effects = core.step(Proposed(1, b"x"), now_ms=clock.now_ms())
+
+gives a `ProposalRejected` while the member does not lead. See `messages` for the order in which
+effects are carried out.
+"""
+
+import random
+from collections.abc import Sequence
+
+from agateferry_state.members import Member, MemberId, Members
+from agateferry_state.replication import (
+    changing,
+    election,
+    follower,
+    greeting,
+    leader,
+    requests,
+    snapshots,
+)
+from agateferry_state.replication.log import Log
+from agateferry_state.replication.messages import (
+    AppendRequest,
+    AppendResponse,
+    Apply,
+    BootstrapForced,
+    Effect,
+    Event,
+    Greeting,
+    GreetingRequest,
+    LeadershipChanged,
+    MemberChangeRequested,
+    MembersChanged,
+    Message,
+    MessageReceived,
+    ProposalRejected,
+    Proposed,
+    ReadRequested,
+    RecoveryForced,
+    RejectReason,
+    SnapshotChunk,
+    SnapshotResponse,
+    SnapshotTaken,
+    StoredState,
+    Synced,
+    SyncFailed,
+    TimeoutNow,
+    TransferLeadership,
+    VoteRequest,
+    VoteResponse,
+)
+from agateferry_state.replication.settings import Settings
+from agateferry_state.replication.state import Role, State
+
+
+class Core:
+    """Decide what one member does; the shell does it.
+
+    The state machine must be restored from the stored snapshot, where there is one, before the
+    first step.
+    """
+
+    def __init__(
+        self, me: Member, settings: Settings, stored: StoredState, rng: random.Random, now_ms: int
+    ) -> None:
+        log = Log(stored.snapshot, stored.entries)
+        if stored.term < log.last_term:
+            raise ValueError(f"term {stored.term} is older than the log's {log.last_term}")
+        self._state = State(
+            me=me,
+            settings=settings,
+            rng=rng,
+            log=log,
+            term=stored.term,
+            voted_for=stored.voted_for,
+            now_ms=now_ms,
+            commit_index=log.base_index,
+            applied_index=log.base_index,
+            heard_ms=now_ms,
+            greet_deadline_ms=now_ms,
+        )
+        self._state.reset_election_deadline()
+        self._announced = (self._state.leader, self._state.term)
+        self._announced_members = log.members
+
+    @property
+    def me(self) -> Member:
+        """Return this member."""
+        return self._state.me
+
+    @property
+    def role(self) -> Role:
+        """Return what this member does in the present term."""
+        return self._state.role
+
+    @property
+    def leader(self) -> MemberId | None:
+        """Return who leads, as far as this member knows."""
+        return self._state.leader
+
+    @property
+    def term(self) -> int:
+        """Return the present term."""
+        return self._state.term
+
+    @property
+    def members(self) -> Members:
+        """Return the newest members in the local log."""
+        return self._state.log.members
+
+    @property
+    def commit_index(self) -> int:
+        """Return the last entry known to be committed."""
+        return self._state.commit_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the last entry in the local log."""
+        return self._state.log.last_index
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry in the local log."""
+        return self._state.log.last_term
+
+    @property
+    def next_deadline_ms(self) -> int:
+        """Return when the next `Tick` is due."""
+        state = self._state
+        if state.leading is not None:
+            return state.leading.heartbeat_due_ms
+        if not state.is_voter and state.leader is None:
+            return min(state.election_deadline_ms, state.greet_deadline_ms)
+        return state.election_deadline_ms
+
+    def holds_lease(self, now_ms: int) -> bool:
+        """Tell whether this member leads and no other can at `now_ms`."""
+        leading = self._state.leading
+        return leading is not None and leading.lease.is_valid(now_ms)
+
+    def step(self, event: Event, now_ms: int) -> list[Effect]:
+        """Take one event and return the effects to carry out, in order."""
+        return self.step_all((event,), now_ms)
+
+    def step_all(self, events: Sequence[Event], now_ms: int) -> list[Effect]:
+        """Take events that wait together; proposals among them share the sends to followers."""
+        state = self._state
+        state.now_ms = now_ms
+        leader.check_quorum(state)
+        for event in events:
+            if state.role is Role.FAILED:
+                self._refuse(event)
+            else:
+                self._take(event)
+        if state.role is not Role.FAILED:
+            self._settle()
+        self._announce()
+        effects, state.effects = state.effects, []
+        return effects
+
+    def _settle(self) -> None:
+        """Do what is due now, whatever the events were."""
+        state = self._state
+        election.on_time(state)
+        greeting.on_time(state)
+        leader.advance_commit(state)
+        changing.on_time(state)
+        self._apply()
+        requests.answer_reads(state)
+        leader.on_time(state)
+        leader.flush(state)
+        self._apply()
+        requests.answer_reads(state)
+        snapshots.ask_when_due(state)
+
+    def _apply(self) -> None:
+        state = self._state
+        if state.commit_index > state.applied_index:
+            entries = state.log.between(state.applied_index + 1, state.commit_index)
+            state.emit(Apply(entries))
+            state.applied_index = state.commit_index
+
+    def _take(self, event: Event) -> None:
+        state = self._state
+        match event:
+            case MessageReceived(sender, recipient, message):
+                if self._is_meant(sender, recipient, message):
+                    self._receive(sender, message)
+            case Proposed():
+                requests.on_proposed(state, event)
+            case ReadRequested():
+                requests.on_read(state, event)
+            case Synced(write_id):
+                state.log.mark_synced(write_id)
+                follower.on_synced(state)
+            case SnapshotTaken():
+                snapshots.on_taken(state, event)
+            case SyncFailed():
+                state.become_follower(state.term)
+                state.role = Role.FAILED
+            case _:
+                self._take_order(event)
+
+    def _take_order(self, event: Event) -> None:
+        """Take an operator's word."""
+        state = self._state
+        match event:
+            case TransferLeadership():
+                requests.on_transfer(state)
+            case MemberChangeRequested():
+                changing.on_requested(state, event)
+            case RecoveryForced():
+                changing.recover(state, event)
+            case BootstrapForced():
+                if state.log.is_empty:
+                    greeting.bootstrap(state, forming=False)
+
+    def _receive(self, sender: MemberId, message: Message) -> None:
+        state = self._state
+        match message:
+            case AppendRequest():
+                follower.on_append(state, sender, message)
+            case AppendResponse():
+                leader.on_append_response(state, sender, message)
+            case VoteRequest():
+                election.on_vote_request(state, sender, message)
+            case VoteResponse():
+                election.on_vote_response(state, sender, message)
+            case SnapshotChunk():
+                follower.on_chunk(state, sender, message)
+            case SnapshotResponse():
+                snapshots.on_response(state, sender, message)
+            case TimeoutNow():
+                election.on_timeout_now(state, message)
+            case Greeting():
+                greeting.on_greeting(state, sender, message)
+            case GreetingRequest():
+                greeting.on_request(state, sender, message)
+
+    def _is_meant(self, sender: MemberId, recipient: MemberId, message: Message) -> bool:
+        """Tell whether a message is for this incarnation and from one that still runs."""
+        if isinstance(message, Greeting):
+            return recipient in (self._state.me.id, MemberId(self._state.me.id.host))
+        return recipient == self._state.me.id and not self._state.is_superseded(sender)
+
+    def _refuse(self, event: Event) -> None:
+        """Answer what waits for an answer, after the disk failed."""
+        match event:
+            case Proposed(proposal_id) | MemberChangeRequested(proposal_id):
+                reason = RejectReason.STORAGE_FAILED
+                self._state.emit(ProposalRejected(proposal_id, reason))
+            case ReadRequested():
+                requests.on_read(self._state, event)
+
+    def _announce(self) -> None:
+        state = self._state
+        if (state.leader, state.term) != self._announced:
+            self._announced = (state.leader, state.term)
+            state.emit(LeadershipChanged(state.leader, state.term))
+        if state.log.members != self._announced_members:
+            self._announced_members = state.log.members
+            state.emit(MembersChanged(state.log.members))
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/election.py
@@ -0,0 +1,123 @@
+"""How a leader is chosen: pre-vote, vote, and the promise to a leader that was just heard.
+
+Sections 3.4, 3.6 and 9.6 of Ongaro's thesis. A member first asks whether it would be elected, so
+that one that was cut off does not raise the term when it returns. Votes are kept back for the
+shortest election timeout after the leader was heard; the leader's lease rests on that, and so a
+process that just started keeps them back too.
+
+An election in which only the members with a disk are left raises the term by `RECOVERY_TERM_STEP`.
+The members whose memory is gone may have elected leaders of terms that no one left has seen.
+"""
+
+from agateferry_state.members import MemberId
+from agateferry_state.members.quorum import is_everyone_left, is_majority
+from agateferry_state.replication import leader
+from agateferry_state.replication.messages import TimeoutNow, VoteRequest, VoteResponse
+from agateferry_state.replication.state import Role, State
+
+RECOVERY_TERM_STEP = 1 << 20
+
+
+def on_time(state: State) -> None:
+    """Stand for election where no leader was heard for the drawn time."""
+    if state.role is Role.LEADER or state.now_ms < state.election_deadline_ms:
+        return
+    state.leader = None
+    state.reset_election_deadline()
+    if not state.is_voter:
+        return
+    state.role = Role.PRE_CANDIDATE
+    state.votes = {state.me.id}
+    _ask_for_votes(state, state.term + 1, pre_vote=True)
+    _count(state)
+
+
+def on_timeout_now(state: State, request: TimeoutNow) -> None:
+    """Stand for election at once, because the leader hands over."""
+    if request.term == state.term and state.is_voter and state.role is not Role.LEADER:
+        _campaign(state, state.term + 1, transfer=True)
+
+
+def on_vote_request(state: State, sender: MemberId, request: VoteRequest) -> None:
+    """Grant or refuse a vote."""
+    if _holds_back(state) and not request.transfer:
+        _answer(state, sender, request, granted=False)
+        return
+    if request.pre_vote:
+        granted = request.term > state.term and _is_up_to_date(state, request)
+        _answer(state, sender, request, granted)
+        return
+    if request.term > state.term:
+        state.become_follower(request.term)
+    granted = (
+        request.term == state.term
+        and state.voted_for in (None, sender)
+        and _is_up_to_date(state, request)
+    )
+    if granted and state.voted_for is None:
+        state.enter_term(state.term, sender)
+    if granted:
+        state.reset_election_deadline()
+    _answer(state, sender, request, granted)
+
+
+def on_vote_response(state: State, sender: MemberId, response: VoteResponse) -> None:
+    """Count a vote, or learn of a newer term."""
+    if response.term > state.term and not response.granted:
+        state.become_follower(response.term)
+        return
+    asked = state.term + 1 if response.pre_vote else state.term
+    expected = Role.PRE_CANDIDATE if response.pre_vote else Role.CANDIDATE
+    if response.granted and state.role is expected and response.asked_term == asked:
+        state.votes.add(sender)
+        _count(state)
+
+
+def _count(state: State) -> None:
+    members = state.log.members
+    if is_majority(members, state.votes):
+        if state.role is Role.PRE_CANDIDATE:
+            _campaign(state, state.term + 1)
+        else:
+            leader.start(state)
+        return
+    if not is_everyone_left(members, state.votes, state.superseded):
+        return
+    if state.role is Role.PRE_CANDIDATE:
+        _campaign(state, state.term + RECOVERY_TERM_STEP, recovery=True)
+    elif state.is_recovery:
+        leader.start(state)
+
+
+def _campaign(state: State, term: int, transfer: bool = False, recovery: bool = False) -> None:
+    state.role = Role.CANDIDATE
+    state.is_recovery = recovery
+    state.leader = None
+    state.enter_term(term, state.me.id)
+    state.votes = {state.me.id}
+    state.reset_election_deadline()
+    _ask_for_votes(state, term, transfer=transfer)
+    _count(state)
+
+
+def _ask_for_votes(state: State, term: int, pre_vote: bool = False, transfer: bool = False) -> None:
+    request = VoteRequest(term, state.log.last_index, state.log.last_term, pre_vote, transfer)
+    for member in state.log.members.voters:
+        if member.id != state.me.id:
+            state.send(member.id, request)
+
+
+def _holds_back(state: State) -> bool:
+    if state.role is Role.LEADER:
+        return True
+    return state.now_ms - state.heard_ms < state.settings.election_timeout_min_ms
+
+
+def _is_up_to_date(state: State, request: VoteRequest) -> bool:
+    mine = (state.log.last_term, state.log.last_index)
+    return (request.last_term, request.last_index) >= mine
+
+
+def _answer(state: State, sender: MemberId, request: VoteRequest, granted: bool) -> None:
+    response = VoteResponse(state.term, request.term, granted, request.pre_vote)
+    state.send(sender, response)
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/follower.py
@@ -0,0 +1,111 @@
+"""What a follower does with what the leader sends.
+
+Entries are acknowledged once they are durable; a heartbeat is answered at once with what is
+durable already, so that a slow disk does not end the leader's lease. Where the logs part, the
+answer names a place from which the leader can try again, skipping whole terms.
+"""
+
+from agateferry_state.members import MemberId
+from agateferry_state.replication import snapshots
+from agateferry_state.replication.messages import (
+    AppendRequest,
+    AppendResponse,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotResponse,
+)
+from agateferry_state.replication.state import State
+
+
+def on_append(state: State, sender: MemberId, request: AppendRequest) -> None:
+    """Take entries or a heartbeat from the leader."""
+    if request.term < state.term:
+        state.send(sender, AppendResponse(state.term, request.round, success=False))
+        return
+    _follow(state, request.term, sender)
+    if request.prev_index < state.log.base_index:
+        _answer_with_committed(state, sender, request)
+        return
+    if state.log.term_at(request.prev_index) != request.prev_term:
+        _refuse(state, sender, request)
+        return
+    is_new = _merge(state, request.entries)
+    following = state.following
+    last = request.prev_index + len(request.entries)
+    following.verified_index = max(following.verified_index, last)
+    state.commit_index = max(state.commit_index, min(request.commit_index, last))
+    if is_new:
+        following.unanswered_round = request.round
+    else:
+        _acknowledge(state, sender, request.round)
+
+
+def on_chunk(state: State, sender: MemberId, chunk: SnapshotChunk) -> None:
+    """Take a part of a snapshot, or say that the log holds what is in it."""
+    if chunk.term < state.term:
+        response = SnapshotResponse(state.term, chunk.round, chunk.meta.index, 0)
+        state.send(sender, response)
+        return
+    _follow(state, chunk.term, sender)
+    index = chunk.meta.index
+    if index <= state.commit_index or state.log.term_at(index) == chunk.meta.term:
+        state.commit_index = max(state.commit_index, index)
+        state.following.verified_index = max(state.following.verified_index, index)
+        _acknowledge(state, sender, chunk.round)
+        return
+    snapshots.receive(state, sender, chunk)
+
+
+def on_synced(state: State) -> None:
+    """Acknowledge entries that became durable."""
+    following = state.following
+    if state.leading is not None or state.leader is None or not following.unanswered_round:
+        return
+    _acknowledge(state, state.leader, following.unanswered_round)
+    if state.log.synced_index >= following.verified_index:
+        following.unanswered_round = 0
+
+
+def _follow(state: State, term: int, leader: MemberId) -> None:
+    if state.leading is not None and term == state.term:
+        raise ValueError(f"{leader} leads in term {term} besides {state.me.id}")
+    state.become_follower(term, leader)
+    state.heard_ms = state.now_ms
+    state.reset_election_deadline()
+
+
+def _merge(state: State, entries: tuple[LogEntry, ...]) -> bool:
+    """Append the entries that are missing here; drop what contradicts them."""
+    log = state.log
+    missing = tuple(e for e in entries if log.term_at(e.index) != e.term)
+    if not missing:
+        return False
+    first = missing[0].index
+    if first <= state.commit_index:
+        raise ValueError(f"committed entry {first} contradicts the leader of term {state.term}")
+    if first <= log.last_index:
+        state.emit(log.truncate(first))
+    state.emit(log.append(tuple(e for e in entries if e.index >= first)))
+    return True
+
+
+def _acknowledge(state: State, leader: MemberId, round_number: int) -> None:
+    match = min(state.log.synced_index, state.following.verified_index)
+    response = AppendResponse(state.term, round_number, success=True, match_index=match)
+    state.send(leader, response)
+
+
+def _answer_with_committed(state: State, sender: MemberId, request: AppendRequest) -> None:
+    """Answer a request from before the log's start: what is committed agrees with any leader."""
+    following = state.following
+    following.verified_index = max(following.verified_index, state.commit_index)
+    _acknowledge(state, sender, request.round)
+
+
+def _refuse(state: State, sender: MemberId, request: AppendRequest) -> None:
+    place = state.log.last_index_up_to(request.prev_index, request.prev_term)
+    term = state.log.term_at(place) or 0
+    response = AppendResponse(
+        state.term, request.round, success=False, hint_index=place, hint_term=term
+    )
+    state.send(sender, response)
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/greeting.py
@@ -0,0 +1,74 @@
+"""How members that do not vote make themselves known, and how a new cell starts.
+
+A member that is no voter and hears no leader greets every host it knows, and so does a voter that
+heard none for long, because it may have been removed. Whoever is greeted asks
+it to repeat the greeting with a number, so that a greeting that was long on its way is not taken
+for one of now. A confirmed greeting proves which incarnation runs on a host: any other that voted
+there is superseded.
+"""
+
+from agateferry_state.members import Member, MemberId, Members
+from agateferry_state.members.admission import bootstrap_host
+from agateferry_state.replication import leader
+from agateferry_state.replication.messages import Greeting, GreetingRequest
+from agateferry_state.replication.state import Present, Role, State
+
+GREETING_INTERVAL_MS = 600
+GREETING_VALID_MS = 3000
+VOTER_SILENCE_MS = 5000
+
+
+def on_time(state: State) -> None:
+    """Greet all known hosts where due, and start a new cell where that is safe."""
+    if state.leader is not None or state.now_ms < state.greet_deadline_ms:
+        return
+    if state.is_voter and state.now_ms - state.heard_ms < VOTER_SILENCE_MS:
+        return
+    state.greet_deadline_ms = state.now_ms + GREETING_INTERVAL_MS
+    greeting = Greeting(state.term, state.me, state.log.is_empty)
+    for host in sorted(_known_hosts(state) - {state.me.id.host}):
+        state.send(MemberId(host), greeting)
+    _bootstrap_when_safe(state)
+
+
+def on_greeting(state: State, sender: MemberId, greeting: Greeting) -> None:
+    """Ask for a greeting with a number, or take one in."""
+    if sender != greeting.member.id:
+        return
+    if greeting.nonce and state.nonces.get(sender) == greeting.nonce:
+        del state.nonces[sender]
+        present = Present(greeting.member, greeting.is_empty, state.now_ms)
+        state.present[sender.host] = present
+        return
+    if not greeting.nonce:
+        state.nonces = {m: n for m, n in state.nonces.items() if m.host != sender.host}
+        state.nonces[sender] = state.rng.getrandbits(63) + 1
+        state.send(sender, GreetingRequest(state.term, state.nonces[sender]))
+
+
+def on_request(state: State, sender: MemberId, request: GreetingRequest) -> None:
+    """Repeat the greeting with the number asked for."""
+    greeting = Greeting(state.term, state.me, state.log.is_empty, request.nonce)
+    state.send(sender, greeting)
+
+
+def bootstrap(state: State, forming: bool) -> None:
+    """Start a new cell in which this member is the only voter."""
+    state.enter_term(state.term + 1, state.me.id)
+    leader.start(state, Members(voters=(state.me,), is_forming=forming))
+
+
+def _bootstrap_when_safe(state: State) -> None:
+    if not state.log.is_empty or state.role is not Role.FOLLOWER:
+        return
+    empty: dict[str, Member] = {state.me.id.host: state.me}
+    for host, present in state.present.items():
+        if present.is_empty and state.now_ms - present.at_ms <= GREETING_VALID_MS:
+            empty[host] = present.member
+    if bootstrap_host(empty, state.settings.first_host_names) == state.me.id.host:
+        bootstrap(state, forming=len(state.settings.first_hosts) > 1)
+
+
+def _known_hosts(state: State) -> set[str]:
+    known = {m.id.host for m in state.log.members.all}
+    return known | set(state.settings.first_host_names)
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/leader.py
@@ -0,0 +1,204 @@
+"""What a leader does: start, repeat heartbeats, send entries, commit, and step down.
+
+Entries go to followers in batches, several of them in flight, while the leader's own disk works.
+A leader that no quorum answers steps down (check-quorum), so that one that is not heard, or does
+not hear, makes room.
+"""
+
+from agateferry_state.members import MemberId, Members
+from agateferry_state.members.quorum import (
+    can_commit,
+    highest,
+    is_everyone_left,
+    is_majority,
+    witnesses_needed,
+)
+from agateferry_state.replication import snapshots
+from agateferry_state.replication.leading import Leading, Progress
+from agateferry_state.replication.lease import Lease
+from agateferry_state.replication.messages import (
+    AppendRequest,
+    AppendResponse,
+    EntryKind,
+    LogEntry,
+    TimeoutNow,
+)
+from agateferry_state.replication.state import Role, State
+
+
+def start(state: State, members: Members | None = None) -> None:
+    """Begin to lead with an entry of the own term: new members where given, or nothing."""
+    state.role = Role.LEADER
+    state.leader = state.me.id
+    lease = Lease(state.settings.lease_ms, state.now_ms)
+    state.leading = Leading(lease, start_index=state.log.last_index + 1)
+    if members is None:
+        append(state, EntryKind.NOOP, b"")
+    else:
+        append(state, EntryKind.MEMBERS, members.encode())
+
+
+def append(state: State, kind: EntryKind, data: bytes) -> LogEntry:
+    """Append an entry of the own term; followers get it at the end of the step."""
+    leading = state.leading
+    if leading is None:
+        raise ValueError("only a leader appends")
+    entry = LogEntry(state.log.last_index + 1, state.term, kind, data)
+    state.emit(state.log.append((entry,)))
+    leading.follow_members(state.log.members, state.me.id, entry.index)
+    return entry
+
+
+def check_quorum(state: State) -> None:
+    """Step down where no quorum answered for the longest election timeout."""
+    leading = state.leading
+    if leading is None:
+        return
+    _confirm_round(state, leading)
+    silence_ms = state.now_ms - leading.lease.confirmed_ms
+    if silence_ms > state.settings.election_timeout_max_ms:
+        state.become_follower(state.term)
+
+
+def on_time(state: State) -> None:
+    """Begin a round of heartbeats where one is due or a read asked for one."""
+    leading = state.leading
+    if leading is None:
+        return
+    if leading.transfer_to is not None and state.now_ms > leading.transfer_deadline_ms:
+        leading.transfer_to = None
+    if state.now_ms >= leading.heartbeat_due_ms or leading.wants_round:
+        leading.wants_round = False
+        leading.heartbeat_due_ms = state.now_ms + state.settings.heartbeat_ms
+        leading.lease.begin_round(state.now_ms)
+        for peer, progress in leading.peers.items():
+            _heartbeat(state, leading, peer, progress)
+        _confirm_round(state, leading)
+
+
+def flush(state: State) -> None:
+    """Send what is new to every peer that is ready for it, and finish a transfer."""
+    leading = state.leading
+    if leading is None:
+        return
+    for peer, progress in leading.peers.items():
+        _send_new(state, leading, peer, progress)
+    advance_commit(state)
+    _finish_transfer(state, leading)
+
+
+def on_append_response(state: State, sender: MemberId, response: AppendResponse) -> None:
+    """Take an acknowledgement, or go back to where the logs agree."""
+    if response.term > state.term:
+        state.become_follower(response.term)
+        return
+    progress = note_answer(state, sender, response.term, response.round)
+    if progress is None:
+        return
+    if response.success:
+        progress.acknowledge(response.match_index)
+        if progress.snapshot and progress.match_index >= progress.snapshot.meta.index:
+            progress.snapshot = None
+        return
+    agreed = state.log.last_index_up_to(response.hint_index, response.hint_term)
+    if agreed + 1 < progress.next_index:
+        progress.retry_from(agreed + 1)
+        progress.is_probing = True
+
+
+def note_answer(state: State, sender: MemberId, term: int, round_number: int) -> Progress | None:
+    """Note that a peer answered a round of this term, and return its progress."""
+    leading = state.leading
+    if leading is None or term != state.term or sender not in leading.peers:
+        return None
+    progress = leading.peers[sender]
+    progress.acked_ms = state.now_ms
+    progress.acked_round = max(progress.acked_round, round_number)
+    _confirm_round(state, leading)
+    return progress
+
+
+def advance_commit(state: State) -> None:
+    """Commit what enough members hold; entries of older terms only along with a newer one."""
+    leading = state.leading
+    if leading is None:
+        return
+    held = {peer: progress.match_index for peer, progress in leading.peers.items()}
+    held[state.me.id] = state.log.synced_index
+    members = state.log.members
+    superseded = state.superseded
+    index = highest(held, lambda ids: can_commit(members, ids, superseded))
+    index = min(index, _last_known_to_witnesses(state, held))
+    if index > state.commit_index and state.log.term_at(index) == state.term:
+        state.commit_index = index
+
+
+def _last_known_to_witnesses(state: State, held: dict[MemberId, int]) -> int:
+    change = state.log.members_index
+    if change <= state.commit_index:
+        return state.log.last_index
+    old, new = state.log.previous_members, state.log.members
+    needed = witnesses_needed(old, new, state.superseded)
+    if all(held.get(m, 0) >= change for m in needed):
+        return state.log.last_index
+    return change - 1
+
+
+def _confirm_round(state: State, leading: Leading) -> None:
+    rounds = {peer: progress.acked_round for peer, progress in leading.peers.items()}
+    rounds[state.me.id] = leading.lease.round
+    members, superseded = state.log.members, state.superseded
+    confirmed = highest(
+        rounds,
+        lambda ids: is_majority(members, ids) or is_everyone_left(members, ids, superseded),
+    )
+    leading.lease.confirm(confirmed)
+
+
+def _heartbeat(state: State, leading: Leading, peer: MemberId, progress: Progress) -> None:
+    silent_ms = state.now_ms - (progress.acked_ms or 0)
+    if progress.in_flight and silent_ms > state.settings.heartbeat_ms:
+        progress.retry_from(progress.in_flight[0][0])
+        progress.is_probing = True
+    progress.is_chunk_in_flight = False
+    if snapshots.is_needed(state, progress):
+        snapshots.send_chunk(state, peer, progress, leading.lease.round)
+    else:
+        _send_entries(state, leading, peer, progress)
+
+
+def _send_new(state: State, leading: Leading, peer: MemberId, progress: Progress) -> None:
+    if snapshots.is_needed(state, progress):
+        if not progress.is_chunk_in_flight:
+            snapshots.send_chunk(state, peer, progress, leading.lease.round)
+        return
+    limit = 1 if progress.is_probing else state.settings.max_batches_in_flight
+    while progress.next_index <= state.log.last_index and len(progress.in_flight) < limit:
+        _send_entries(state, leading, peer, progress)
+
+
+def _send_entries(state: State, leading: Leading, peer: MemberId, progress: Progress) -> None:
+    cfg = state.settings
+    prev_index = progress.next_index - 1
+    entries = state.log.batch(progress.next_index, cfg.max_batch_entries, cfg.max_batch_bytes)
+    request = AppendRequest(
+        term=state.term,
+        prev_index=prev_index,
+        prev_term=state.log.term_at(prev_index) or 0,
+        commit_index=state.commit_index,
+        round=leading.lease.round,
+        entries=entries,
+    )
+    state.send(peer, request)
+    if entries:
+        progress.in_flight.append((progress.next_index, entries[-1].index))
+        progress.next_index = entries[-1].index + 1
+
+
+def _finish_transfer(state: State, leading: Leading) -> None:
+    if leading.transfer_to is None:
+        return
+    progress = leading.peers.get(leading.transfer_to)
+    if progress is not None and progress.match_index == state.log.last_index:
+        state.send(leading.transfer_to, TimeoutNow(state.term))
+        state.become_follower(state.term)
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/lease.py
@@ -0,0 +1,40 @@
+"""The leader's lease: until when no other member can have been elected.
+
+Each of the leader's sends belongs to a numbered round, whose start is read on the leader's own
+monotonic clock. A follower that answers a round keeps its vote back for the shortest election
+timeout from a moment after that start. So when a quorum answered a round, no one else is elected
+until the round's start plus that timeout; the lease is a little shorter, for clocks that drift
+(Gray and Cheriton 1989; Ongaro 2014, section 6.4.1).
+"""
+
+
+class Lease:
+    """Keep the rounds of one leader and the lease that their answers give."""
+
+    def __init__(self, lease_ms: int, now_ms: int) -> None:
+        self._lease_ms = lease_ms
+        self._started_ms: dict[int, int] = {}
+        self.round = 0
+        self.confirmed_round = 0
+        self.confirmed_ms = now_ms
+        self.valid_until_ms = now_ms
+
+    def begin_round(self, now_ms: int) -> int:
+        """Start a round of sends and return its number."""
+        self.round += 1
+        self._started_ms[self.round] = now_ms
+        return self.round
+
+    def confirm(self, round_number: int) -> None:
+        """Note that a quorum answered this round."""
+        if round_number <= self.confirmed_round:
+            return
+        self.confirmed_round = round_number
+        self.confirmed_ms = self._started_ms[round_number]
+        self.valid_until_ms = self.confirmed_ms + self._lease_ms
+        for older in [r for r in self._started_ms if r <= round_number]:
+            del self._started_ms[older]
+
+    def is_valid(self, now_ms: int) -> bool:
+        """Tell whether no other leader can exist at `now_ms`."""
+        return now_ms < self.valid_until_ms
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/log.py
@@ -0,0 +1,156 @@
+"""The log in memory: what it holds, what is durable, and which members it names."""
+
+from collections import deque
+
+from agateferry_state.members import Members
+from agateferry_state.replication.messages import (
+    AppendLog,
+    EntryKind,
+    LogEntry,
+    Snapshot,
+    TruncateLog,
+)
+
+
+class Log:
+    """Hold the entries after `base_index`, and the newest snapshot.
+
+    Changes return the effect that makes the disk follow. `synced_index` is the last entry that is
+    known to be durable; it moves by `mark_synced`.
+    """
+
+    def __init__(self, snapshot: Snapshot | None, entries: tuple[LogEntry, ...]) -> None:
+        self.snapshot: Snapshot | None = None
+        self.base_index = 0
+        self.base_term = 0
+        self._entries: list[LogEntry] = []
+        self._members: list[tuple[int, Members]] = []
+        self._start_at(snapshot)
+        self._next_write_id = 1
+        self._writes: deque[tuple[int, int]] = deque()
+        kept = tuple(e for e in entries if e.index > self.base_index)
+        if kept and kept[0].index != self.base_index + 1:
+            raise ValueError(f"the log lacks entries {self.base_index + 1} to {kept[0].index - 1}")
+        self._extend(kept)
+        self.synced_index = self.last_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the newest entry, durable or not."""
+        return self.base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the newest entry."""
+        return self._entries[-1].term if self._entries else self.base_term
+
+    @property
+    def members(self) -> Members:
+        """Return the newest members in the log, committed or not."""
+        return self._members[-1][1]
+
+    @property
+    def members_index(self) -> int:
+        """Return where the newest members stand."""
+        return self._members[-1][0]
+
+    @property
+    def previous_members(self) -> Members:
+        """Return the members that the newest ones replaced."""
+        return self._members[-2][1] if len(self._members) > 1 else self.members
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether nothing was ever stored here."""
+        return self.last_index == 0
+
+    def members_at(self, index: int) -> Members:
+        """Return the members in force as of an index that the log still covers."""
+        return next(members for at, members in reversed(self._members) if at <= index)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None where the log does not reach it."""
+        if index == self.base_index:
+            return self.base_term
+        if self.base_index < index <= self.last_index:
+            return self._entries[index - self.base_index - 1].term
+        return None
+
+    def between(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        """Return the entries from `first` to `last`, both included."""
+        return tuple(self._entries[first - self.base_index - 1 : last - self.base_index])
+
+    def batch(self, first: int, max_entries: int, max_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from `first` on, at least one where there is one, within the limits."""
+        entries = self.between(first, min(self.last_index, first + max_entries - 1))
+        room = max_bytes
+        batch: list[LogEntry] = []
+        for entry in entries:
+            room -= len(entry.data)
+            if room < 0 and batch:
+                break
+            batch.append(entry)
+        return tuple(batch)
+
+    def last_index_up_to(self, index: int, term: int) -> int:
+        """Return the last place at or before `index` whose term is not above `term`."""
+        place = min(index, self.last_index)
+        while place > self.base_index and (self.term_at(place) or 0) > term:
+            place -= 1
+        return place
+
+    def append(self, entries: tuple[LogEntry, ...]) -> AppendLog:
+        """Add entries after the newest one."""
+        if entries[0].index != self.last_index + 1:
+            raise ValueError(f"entry {entries[0].index} does not follow {self.last_index}")
+        self._extend(entries)
+        return AppendLog(self._take_write_id(self.last_index), entries)
+
+    def truncate(self, from_index: int) -> TruncateLog:
+        """Drop the entry at `from_index` and all after it."""
+        del self._entries[from_index - self.base_index - 1 :]
+        self._members = [(i, m) for i, m in self._members if i < from_index]
+        self._writes = deque((w, min(i, from_index - 1)) for w, i in self._writes)
+        self.synced_index = min(self.synced_index, from_index - 1)
+        return TruncateLog(self._take_write_id(self.last_index), from_index)
+
+    def mark_synced(self, write_id: int) -> None:
+        """Note that the writes up to `write_id` are durable."""
+        while self._writes and self._writes[0][0] <= write_id:
+            self.synced_index = self._writes.popleft()[1]
+
+    def compact(self, snapshot: Snapshot, trailing_entries: int) -> None:
+        """Take a durable snapshot as the start of the log, and keep some entries before its end."""
+        self.snapshot = snapshot
+        new_base = max(self.base_index, snapshot.meta.index - trailing_entries)
+        base_term = self.term_at(new_base)
+        members = self.members_at(new_base)
+        del self._entries[: new_base - self.base_index]
+        self._members = [(new_base, members)] + [p for p in self._members if p[0] > new_base]
+        self.base_index, self.base_term = new_base, base_term or 0
+
+    def reset(self, snapshot: Snapshot) -> None:
+        """Replace everything by a durable snapshot."""
+        self._start_at(snapshot)
+        self._writes.clear()
+        self.synced_index = self.base_index
+
+    def _start_at(self, snapshot: Snapshot | None) -> None:
+        self.snapshot = snapshot
+        self.base_index = snapshot.meta.index if snapshot else 0
+        self.base_term = snapshot.meta.term if snapshot else 0
+        self._entries = []
+        members = snapshot.meta.members if snapshot else Members()
+        self._members = [(self.base_index, members)]
+
+    def _extend(self, entries: tuple[LogEntry, ...]) -> None:
+        self._entries.extend(entries)
+        for entry in entries:
+            if entry.kind is EntryKind.MEMBERS:
+                self._members.append((entry.index, Members.decode(entry.data)))
+
+    def _take_write_id(self, last_index: int) -> int:
+        write_id = self._next_write_id
+        self._next_write_id += 1
+        self._writes.append((write_id, last_index))
+        return write_id
--- a/packages/agateferry-state/agateferry_state/replication/messages.py
+++ b/packages/agateferry-state/agateferry_state/replication/messages.py
@@ -361,13 +361,9 @@
 
 @dataclass(frozen=True, slots=True)
 class InstallSnapshot:
-    """Store a leader's snapshot durably, drop the whole log, and restore the state machine.
-
-    Where `keeps_log` is true, the entries after the snapshot's index stay.
-    """
+    """Store a leader's snapshot durably, drop the whole log, and restore the state machine."""
 
     snapshot: Snapshot
-    keeps_log: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/snapshots.py
@@ -0,0 +1,123 @@
+"""Snapshots: taking them, dropping the log before them, and sending them in chunks.
+
+A chunk is sent once the one before it is acknowledged, and again with each heartbeat while it is
+not, so that losses, a restarted receiver or a new sender only cost time: the receiver says from
+which byte it goes on. A transfer keeps the snapshot it began with, also when a newer one is taken.
+"""
+
+import zlib
+
+from agateferry_state.members import MemberId
+from agateferry_state.replication import leader
+from agateferry_state.replication.leading import Progress
+from agateferry_state.replication.messages import (
+    CompactLog,
+    InstallSnapshot,
+    Snapshot,
+    SnapshotChunk,
+    SnapshotMeta,
+    SnapshotResponse,
+    SnapshotTaken,
+    TakeSnapshot,
+)
+from agateferry_state.replication.state import State
+
+
+def ask_when_due(state: State) -> None:
+    """Ask for a snapshot once enough entries were applied since the last one."""
+    newest = state.log.snapshot.meta.index if state.log.snapshot else 0
+    newest = max(newest, state.snapshot_asked_index)
+    index = state.applied_index
+    if index - newest < state.settings.snapshot_every_entries:
+        return
+    state.snapshot_asked_index = index
+    term = state.log.term_at(index) or 0
+    state.emit(TakeSnapshot(index, term, state.log.members_at(index)))
+
+
+def on_taken(state: State, event: SnapshotTaken) -> None:
+    """Drop the log before a snapshot that is durable now."""
+    term = state.log.term_at(event.index)
+    newest = state.log.snapshot.meta.index if state.log.snapshot else 0
+    if term is None or event.index <= newest:
+        return
+    meta = SnapshotMeta(
+        index=event.index,
+        term=term,
+        members=state.log.members_at(event.index),
+        size=len(event.data),
+        checksum=zlib.crc32(event.data),
+    )
+    state.log.compact(Snapshot(meta, event.data), state.settings.trailing_entries)
+    state.emit(CompactLog(event.index))
+
+
+def is_needed(state: State, progress: Progress) -> bool:
+    """Tell whether a peer is so far behind that the log no longer reaches back to it."""
+    if progress.snapshot is None and progress.next_index <= state.log.base_index:
+        progress.snapshot = state.log.snapshot
+        progress.snapshot_offset = 0
+        progress.is_chunk_in_flight = False
+        progress.in_flight.clear()
+    return progress.snapshot is not None
+
+
+def send_chunk(state: State, peer: MemberId, progress: Progress, round_number: int) -> None:
+    """Send the part of the snapshot that the peer waits for."""
+    snapshot = progress.snapshot
+    if snapshot is None:
+        return
+    begin = progress.snapshot_offset
+    data = snapshot.data[begin : begin + state.settings.snapshot_chunk_bytes]
+    state.send(peer, SnapshotChunk(state.term, snapshot.meta, begin, data, round_number))
+    progress.is_chunk_in_flight = True
+
+
+def on_response(state: State, sender: MemberId, response: SnapshotResponse) -> None:
+    """Go on with the part that the receiver asks for, or with the log after the snapshot."""
+    if response.term > state.term:
+        state.become_follower(response.term)
+        return
+    progress = leader.note_answer(state, sender, response.term, response.round)
+    if progress is None or progress.snapshot is None:
+        return
+    if progress.snapshot.meta.index != response.index:
+        return
+    progress.is_chunk_in_flight = False
+    progress.snapshot_offset = response.next_offset
+    if response.installed:
+        progress.snapshot = None
+        progress.acknowledge(response.index)
+
+
+def receive(state: State, sender: MemberId, chunk: SnapshotChunk) -> None:
+    """Collect a chunk from the leader and install the snapshot once it is whole."""
+    following = state.following
+    if following.snapshot_meta != chunk.meta:
+        following.snapshot_meta = chunk.meta
+        following.snapshot_data = bytearray()
+    data = following.snapshot_data
+    if chunk.offset == len(data):
+        data.extend(chunk.data)
+    is_whole = len(data) >= chunk.meta.size
+    if is_whole and zlib.crc32(data) != chunk.meta.checksum:
+        data.clear()
+        is_whole = False
+    if is_whole:
+        _install(state, Snapshot(chunk.meta, bytes(data)))
+    response = SnapshotResponse(state.term, chunk.round, chunk.meta.index, len(data), is_whole)
+    state.send(sender, response)
+    if is_whole:
+        following.snapshot_data = bytearray()
+        following.snapshot_meta = None
+
+
+def _install(state: State, snapshot: Snapshot) -> None:
+    index = snapshot.meta.index
+    state.emit(InstallSnapshot(snapshot))
+    state.log.reset(snapshot)
+    state.commit_index = index
+    state.applied_index = index
+    state.snapshot_asked_index = index
+    state.following.verified_index = index
+    state.following.unanswered_round = 0
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
@@ -0,0 +1,74 @@
+import testtools
+
+from agateferry_state.replication.tests import faults
+from agateferry_state.replication.tests.support import SEEDS, Cluster
+
+
+def sweep(chosen, first_seed=0, disks=(True, True, True)):
+    """Run one case over all seeds; every other seed takes many small snapshots."""
+    for seed in range(first_seed, first_seed + SEEDS):
+        small = {"snapshot_every_entries": 12, "trailing_entries": 3, "snapshot_chunk_bytes": 100}
+        cluster = Cluster(seed, disks, **(small if seed % 2 else {}))
+        try:
+            faults.run(cluster, chosen(cluster))
+        except Exception as exc:
+            raise AssertionError(f"seed {seed}: {exc}") from exc
+
+
+class SingleFaultTests(testtools.TestCase):
+    def test_kill(self):
+        sweep(lambda c: [faults.kill])
+
+    def test_kill_all(self):
+        sweep(lambda c: [faults.kill_all])
+
+    def test_lose_disk(self):
+        sweep(lambda c: [faults.lose_disk])
+
+    def test_lose_disk_again_after_repair(self):
+        sweep(lambda c: [faults.lose_disk_twice])
+
+    def test_freeze_leader(self):
+        sweep(lambda c: [faults.freeze_leader])
+
+    def test_leader_is_not_heard(self):
+        sweep(lambda c: [faults.cut_out])
+
+    def test_leader_does_not_hear(self):
+        sweep(lambda c: [faults.cut_in])
+
+    def test_one_link_is_cut(self):
+        sweep(lambda c: [faults.cut_one_link])
+
+    def test_cut_off(self):
+        sweep(lambda c: [faults.cut_off])
+
+    def test_clocks_leap(self):
+        sweep(lambda c: [faults.leap_clock])
+
+
+class PairTests(testtools.TestCase):
+    """Two faults, drawn by the seed."""
+
+    def test_pairs(self):
+        sweep(lambda c: c.rng.choices(faults.ALL, k=2), first_seed=10_000)
+
+    def test_pairs_with_kill(self):
+        sweep(lambda c: [faults.kill, c.rng.choice(faults.ALL)], first_seed=20_000)
+
+    def test_pairs_with_a_lost_disk(self):
+        sweep(lambda c: [faults.lose_disk, c.rng.choice(faults.ALL)], first_seed=30_000)
+
+    def test_five_hosts(self):
+        sweep(lambda c: c.rng.choices(faults.ALL, k=2), 40_000, disks=(True,) * 5)
+
+
+class HostsWithoutDiskTests(testtools.TestCase):
+    def test_one_disk_of_three(self):
+        sweep(lambda c: [c.rng.choice(faults.ALL)], 50_000, disks=(True, False, False))
+
+    def test_two_disks_of_three(self):
+        sweep(lambda c: [c.rng.choice(faults.ALL)], 60_000, disks=(True, True, False))
+
+    def test_all_killed(self):
+        sweep(lambda c: [faults.kill_all], 70_000, disks=(True, False, False))
