Run the replication core over disk, network and clock

Cause: the core decides without I/O; a host needs the shell that carries its effects out.

Ruled out: a sync inside the effect loop (the sends to followers would wait for it; the sync now runs at the end of the turn, after the writers were woken), and telling UNKNOWN at once when a leader steps down (a planned stop would cut answers that the next leader commits within milliseconds; after 1 s it is told).

Change: Driver (events of one turn together, effects in order, nothing after a failed barrier), NodeReplica (the Replica contract, planned stop, operators' words, status), storage for hosts with and without a disk, Proposals. The core shows match indexes for the status.

Conclusion: usable in place of SoloReplica; costs are to be measured.

--- a/packages/agateferry-state/agateferry_state/events.py
+++ b/packages/agateferry-state/agateferry_state/events.py
@@ -28,3 +28,9 @@
     "a message from another host was not understood",
     "Run the same release on both hosts.",
 )
+LEADER_CHANGED = Event(
+    2008,
+    "another member leads",
+    "Nothing to do; without a leader for longer, look at the hosts of the group.",
+)
+MEMBERS_CHANGED = Event(2009, "the members of the group changed", "Nothing to do.")
--- a/packages/agateferry-state/agateferry_state/journal/journal.py
+++ b/packages/agateferry-state/agateferry_state/journal/journal.py
@@ -125,16 +125,16 @@
         return self._failure
 
     def append(self, records: Sequence[Record]) -> None:
-        """Take records for the next sync; an index that stands already drops all from there on.
-
-        Raises ValueError where a record would leave a gap, or would replace one below the base.
-        """
+        """Take records for the next sync; each follows the last one, or ValueError is raised."""
         for record in records:
-            if record.index <= self._terms.last.index:
-                self._drop_from(record.index)
             self._terms.add(record.index, record.term)
             self._batch.append(record)
 
+    def truncate(self, from_index: int) -> None:
+        """Drop the record at `from_index` and all above it; the next sync makes that durable."""
+        self._batch = [record for record in self._batch if record.index < from_index]
+        self._terms.drop_from(from_index)
+
     def sync(self) -> Result[int, JournalError]:
         """Return the index up to which all records are now on the disk."""
         return self._guard(self._write_batch, "sync")
@@ -144,12 +144,13 @@
         return self._guard(lambda: self._write_vote(vote), "vote")
 
     def save_snapshot(self, snapshot: Snapshot) -> Result[int, JournalError]:
-        """Store a snapshot and drop the segments that it covers; the value is its index.
-
-        A snapshot that the log does not lead through, as one from a leader, replaces the log.
-        """
+        """Store a snapshot and drop the segments that it covers; the value is its index."""
         return self._guard(lambda: self._write_snapshot(snapshot), "snapshot")
 
+    def install_snapshot(self, snapshot: Snapshot) -> Result[int, JournalError]:
+        """Store a snapshot from elsewhere in place of the whole log; the value is its index."""
+        return self._guard(lambda: self._replace_log(snapshot), "snapshot")
+
     def close(self) -> None:
         """Close the files and give up the lock; appended records that were not synced are lost."""
         for fd in (self._fd, self._lock):
@@ -216,23 +217,19 @@
         self._size = len(content)
         self._segments.append(Segment(number, base))
 
-    def _drop_from(self, index: int) -> None:
-        """Forget the records from `index` on; the next sync begins a segment below them."""
-        self._batch = [record for record in self._batch if record.index < index]
-        self._terms.drop_from(index)
-
     def _write_batch(self) -> int:
-        if not self._batch:
-            return self.last_index
-        first = self._batch[0].index
-        if self._size >= self._settings.segment_bytes or first <= self._written_index:
-            self._begin_segment(self._segments[-1].number + 1, self._terms.at(first - 1))
-        frame = encode_frame(encode_batch(self._batch))
-        self._files.write(self._fd, frame)
-        self._files.sync(self._fd)
-        self._size += len(frame)
-        self._written_index = self._batch[-1].index
-        self._batch = []
+        below = self.last_index - len(self._batch)
+        is_full = bool(self._batch) and self._size >= self._settings.segment_bytes
+        if is_full or below < self._written_index:
+            self._begin_segment(self._segments[-1].number + 1, self._terms.at(below))
+            self._written_index = below
+        if self._batch:
+            frame = encode_frame(encode_batch(self._batch))
+            self._files.write(self._fd, frame)
+            self._files.sync(self._fd)
+            self._size += len(frame)
+            self._written_index = self.last_index
+            self._batch = []
         return self.last_index
 
     def _write_vote(self, vote: Vote) -> int:
@@ -240,19 +237,29 @@
         return vote.term
 
     def _write_snapshot(self, snapshot: Snapshot) -> int:
-        self._write_batch()
         base = Base(snapshot.index, snapshot.term)
-        path = snapshot_path(self._folder, snapshot.index)
-        write_sealed(self._files, path, encode_snapshot(snapshot))
         if not self._terms.holds(base):
-            self._terms = TermIndex(base)
-            self._begin_segment(self._segments[-1].number + 1, base)
-            self._written_index = base.index
-        else:
-            self._terms.drop_to(base)
+            raise ValueError(f"the log does not lead through {base}")
+        self._write_batch()
+        self._seal(snapshot)
+        self._terms.drop_to(base)
+        self._compact(snapshot.index)
+        return snapshot.index
+
+    def _replace_log(self, snapshot: Snapshot) -> int:
+        base = Base(snapshot.index, snapshot.term)
+        self._seal(snapshot)
+        self._batch = []
+        self._terms = TermIndex(base)
+        self._begin_segment(self._segments[-1].number + 1, base)
+        self._written_index = base.index
         self._compact(snapshot.index)
         return snapshot.index
 
+    def _seal(self, snapshot: Snapshot) -> None:
+        path = snapshot_path(self._folder, snapshot.index)
+        write_sealed(self._files, path, encode_snapshot(snapshot))
+
     def _compact(self, index: int) -> None:
         while len(self._segments) > 1 and self._segments[1].base.index <= index:
             self._files.remove(segment_path(self._folder, self._segments[0].number))
--- a/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
+++ b/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
@@ -98,13 +98,34 @@
 
     def test_a_replaced_tail_stays_replaced(self):
         journal, _ = self.open()
-        self.write(journal, records(1, 6), records(4, 4, term=2))
+        self.write(journal, records(1, 6))
+        journal.truncate(4)
+        self.write(journal, records(4, 4, term=2))
         journal, again = self.reopen(journal)
         self.assertEqual(tuple(records(1, 3) + records(4, 4, term=2)), again.records)
         self.write(journal, records(5, 5, term=2))
         _, third = self.reopen(journal)
         self.assertEqual(5, len(third.records))
 
+    def test_a_dropped_tail_stays_dropped(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 6))
+        journal.append(records(7, 8))
+        journal.truncate(4)
+        self.assertEqual(3, journal.sync().ok)
+        _, again = self.reopen(journal)
+        self.assertEqual(tuple(records(1, 3)), again.records)
+
+    def test_a_tail_that_was_never_synced_is_dropped_in_memory(self):
+        journal, _ = self.open()
+        self.write(journal, records(1, 2))
+        journal.append(records(3, 6))
+        journal.truncate(4)
+        self.write(journal, records(4, 4, term=2))
+        self.assertEqual(1, len(list(self.folder.glob("segment-*"))))
+        _, again = self.reopen(journal)
+        self.assertEqual(tuple(records(1, 3) + records(4, 4, term=2)), again.records)
+
     def test_refuses_a_gap(self):
         journal, _ = self.open()
         with testtools.ExpectedException(ValueError):
@@ -143,7 +164,7 @@
     def test_a_snapshot_from_a_leader_replaces_the_log(self):
         journal, _ = self.open()
         self.write(journal, records(1, 5))
-        journal.save_snapshot(Snapshot(9, 3, b"theirs"))
+        journal.install_snapshot(Snapshot(9, 3, b"theirs"))
         self.write(journal, records(10, 11, term=3))
         journal, again = self.reopen(journal)
         self.assertEqual(tuple(records(10, 11, term=3)), again.records)
@@ -155,7 +176,7 @@
         journal, _ = self.open(files)
         self.write(journal, records(1, 5))
         files.fail_renames_to = "segment-000000000002"
-        self.assertTrue(journal.save_snapshot(Snapshot(4, 2, b"theirs")).is_error())
+        self.assertTrue(journal.install_snapshot(Snapshot(4, 2, b"theirs")).is_error())
         journal, again = self.reopen(journal)
         self.assertEqual((Snapshot(4, 2, b"theirs"), ()), (again.snapshot, again.records))
         self.write(journal, records(5, 5, term=2))
@@ -163,7 +184,9 @@
 
     def test_a_replaced_tail_survives_compaction(self):
         journal, _ = self.open()
-        self.write(journal, records(1, 10), records(8, 12, term=2))
+        self.write(journal, records(1, 10))
+        journal.truncate(8)
+        self.write(journal, records(8, 12, term=2))
         journal.save_snapshot(Snapshot(11, 2, b"state"))
         _, again = self.reopen(journal)
         self.assertEqual(tuple(records(12, 12, term=2)), again.records)
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -0,0 +1,229 @@
+"""One member of a replicated group, as the slices above use it."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
+from expression import Error, Ok, Result
+
+from agateferry_state.events import DATA_FOLDER_OPENED, DATA_FOLDER_UNUSABLE, TORN_BATCH_CUT
+from agateferry_state.journal import Files, JournalError
+from agateferry_state.members import Member, MemberId
+from agateferry_state.replica.driver import Driver, Listener
+from agateferry_state.replica.metrics import STORAGE_FAILURES
+from agateferry_state.replica.proposals import Answer
+from agateferry_state.replica.protocols import ProposeError, ProposeErrorKind, StateMachine
+from agateferry_state.replica.status import NodeStatus, describe
+from agateferry_state.replica.storage import Opened, open_storage
+from agateferry_state.replica.transport import Transport
+from agateferry_state.replication import Core, Role, Settings
+from agateferry_state.replication import messages as m
+
+STOP_WITHIN_MS = 3000
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A host of the group: its name, `ip:port`, availability zone, and whether it has a disk."""
+
+    name: str
+    address: str
+    zone: str = ""
+    has_disk: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """Which group this is, which of `peers` this host is, and where its files are.
+
+    `folder` is None on a host without a disk. `peers` lists all first hosts, this one too.
+    """
+
+    group: str
+    name: str
+    peers: tuple[Peer, ...]
+    folder: Path | None
+    settings: Settings = field(default_factory=Settings)
+
+    @property
+    def first_hosts(self) -> tuple[Member, ...]:
+        """Return the first hosts in the form that the core takes."""
+        return tuple(Member(MemberId(p.name), p.has_disk, p.address) for p in self.peers)
+
+
+class NodeReplica:
+    """One member of a replicated group."""
+
+    def __init__(
+        self,
+        cfg: NodeConfig,
+        machine: StateMachine,
+        transport: Transport,
+        clock: Clock,
+        rng: random.Random,
+        files: Files | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._machine = machine
+        self._transport = transport
+        self._clock = clock
+        self._rng = rng
+        self._files = files
+        self._log = EventLogger(group=cfg.group, host=cfg.name)
+        self._listeners: list[Listener] = []
+        self._driver: Driver | None = None
+        self._failure: ProposeError | None = ProposeError(ProposeErrorKind.STOPPED)
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this member leads under a lease that is valid now and has caught up."""
+        driver = self._driver
+        if driver is None or driver.leads_in_term != driver.core.term:
+            return False
+        return driver.core.holds_lease(self._clock.now_ms())
+
+    @property
+    def leader(self) -> str | None:
+        """Return the host that leads, as far as this one knows."""
+        return self._driver.leader if self._driver is not None else None
+
+    @property
+    def term(self) -> int:
+        """Return the newest term that this member has seen."""
+        return self._driver.core.term if self._driver is not None else 0
+
+    @property
+    def failure(self) -> ProposeError | None:
+        """Return why this member takes no part, or None while it does."""
+        return self._driver.failure if self._driver is not None else self._failure
+
+    def on_leadership(self, listener: Listener) -> None:
+        """Have `listener(leads, term)` called when this member begins or ceases to lead.
+
+        It begins once it has applied all that earlier leaders had agreed. Since a lease can lapse
+        without a call, `is_leader` is asked before every act.
+        """
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Recover what the disk holds and begin to take part; see `failure` for what went wrong."""
+        started_ms = self._clock.now_ms()
+        match open_storage(self._cfg.folder, self._files):
+            case Result(tag="ok", ok=opened):
+                self._driver = self._make_driver(opened)
+                self._log.info(
+                    DATA_FOLDER_OPENED,
+                    last_index=self._driver.core.last_index,
+                    took_ms=self._clock.now_ms() - started_ms,
+                )
+            case Result(error=error):
+                self._refuse_folder(error)
+
+    async def stop(self) -> None:
+        """Hand leadership on, wait for what is under way and close the files."""
+        driver = self._driver
+        if driver is None:
+            return
+        if driver.core.role is Role.LEADER and len(driver.core.members.voters) > 1:
+            driver.put(m.TransferLeadership())
+            await driver.until(lambda: driver.core.role is not Role.LEADER, STOP_WITHIN_MS)
+        await driver.until(lambda: driver.proposals.is_idle, STOP_WITHIN_MS)
+        self._failure = driver.failure or ProposeError(ProposeErrorKind.STOPPED)
+        self._driver = None
+        driver.close()
+
+    async def propose(self, command: bytes) -> Answer:
+        """Have a command agreed upon, stored and applied, and return the machine's outcome."""
+        return await self._ask(lambda proposal_id: m.Proposed(proposal_id, command))
+
+    async def change_member(self, action: m.MemberAction, member: Member) -> Answer:
+        """Admit or remove a member by an operator's word."""
+        return await self._ask(
+            lambda proposal_id: m.MemberChangeRequested(proposal_id, action, member)
+        )
+
+    async def read_barrier(self) -> Result[int, ProposeError]:
+        """Return once the local state holds all that was agreed before the call."""
+        while self._driver is not None and self._driver.failure is None:
+            read_id, fut = self._driver.proposals.ask_read()
+            self._driver.put(m.ReadRequested(read_id))
+            match await fut:
+                case Result(tag="ok", ok=ready):
+                    if not ready.valid_until_ms or self._clock.now_ms() < ready.valid_until_ms:
+                        return Ok(ready.index)
+                case Result(error=error):
+                    return Error(error)
+        return Error(self._refusal())
+
+    def force_bootstrap(self) -> None:
+        """Start a new group on this empty host, by an operator's word."""
+        if self._driver is not None:
+            self._driver.put(m.BootstrapForced())
+
+    def force_recovery(self, lost: frozenset[MemberId]) -> None:
+        """Take this host's log as the truth after a quorum was lost, by an operator's word."""
+        if self._driver is not None:
+            self._driver.put(m.RecoveryForced(lost))
+
+    def status(self) -> NodeStatus | None:
+        """Return what operators see, or None while the replica is not started."""
+        driver = self._driver
+        if driver is None:
+            return None
+        return describe(
+            group=self._cfg.group,
+            core=driver.core,
+            now_ms=self._clock.now_ms(),
+            applied_index=driver.applied_index,
+            disk=self._disk_state(driver),
+        )
+
+    async def _ask(self, event: Callable[[int], m.Event]) -> Answer:
+        driver = self._driver
+        if driver is None or driver.failure is not None:
+            return Error(self._refusal())
+        proposal_id, fut = driver.proposals.ask()
+        driver.put(event(proposal_id))
+        return await fut
+
+    def _make_driver(self, opened: Opened) -> Driver:
+        if opened.cut_bytes:
+            self._log.warning(TORN_BATCH_CUT, bytes=opened.cut_bytes)
+        if opened.stored.snapshot is not None:
+            self._machine.restore(opened.stored.snapshot.data)
+        for peer in self._cfg.peers:
+            self._transport.set_address(peer.name, peer.address)
+        return Driver(
+            group=self._cfg.group,
+            core=self._make_core(opened),
+            storage=opened.storage,
+            machine=self._machine,
+            transport=self._transport,
+            clock=self._clock,
+            listeners=self._listeners,
+        )
+
+    def _make_core(self, opened: Opened) -> Core:
+        own = next(peer for peer in self._cfg.peers if peer.name == self._cfg.name)
+        has_disk = self._cfg.folder is not None
+        me = Member(MemberId(own.name, opened.incarnation), has_disk, own.address)
+        settings = replace(
+            self._cfg.settings, cell=self._cfg.group, first_hosts=self._cfg.first_hosts
+        )
+        return Core(me, settings, opened.stored, self._rng, self._clock.now_ms())
+
+    def _refuse_folder(self, error: JournalError) -> None:
+        STORAGE_FAILURES.labels(error.kind.value).inc()
+        self._failure = ProposeError(ProposeErrorKind.STORAGE_FAILED, detail=error.detail)
+        self._log.error(DATA_FOLDER_UNUSABLE, kind=error.kind, detail=error.detail)
+
+    def _refusal(self) -> ProposeError:
+        return self.failure or ProposeError(ProposeErrorKind.STOPPED)
+
+    def _disk_state(self, driver: Driver) -> str:
+        if driver.failure is not None:
+            return driver.failure.detail
+        return "none" if self._cfg.folder is None else "synced"
--- a/packages/agateferry-state/agateferry_state/replica/solo.py
+++ b/packages/agateferry-state/agateferry_state/replica/solo.py
@@ -59,6 +59,7 @@
         self._pending: list[_Proposal] = []
         self._term = 0
         self._applied = 0
+        self._applied_term = 0
         self._snapshot_index = 0
 
     @classmethod
@@ -130,9 +131,11 @@
         if recovered.snapshot is not None:
             self._machine.restore(recovered.snapshot.data)
             self._applied = self._snapshot_index = recovered.snapshot.index
+            self._applied_term = recovered.snapshot.term
         for record in recovered.records:
             self._machine.apply(record.index, record.data)
             self._applied = record.index
+            self._applied_term = record.term
         self._journal = journal
         self._failure = None
         self._term = recovered.vote.term + 1
@@ -157,6 +160,7 @@
 
     def _apply(self, proposal: _Proposal) -> None:
         self._applied += 1
+        self._applied_term = self._term
         outcome = self._machine.apply(self._applied, proposal.command)
         if not proposal.fut.done():
             proposal.fut.set_result(Ok(Applied(self._applied, outcome)))
@@ -171,7 +175,7 @@
         assert self._journal is not None
         if self._applied == self._snapshot_index:
             return
-        snapshot = Snapshot(self._applied, self._term, self._machine.snapshot())
+        snapshot = Snapshot(self._applied, self._applied_term, self._machine.snapshot())
         if self._check(self._journal.save_snapshot(snapshot)):
             self._snapshot_index = self._applied
 
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -0,0 +1,243 @@
+import asyncio
+import random
+import tempfile
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import testtools
+from agateferry_core.clock import SystemClock
+from agateferry_core.support import free_port, run_async
+
+from agateferry_state.replica import ProposeErrorKind
+from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
+from agateferry_state.replica.tests.test_solo import CountingFiles, ListMachine
+from agateferry_state.replica.transport import GrpcTransport, start_server
+from agateferry_state.replication import Role, Settings
+
+POLL_S = 0.01
+
+
+class Host:
+    """One host in this process: a server, a transport and a replica."""
+
+    def __init__(self, peers, name, folder, seed, settings):
+        self.peers, self.name, self.folder = peers, name, folder
+        self.seed, self.settings = seed, settings
+        self.files = CountingFiles()
+        self.leads = []
+
+    async def start(self):
+        self.machine = ListMachine()
+        rng = random.Random(self.seed)
+        self.transport = GrpcTransport({}, rng)
+        address = next(peer.address for peer in self.peers if peer.name == self.name)
+        self.server = (await start_server(address, self.transport)).ok
+        cfg = NodeConfig("cell", self.name, self.peers, self.folder, self.settings)
+        self.replica = NodeReplica(
+            cfg, self.machine, self.transport, SystemClock(), rng, self.files
+        )
+        self.replica.on_leadership(lambda leads, term: self.leads.append(leads))
+        await self.replica.start()
+
+    async def stop(self):
+        await self.replica.stop()
+        await self.stop_network()
+
+    async def kill(self):
+        """Stop at once, as a killed process does: nothing is synced, answered or handed on."""
+        driver = self.replica._driver
+        driver._is_closed = True
+        driver._storage.close()
+        if driver._timer is not None:
+            driver._timer.cancel()
+        await self.stop_network()
+
+    async def stop_network(self):
+        await self.transport.close()
+        await self.server.stop(None)
+
+
+class NodeCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def make_hosts(self, disks, **settings):
+        names = "abc"[: len(disks)]
+        peers = tuple(
+            Peer(name, f"127.0.0.1:{free_port()}", "z", has_disk)
+            for name, has_disk in zip(names, disks, strict=True)
+        )
+        return [
+            Host(
+                peers,
+                peer.name,
+                self.folder / peer.name if peer.has_disk else None,
+                seed,
+                Settings(**settings),
+            )
+            for seed, peer in enumerate(peers)
+        ]
+
+    async def until(self, condition, what):
+        for _ in range(2000):
+            if condition():
+                return
+            await asyncio.sleep(POLL_S)
+        raise AssertionError(f"in vain: {what}")
+
+    async def leader_of(self, hosts):
+        await self.until(lambda: any(h.replica.is_leader for h in hosts), "a leader")
+        return next(h for h in hosts if h.replica.is_leader)
+
+    @asynccontextmanager
+    async def formed(self, hosts):
+        """Start hosts until all of them vote, give the leader, and stop what still runs."""
+        async with AsyncExitStack() as stack:
+            for host in hosts:
+                stack.push_async_callback(host.stop)
+                await host.start()
+            yield await self.formed_leader(hosts)
+
+    async def formed_leader(self, hosts):
+        leader = await self.leader_of(hosts)
+        await self.until(
+            lambda: len([m for m in leader.replica.status().members if m.is_voter]) == len(hosts),
+            "all hosts vote",
+        )
+        return await self.leader_of(hosts)
+
+    async def same_state(self, hosts, commands):
+        await self.until(lambda: all(h.machine.commands == commands for h in hosts), "same state")
+
+
+class SingleMemberTests(NodeCase):
+    def test_applies_and_survives_a_restart_with_snapshots(self):
+        async def main():
+            (host,) = self.make_hosts([True], snapshot_every_entries=10, trailing_entries=2)
+            async with self.formed([host]):
+                commands = [b"%d" % n for n in range(35)]
+                for command in commands:
+                    self.assertTrue((await host.replica.propose(command)).is_ok())
+                self.assertEqual(1, len(list((self.folder / "a").glob("snapshot-*"))))
+                await host.kill()
+                await host.start()
+                await self.leader_of([host])
+                self.assertEqual(commands, host.machine.commands)
+                self.assertTrue((await host.replica.read_barrier()).is_ok())
+                await host.stop()
+                self.assertEqual([True, False], host.leads[-2:])
+
+        run_async(main())
+
+    def test_proposals_of_one_turn_share_a_sync(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                before = host.files.syncs
+                results = await asyncio.gather(*[host.replica.propose(b"x") for _ in range(50)])
+                self.assertEqual(list(range(1, 51)), [result.ok.outcome for result in results])
+                self.assertEqual(1, host.files.syncs - before)
+                await host.stop()
+
+        run_async(main())
+
+    def test_after_a_failed_sync_it_takes_no_part(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                host.files.broken = True
+                result = await host.replica.propose(b"a")
+                self.assertEqual(ProposeErrorKind.UNKNOWN, result.error.kind)
+                host.files.broken = False
+                result = await host.replica.propose(b"b")
+                self.assertEqual(ProposeErrorKind.STORAGE_FAILED, result.error.kind)
+                self.assertEqual(Role.FAILED, host.replica.status().role)
+                self.assertIn("injected", host.replica.status().disk)
+                self.assertEqual([], host.machine.commands)
+                await host.stop()
+
+        run_async(main())
+
+    def test_a_folder_in_use_leaves_it_out_of_service(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                (other,) = self.make_hosts([True])
+                await other.start()
+                self.assertEqual(ProposeErrorKind.STORAGE_FAILED, other.replica.failure.kind)
+                self.assertTrue((await other.replica.propose(b"x")).is_error())
+                await other.stop()
+                await host.stop()
+
+        run_async(main())
+
+    def test_a_stopped_replica_refuses(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                await host.stop()
+                result = await host.replica.propose(b"x")
+                self.assertEqual(ProposeErrorKind.STOPPED, result.error.kind)
+                self.assertTrue((await host.replica.read_barrier()).is_error())
+
+        run_async(main())
+
+
+class ThreeMemberTests(NodeCase):
+    def test_goes_on_after_the_leader_is_killed_and_takes_it_back(self):
+        async def main():
+            hosts = self.make_hosts([True, True, True])
+            async with self.formed(hosts) as leader:
+                self.assertTrue((await leader.replica.propose(b"one")).is_ok())
+                others = [host for host in hosts if host is not leader]
+                refused = await others[0].replica.propose(b"no")
+                self.assertEqual(
+                    (ProposeErrorKind.NOT_LEADER, leader.name),
+                    (refused.error.kind, refused.error.leader),
+                )
+                await leader.kill()
+                second = await self.leader_of(others)
+                self.assertTrue((await second.replica.propose(b"two")).is_ok())
+                await leader.start()
+                await self.same_state(hosts, [b"one", b"two"])
+
+        run_async(main())
+
+    def test_a_planned_stop_hands_leadership_on(self):
+        async def main():
+            hosts = self.make_hosts([True, True, False])
+            async with self.formed(hosts) as leader:
+                waiting = [asyncio.create_task(leader.replica.propose(b"x")) for _ in range(20)]
+                await asyncio.sleep(0)
+                loop = asyncio.get_running_loop()
+                began = loop.time()
+                await leader.stop()
+                others = [host for host in hosts if host is not leader]
+                await self.leader_of(others)
+                self.assertLess(loop.time() - began, 0.9)
+                self.assertTrue(all(answer.is_ok() for answer in await asyncio.gather(*waiting)))
+                await self.same_state(others, [b"x"] * 20)
+
+        run_async(main())
+
+    def test_a_host_that_lost_its_disk_comes_back_as_another_member(self):
+        async def main():
+            hosts = self.make_hosts([True, True, True], snapshot_every_entries=10)
+            async with self.formed(hosts) as leader:
+                lost = next(host for host in hosts if host is not leader)
+                before = lost.replica.status().incarnation
+                await lost.kill()
+                (self.folder / lost.name).rename(self.folder / "gone")
+                for n in range(30):
+                    self.assertTrue((await leader.replica.propose(b"%d" % n)).is_ok())
+                await lost.start()
+                self.assertNotEqual(before, lost.replica.status().incarnation)
+                await self.same_state(hosts, [b"%d" % n for n in range(30)])
+                await self.until(
+                    lambda: before not in str(leader.replica.status().members), "removal"
+                )
+
+        run_async(main())
--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -128,6 +128,16 @@
         """Return the term of the last entry in the local log."""
         return self._state.log.last_term
 
+    @property
+    def match_indexes(self) -> dict[MemberId, int]:
+        """Return up to where each member holds the log durably; empty unless this one leads."""
+        leading = self._state.leading
+        if leading is None:
+            return {}
+        held = {peer: progress.match_index for peer, progress in leading.peers.items()}
+        held[self.me.id] = self._state.log.synced_index
+        return held
+
     @property
     def next_deadline_ms(self) -> int:
         """Return when the next `Tick` is due."""
