--- a/packages/agateferry-state/agateferry_state/members/members.py
+++ b/packages/agateferry-state/agateferry_state/members/members.py
@@ -9,10 +9,10 @@
 import json
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from typing import NamedTuple
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class MemberId:
+class MemberId(NamedTuple):
     """One life of a host: its name and the incarnation of its data folder or process.
 
     An empty incarnation stands for whichever one runs now; only greetings are sent that way.
--- a/packages/agateferry-state/agateferry_state/members/quorum.py
+++ b/packages/agateferry-state/agateferry_state/members/quorum.py
@@ -34,9 +34,17 @@
 def can_commit(
     members: Members, holders: Collection[MemberId], superseded: Collection[MemberId]
 ) -> bool:
-    """Tell whether an entry that these voters hold durably is committed."""
+    """Tell whether an entry that these members hold durably is committed.
+
+    The disk copy may be that of a learner that takes the place of a superseded voter with a disk:
+    that voter can never come back to recover without it.
+    """
     enough = is_majority(members, holders) or is_everyone_left(members, holders, superseded)
-    return enough and _has_disk(members, holders)
+    if not enough:
+        return False
+    lost_hosts = {m.id.host for m in members.voters if m.has_disk and m.id in superseded}
+    successors = [m for m in members.learners if m.has_disk and m.id.host in lost_hosts]
+    return _has_disk(members, holders) or any(m.id in holders for m in successors)
 
 
 def highest(values: Mapping[MemberId, int], suffices: Callable[[set[MemberId]], bool]) -> int:
--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -1,7 +1,7 @@
 """How members of a running cell change, by the leader's own care or an operator's word.
 
-One change at a time, each committed before the next, and none before the leader committed an entry
-of its own term: the condition that corrects the single-server changes of the thesis (Ongaro,
+One change of voters at a time, each committed before the next, and none before the leader committed
+an entry of its own term: the condition that corrects the single-server changes of the thesis (Ongaro,
 "bug in single-server membership changes", raft-dev 2015).
 """
 
@@ -33,15 +33,14 @@
     leading = state.leading
     if leading is None or state.now_ms < leading.heartbeat_due_ms:
         return
-    if _is_change_open(state, leading):
-        return
-    if not state.is_voter:
+    is_settled = not _is_change_open(state, leading)
+    if is_settled and not state.is_voter:
         state.become_follower(state.term)
         return
     present = {host: p.member for host, p in state.present.items()}
-    caught_up = _caught_up(state, leading)
+    caught_up = _caught_up(state, leading) if is_settled else set()
     hosts = state.settings.first_host_names
-    members = next_change(state.log.members, present, caught_up, hosts)
+    members = next_change(state.log.members, present, caught_up, hosts, is_settled)
     if members is not None:
         leader.append(state, EntryKind.MEMBERS, members.encode())
 
--- a/packages/agateferry-state/agateferry_state/replication/leader.py
+++ b/packages/agateferry-state/agateferry_state/replication/leader.py
@@ -134,14 +134,12 @@
 
 
 def _last_known_to_witnesses(state: State, held: dict[MemberId, int]) -> int:
-    change = state.log.members_index
-    if change <= state.commit_index:
-        return state.log.last_index
-    old, new = state.log.previous_members, state.log.members
-    needed = witnesses_needed(old, new, state.superseded)
-    if all(held.get(m, 0) >= change for m in needed):
-        return state.log.last_index
-    return change - 1
+    if state.log.members_index > state.commit_index:
+        for at, old, new in state.log.changes_after(state.commit_index):
+            needed = witnesses_needed(old, new, state.superseded)
+            if any(held.get(m, 0) < at for m in needed):
+                return at - 1
+    return state.log.last_index
 
 
 def _confirm_round(state: State, leading: Leading) -> None:
--- a/packages/agateferry-state/agateferry_state/replication/leading.py
+++ b/packages/agateferry-state/agateferry_state/replication/leading.py
@@ -68,9 +68,9 @@
     def follow_members(self, members: Members, me: MemberId, next_index: int) -> None:
         """Keep a `Progress` for each peer, and for no one else."""
         wanted = {m.id for m in members.all} - {me}
-        for gone in set(self.peers) - wanted:
+        for gone in self.peers.keys() - wanted:
             del self.peers[gone]
-        for peer in wanted - set(self.peers):
+        for peer in sorted(wanted - self.peers.keys()):
             self.peers[peer] = Progress(next_index)
 
     def recently_acked(self, now_ms: int, within_ms: int) -> set[MemberId]:
--- a/packages/agateferry-state/agateferry_state/replication/log.py
+++ b/packages/agateferry-state/agateferry_state/replication/log.py
@@ -1,6 +1,7 @@
 """The log in memory: what it holds, what is durable, and which members it names."""
 
 from collections import deque
+from itertools import pairwise
 
 from agateferry_state.members import Members
 from agateferry_state.replication.messages import (
@@ -54,16 +55,16 @@
         """Return where the newest members stand."""
         return self._members[-1][0]
 
-    @property
-    def previous_members(self) -> Members:
-        """Return the members that the newest ones replaced."""
-        return self._members[-2][1] if len(self._members) > 1 else self.members
-
     @property
     def is_empty(self) -> bool:
         """Tell whether nothing was ever stored here."""
         return self.last_index == 0
 
+    def changes_after(self, index: int) -> list[tuple[int, Members, Members]]:
+        """Return each change of members after `index`: its place, and the members before and at it."""
+        pairs = pairwise(self._members)
+        return [(at, old, new) for (_, old), (at, new) in pairs if at > index]
+
     def members_at(self, index: int) -> Members:
         """Return the members in force as of an index that the log still covers."""
         return next(members for at, members in reversed(self._members) if at <= index)
@@ -93,9 +94,12 @@
         return tuple(batch)
 
     def last_index_up_to(self, index: int, term: int) -> int:
-        """Return the last place at or before `index` whose term is not above `term`."""
+        """Return the last place at or before `index` whose term is not above `term`.
+
+        Where that is before the start of the log, the answer is some place before it.
+        """
         place = min(index, self.last_index)
-        while place > self.base_index and (self.term_at(place) or 0) > term:
+        while place >= self.base_index and (self.term_at(place) or 0) > term:
             place -= 1
         return place
 
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -90,6 +90,8 @@
     @property
     def superseded(self) -> frozenset[MemberId]:
         """Return the voters on whose hosts another incarnation runs now."""
+        if not self.present:
+            return frozenset()
         return frozenset(m.id for m in self.log.members.voters if self.is_superseded(m.id))
 
     def is_superseded(self, member_id: MemberId) -> bool:
--- a/packages/agateferry-state/agateferry_state/replication/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/support.py
@@ -224,6 +224,8 @@
         self.at(delay, self.deliver, host, host.life, m.Tick())
 
     def _check_leases(self, host):
+        if not host.core.holds_lease(self.local_ms(host)):
+            return
         holders = [
             h.name
             for h in self.hosts.values()
