--- a/packages/agateferry-state/agateferry_state/members/admission.py
+++ b/packages/agateferry-state/agateferry_state/members/admission.py
@@ -24,15 +24,15 @@
 ) -> Members | None:
     """Return the members that should follow `members`, or None where all is well.
 
-    Where an earlier change is not committed yet, `is_settled` is false and only learners are let
-    in: they count in no majority, and after the loss of the only disk nothing can be committed
-    before its successor is one of them.
+    Where an earlier change is not committed yet, `is_settled` is false and only new incarnations
+    of known hosts are let in as learners: they count in no majority, and after the loss of the
+    only disk nothing can be committed before its successor is one of them.
 
     `present` has, for each host name, the member that proved to run there now. For example with
     voters a/1, b/1, c/1 and a/2 present, the answers are, one after the other: a/2 as learner, a/1
     removed, a/2 as voter.
     """
-    admitted = _admit(members, present, first_hosts)
+    admitted = _admit(members, present, first_hosts if is_settled else ())
     if admitted is not None or not is_settled:
         return admitted
     return _remove_doubled(members) or _promote(members, caught_up, first_hosts)
--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -1,8 +1,8 @@
 """How members of a running cell change, by the leader's own care or an operator's word.
 
 One change of voters at a time, each committed before the next, and none before the leader committed
-an entry of its own term: the condition that corrects the single-server changes of the thesis (Ongaro,
-"bug in single-server membership changes", raft-dev 2015).
+an entry of its own term: the condition that corrects the single-server changes of the thesis
+(Ongaro, "bug in single-server membership changes", raft-dev 2015).
 """
 
 from dataclasses import replace
--- a/packages/agateferry-state/agateferry_state/replication/log.py
+++ b/packages/agateferry-state/agateferry_state/replication/log.py
@@ -61,7 +61,7 @@
         return self.last_index == 0
 
     def changes_after(self, index: int) -> list[tuple[int, Members, Members]]:
-        """Return each change of members after `index`: its place, and the members before and at it."""
+        """Return the place of each change of members after `index`, and the members around it."""
         pairs = pairwise(self._members)
         return [(at, old, new) for (_, old), (at, new) in pairs if at > index]
 
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -0,0 +1,200 @@
+import random
+
+import testtools
+
+from agateferry_state.members import Member, MemberId
+from agateferry_state.replication import Core, Role, Settings, StoredState
+from agateferry_state.replication import messages as m
+from agateferry_state.replication.tests import faults
+from agateferry_state.replication.tests.support import SEEDS, Cluster, ViolationError
+
+
+class FormingTests(testtools.TestCase):
+    def test_empty_hosts_form_one_cell(self):
+        for seed in range(SEEDS):
+            cluster = Cluster(seed, formed=False)
+            for _ in range(2):
+                cluster.at(cluster.rng.randint(100, 3000), faults.kill, cluster)
+            cluster.run_until(5000)
+            cluster.heal()
+            try:
+                cluster.check_end()
+            except ViolationError as exc:
+                raise AssertionError(f"seed {seed}: {exc}") from exc
+
+    def test_an_empty_host_alone_does_not_form_a_cell(self):
+        cluster = Cluster(1, formed=False)
+        cluster.kill("b")
+        cluster.run_until(10_000)
+        self.assertEqual(0, max(h.core.last_index for h in cluster.hosts.values() if h.core))
+
+    def test_an_operator_can_start_a_cell(self):
+        cluster = Cluster(1, formed=False)
+        cluster.kill("b")
+        cluster.step(cluster.hosts["c"], m.BootstrapForced())
+        cluster.run_until(3000)
+        self.assertEqual("c", cluster.leader())
+
+
+class QuorumLossTests(testtools.TestCase):
+    def test_two_hosts_back_empty_at_once_wait_for_an_operator(self):
+        for seed in range(SEEDS):
+            cluster = Cluster(seed)
+            cluster.clients(1800)
+            cluster.run_until(2000)
+            left, *wiped = cluster.rng.sample(sorted(cluster.hosts), 3)
+            for name in wiped:
+                cluster.wipe(name)
+                cluster.at(cluster.rng.randint(1, 500), cluster.start, name)
+            accepted = len(cluster.history.acked)
+            cluster.clients(6000)
+            cluster.run_until(7000)
+            kept = list(cluster.hosts[left].machine)
+            self.assertEqual((None, accepted), (cluster.leader(), len(cluster.history.acked)))
+            self.recover(cluster, left)
+            self.assertEqual(kept, cluster.hosts[left].machine[: len(kept)])
+
+    def recover(self, cluster, left):
+        # Entries that only the lost disks held are given up, by the operator's word.
+        held = {i for i, _ in cluster.hosts[left].machine}
+        cluster.history.acked = {i: d for i, d in cluster.history.acked.items() if i in held}
+        cluster.history.places = {i: e for i, e in cluster.history.places.items() if i in held}
+        cluster.step(cluster.hosts[left], m.RecoveryForced())
+        cluster.check_end()
+
+
+class ReturnTests(testtools.TestCase):
+    def test_a_host_that_was_cut_off_long_does_not_disturb_the_others(self):
+        for seed in range(SEEDS):
+            cluster = Cluster(seed, loss=0.0)
+            cluster.run_until(2500)
+            leader = cluster.leader()
+            name = next(n for n in cluster.hosts if n != leader)
+            kind = seed % 3
+            if kind != 1:
+                cluster.cut |= {(name, other) for other in cluster.hosts}
+            if kind != 0:
+                cluster.cut |= {(other, name) for other in cluster.hosts}
+            cluster.run_until(14_000)
+            cluster.cut.clear()
+            term = cluster.hosts[leader].core.term
+            cluster.run_until(17_000)
+            core = cluster.hosts[leader].core
+            self.assertEqual((leader, term), (cluster.leader(), core.term))
+
+
+class TransferTests(testtools.TestCase):
+    def test_another_leads_at_once(self):
+        gaps = []
+        for seed in range(SEEDS):
+            cluster = Cluster(seed, loss=0.0)
+            cluster.clients(3000)
+            cluster.run_until(2500)
+            leader = cluster.leader()
+            cluster.step(cluster.hosts[leader], m.TransferLeadership())
+            began = cluster.now
+            while cluster.leader() in (None, leader) and cluster.now < began + 5000:
+                cluster.run_until(cluster.now + 5)
+            gaps.append(cluster.now - began)
+            cluster.check_end()
+        self.assertLess(sorted(gaps)[len(gaps) // 2], 100)
+
+
+class MemberChangeTests(testtools.TestCase):
+    def change(self, cluster, action, host):
+        core = cluster.hosts[cluster.leader()].core
+        member = Member(MemberId(host))
+        return cluster_step(cluster, m.MemberChangeRequested(1, action, member), core)
+
+    def test_a_removed_host_stays_out_until_it_is_admitted(self):
+        cluster = Cluster(3)
+        cluster.run_until(2500)
+        name = next(n for n in cluster.hosts if n != cluster.leader())
+        self.change(cluster, m.MemberAction.REMOVE, name)
+        cluster.run_until(12_000)
+        core = cluster.hosts[cluster.leader()].core
+        self.assertEqual(2, len(core.members.all))
+        self.change(cluster, m.MemberAction.ADMIT, name)
+        cluster.run_until(15_000)
+        self.assertTrue(cluster.is_whole())
+
+    def test_a_leader_can_be_removed(self):
+        cluster = Cluster(4)
+        cluster.run_until(2500)
+        first = cluster.leader()
+        self.change(cluster, m.MemberAction.REMOVE, first)
+        cluster.run_until(8000)
+        self.assertNotIn(cluster.leader(), (None, first))
+
+    def test_a_removal_that_would_stop_the_cell_is_refused(self):
+        cluster = Cluster(5)
+        cluster.run_until(2500)
+        others = [n for n in cluster.hosts if n != cluster.leader()]
+        cluster.kill(others[0])
+        cluster.run_until(4000)
+        effects = self.change(cluster, m.MemberAction.REMOVE, others[1])
+        self.assertIn(m.RejectReason.UNSAFE, [getattr(e, "reason", None) for e in effects])
+
+
+def cluster_step(cluster, event, core):
+    host = cluster.hosts[core.me.id.host]
+    effects = core.step(event, cluster.local_ms(host))
+    for effect in effects:
+        cluster.carry_out(host, effect)
+    return effects
+
+
+class SnapshotTransferTests(testtools.TestCase):
+    def test_a_transfer_survives_the_loss_of_either_side(self):
+        settings = {"snapshot_every_entries": 10, "trailing_entries": 2, "snapshot_chunk_bytes": 64}
+        for seed in range(SEEDS // 5):
+            cluster = Cluster(seed, **settings)
+            cluster.clients(6000, every=60)
+            cluster.run_until(2500)
+            name = next(n for n in sorted(cluster.hosts) if n != cluster.leader())
+            cluster.kill(name)
+            cluster.run_until(4500)
+            cluster.start(name)
+            side = cluster.leader() or name if seed % 2 else name
+            cluster.at(cluster.rng.randint(5, 400), cluster.kill, side)
+            cluster.at(cluster.rng.randint(500, 900), cluster.start, side)
+            cluster.run_until(7000)
+            cluster.check_end()
+
+
+class DiskFailureTests(testtools.TestCase):
+    def test_a_failed_sync_ends_taking_part(self):
+        member = Member(MemberId("a", "1"))
+        core = Core(member, Settings(first_hosts=(member,)), StoredState(), random.Random(1), 0)
+        core.step(m.BootstrapForced(), 0)
+        core.step(m.SyncFailed(), 1)
+        effects = core.step_all((m.Proposed(1, b"x"), m.ReadRequested(2), m.Tick()), 5000)
+        reasons = [e.reason for e in effects if hasattr(e, "reason")]
+        self.assertEqual([m.RejectReason.STORAGE_FAILED] * 2, reasons)
+        self.assertEqual(Role.FAILED, core.role)
+
+    def test_a_log_that_is_newer_than_the_stored_term_is_refused(self):
+        member = Member(MemberId("a", "1"))
+        entries = (m.LogEntry(1, 4, m.EntryKind.NOOP),)
+        with testtools.ExpectedException(ValueError):
+            Core(member, Settings(), StoredState(term=3, entries=entries), random.Random(1), 0)
+
+
+class FailoverTests(testtools.TestCase):
+    def test_time_without_leader_after_a_kill(self):
+        gaps = []
+        for seed in range(SEEDS):
+            cluster = Cluster(seed, loss=0.0)
+            cluster.run_until(2500 + seed % 300)
+            cluster.kill(cluster.leader())
+            began = cluster.now
+            while cluster.leader() is None:
+                if cluster.now > began + 10_000:
+                    raise ViolationError("no leader")
+                cluster.run_until(cluster.now + 5)
+            gaps.append(cluster.now - began)
+        gaps.sort()
+        median, late = gaps[len(gaps) // 2], gaps[len(gaps) * 99 // 100]
+        print(f"without leader after a kill: median {median} ms, p99 {late} ms, max {gaps[-1]} ms")
+        self.assertLess(median, 1500)
+        self.assertLess(late, 3000)
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
@@ -1,5 +1,6 @@
 import testtools
 
+from agateferry_state.replication.lease import Lease
 from agateferry_state.replication.tests import faults
 from agateferry_state.replication.tests.support import SEEDS, Cluster
 
@@ -22,6 +23,12 @@
     def test_kill_all(self):
         sweep(lambda c: [faults.kill_all])
 
+    def test_voters_are_killed(self):
+        sweep(lambda c: [faults.kill_voters])
+
+    def test_lose_disk_while_one_lags(self):
+        sweep(lambda c: [faults.lose_disk_while_one_lags])
+
     def test_lose_disk(self):
         sweep(lambda c: [faults.lose_disk])
 
@@ -47,6 +54,35 @@
         sweep(lambda c: [faults.leap_clock])
 
 
+class PlantedFaultTests(testtools.TestCase):
+    """The checker finds faults that are put in on purpose."""
+
+    def assert_found(self, fault, pattern, **planted):
+        for name, value in planted.items():
+            self.patch(Cluster, name, value)
+        with testtools.ExpectedException(AssertionError, pattern):
+            sweep(lambda c: [fault])
+
+    def test_vote_is_not_synced(self):
+        self.assert_found(faults.kill_voters, ".*(went down|voted twice)", loses_votes=True)
+
+    def test_incarnation_is_not_checked(self):
+        pattern = ".*(two entries|is lost|went down)"
+        self.assert_found(faults.lose_disk_while_one_lags, pattern, keeps_incarnation=True)
+
+    def test_entries_are_not_synced(self):
+        self.assert_found(faults.kill_all, ".*(two entries|is lost)", skips_sync=True)
+
+    def test_read_without_the_lease(self):
+        self.patch(Lease, "is_valid", lambda lease, now_ms: True)
+        self.patch(Cluster, "_check_leases", lambda cluster, host: None)
+        self.assert_found(faults.cut_off, ".*read .* after")
+
+    def test_leads_without_the_lease(self):
+        self.patch(Lease, "is_valid", lambda lease, now_ms: True)
+        self.assert_found(faults.cut_off, ".*(hold the lease|read)")
+
+
 class PairTests(testtools.TestCase):
     """Two faults, drawn by the seed."""
 
