--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -1,8 +1,8 @@
 """How members of a running cell change, by the leader's own care or an operator's word.
 
-One change at a time, each committed before the next, and none before the leader committed an entry
-of its own term: the condition that corrects the single-server changes of the thesis (Ongaro,
-"bug in single-server membership changes", raft-dev 2015).
+One change of voters at a time, each committed before the next, and none before the leader committed
+an entry of its own term: the condition that corrects the single-server changes of the thesis
+(Ongaro, "bug in single-server membership changes", raft-dev 2015).
 """
 
 from dataclasses import replace
@@ -33,15 +33,14 @@
     leading = state.leading
     if leading is None or state.now_ms < leading.heartbeat_due_ms:
         return
-    if _is_change_open(state, leading):
-        return
-    if not state.is_voter:
+    is_settled = not _is_change_open(state, leading)
+    if is_settled and not state.is_voter:
         state.become_follower(state.term)
         return
     present = {host: p.member for host, p in state.present.items()}
-    caught_up = _caught_up(state, leading)
+    caught_up = _caught_up(state, leading) if is_settled else set()
     hosts = state.settings.first_host_names
-    members = next_change(state.log.members, present, caught_up, hosts)
+    members = next_change(state.log.members, present, caught_up, hosts, is_settled)
     if members is not None:
         leader.append(state, EntryKind.MEMBERS, members.encode())
 
@@ -67,17 +66,19 @@
 
 
 def recover(state: State, event: RecoveryForced) -> None:
-    """Make this member the only voter and lead; the others may catch up from it as learners."""
-    if state.role is Role.LEADER:
+    """Make this member the only voter and lead, where every other voter is named as lost."""
+    old = state.log.members
+    others = tuple(m.id for m in old.all if m.id != state.me.id)
+    gone = event.lost | state.superseded | {m.id for m in old.learners} | {state.me.id}
+    reason = RejectReason.NOT_NEEDED if state.role is Role.LEADER else RejectReason.UNSAFE
+    if state.role is Role.LEADER or not old.voter_ids <= gone:
+        state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
         return
-    others = tuple(
-        m
-        for m in state.log.members.all
-        if m.id != state.me.id and m.id not in event.lost and not state.is_superseded(m.id)
-    )
-    members = replace(state.log.members, voters=(state.me,), learners=others, is_forming=False)
+    given_up = (*old.given_up, *others)
+    members = Members(voters=(state.me,), removed=old.removed, given_up=given_up)
     state.enter_term(state.term + RECOVERY_TERM_STEP, state.me.id)
     leader.start(state, members)
+    state.emit(ProposalAccepted(event.proposal_id, state.log.members_index, state.term))
 
 
 def _is_change_open(state: State, leading: Leading) -> bool:
