--- a/packages/agateferry-standins/agateferry_standins/soak.py
+++ b/packages/agateferry-standins/agateferry_standins/soak.py
@@ -15,7 +15,7 @@
 from agateferry_standins.callers import Load, Tally, run_load
 from agateferry_standins.callers.tally import Verdict
 from agateferry_standins.deployment import LAGERTELLER, PlanError, StartError, System, make_plan
-from agateferry_standins.report import say, tell_run
+from agateferry_standins.report import quiet_logs, say, tell_run
 from agateferry_standins.worker import StartLog
 
 DEFAULT_S = 60
@@ -62,6 +62,7 @@
 
 def main() -> int:
     """Read the environment, run and return the exit code."""
+    quiet_logs()
     total_s = int(os.environ.get("AGATEFERRY_SOAK_S", DEFAULT_S))
     seed = int(os.environ.get("AGATEFERRY_SOAK_SEED", 1))
     with tempfile.TemporaryDirectory(prefix="agateferry-soak-") as folder:
--- a/packages/agateferry-standins/agateferry_standins/worker/announcer.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/announcer.py
@@ -50,7 +50,7 @@
         self._due = asyncio.Event()
         self._log = EventLogger(worker=name)
         self.accepted = 0
-        self.failed = 0
+        self.failed_in_row = 0
 
     def at_once(self) -> None:
         """Ask for an announcement as soon as possible."""
@@ -87,13 +87,15 @@
                 detail = f"{resp.status} {await resp.text()}"
         except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
             detail = repr(exc)
-        self.failed += 1
         self._next += 1
-        self._log.info(ANNOUNCE_FAILED, entry=entry, detail=detail)
+        self.failed_in_row += 1
+        if self.failed_in_row == 1:
+            self._log.info(ANNOUNCE_FAILED, entry=entry, detail=detail)
         return False
 
     def _obey(self, body: dict[str, Any]) -> None:
         self.accepted += 1
+        self.failed_in_row = 0
         self._heartbeat_ms = int(body["heartbeat_ms"])
         self._worker.obey(
             Instructions(
