Write the README, the pages and the catalogue of log events

Cause: a newcomer needs a way in, operators a page for records, and the pages must not drift from the code. tools/events.py makes docs/events.md; tests compare the events, settings, exit codes, verbs, links, and the quickstart's settings and records with the code.

--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 
 generate: setup
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/events.py
 
 demo: setup
 	$(BIN)/python -m agateferry_standins.demo
--- a/packages/agateferry-cli/agateferry_cli/client/problems.py
+++ b/packages/agateferry-cli/agateferry_cli/client/problems.py
@@ -7,6 +7,7 @@
 CODES_BY_REASON = {
     "unknown-team": ExitCode.REFUSED,
     "unknown-job": ExitCode.REFUSED,
+    "unknown-zone": ExitCode.REFUSED,
     "infeasible": ExitCode.REFUSED,
     "key-reused": ExitCode.CONFLICT,
     "version-conflict": ExitCode.CONFLICT,
--- a/packages/agateferry-cli/agateferry_cli/client/waiting.py
+++ b/packages/agateferry-cli/agateferry_cli/client/waiting.py
@@ -3,12 +3,12 @@
 import asyncio
 from collections.abc import Callable
 
-from agateferry_core.clock import Clock, SystemClock
 from expression import Error, Result
 
 from agateferry_cli.client.client import Answer, Client
 from agateferry_cli.client.failures import ExitCode, Failure
 from agateferry_cli.client.views import RequestView, request_path, request_view
+from agateferry_core.clock import Clock, SystemClock
 
 HELD_WAIT_S = 5
 POLL_PAUSE_MS = 250
--- a/packages/agateferry-cli/agateferry_cli/output/progress.py
+++ b/packages/agateferry-cli/agateferry_cli/output/progress.py
@@ -3,9 +3,8 @@
 import sys
 from typing import TextIO
 
-from agateferry_core.clock import Clock, SystemClock
-
 from agateferry_cli.client.views import RequestView
+from agateferry_core.clock import Clock, SystemClock
 
 MS_PER_S = 1_000
 CLEAR_LINE = "\r\x1b[2K"
--- a/packages/agateferry-cli/agateferry_cli/verbs/check_config.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/check_config.py
@@ -2,10 +2,9 @@
 
 from pathlib import Path
 
-from agateferry_service.settings import Problem, Settings, load_settings
-
 from agateferry_cli.client import ExitCode, Failure
 from agateferry_cli.output import Output
+from agateferry_service.settings import Problem, Settings, load_settings
 
 
 def check_config(*files: Path, json: bool = False) -> int:
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_requests.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_requests.py
@@ -1,11 +1,10 @@
 import io
 from unittest import mock
 
-from agateferry_core.support import free_port
-
 from agateferry_cli.client import ExitCode
 from agateferry_cli.verbs import submit
 from agateferry_cli.verbs.tests.case import VerbCase
+from agateferry_core.support import free_port
 
 SUBMIT = ("POST", "/v1/requests")
 ONE = "/v1/requests/vestland-1.4f"
