--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 generate: setup
 	$(BIN)/python tools/generate.py
 	$(BIN)/python tools/events.py
+	$(BIN)/python tools/settings.py
 
 demo: setup
 	$(BIN)/python -m agateferry_standins.demo
--- a/packages/agateferry-cli/agateferry_cli/client/client.py
+++ b/packages/agateferry-cli/agateferry_cli/client/client.py
@@ -19,7 +19,7 @@
 CONNECT_TIMEOUT_S = 3
 ANSWER_TIMEOUT_S = 10
 BAD_REQUEST = 400
-UNAVAILABLE = 503
+STALE_HEADER = "Agateferry-Stale"
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,10 +40,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """A host's answer to a call, with its JSON body."""
+    """A host's answer to a call, with its JSON body.
+
+    `is_stale` tells that the host could not reach the records plane and answered from its zone's
+    copy, which may be behind.
+    """
 
     status: int
     body: Any
+    is_stale: bool = False
 
 
 class Client:
@@ -124,6 +129,6 @@
         advice = "Check that the address is a port of agateferryd and not of another service."
         return Error(Failure(ExitCode.USAGE, text, advice))
     if response.status < BAD_REQUEST:
-        return Ok(Answer(response.status, body))
+        return Ok(Answer(response.status, body, STALE_HEADER in response.headers))
     retry_after = response.headers.get("Retry-After", "")
     return Error(failure_of(response.status, body, retry_after))
--- a/packages/agateferry-cli/agateferry_cli/output/output.py
+++ b/packages/agateferry-cli/agateferry_cli/output/output.py
@@ -46,6 +46,10 @@
         """Write one line for people."""
         self._out.write(text + "\n")
 
+    def note(self, text: str) -> None:
+        """Write a remark on an answer to standard error."""
+        self._err.write(f"agateferry: {text}\n")
+
     def failure(self, failure: Failure) -> ExitCode:
         """Write a failure to standard error and return its exit code."""
         if self.as_json:
--- a/packages/agateferry-cli/agateferry_cli/tests/test_pages.py
+++ b/packages/agateferry-cli/agateferry_cli/tests/test_pages.py
@@ -28,18 +28,6 @@
     return module
 
 
-def setting_row(setting):
-    if setting.required:
-        default = "required"
-    elif setting.default is None:
-        default = "absent"
-    else:
-        default = f"`{str(setting.default).lower()}`"
-    allowed = setting.allowed().removeprefix("needs ").removesuffix(f" ({setting.unit})")
-    cells = (f"`{setting.key}`", default, setting.unit or "-", allowed, setting.meaning)
-    return f"| {' | '.join(cells)} |"
-
-
 class EventsPageTests(testtools.TestCase):
     def test_lists_what_the_code_declares(self):
         self.assertEqual(load_tool("events").page(), page("docs/events.md"))
@@ -52,9 +40,16 @@
 
 
 class SettingsPageTests(testtools.TestCase):
-    def test_has_a_row_for_each_setting(self):
-        rows = [line for line in page("docs/settings.md").splitlines() if line.startswith("| `")]
-        self.assertEqual([setting_row(setting) for setting in SETTINGS], rows)
+    def test_has_the_rows_of_the_table(self):
+        self.assertEqual(load_tool("settings").page(), page("docs/settings.md"))
+
+    def test_names_every_setting_with_its_default(self):
+        text = page("docs/settings.md")
+        for setting in SETTINGS:
+            start = f"| `{setting.key}` | "
+            self.assertIn(start, text)
+            if setting.default is not None:
+                self.assertIn(f"{start}`{str(setting.default).lower()}`", text)
 
 
 class CommandPageTests(testtools.TestCase):
--- a/packages/agateferry-cli/agateferry_cli/verbs/replay.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/replay.py
@@ -1,44 +1,57 @@
 """`agateferry replay`: replay a recorded trace through the scheduler's core."""
 
 import importlib
+from dataclasses import asdict
 from pathlib import Path
-from types import ModuleType
+from typing import Any, Literal
 
 from expression import Error, Ok, Result
 
 from agateferry_cli.client import ExitCode, Failure
 from agateferry_cli.output import Output
 
-TRACES = "agateferry_scheduling.traces"
-ENTRY = "replay_file"
+MODULE = "agateferry_scheduling.traces.replay"
+SAMPLES = "samples"
 
 
-def replay(trace: Path, *, json: bool = False) -> int:
-    """Replay a recorded trace and show what came of it.
+def replay(
+    trace: Path,
+    *,
+    policy: Literal["fair", "baseline"] = "fair",
+    json: bool = False,
+) -> int:
+    """Replay a recorded trace and show what was measured; a broken invariant exits with 1.
 
     :param trace: file of JSON lines that a daemon recorded or that was written by hand
+    :param policy: scheduler to replay it with
     :param json: print the report as JSON
     """
     output = Output(json)
-    return _replay(trace, output).default_with(output.failure)
+    return _replay(trace, policy, output).default_with(output.failure)
 
 
-def _replay(trace: Path, output: Output) -> Result[ExitCode, Failure]:
+def _replay(trace: Path, policy: str, output: Output) -> Result[ExitCode, Failure]:
     if not trace.is_file():
         advice = "Name a trace; recording.trace_file in the settings records one."
         return Error(Failure(ExitCode.USAGE, f"{trace} is not a file", advice))
-    module = _module()
-    if module is None:
-        advice = "Install a version of agateferry-scheduling that can replay."
-        return Error(Failure(ExitCode.USAGE, f"{TRACES}.{ENTRY} is not there", advice))
-    report = getattr(module, ENTRY)(trace)
-    output.json(report)
-    return Ok(ExitCode.OK)
-
-
-def _module() -> ModuleType | None:
     try:
-        module = importlib.import_module(TRACES)
+        module = importlib.import_module(MODULE)
     except ModuleNotFoundError:
-        return None
-    return module if hasattr(module, ENTRY) else None
+        advice = "Install a version of agateferry-scheduling that can replay."
+        return Error(Failure(ExitCode.USAGE, f"{MODULE} is not installed", advice))
+    try:
+        report = module.replay(trace, module.Policy(policy))
+    except (ValueError, UnicodeDecodeError) as exc:
+        advice = "Mend the line, or record the trace anew."
+        return Error(Failure(ExitCode.USAGE, f"{trace} is not a trace: {exc}", advice))
+    return Ok(_show(report, output))
+
+
+def _show(report: Any, output: Output) -> ExitCode:
+    if output.as_json:
+        fields = asdict(report)
+        fields.pop(SAMPLES, None)
+        output.json(fields)
+    else:
+        output.table((report.trace, report.policy), report.rows(), "Nothing was measured.")
+    return ExitCode.REQUEST_FAILED if report.broken else ExitCode.OK
--- a/packages/agateferry-cli/agateferry_cli/verbs/run.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/run.py
@@ -8,6 +8,8 @@
 from agateferry_cli.client import Answer, Client, ExitCode, Failure, Port, resolve_addresses
 from agateferry_cli.output import Output
 
+STALE_NOTE = "the records plane is out of reach; this is the zone's copy and may be behind"
+
 Verb = Callable[[Client], Awaitable[Result[ExitCode, Failure]]]
 Shown = Callable[[Answer], Result[ExitCode, Failure]]
 
@@ -40,6 +42,8 @@
 
 def show_answer(output: Output, answer: Answer, shown: Shown) -> Result[ExitCode, Failure]:
     """Print an answer in the output's form."""
+    if answer.is_stale:
+        output.note(STALE_NOTE)
     if output.as_json:
         output.json(answer.body)
         return Ok(ExitCode.OK)
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
@@ -1,9 +1,11 @@
 import tempfile
+from dataclasses import dataclass
 from pathlib import Path
 from unittest import mock
 
 from agateferry_cli import main as main_module
 from agateferry_cli.client import ExitCode
+from agateferry_cli.verbs import replay
 from agateferry_cli.verbs.tests.case import VerbCase
 
 SETTINGS = """
@@ -77,3 +79,44 @@
                 argv = [part for part in (name, inner) if part]
                 self.assertEqual(ExitCode.OK, self.run_verb(*argv, "--help"))
                 self.assertIn("--json", self.out)
+
+
+@dataclass
+class FakeReport:
+    trace: str = "storm"
+    policy: str = "fair"
+    broken: str | None = None
+    samples: tuple = ()
+
+    def rows(self):
+        return [("fragmentation", "1.00 %")]
+
+
+class ReplayTests(LocalCase):
+    def replay(self, report, *argv):
+        trace = self.file("storm.jsonl", "")
+        module = mock.Mock()
+        module.replay.return_value = report
+        with mock.patch.object(replay.importlib, "import_module", return_value=module):
+            code = self.run_verb("replay", trace, *argv)
+        self.assertEqual(trace, module.replay.call_args.args[0])
+        return code
+
+    def test_shows_the_report(self):
+        self.assertEqual(ExitCode.OK, self.replay(FakeReport()))
+        self.assertRegex(self.out, r"fragmentation +1.00 %")
+
+    def test_a_broken_invariant_is_told_by_the_exit_code(self):
+        report = FakeReport(broken="at 5 ms: x")
+        self.assertEqual(ExitCode.REQUEST_FAILED, self.replay(report, "--json"))
+        self.assertEqual("at 5 ms: x", self.json_out()["broken"])
+
+    def test_a_missing_trace_says_where_traces_come_from(self):
+        self.assertEqual(ExitCode.USAGE, self.run_verb("replay", self.folder / "none.jsonl"))
+        self.assertIn("recording.trace_file", self.err)
+
+    def test_a_missing_module_is_a_clear_error(self):
+        trace = self.file("storm.jsonl", "")
+        with mock.patch.object(replay, "MODULE", "agateferry_scheduling.nothing"):
+            self.assertEqual(ExitCode.USAGE, self.run_verb("replay", trace))
+        self.assertIn("is not installed", self.err)
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_records.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_records.py
@@ -82,3 +82,9 @@
         self.assertEqual(ExitCode.OK, self.records(host, "status"))
         for line in (r"a1 +a +12 +in force", r"b1 +b +9 +behind", r"c1 +c +unreachable"):
             self.assertRegex(self.out, line)
+
+    def test_a_copy_that_may_be_behind_is_noted(self):
+        stale = {"Agateferry-Stale": "true"}
+        host = self.host({("GET", PATH): [(200, RECORD, stale)]})
+        self.assertEqual(ExitCode.OK, self.records(host, "get", "job", "barn-count"))
+        self.assertIn("may be behind", self.err)
