--- a/packages/agateferry-state/agateferry_state/records/codec.py
+++ b/packages/agateferry-state/agateferry_state/records/codec.py
@@ -1,6 +1,6 @@
 """Bytes of revisions, puts and whole stores, for logs, snapshots and messages between hosts.
 
-The form is JSON. What is decoded was checked when it was accepted and is not checked again, so that
+The form is JSON, and a snapshot is JSON lines. What is decoded was checked when it was accepted and is not checked again, so that
 a later and stricter check cannot keep a host from reading its own state.
 """
 
@@ -61,18 +61,28 @@
     return tuple(_revision(fields) for fields in json.loads(data))
 
 
-def encode_store(revision: int, revisions: Iterable[Revision]) -> bytes:
-    """Return a snapshot of a store."""
-    kept = [_revision_fields(one) for one in revisions]
-    return _dump({"form": FORM, "revision": revision, "revisions": kept})
+def encode_revision(revision: Revision) -> bytes:
+    """Return one revision as a line of a snapshot."""
+    return _dump(_revision_fields(revision))
 
 
-def decode_store(data: bytes) -> tuple[int, tuple[Revision, ...]]:
-    """Return the newest revision number and the kept revisions of a snapshot."""
-    fields = json.loads(data)
+def decode_revision(line: bytes) -> Revision:
+    """Return the revision of a line that `encode_revision` made."""
+    return _revision(json.loads(line))
+
+
+def encode_store(revision: int, lines: Iterable[bytes]) -> bytes:
+    """Return a snapshot: a line with the newest revision number, then one for each revision."""
+    return b"\n".join((_dump({"form": FORM, "revision": revision}), *lines))
+
+
+def decode_store(data: bytes) -> tuple[int, list[bytes]]:
+    """Return the newest revision number of a snapshot and the lines of its revisions."""
+    head, *lines = data.split(b"\n")
+    fields = json.loads(head)
     if fields["form"] != FORM:
         raise ValueError(f"a snapshot of records has form {fields['form']}, known is {FORM}")
-    return int(fields["revision"]), tuple(_revision(one) for one in fields["revisions"])
+    return int(fields["revision"]), lines
 
 
 def _dump(fields: Any) -> bytes:
--- a/packages/agateferry-state/agateferry_state/records/schema_v2.py
+++ b/packages/agateferry-state/agateferry_state/records/schema_v2.py
@@ -146,18 +146,41 @@
 
 def show_job(record: JobRecord) -> dict[str, Any]:
     """Return a job as JSON."""
-    return asdict(record)
+    demand = record.demand
+    return {
+        "urgency": record.urgency,
+        "idempotent": record.idempotent,
+        "demand": {
+            "members": demand.members,
+            "accelerators": demand.accelerators,
+            "cpu_cores": demand.cpu_cores,
+            "memory_mb": demand.memory_mb,
+            "adjacency": demand.adjacency,
+        },
+        "declared_run_ms": record.declared_run_ms,
+        "preemptible": record.preemptible,
+        "checkpointable": record.checkpointable,
+        "max_attempts": record.max_attempts,
+    }
 
 
 def show_team(record: TeamRecord) -> dict[str, Any]:
     """Return a team as JSON."""
     guarantees = [
-        {"zone": entry.zone, "shapes": [asdict(shape) for shape in entry.shapes]}
+        {"zone": entry.zone, "shapes": [_show_shape(shape) for shape in entry.shapes]}
         for entry in record.guarantees
     ]
     return {"weight": record.weight, "max_queued": record.max_queued, "guarantees": guarantees}
 
 
+def _show_shape(shape: Shape) -> dict[str, Any]:
+    return {
+        "accelerators": shape.accelerators,
+        "adjacency": shape.adjacency,
+        "count": shape.count,
+    }
+
+
 def show_config(record: ConfigRecord) -> dict[str, Any]:
     """Return a configuration as JSON, without the fields that are at their defaults."""
     return {name: value for name, value in asdict(record).items() if value is not None}
--- a/packages/agateferry-state/agateferry_state/records/store.py
+++ b/packages/agateferry-state/agateferry_state/records/store.py
@@ -33,12 +33,14 @@
     """Hold every record with its last `MAX_KEPT_VERSIONS` versions.
 
     The records plane drives a store by `put`. A zone's cell drives one by `adopt`, with revisions
-    that it copied from the records plane.
+    that it copied from the records plane. Each revision is encoded once, when it comes in, so that
+    a snapshot of many does not hold up the loop.
     """
 
     def __init__(self) -> None:
         self._revision = 0
         self._versions: dict[Key, list[Revision]] = {}
+        self._lines: dict[int, bytes] = {}
 
     @property
     def revision(self) -> int:
@@ -90,23 +92,23 @@
         changes = []
         for one in sorted(revisions, key=lambda revision: revision.number):
             if one.number > self._revision:
-                self._append(one)
+                self._append(one, codec.encode_revision(one))
                 changes.append(one)
         return tuple(changes)
 
     def snapshot(self) -> bytes:
         """Return the whole store in a form that `restore` takes."""
-        kept = (one for versions in self._versions.values() for one in versions)
-        return codec.encode_store(self._revision, sorted(kept, key=lambda one: one.number))
+        return codec.encode_store(self._revision, self._lines.values())
 
     def restore(self, data: bytes) -> None:
         """Replace the whole store by a snapshot, which must not be older than the store."""
-        revision, revisions = codec.decode_store(data)
+        revision, lines = codec.decode_store(data)
         if revision < self._revision:
             raise ValueError(f"a snapshot of revision {revision} is older than {self._revision}")
         self._versions = {}
-        for one in revisions:
-            self._versions.setdefault((one.kind, one.name), []).append(one)
+        self._lines = {}
+        for line in lines:
+            self._append(codec.decode_revision(line), line)
         self._revision = revision
 
     def _find_version(self, kind: Kind, name: str, version: int) -> Revision | None:
@@ -133,13 +135,15 @@
             digest,
             put.operator,
         )
-        self._append(revision)
+        self._append(revision, codec.encode_revision(revision))
         return Accepted(revision)
 
-    def _append(self, revision: Revision) -> None:
+    def _append(self, revision: Revision, line: bytes) -> None:
         versions = self._versions.setdefault((revision.kind, revision.name), [])
         versions.append(revision)
-        del versions[:-MAX_KEPT_VERSIONS]
+        self._lines[revision.number] = line
+        if len(versions) > MAX_KEPT_VERSIONS:
+            del self._lines[versions.pop(0).number]
         self._revision = revision.number
 
 
