--- a/packages/agateferry-state/agateferry_state/records/codec.py
+++ b/packages/agateferry-state/agateferry_state/records/codec.py
@@ -1,7 +1,8 @@
 """Bytes of revisions, puts and whole stores, for logs, snapshots and messages between hosts.
 
-The form is JSON, and a snapshot is JSON lines. What is decoded was checked when it was accepted and is not checked again, so that
-a later and stricter check cannot keep a host from reading its own state.
+The form is JSON, and a snapshot is JSON lines. What is decoded was checked when it was accepted and
+is not checked again, so that a later and stricter check cannot keep a host from reading its own
+state.
 """
 
 import json
