Move checkpointable work together, and pack before using a team's own cells

Cause: each team's small work opened a worker of its own cells, and stragglers kept workers and racks broken. Change: free packing is weighed before the team's own empty cell, and checkpointable work moves when that grows the sum of squares of free accelerators; urgent claims leave time for a checkpoint.

--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
@@ -29,6 +29,7 @@
     WorkerLeaving,
     WorkerLost,
 )
+from agateferry_scheduling.scheduler.moving import Mover
 from agateferry_scheduling.scheduler.starting import Starter
 from agateferry_scheduling.scheduler.zone import ZoneState
 
@@ -46,6 +47,7 @@
         self.zone = ZoneState(zone, config or SchedulingConfig())
         self._admission = Admission(self.zone)
         self._starter = Starter(self.zone)
+        self._mover = Mover(self.zone)
         self._at_risk: tuple[str, ...] = ()
         self._passed_version = -1
         self._passed_ms = 0
@@ -72,7 +74,7 @@
             case RequestWithdrawn(request_id=request_id):
                 self._withdraw(request_id)
             case Tick():
-                return self._admission.expire(now_ms)
+                return self._admission.expire(now_ms) + self._mover.look(now_ms)
             case _:
                 self._take_change(event)
         return []
@@ -99,6 +101,8 @@
 
     def _queue(self, request: PendingRequest, now_ms: int) -> list[Decision]:
         decisions = self._admission.admit(request, now_ms)
+        if not decisions:
+            decisions = self._mover.resume(request, now_ms)
         group = self.zone.queue.by_request.get(request.request_id)
         if group is None or next(iter(group.requests)) != request.request_id:
             return decisions
@@ -107,6 +111,7 @@
     def _withdraw(self, request_id: str) -> None:
         self.zone.queue.remove(request_id)
         self.zone.health.forget(request_id)
+        self._mover.forget(request_id)
         if self.zone.claims.remove(request_id) is not None:
             self.zone.release(request_id)
 
@@ -119,6 +124,8 @@
             return []
         request = allocation.request
         changes: list[Quarantine] = []
+        if event.reason is not EndReason.PREEMPTED:
+            self._mover.forget(event.request_id)
         if event.reason is EndReason.FINISHED:
             self.zone.estimates.learn(request, event.run_ms)
             changes = self.zone.health.succeeded(request, tuple(allocation.counts))
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -10,9 +10,9 @@
 
 from agateferry_scheduling.placement.first_fit import Counts
 from agateferry_scheduling.preemption.claims import Claim
-from agateferry_scheduling.preemption.victims import Plan
+from agateferry_scheduling.preemption.victims import CHECKPOINT_COST_MS, Plan
 from agateferry_scheduling.queueing import Group, is_large
-from agateferry_scheduling.queueing.reservation import reserve
+from agateferry_scheduling.queueing.reservation import Reservation, reserve
 from agateferry_scheduling.scheduler.finder import Finder, backing_of
 from agateferry_scheduling.scheduler.messages import Decision, PendingRequest, Preempt, Start
 from agateferry_scheduling.scheduler.zone import ZoneState
@@ -24,11 +24,11 @@
 STARTS_PER_PASS = 32
 ROUNDS_PER_PASS = 6
 RECLAIM_RETRY_MS = 1_000
-RESERVATION_REFRESH_MS = 30_000
-RESERVATION_CHECK_MS = 1_000
+RESERVATION_CHECK_MS = 5_000
 PATIENCE_MS = 120_000
 SIZE_RANK = 0.2
 WORKERS_WEIGHED = 12
+URGENT_MARGIN_MS = 300
 
 
 class Starter:
@@ -37,7 +37,7 @@
     def __init__(self, zone: ZoneState) -> None:
         self._zone = zone
         self._find = Finder(zone)
-        self._reserved_ms = -1
+        self._reserved_ms = -RESERVATION_CHECK_MS
 
     def start_ready(self, now_ms: int) -> list[Decision]:
         """Start the claims whose workers have become vacant."""
@@ -113,22 +113,25 @@
         return found
 
     def _start_now(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
-        if self._may_use_cells(request):
-            counts = self._find.within_cells(request)
+        counts = self._find.within_cells(request) if self._may_use_cells(request) else None
+        if not request.preemptible:
             if counts is not None:
                 return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
-        if not request.preemptible:
             return self._start_pinned(group, request, now_ms)
-        counts = self._find.free(request, now_ms)
-        if counts is None:
+        if counts is not None and not self._find.breaks_whole(counts):
+            return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
+        free = self._find.free(request, now_ms)
+        if counts is not None and (free is None or self._find.breaks_whole(free)):
+            return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
+        if free is None:
             group.waits_for = f"{_wanted(request)} free at the same time"
             return []
-        if self._is_patient(request, counts, now_ms):
+        if self._is_patient(request, free, now_ms):
             group.waits_for = "room on a worker that is already in use"
             return []
-        covered = request.demand.accelerators > 0 and self._find.cover(request, counts)
+        covered = request.demand.accelerators > 0 and self._find.cover(request, free)
         backing = Backing.GUARANTEED if covered else Backing.BORROWED
-        return [self._start(request, counts, backing, now_ms)]
+        return [self._start(request, free, backing, now_ms)]
 
     def _start_pinned(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
         counts = self._find.outside_cells(request, now_ms)
@@ -140,7 +143,11 @@
     def _take_back(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
         if now_ms - group.reclaim_tried_ms < RECLAIM_RETRY_MS and group.reclaim_tried_ms >= 0:
             return []
-        group.reclaim_tried_ms = now_ms
+        found = self._find_victims(request, now_ms)
+        group.reclaim_tried_ms = -1 if found else now_ms
+        return found
+
+    def _find_victims(self, request: PendingRequest, now_ms: int) -> list[Decision]:
         urgent = request.urgency is Urgency.URGENT
         config = self._zone.config
         if self._may_use_cells(request):
@@ -188,8 +195,9 @@
             if found:
                 zone.reservation = None
                 return found
-        gap_ms = RESERVATION_CHECK_MS if reservation is None else RESERVATION_REFRESH_MS
-        if now_ms - self._reserved_ms >= gap_ms or self._reserved_ms < 0:
+        if now_ms - self._reserved_ms < RESERVATION_CHECK_MS:
+            return []
+        if reservation is None or now_ms >= reservation.start_ms or self._is_broken(reservation):
             self._reserved_ms = now_ms
             oldest = zone.queue.oldest_large()
             zone.reservation = None
@@ -197,6 +205,10 @@
                 zone.reservation = reserve(zone.topology, zone.estimates, oldest, now_ms)
         return []
 
+    def _is_broken(self, reservation: Reservation) -> bool:
+        workers = self._zone.topology.workers
+        return not all(name in workers and workers[name].is_open() for name in reservation.workers)
+
     def _yield_to(
         self, request: PendingRequest, names: frozenset[str], now_ms: int
     ) -> list[Decision]:
@@ -269,7 +281,8 @@
         return self._find.breaks_whole(counts)
 
     def _urgent_by(self, request: PendingRequest, now_ms: int) -> int:
-        return max(now_ms, request.submitted_ms + self._zone.config.urgent_start_ms * 3 // 4)
+        by_ms = request.submitted_ms + self._zone.config.urgent_start_ms - URGENT_MARGIN_MS
+        return by_ms if by_ms > now_ms else now_ms + CHECKPOINT_COST_MS
 
     def _cheap_workers(self) -> list[str]:
         """Return a few workers that hold much borrowed work."""
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/zone.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/zone.py
@@ -1,6 +1,7 @@
 """What a scheduler knows of its zone: the state of every slice, changed together."""
 
 from collections import deque
+from dataclasses import replace
 
 from agateferry_core.demand import Assignment
 
@@ -54,6 +55,14 @@
         self.put(allocation)
         return allocation
 
+    def held_place(self, request: PendingRequest, counts: Counts, now_ms: int) -> Allocation:
+        """Keep others off the place that a request moves to."""
+        held = replace(request, request_id=f"{request.request_id} moving")
+        assignments = assignments_of(request.demand, counts)
+        allocation = Allocation(held, assignments, now_ms, Backing.BORROWED, pending=True)
+        self.topology.allocate(allocation)
+        return allocation
+
     def put(self, allocation: Allocation) -> None:
         """Count an allocation in."""
         self.topology.allocate(allocation)
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/replay.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/replay.py
@@ -58,9 +58,11 @@
 from agateferry_scheduling.traces.report import Report
 
 TICK_MS = 500
+IDLE_TICK_MS = 10_000
+BUSY_AFTER_CHANGE_MS = 5_000
 CHECKPOINT_MS = 2_000
 FAILURE_MS = 3_000
-DRAIN_MS = 24 * 3_600_000
+DRAIN_MS = 10 * 3_600_000
 
 
 class Policy(StrEnum):
@@ -145,6 +147,8 @@
             self._later(record.at_ms, record)
         self.end_ms = max((record.at_ms for record in self.records), default=0) + DRAIN_MS
         self._ticking = False
+        self._tick_at_ms = 0
+        self._changed_ms = 0
 
     def run(self, title: str) -> Report:
         """Carry everything out and report."""
@@ -168,6 +172,8 @@
         self.meter.advance(at_ms)
         match action:
             case _Tick():
+                if at_ms != self._tick_at_ms:
+                    return
                 self._ticking = False
                 self._step(Tick())
             case _Finish(run=run):
@@ -180,9 +186,13 @@
                 self._cancel(request_id)
             case _:
                 self._change(action)
-        if self.meter.waiting and not self._ticking:
+        gap_ms = self._tick_ms(action)
+        if (self.cluster.runs or self.meter.waiting) and (
+            not self._ticking or self._tick_at_ms > self.now_ms + gap_ms
+        ):
             self._ticking = True
-            self._later(self.now_ms + TICK_MS, _Tick())
+            self._tick_at_ms = self.now_ms + gap_ms
+            self._later(self._tick_at_ms, _Tick())
 
     def _change(self, record: Record) -> None:
         match record:
@@ -326,6 +336,14 @@
         demand = run.request.demand
         return (self.now_ms - run.started_ms) * demand.members * max(demand.accelerators, 1)
 
+    def _tick_ms(self, action: _Action) -> int:
+        """Tick often for a while after each change as long as anything waits."""
+        if not isinstance(action, _Tick):
+            self._changed_ms = self.now_ms
+        is_fresh = self.now_ms - self._changed_ms < BUSY_AFTER_CHANGE_MS
+        is_busy = is_fresh and bool(self.meter.waiting)
+        return TICK_MS if is_busy else IDLE_TICK_MS
+
     def _request(self, request_id: str) -> PendingRequest:
         return self.meter.lives[request_id].request
 
