--- a/packages/agateferry-standins/agateferry_standins/demo.py
+++ b/packages/agateferry-standins/agateferry_standins/demo.py
@@ -24,7 +24,7 @@
     make_plan,
 )
 from agateferry_standins.deployment.plan import check_ports, claim_folder
-from agateferry_standins.report import say, tell_run
+from agateferry_standins.report import quiet_logs, say, tell_run
 from agateferry_standins.worker import StartLog
 
 BASE_PORT = 17_400
@@ -67,6 +67,7 @@
 
 def main() -> int:
     """Read the command line, run and return the exit code."""
+    quiet_logs()
     parser = argparse.ArgumentParser(description="Run the sample work of both deployments.")
     parser.add_argument("--base-port", type=int, default=BASE_PORT)
     default_folder = Path(tempfile.gettempdir()) / "agateferry-demo"
--- a/packages/agateferry-standins/agateferry_standins/report.py
+++ b/packages/agateferry-standins/agateferry_standins/report.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from agateferry_core.logs import configure
 from agateferry_standins.callers import Tally
 from agateferry_standins.worker import StartLog
 
@@ -15,6 +16,11 @@
     print(text, file=sys.stderr, flush=True)
 
 
+def quiet_logs() -> None:
+    """Write warnings alone; in a run with kills, failed announcements are no news."""
+    configure("warning", as_json=False)
+
+
 def tell_run(name: str, tally: Tally, log: StartLog) -> None:
     """Write the ends, refusals, retries and completion times of a run, and what went wrong."""
     say(f"{name}: ends {dict(tally.ends())}")
