Tell the scheduler of new records before a submission is judged

Cause: a request of a team whose record had just come into force was refused as unknown-team: the scheduler heard of records only at the leader's next tick, up to 200 ms later. Ruled out: a shorter tick (a race all the same, and processor time while idle). Change: a submission first passes on a revision that the scheduler has not seen. Measured: the test of it and two tests of a host's ports were red before, green after; the whole suite: 349 pass.

--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -97,6 +97,7 @@
 
     async def submit(self, req: cell_pb2.SubmitRequest) -> cell_pb2.RequestReply:
         """Admit a request, store it and, if asked, wait for its end."""
+        self._tell_records()
         admitted = self._admission().admit(req)
         if isinstance(admitted, cell_pb2.Refusal):
             return cell_pb2.RequestReply(refusal=admitted)
--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -135,12 +135,14 @@
     return Cell(ctx, BaselineScheduler)
 
 
-def give_records(machine):
+def give_records(machine, team="t"):
     """Put a team and three jobs in force: quick, once (not idempotent) and gang (three members)."""
     store = RecordStore()
+    store.restore(machine.records.snapshot())
+    known = store.revision
     gang = {"members": 3, "accelerators": 4, "adjacency": "rack"}
     contents = {
-        ("team", "t"): {},
+        ("team", team): {},
         ("job", "quick"): {"urgency": "urgent", "idempotent": True},
         ("job", "once"): {"idempotent": False},
         ("job", "gang"): {"urgency": "long", "idempotent": True, "demand": gang},
@@ -148,7 +150,7 @@
     for (kind, name), content in contents.items():
         body = {"schema": "v2", "replaces": 0, "content": content}
         store.put(parse_put(kind, name, body).ok)
-    adopt = commands_pb2.AdoptRecords(revisions=encode_revisions(store.since(0)))
+    adopt = commands_pb2.AdoptRecords(revisions=encode_revisions(store.since(known)))
     machine.apply(0, commands_pb2.Command(adopt=adopt).SerializeToString())
 
 
--- a/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -117,6 +117,16 @@
 
         self.assertEqual("outcome-unknown", run_async(main()))
 
+    def test_a_team_counts_from_the_moment_its_record_is_in_force(self):
+        async def main():
+            async with running_cell() as cell:
+                give_records(cell.ctx.machine, team="newcomer")
+                newcomer = submission()
+                newcomer.team = "newcomer"
+                return (await cell.submit(newcomer)).view.state
+
+        self.assertEqual("finished", run_async(main()))
+
 
 class CancelTests(testtools.TestCase):
     def test_a_running_request_is_stopped_and_told_its_stage(self):
--- a/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
@@ -5,6 +5,7 @@
 from agateferry_core.support import run_async
 from agateferry_service.daemon.tests.support import running_host
 
+JSON = {"content-type": "application/json"}
 QUICK = {"urgency": "urgent", "idempotent": True}
 
 
@@ -33,7 +34,9 @@
         return on_host(work)
 
     def test_broken_json(self):
-        self.assertEqual((400, "broken-json", "not-run", 200), self.submit(data=b'{"team": '))
+        self.assertEqual(
+            (400, "broken-json", "not-run", 200), self.submit(data=b'{"team": ', headers=JSON)
+        )
 
     def test_an_unknown_field_is_named(self):
         document = {"team": "t", "job": "j", "colour": "red"}
@@ -61,7 +64,8 @@
 
     def test_deep_nesting(self):
         self.assertEqual(
-            (400, "broken-json", "not-run", 200), self.submit(data=b"[" * 2000 + b"]" * 2000)
+            (400, "broken-json", "not-run", 200),
+            self.submit(data=b"[" * 2000 + b"]" * 2000, headers=JSON),
         )
 
     def test_a_slow_sender(self):
@@ -69,10 +73,7 @@
             yield b'{"team"'
             await asyncio.sleep(2)
 
-        headers = {"content-type": "application/json"}
-        self.assertEqual(
-            (408, "slow-body", "not-run", 200), self.submit(data=slow(), headers=headers)
-        )
+        self.assertEqual((408, "slow-body", "not-run", 200), self.submit(data=slow(), headers=JSON))
 
     def test_an_unknown_zone(self):
         document = {"team": "t", "job": "j", "zone": "atlantis"}
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -5,9 +5,9 @@
 from pathlib import Path
 
 import testtools
+
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import free_port, run_async
-
 from agateferry_state.replica import ProposeErrorKind
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
 from agateferry_state.replica.tests.test_solo import CountingFiles, ListMachine
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_transport.py
@@ -3,8 +3,8 @@
 from contextlib import asynccontextmanager
 
 import testtools
-from agateferry_core.support import free_port, run_async
 
+from agateferry_core.support import free_port, run_async
 from agateferry_state.members import MemberId
 from agateferry_state.replica.codec import Envelope
 from agateferry_state.replica.link import LinkSettings
--- a/packages/agateferry-state/agateferry_state/replica/transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/transport.py
@@ -8,10 +8,10 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Protocol
 
-from agateferry_core.logs import EventLogger
 from expression import Error, Ok, Result
 from grpc import aio
 
+from agateferry_core.logs import EventLogger
 from agateferry_state.events import ENVELOPE_REFUSED
 from agateferry_state.replica.codec import Envelope, decode_envelope
 from agateferry_state.replica.link import LinkSettings, PeerLink, server_options
