Build the leader's view anew from the log after a command without an outcome

Change: a proposer remembers that a command had no outcome; the leader then ends and begins anew, and passes a command that changes nothing through the log first, so that all it had proposed is settled. Measured: two tests of it, red before (2 failed of 22), green after (22 passed).

--- a/packages/agateferry-service/agateferry_service/cell/cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/cell.py
@@ -80,14 +80,21 @@
         return not_leader(None if leader == self.ctx.host else leader)
 
     async def _follow(self) -> None:
-        """Watch leadership; a change of term ends the old leader's work before the new begins."""
+        """Watch leadership; a change of term ends the old leader's work before the new begins.
+
+        So does a command without an outcome: the next beginning reads from the log what became
+        of it.
+        """
         led_term = 0
         while True:
             leads = self.ctx.replica.is_leader
             term = self.ctx.replica.term
-            if led_term and (not leads or term != led_term):
+            doubtful = self.ctx.proposer.doubtful
+            if led_term and (doubtful or not leads or term != led_term):
                 await self.leader.end()
                 led_term = 0
+            if not led_term:
+                self.ctx.proposer.doubtful = False
             if leads and not led_term and await self.leader.begin():
                 led_term = term
             await asyncio.sleep(FOLLOW_EVERY_S)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -71,8 +71,13 @@
         return self._decider
 
     async def begin(self) -> bool:
-        """Take up what the log says; return False when leadership was lost meanwhile."""
-        if (await self.ctx.replica.read_barrier()).is_error():
+        """Take up what the log says; return False when leadership was lost meanwhile.
+
+        A command that changes nothing goes through the log first, so that every command which this
+        host proposed before and whose outcome it did not learn has been applied or never will be.
+        """
+        settle = commands_pb2.Forget(ended_before_wall_ms=0)
+        if (await self.ctx.proposer.propose(forget=settle)).is_error():
             return False
         self.attempts = Attempts(self.ctx, self.decider)
         self.watch = WorkerWatch(self.ctx, self.attempts, self.decider)
--- a/packages/agateferry-service/agateferry_service/cell/proposer.py
+++ b/packages/agateferry-service/agateferry_service/cell/proposer.py
@@ -8,10 +8,15 @@
 
 
 class Proposer:
-    """Turn commands into log entries and failures into refusals."""
+    """Turn commands into log entries and failures into refusals.
+
+    `doubtful` is set by a command whose outcome was not learned. The leader's own view may then
+    lack what the log holds, so it has to be built anew from the ledger before it is trusted again.
+    """
 
     def __init__(self, replica: Replica) -> None:
         self._replica = replica
+        self.doubtful = False
 
     async def propose(self, **command: object) -> Result[object, ProposeError]:
         """Propose one command, named by its field, and return the machine's outcome.
@@ -21,6 +26,7 @@
         message = commands_pb2.Command(**command)  # type: ignore[arg-type]
         result = await self._replica.propose(message.SerializeToString())
         if result.is_error():
+            self.doubtful = True
             return Error(result.error)
         return Ok(result.ok.outcome)
 
--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -42,6 +42,7 @@
         self.leader = "h1"
         self.term = 1
         self.failing = None
+        self.lose_outcomes = False
         self._index = 0
 
     async def start(self):
@@ -57,7 +58,10 @@
         if self.failing is not None:
             return Error(ProposeError(self.failing))
         self._index += 1
-        return Ok(Applied(self._index, self.machine.apply(self._index, command)))
+        outcome = self.machine.apply(self._index, command)
+        if self.lose_outcomes:
+            return Error(ProposeError(ProposeErrorKind.UNKNOWN))
+        return Ok(Applied(self._index, outcome))
 
     async def read_barrier(self):
         return Ok(self._index)
--- a/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -214,6 +214,41 @@
         refusal = run_async(main())
         self.assertEqual(("not-leader", "h2"), (refusal.reason, refusal.leader))
 
+    def test_a_command_whose_outcome_was_lost_is_taken_up_from_the_log(self):
+        """The accept is applied though its proposer was told that its fate is unknown."""
+        workers = FakeWorkers()
+
+        async def main():
+            async with running_cell(workers) as cell:
+                cell.ctx.replica.lose_outcomes = True
+                refused = (await cell.submit(submission("once", key="k"))).refusal.reason
+                cell.ctx.replica.lose_outcomes = False
+                async with asyncio.timeout(5):
+                    while not cell.ctx.machine.ledger.get("z.1").ended:
+                        await asyncio.sleep(0.01)
+                return refused, cell.ctx.machine.ledger.get("z.1").state
+
+        self.assertEqual(("outcome-unknown", "finished"), run_async(main()))
+        self.assertEqual({("z.1", 0): 1}, workers.starts)
+
+    def test_an_end_whose_outcome_was_lost_is_taken_up_from_the_log(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+
+        async def main():
+            async with running_cell(workers) as cell:
+                await cell.submit(submission("once", key="k", wait_ms=0))
+                await until(lambda: workers.starts)
+                cell.ctx.replica.failing = ProposeErrorKind.UNKNOWN
+                workers.finish("z.1.1.0")
+                await until(lambda: cell.ctx.proposer.doubtful)
+                cell.ctx.replica.failing = None
+                look = pb.LookRequest(request_id="z.1", wait_ms=2_000)
+                await until(lambda: cell.leader.active and not cell.ctx.proposer.doubtful)
+                return (await cell.look(look)).view.state
+
+        self.assertEqual("finished", run_async(main()))
+
 
 class WorkerTests(testtools.TestCase):
     def test_a_leaving_worker_gets_nothing_new(self):
