--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
@@ -5,6 +5,10 @@
 from agateferry_cli import main as main_module
 from agateferry_cli.client import ExitCode
 from agateferry_cli.verbs.tests.case import VerbCase
+from agateferry_scheduling.traces import replay as traces_replay
+from agateferry_scheduling.traces.makers import storm
+from agateferry_scheduling.traces.records import write_trace
+from agateferry_scheduling.traces.report import Report
 
 SETTINGS = """
 [host]
@@ -77,3 +81,40 @@
                 argv = [part for part in (name, inner) if part]
                 self.assertEqual(ExitCode.OK, self.run_verb(*argv, "--help"))
                 self.assertIn("--json", self.out)
+
+
+class ReplayTests(LocalCase):
+    def setUp(self):
+        super().setUp()
+        self.trace = self.folder / "storm.jsonl"
+        write_trace(self.trace, storm(1, 0.02))
+
+    def test_shows_the_report(self):
+        self.assertEqual(ExitCode.OK, self.run_verb("replay", self.trace))
+        self.assertRegex(self.out, r"storm +fair")
+        self.assertRegex(self.out, r"broken invariant +none")
+
+    def test_the_baseline_can_be_replayed_too(self):
+        code = self.run_verb("replay", self.trace, "--policy", "baseline", "--json")
+        self.assertEqual(("baseline", None), (self.json_out()["policy"], self.json_out()["broken"]))
+        self.assertEqual(ExitCode.OK, code)
+
+    def test_a_broken_invariant_is_told_by_the_exit_code(self):
+        report = Report("storm", "fair", broken="at 5 ms: x")
+        with mock.patch.object(traces_replay, "replay", return_value=report):
+            code = self.run_verb("replay", self.trace, "--json")
+        self.assertEqual(ExitCode.REQUEST_FAILED, code)
+        self.assertEqual("at 5 ms: x", self.json_out()["broken"])
+
+    def test_a_missing_trace_says_where_traces_come_from(self):
+        self.assertEqual(ExitCode.USAGE, self.run_verb("replay", self.folder / "none.jsonl"))
+        self.assertIn("recording.trace_file", self.err)
+
+    def test_a_file_that_is_no_trace_names_the_line(self):
+        bad = self.file("bad.jsonl", '{"event": "nothing"}\n')
+        self.assertEqual(ExitCode.USAGE, self.run_verb("replay", bad))
+        self.assertIn("is not a trace", self.err)
+
+    def test_an_empty_trace_is_no_internal_fault(self):
+        self.assertEqual(ExitCode.USAGE, self.run_verb("replay", self.file("none.jsonl", "")))
+        self.assertIn("holds no records", self.err)
