--- a/packages/agateferry-standins/agateferry_standins/demo.py
+++ b/packages/agateferry-standins/agateferry_standins/demo.py
@@ -78,15 +78,17 @@
     except PlanError as exc:
         say(f"demo: {exc}")
         return EXIT_NOT_STARTED
+    verdict = None
     try:
         verdict = asyncio.run(run(args.folder, args.base_port))
     except (PlanError, StartError, TimeoutError) as exc:
         say(f"demo: {exc}")
         return EXIT_NOT_STARTED
     finally:
-        shutil.rmtree(args.folder)
+        if verdict is None or verdict.clean:
+            shutil.rmtree(args.folder)
     if not verdict.clean:
-        say(f"demo: a promise was broken: {verdict}")
+        say(f"demo: a promise was broken: {verdict}; the logs are in {args.folder}")
     print(
         f"demo: accepted={verdict.accepted} answered={verdict.answered} "
         f"lost={verdict.lost} duplicated={verdict.duplicated}"
