--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
@@ -0,0 +1,65 @@
+"""Run one member of a group as a process: `member_process.py NAME FOLDER NAME=ADDRESS...`.
+
+It reads lines from standard input: `propose TEXT`, `read` or `status`, and answers each by one
+line of JSON.
+"""
+
+import asyncio
+import json
+import random
+import sys
+from pathlib import Path
+
+from agateferry_core.clock import SystemClock
+
+from agateferry_state.replica import GrpcTransport, NodeConfig, NodeReplica, Peer, start_server
+
+
+class TextMachine:
+    def __init__(self):
+        self.texts = []
+
+    def apply(self, index, command):
+        self.texts.append(command.decode())
+        return len(self.texts)
+
+    def snapshot(self):
+        return json.dumps(self.texts).encode()
+
+    def restore(self, data):
+        self.texts = json.loads(data)
+
+
+async def answer(node, machine, line):
+    verb, _, text = line.strip().partition(" ")
+    if verb == "propose":
+        result = await node.propose(text.encode())
+        return {"index": result.ok.index} if result.is_ok() else {"error": result.error.kind}
+    if verb == "read":
+        result = await node.read_barrier()
+        return {"texts": machine.texts} if result.is_ok() else {"error": result.error.kind}
+    voters = sum(1 for member in node.status().members if member.is_voter)
+    return {"leads": node.is_leader, "voters": voters, "texts": machine.texts}
+
+
+async def main(name, folder, addresses):
+    rng = random.Random(name)
+    peers = tuple(Peer(*pair.split("=")) for pair in addresses)
+    own = next(peer for peer in peers if peer.name == name)
+    transport, machine = GrpcTransport({}, rng), TextMachine()
+    server = (await start_server(own.address, transport)).ok
+    cfg = NodeConfig("cell", name, peers, Path(folder))
+    node = NodeReplica(cfg, machine, transport, SystemClock(), rng)
+    await node.start()
+    reader = asyncio.StreamReader()
+    protocol = asyncio.StreamReaderProtocol(reader)
+    await asyncio.get_running_loop().connect_read_pipe(lambda: protocol, sys.stdin)
+    while line := await reader.readline():
+        print(json.dumps(await answer(node, machine, line.decode())), flush=True)
+    await node.stop()
+    await transport.close()
+    await server.stop(None)
+
+
+if __name__ == "__main__":
+    asyncio.run(main(sys.argv[1], sys.argv[2], sys.argv[3:]))
