--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agateferry-$(p)))
 export PATH := $(abspath $(BIN)):$(PATH)
 
-.PHONY: setup demo test lint format measure budget soak generate
+.PHONY: setup demo test lint format measure budget capacity soak generate
 
 setup: $(VENV)/.ready
 
@@ -32,6 +32,8 @@
 
 generate: setup
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/events.py
+	$(BIN)/python tools/settings.py
 
 demo: setup
 	$(BIN)/python -m agateferry_standins.demo
@@ -42,5 +44,8 @@
 budget: setup
 	$(BIN)/python -m agateferry_standins.budget
 
+capacity: setup
+	$(BIN)/python -m agateferry_standins.capacity
+
 soak: setup
 	$(BIN)/python -m agateferry_standins.soak
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
@@ -0,0 +1,272 @@
+"""The racks and workers of one zone, what they have free and what is placed on them.
+
+What counts as free is worked out from what was placed, and never from reported usage, which lags:
+an allocation takes its share from the moment of the decision until its end is reported.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from agateferry_core.demand import Assignment, Demand, Urgency, Worker
+from agateferry_scheduling.scheduler.messages import PendingRequest
+from agateferry_scheduling.topology.amount import Amount
+
+
+class Backing(StrEnum):
+    """Say by what right an allocation holds its workers.
+
+    GUARANTEED work lies within its team's guaranteed shapes, BORROWED work can be taken back, and
+    PINNED work lies outside every guarantee and cannot be taken back.
+    """
+
+    GUARANTEED = "guaranteed"
+    BORROWED = "borrowed"
+    PINNED = "pinned"
+
+
+@dataclass(slots=True)
+class Allocation:
+    """A request that holds workers, or, while `pending`, was promised them once others stop."""
+
+    request: PendingRequest
+    assignments: tuple[Assignment, ...]
+    started_ms: int
+    backing: Backing = Backing.BORROWED
+    stopping: bool = False
+    pending: bool = False
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Count the members on each worker once, because every release needs it."""
+        for assignment in self.assignments:
+            self.counts[assignment.worker] = self.counts.get(assignment.worker, 0) + 1
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """One worker with what it has free.
+
+    What is promised to pending allocations is not free, so free amounts may be negative until
+    others stop. `stopping` sums what will be given back soon, `borrowed` what could be taken back,
+    and `borrowed_urgent` the part of it that urgent work holds, which is taken last.
+    """
+
+    worker: Worker
+    number: int
+    free_accelerators: int = 0
+    free_slots: int = 0
+    free_cpu: int = 0
+    free_memory: int = 0
+    draining: bool = False
+    quarantined: bool = False
+    requests: set[str] = field(default_factory=set)
+    promised: Amount = field(default_factory=Amount)
+    stopping: Amount = field(default_factory=Amount)
+    borrowed: Amount = field(default_factory=Amount)
+    borrowed_urgent: Amount = field(default_factory=Amount)
+
+    @property
+    def name(self) -> str:
+        """Return the worker's name."""
+        return self.worker.name
+
+    def is_open(self) -> bool:
+        """Tell whether new work may come here."""
+        return not (self.draining or self.quarantined)
+
+    def room_for(self, demand: Demand) -> int:
+        """Return how many members of the demand fit into what is free now."""
+        room = min(self.free_slots, demand.members)
+        if demand.accelerators:
+            room = min(room, self.free_accelerators // demand.accelerators)
+        if demand.cpu_cores:
+            room = min(room, self.free_cpu // demand.cpu_cores)
+        if demand.memory_mb:
+            room = min(room, self.free_memory // demand.memory_mb)
+        return max(room, 0)
+
+    def free(self) -> Amount:
+        """Return what is free and not promised."""
+        return Amount(self.free_accelerators, self.free_slots, self.free_cpu, self.free_memory)
+
+    def vacant(self) -> Amount:
+        """Return what nothing runs on, promised or not."""
+        return self.free().plus(self.promised)
+
+    def after_reclaim(self, urgent_too: bool) -> Amount:
+        """Return what would be free if all that is borrowed were taken back."""
+        amount = self.free().plus(self.stopping).plus(self.borrowed)
+        return amount.plus(self.borrowed_urgent) if urgent_too else amount
+
+    def book_for(self, allocation: Allocation) -> Amount | None:
+        """Return the sum that an allocation belongs to, if any."""
+        if allocation.pending:
+            return self.promised
+        if allocation.stopping:
+            return self.stopping
+        if allocation.backing is not Backing.BORROWED:
+            return None
+        if allocation.request.urgency is Urgency.URGENT:
+            return self.borrowed_urgent
+        return self.borrowed
+
+    def reset(self) -> None:
+        """Set everything free again."""
+        self.free_accelerators = self.worker.accelerators
+        self.free_slots = self.worker.slots
+        self.free_cpu = self.worker.cpu_cores
+        self.free_memory = self.worker.memory_mb
+
+    def take(self, demand: Demand, members: int) -> None:
+        """Take the share of so many members; a negative number gives it back."""
+        self.free_accelerators -= demand.accelerators * members
+        self.free_slots -= members
+        self.free_cpu -= demand.cpu_cores * members
+        self.free_memory -= demand.memory_mb * members
+
+
+@dataclass(slots=True)
+class RackState:
+    """The workers of one rack, whose accelerators are adjacent."""
+
+    name: str
+    workers: dict[str, WorkerState] = field(default_factory=dict)
+    free_accelerators: int = 0
+    accelerators: int = 0
+
+
+def capacity_for(worker: Worker, demand: Demand) -> int:
+    """Return how many members of the demand an empty worker holds."""
+    empty = WorkerState(worker=worker, number=0)
+    empty.reset()
+    return empty.room_for(demand)
+
+
+class Topology:
+    """Keep the workers and allocations of one zone.
+
+    `version` grows whenever room may have grown. `seen` also holds workers that were lost, so that
+    a demand is called infeasible only when the zone never had the machines for it.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.racks: dict[str, RackState] = {}
+        self.workers: dict[str, WorkerState] = {}
+        self.seen: dict[str, Worker] = {}
+        self.allocations: dict[str, Allocation] = {}
+        self.version = 0
+        self.joined = 0
+        self.accelerators = 0
+        self.slots = 0
+        self.free_slots = 0
+
+    def join(self, worker: Worker) -> bool:
+        """Add a worker or take its new size over; return whether it belongs to this zone."""
+        if worker.zone != self.zone:
+            return False
+        self.lose(worker.name)
+        self.seen[worker.name] = worker
+        self.version += 1
+        self.joined += 1
+        state = WorkerState(worker=worker, number=self.joined)
+        state.reset()
+        self.workers[worker.name] = state
+        rack = self.racks.setdefault(worker.rack, RackState(name=worker.rack))
+        rack.workers[worker.name] = state
+        rack.accelerators += worker.accelerators
+        rack.free_accelerators += worker.accelerators
+        self.accelerators += worker.accelerators
+        self.slots += worker.slots
+        self._retake(state, rack)
+        self.free_slots += state.free_slots
+        return True
+
+    def drain(self, name: str) -> None:
+        """Give a worker no new work; what it runs goes on."""
+        if name in self.workers:
+            self.workers[name].draining = True
+
+    def lose(self, name: str) -> None:
+        """Forget a worker; its allocations stay until their ends are reported."""
+        state = self.workers.pop(name, None)
+        if state is None:
+            return
+        rack = self.racks[state.worker.rack]
+        del rack.workers[name]
+        self.accelerators -= state.worker.accelerators
+        self.slots -= state.worker.slots
+        self.free_slots -= state.free_slots
+        rack.accelerators -= state.worker.accelerators
+        rack.free_accelerators -= state.free_accelerators
+        if not rack.workers:
+            del self.racks[rack.name]
+
+    def allocate(self, allocation: Allocation) -> None:
+        """Take the allocation's share on its workers."""
+        self.allocations[allocation.request.request_id] = allocation
+        self._take(allocation, 1)
+
+    def release(self, request_id: str) -> Allocation | None:
+        """Give an allocation's share back; return None when it is not known."""
+        allocation = self.allocations.pop(request_id, None)
+        if allocation is not None:
+            self._take(allocation, -1)
+        return allocation
+
+    def change(
+        self,
+        allocation: Allocation,
+        backing: Backing | None = None,
+        stopping: bool | None = None,
+        pending: bool | None = None,
+    ) -> None:
+        """Change an allocation's standing and keep the sums of its workers right."""
+        self._book(allocation, -1)
+        allocation.backing = allocation.backing if backing is None else backing
+        allocation.stopping = allocation.stopping if stopping is None else stopping
+        allocation.pending = allocation.pending if pending is None else pending
+        self._book(allocation, 1)
+
+    def open_workers(self) -> Iterator[WorkerState]:
+        """Yield the workers that may be given work, in the order in which they joined."""
+        return (state for state in self.workers.values() if state.is_open())
+
+    def _book(self, allocation: Allocation, sign: int) -> None:
+        for name, members in allocation.counts.items():
+            state = self.workers.get(name)
+            if state is None:
+                continue
+            book = state.book_for(allocation)
+            if book is not None:
+                book.add(allocation.request.demand, sign * members)
+
+    def _take(self, allocation: Allocation, sign: int) -> None:
+        self.version += sign < 0
+        self._book(allocation, sign)
+        demand = allocation.request.demand
+        for name, members in allocation.counts.items():
+            state = self.workers.get(name)
+            if state is None:
+                continue
+            state.take(demand, sign * members)
+            self.free_slots -= sign * members
+            rack = self.racks[state.worker.rack]
+            rack.free_accelerators -= sign * members * demand.accelerators
+            if sign > 0:
+                state.requests.add(allocation.request.request_id)
+            else:
+                state.requests.discard(allocation.request.request_id)
+
+    def _retake(self, state: WorkerState, rack: RackState) -> None:
+        for request_id, allocation in self.allocations.items():
+            members = allocation.counts.get(state.name, 0)
+            if members == 0:
+                continue
+            state.take(allocation.request.demand, members)
+            book = state.book_for(allocation)
+            if book is not None:
+                book.add(allocation.request.demand, members)
+            rack.free_accelerators -= members * allocation.request.demand.accelerators
+            state.requests.add(request_id)
