--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/members/tests/test_admission.py
@@ -0,0 +1,59 @@
+import testtools
+
+from agateferry_state.members import Member, MemberId, Members
+from agateferry_state.members.admission import bootstrap_host, next_change
+
+
+def member(host, incarnation="1", has_disk=True):
+    return Member(MemberId(host, incarnation), has_disk)
+
+
+class NextChangeTests(testtools.TestCase):
+    def steps(self, members, newcomer, hosts=("a", "b", "c")):
+        """Follow the changes with a newcomer that is always caught up."""
+        present = {newcomer.id.host: newcomer}
+        seen = []
+        while (members := next_change(members, present, {newcomer.id}, hosts)) is not None:
+            seen.append("".join(m.id.host + m.id.incarnation for m in members.voters))
+        return seen
+
+    def test_a_lost_host_is_removed_before_its_successor_votes(self):
+        members = Members((member("a"), member("b"), member("c")))
+        self.assertEqual(["a1b1c1", "b1c1", "b1c1a2"], self.steps(members, member("a", "2")))
+
+    def test_the_successor_of_the_only_disk_is_added_first(self):
+        members = Members((member("a"), member("b", has_disk=False)))
+        self.assertEqual(["a1b1", "a1b1a2", "b1a2"], self.steps(members, member("a", "2")))
+
+    def test_a_first_host_is_let_in_and_a_stranger_is_not(self):
+        members = Members((member("a"),))
+        self.assertEqual(["a1", "a1b1"], self.steps(members, member("b")))
+        self.assertEqual([], self.steps(members, member("z")))
+
+    def test_a_removed_host_and_a_given_up_member_stay_out(self):
+        members = Members((member("a"),), removed=("b",), given_up=(MemberId("c", "1"),))
+        self.assertEqual([], self.steps(members, member("b")))
+        self.assertEqual([], self.steps(members, member("c")))
+
+    def test_a_learner_that_lags_is_not_promoted(self):
+        members = Members((member("a"),), (member("b"),))
+        self.assertIsNone(next_change(members, {}, set(), ("a", "b")))
+
+    def test_a_first_host_waits_while_an_earlier_change_is_open(self):
+        members = Members((member("a"),))
+        present = {"b": member("b")}
+        self.assertIsNone(next_change(members, present, set(), ("a", "b"), is_settled=False))
+
+    def test_forming_ends_with_a_majority_of_the_first_hosts(self):
+        members = Members((member("a"),), (member("b"),), is_forming=True)
+        changed = next_change(members, {}, {MemberId("b", "1")}, ("a", "b", "c"))
+        self.assertFalse(changed.is_forming)
+
+
+class BootstrapHostTests(testtools.TestCase):
+    def test_the_first_host_with_a_disk_starts_the_cell(self):
+        hosts = {"a": member("a", has_disk=False), "b": member("b"), "c": member("c")}
+        self.assertEqual("b", bootstrap_host(hosts, "abc"))
+
+    def test_no_host_starts_it_while_one_is_not_known_to_be_empty(self):
+        self.assertIsNone(bootstrap_host({"a": member("a"), "b": member("b")}, "abc"))
--- a/packages/agateferry-state/agateferry_state/replication/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/support.py
@@ -72,6 +72,8 @@
 class History:
     """What was seen from outside, checked as it comes."""
 
+    checks_terms = True
+
     def __init__(self):
         self.places = {}
         self.acked = {}
@@ -99,7 +101,7 @@
     def sent(self, sender, to, message):
         if isinstance(message, m.VoteRequest) and message.pre_vote:
             return
-        if message.term < self.terms.get(sender, 0):
+        if self.checks_terms and message.term < self.terms.get(sender, 0):
             raise ViolationError(f"the term of {sender} went down to {message.term}")
         self.terms[sender] = message.term
         match message:
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
@@ -1,8 +1,10 @@
 import testtools
 
+from agateferry_state.members import MemberId
+from agateferry_state.replication import messages as m
 from agateferry_state.replication.lease import Lease
 from agateferry_state.replication.tests import faults
-from agateferry_state.replication.tests.support import SEEDS, Cluster
+from agateferry_state.replication.tests.support import SEEDS, Cluster, History, ViolationError
 
 
 def sweep(chosen, first_seed=0, disks=(True, True, True), seeds=SEEDS):
@@ -66,8 +68,26 @@
     def test_vote_is_not_synced(self):
         self.assert_found(faults.kill_voters, ".*(went down|voted twice)", loses_votes=True)
 
+    def test_vote_is_given_twice(self):
+        for loses_votes in (False, True):
+            cluster = Cluster(1)
+            cluster.loses_votes = loses_votes
+            cluster.history.checks_terms = False
+            request = m.VoteRequest(term=2, last_index=9, last_term=1, transfer=True)
+            found = []
+            for name in ("a", "b"):
+                event = m.MessageReceived(MemberId(name, f"{name}1"), MemberId("c", "c1"), request)
+                try:
+                    cluster.step(cluster.hosts["c"], event)
+                except ViolationError as exc:
+                    found.append(str(exc))
+                cluster.kill("c")
+                cluster.start("c")
+            self.assertEqual(["c/c1 voted twice in term 2"] * loses_votes, found)
+
     def test_incarnation_is_not_checked(self):
-        pattern = ".*(two entries|is lost|went down)"
+        self.patch(History, "checks_terms", False)
+        pattern = ".*(two entries|is lost)"
         self.assert_found(faults.lose_disk_while_one_lags, pattern, keeps_incarnation=True)
 
     def test_entries_are_not_synced(self):
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_log.py
@@ -0,0 +1,59 @@
+import zlib
+
+import testtools
+
+from agateferry_state.members import Member, MemberId, Members
+from agateferry_state.replication.log import Log
+from agateferry_state.replication.messages import EntryKind, LogEntry, Snapshot, SnapshotMeta
+
+MEMBERS = Members((Member(MemberId("a", "1")),))
+
+
+def entries(*terms, first=1):
+    return tuple(LogEntry(i, t, EntryKind.COMMAND, b"x" * 10) for i, t in enumerate(terms, first))
+
+
+def snapshot(index, term):
+    return Snapshot(SnapshotMeta(index, term, MEMBERS, 1, zlib.crc32(b"s")), b"s")
+
+
+class LogTests(testtools.TestCase):
+    def test_a_sync_of_dropped_entries_does_not_count_for_those_in_their_place(self):
+        log = Log(None, entries(1, 1))
+        first = log.append(entries(1, 1, first=3))
+        log.truncate(3)
+        second = log.append(entries(2, 2, first=3))
+        log.mark_synced(first.write_id)
+        self.assertEqual(2, log.synced_index)
+        log.mark_synced(second.write_id)
+        self.assertEqual(4, log.synced_index)
+
+    def test_members_follow_the_log_back(self):
+        log = Log(None, entries(1))
+        log.append((LogEntry(2, 1, EntryKind.MEMBERS, MEMBERS.encode()),))
+        self.assertEqual(MEMBERS, log.members)
+        log.truncate(2)
+        self.assertEqual(Members(), log.members)
+
+    def test_a_batch_keeps_its_limits_but_is_never_empty(self):
+        log = Log(None, entries(1, 1, 1))
+        self.assertEqual([2, 1, 1], [len(log.batch(1, *limits)) for limits in BATCH_LIMITS])
+
+    def test_a_place_before_the_start_is_told_where_terms_part_there(self):
+        log = Log(snapshot(5, 3), entries(3, 3, first=6))
+        self.assertEqual(7, log.last_index_up_to(9, 3))
+        self.assertEqual(4, log.last_index_up_to(7, 2))
+
+    def test_compaction_keeps_some_entries_and_the_members(self):
+        log = Log(None, (LogEntry(1, 1, EntryKind.MEMBERS, MEMBERS.encode()),))
+        log.append(entries(1, 1, 2, 2, first=2))
+        log.compact(snapshot(4, 2), trailing_entries=2)
+        self.assertEqual((2, 1, 5), (log.base_index, log.base_term, log.last_index))
+        self.assertEqual(MEMBERS, log.members)
+
+    def test_stored_entries_must_follow_the_snapshot(self):
+        with testtools.ExpectedException(ValueError):
+            Log(snapshot(5, 3), entries(3, first=8))
+
+
+BATCH_LIMITS = ((2, 1000), (3, 15), (3, 1))
