--- a/packages/agateferry-state/agateferry_state/replication/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/support.py
@@ -67,6 +67,7 @@
         self.is_frozen = False
         self.machine = []
         self.accepted = {}
+        self.armed = (0, 0)
 
 
 class History:
@@ -126,7 +127,7 @@
         self.now, self.heap, self.count = 0, [], itertools.count()
         self.history, self.cut, self.loss = History(), set(), loss
         self.ids = itertools.count(1)
-        self.op_of, self.op_log = {}, []
+        self.op_of = {}
         names = "abcdefghi"[: len(disks)]
         firsts = tuple(Member(MemberId(n), d) for n, d in zip(names, disks, strict=True))
         self.settings = Settings(cell="cell", first_hosts=firsts, **settings)
@@ -229,8 +230,8 @@
 
     def _arm(self, host, delay):
         due = self.now + delay
-        armed = getattr(host, "armed", (0, 0))
-        if armed[0] == host.life and self.now < armed[1] <= due:
+        life, armed = host.armed
+        if life == host.life and self.now < armed <= due:
             return
         host.armed = (host.life, due)
         self.at(delay, self.deliver, host, host.life, m.Tick())
@@ -273,25 +274,18 @@
                 if op in self.op_of:
                     began = self.op_of.pop(op)
                     self.history.read(began, self.now, index)
-            case m.LeadershipChanged(leader, term):
-                self.op_log.append((self.now, host.name, leader, term))
 
     def _snapshot_done(self, host, life, effect, data):
-        if (
-            host.core is None
-            or host.life != life
-            or effect.index <= host.core._state.log.base_index
-        ):
+        newest = host.disk.snapshot.meta.index if host.disk.snapshot else 0
+        if host.core is None or host.life != life or effect.index <= newest:
             return
-        meta = m.SnapshotMeta(
-            effect.index, effect.term, effect.members, len(data), zlib.crc32(data)
-        )
+        size, checksum = len(data), zlib.crc32(data)
+        meta = m.SnapshotMeta(effect.index, effect.term, effect.members, size, checksum)
         host.disk.snapshot = m.Snapshot(meta, data)
         self.deliver(host, life, m.SnapshotTaken(effect.index, data))
 
     def _send(self, host, effect):
         self.history.sent(host.core.me.id, effect.to, effect.message)
-        self.sent_count = getattr(self, "sent_count", 0) + 1
         if (host.name, effect.to.host) in self.cut or self.rng.random() < self.loss:
             return
         event = m.MessageReceived(host.core.me.id, effect.to, effect.message)
@@ -358,9 +352,8 @@
         if name is None or None in cores:
             return False
         leader = self.hosts[name].core
-        peers = leader._state.leading.peers
         wanted = {c.me.id for c in cores}
-        caught_up = all(p.match_index >= leader.commit_index for p in peers.values())
+        caught_up = all(i >= leader.commit_index for i in leader.match_indexes.values())
         return caught_up and leader.members.voter_ids == wanted
 
     def _check_members(self):
