--- a/packages/agateferry-standins/agateferry_standins/budget.py
+++ b/packages/agateferry-standins/agateferry_standins/budget.py
@@ -21,7 +21,7 @@
     System,
     make_plan,
 )
-from agateferry_standins.report import say
+from agateferry_standins.report import quiet_logs, say
 from agateferry_standins.worker import StartLog
 
 SETTLE_S = 5.0
@@ -80,6 +80,7 @@
 
 def main() -> int:
     """Run, print the worst host's figures and return 1 when one is over its limit."""
+    quiet_logs()
     with tempfile.TemporaryDirectory(prefix="agateferry-budget-") as folder:
         try:
             readings = asyncio.run(run(Path(folder)))
--- a/packages/agateferry-standins/agateferry_standins/latency.py
+++ b/packages/agateferry-standins/agateferry_standins/latency.py
@@ -18,7 +18,7 @@
 from agateferry_standins.callers import JobKind, Load, Tally, run_load
 from agateferry_standins.callers.tally import DIGITS, HIGHEST_US, LOWEST_US
 from agateferry_standins.deployment import LAGERTELLER, PlanError, StartError, System, make_plan
-from agateferry_standins.report import US_PER_MS, say, tell_run
+from agateferry_standins.report import US_PER_MS, quiet_logs, say, tell_run
 from agateferry_standins.worker import StandInWorker, StartLog
 
 RATE_PER_S = 100.0
@@ -90,6 +90,7 @@
 
 def main() -> int:
     """Run and print the two differences."""
+    quiet_logs()
     with tempfile.TemporaryDirectory(prefix="agateferry-latency-") as folder:
         try:
             ours, direct = asyncio.run(run(Path(folder)))
