--- a/packages/agateferry-cli/agateferry_cli/verbs/submit.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/submit.py
@@ -25,6 +25,7 @@
 RETRY_PAUSE_S = 0.5
 STANDARD_INPUT = Path("-")
 UNSETTLED = (ExitCode.UNREACHABLE, ExitCode.OUTCOME_UNKNOWN)
+LASTING_REASONS = ("zone-unreachable",)
 
 
 def submit(
@@ -97,13 +98,17 @@
     call = Call("POST", "/v1/requests", body, {"Idempotency-Key": key})
     result = await client.call(call)
     for attempt in range(1, ATTEMPTS):
-        if result.is_ok() or result.error.code not in UNSETTLED:
+        if result.is_ok() or not _is_worth_repeating(result.error):
             return result
         await asyncio.sleep(RETRY_PAUSE_S * attempt)
         result = await client.call(call)
     return result.map_error(lambda failure: _with_key(failure, key))
 
 
+def _is_worth_repeating(failure: Failure) -> bool:
+    return failure.code in UNSETTLED and failure.reason not in LASTING_REASONS
+
+
 def _with_key(failure: Failure, key: str) -> Failure:
     if failure.code not in UNSETTLED or failure.details.get("run") == "not-run":
         return failure
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_requests.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_requests.py
@@ -59,6 +59,13 @@
         self.assertIn("team-queue-full: 1000 wait", self.err)
         self.assertIn("Try again after 3 s.", self.err)
 
+    def test_a_zone_that_is_cut_off_is_told_at_once(self):
+        cut = {"reason": "zone-unreachable", "detail": "z2", "run": "not-run"}
+        host = self.host({SUBMIT: [(503, cut)]})
+        self.assertEqual(ExitCode.UNREACHABLE, self.submit(host))
+        self.assertEqual(1, len(host.seen))
+        self.assertNotIn("--key", self.err)
+
     def test_the_next_host_is_asked_when_one_does_not_answer(self):
         host = self.host({SUBMIT: [(202, request("accepted"))]})
         dead = f"127.0.0.1:{free_port()}"
