Show each host's share in the records plane in cell status

Cause: a host whose records folder was damaged looked well in every list, as its zone's copy was in force. Now its row says that it has no leader there.

--- a/packages/agateferry-cli/agateferry_cli/client/views.py
+++ b/packages/agateferry-cli/agateferry_cli/client/views.py
@@ -114,6 +114,14 @@
     content: dict[str, Any] = {}
 
 
+class RecordsPlaneView(View):
+    """One host's share in the records plane; `role` is empty on a host that does not vote."""
+
+    revision: int | None = None
+    role: str = ""
+    leader: str | None = None
+
+
 class CellView(View):
     """One host's view of its zone's cell."""
 
@@ -123,6 +131,7 @@
     role: str = ""
     leader: str | None = None
     members: tuple[Any, ...] = ()
+    records: RecordsPlaneView = RecordsPlaneView()
     reachable: bool = True
 
 
--- a/packages/agateferry-cli/agateferry_cli/verbs/cell.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/cell.py
@@ -3,11 +3,13 @@
 from expression import Result
 
 from agateferry_cli.client import Answer, ExitCode, Failure, Port
-from agateferry_cli.client.views import CellView, views_of
+from agateferry_cli.client.views import CellView, RecordsPlaneView, views_of
 from agateferry_cli.output import Output
 from agateferry_cli.verbs.run import run_get
 
-COLUMNS = ("zone", "host", "role", "term", "leader", "members")
+COLUMNS = ("zone", "host", "role", "term", "leader", "members", "records plane", "revision")
+
+LEADER = "leader"
 
 
 def status(*, operators: str = "", json: bool = False) -> int:
@@ -32,9 +34,27 @@
 
 
 def _row(view: CellView) -> tuple[object, ...]:
+    if not view.reachable:
+        return (view.zone, view.host, "unreachable", *[None] * (len(COLUMNS) - 3))
     members = " ".join(_member_name(member) for member in view.members)
-    role = view.role if view.reachable else "unreachable"
-    return (view.zone, view.host, role, view.term, view.leader, members)
+    return (
+        view.zone,
+        view.host,
+        view.role,
+        view.term,
+        view.leader or "none",
+        members,
+        _records_plane(view.records),
+        view.records.revision,
+    )
+
+
+def _records_plane(records: RecordsPlaneView) -> str:
+    if not records.role:
+        return "no voter"
+    if records.role == LEADER:
+        return LEADER
+    return f"{records.role} of {records.leader}" if records.leader else "no leader"
 
 
 def _member_name(member: object) -> str:
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_lists.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_lists.py
@@ -51,19 +51,23 @@
         self.assertRegex(out, r"waits for +8 in a rack\n  x")
 
     def test_cell_status(self):
+        a1 = {"host": "a1", "zone": "a", "term": 3, "role": "leader", "leader": "a1"}
+        a2 = {"host": "a2", "zone": "a", "term": 3, "role": "follower", "leader": "a1"}
         hosts = [
-            {"host": "a2", "zone": "a", "term": 3, "role": "follower", "leader": "a1"},
-            {
-                "host": "a1",
-                "zone": "a",
-                "term": 3,
-                "role": "leader",
-                "leader": "a1",
-                "members": ["a1", "a2"],
-            },
+            {"host": "a4", "zone": "a", "reachable": False},
+            {"host": "a3", "zone": "a", "records": {"revision": 2, "role": "follower"}},
+            a2 | {"records": {"revision": 12, "role": "follower", "leader": "c1"}},
+            a1 | {"members": ["a1", "a2"], "records": {"revision": 12}},
         ]
         out = self.listing("/v1/cells", {"hosts": hosts}, "cell", "status")
-        self.assertRegex(out, r"a +a1 +leader +3 +a1 +a1 a2 *\na +a2 +follower +3 +a1 *\n")
+        rows = [" ".join(line.split()) for line in out.splitlines()[1:]]
+        expected = [
+            "a a1 leader 3 a1 a1 a2 no voter 12",
+            "a a2 follower 3 a1 follower of c1 12",
+            "a a3 0 none no leader 2",
+            "a a4 unreachable",
+        ]
+        self.assertEqual(expected, rows)
 
     def test_an_answer_of_another_form_is_no_traceback(self):
         host = self.host({("GET", "/v1/workers"): [(200, {"workers": [{"slots": "x"}]})]})
