Index workers by free slots and remember where room came free

Change: a failed search looks only at workers freed since, and single small tasks at the fullest workers first.

--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
@@ -52,12 +52,25 @@
             for _ in range(shape.count)
         ]
         self.cells.sort(key=lambda cell: (-cell.accelerators, STRICTNESS[cell.adjacency]))
-        self.lay_all()
+        self.adopt_all()
 
     def missing(self) -> tuple[str, ...]:
         """Return the teams whose shapes cannot all be laid out now."""
         return tuple(sorted({cell.team for cell in self.cells if not cell.places}))
 
+    def adopt_all(self) -> None:
+        """Lay the cells around what runs already, and count as guaranteed what they cover.
+
+        It serves a scheduler that has just begun, and a list of teams that changed.
+        """
+        teams = {cell.team for cell in self.cells}
+        for allocation in self.topology.allocations.values():
+            request = allocation.request
+            may_use = request.demand.accelerators > 0 or not request.preemptible
+            if request.team in teams and may_use and not allocation.pending:
+                self._recount(allocation, Backing.GUARANTEED)
+        self.lay_all()
+
     def lay_all(self) -> None:
         """Lay every cell out anew, first around the team's own guaranteed work."""
         self.laid.clear()
@@ -198,6 +211,7 @@
             team[name] -= count
             if team[name] == 0:
                 del team[name]
+        self.topology.freed.add(cell.places)
         cell.places = {}
 
     def _holds(self, name: str) -> bool:
@@ -226,18 +240,28 @@
             self._settle()
 
     def _demote_uncovered(self) -> bool:
-        """Count guaranteed work that no cell covers any more as borrowed or pinned."""
+        """Count guaranteed work without a cell as borrowed or pinned, the newest first."""
         pairs = [(team, name) for team, book in self.own.items() for name in book]
         bare = {(team, name) for team, name in pairs if not self._covers(team, name)}
-        found = False
-        for allocation in list(self.topology.allocations.values()) if bare else []:
-            request = allocation.request
-            if allocation.backing is not Backing.GUARANTEED:
-                continue
-            if any((request.team, name) in bare for name in allocation.counts):
-                self.charge(allocation, -1)
-                backing = Backing.BORROWED if request.preemptible else Backing.PINNED
-                self.topology.change(allocation, backing=backing)
-                self.charge(allocation, 1)
-                found = True
-        return found
+        if not bare:
+            return False
+        guaranteed = [
+            allocation
+            for allocation in self.topology.allocations.values()
+            if allocation.backing is Backing.GUARANTEED
+        ]
+        guaranteed.sort(key=lambda a: (-a.started_ms, a.request.request_id))
+        for allocation in guaranteed:
+            team = allocation.request.team
+            if any((team, n) in bare and not self._covers(team, n) for n in allocation.counts):
+                self._recount(allocation, _outside(allocation))
+        return True
+
+    def _recount(self, allocation: Allocation, backing: Backing) -> None:
+        self.charge(allocation, -1)
+        self.topology.change(allocation, backing=backing)
+        self.charge(allocation, 1)
+
+
+def _outside(allocation: Allocation) -> Backing:
+    return Backing.BORROWED if allocation.request.preemptible else Backing.PINNED
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
@@ -30,12 +30,16 @@
 
 @dataclass(slots=True)
 class Group:
-    """Alike requests in the order in which they came, and why the oldest waits."""
+    """Alike requests in the order in which they came, and why the oldest waits.
+
+    `searched` is the mark of the log of freed workers up to which the oldest found no place.
+    """
 
     key: GroupKey
     requests: OrderedDict[str, PendingRequest] = field(default_factory=OrderedDict)
     waits_for: str = "its turn"
     tried_ms: int = -1
+    searched: int = -1
     reclaim_tried_ms: int = -1
 
     def head(self) -> PendingRequest:
@@ -84,6 +88,7 @@
         group.requests[request.request_id] = request
         if len(group.requests) > 1 and request.submitted_ms < group.head().submitted_ms:
             group.requests.move_to_end(request.request_id, last=False)
+            group.searched = -1
         self.by_request[request.request_id] = group
         if request.deadline_ms is not None:
             heappush(self._deadlines, (request.deadline_ms, request.request_id))
@@ -95,6 +100,8 @@
         group = self.by_request.pop(request_id, None)
         if group is None:
             return None
+        if next(iter(group.requests)) == request_id:
+            group.searched = -1
         request = group.requests.pop(request_id)
         self.counts[request.team] -= 1
         if not group.requests:
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -15,6 +15,8 @@
 from agateferry_scheduling.scheduler.zone import ZoneState
 from agateferry_scheduling.topology import Backing, WorkerState
 
+CANDIDATES_FOR_ONE = 48
+
 
 class Finder:
     """Look for places by right: within the team's cells, borrowed, pinned, or by taking back."""
@@ -33,31 +35,25 @@
                 candidates.append(self._candidate(state, room, demand))
         return choose(candidates, demand)
 
-    def free(self, request: PendingRequest, now_ms: int) -> Counts | None:
-        """Return free workers, outside what is reserved for others and kept for urgent work."""
-        demand = request.demand
-        if self._eats_headroom(request):
-            return None
-        ends_ms = now_ms + self._zone.estimates.at_most_ms(request)
-        candidates = []
-        for state in self._open(request):
-            room = state.room_for(demand)
-            if room and not self._kept_out(request, state, ends_ms):
-                candidates.append(self._candidate(state, room, demand))
-        return choose(candidates, demand)
+    def free(self, request: PendingRequest, now_ms: int, searched: int = -1) -> Counts | None:
+        """Return free workers, outside what is reserved for others and kept for urgent work.
 
-    def outside_cells(self, request: PendingRequest, now_ms: int) -> Counts | None:
-        """Return free workers where work that cannot be taken back breaks no guarantee."""
+        Workers are passed over on which nothing came free since the mark `searched`. Work that
+        cannot be taken back only goes where it breaks no guarantee.
+        """
         demand = request.demand
         ends_ms = now_ms + self._zone.estimates.at_most_ms(request)
         candidates = []
-        for state in self._open(request):
+        for state in self._open(request, searched):
             room = state.room_for(demand)
             if not room or self._kept_out(request, state, ends_ms):
                 continue
-            room = min(room, self._zone.layout.slack(state).room_for(demand))
+            if not request.preemptible:
+                room = min(room, self._zone.layout.slack(state).room_for(demand))
             if room:
                 candidates.append(self._candidate(state, room, demand))
+                if len(candidates) >= CANDIDATES_FOR_ONE and demand.members == 1:
+                    break
         return choose(candidates, demand)
 
     def cover(self, request: PendingRequest, counts: Counts) -> bool:
@@ -178,12 +174,31 @@
             if state is not None and state.is_open() and name not in avoided:
                 yield state
 
-    def _open(self, request: PendingRequest) -> Iterator[WorkerState]:
+    def _open(self, request: PendingRequest, searched: int) -> Iterator[WorkerState]:
         avoided = self._zone.health.avoided(request.request_id)
-        for state in self._zone.topology.workers.values():
-            if state.free_slots > 0 and state.is_open() and state.name not in avoided:
+        wanted = request.demand.accelerators
+        for state in self._changed(request.demand, searched):
+            if state.free_slots <= 0 or state.free_accelerators < wanted:
+                continue
+            if state.is_open() and state.name not in avoided:
                 yield state
 
+    def _changed(self, demand: Demand, searched: int) -> Iterable[WorkerState]:
+        """Return the workers that may have room now and had none at the mark."""
+        topology = self._zone.topology
+        names = None if searched < 0 else topology.freed.since(searched)
+        if names is None or (demand.members > 1 and demand.adjacency is Adjacency.ANY and names):
+            return (
+                topology.index.accelerated.values()
+                if demand.accelerators
+                else (topology.index.with_slots())
+            )
+        states = [topology.workers[name] for name in names if name in topology.workers]
+        if demand.members == 1 or demand.adjacency is Adjacency.WORKER:
+            return states
+        racks = dict.fromkeys(state.worker.rack for state in states)
+        return [state for rack in racks for state in topology.racks[rack].workers.values()]
+
     def _candidate(self, state: WorkerState, room: int, demand: Demand) -> Candidate:
         rack = self._zone.topology.racks[state.worker.rack]
         return Candidate(state, room, cost_of(state, rack, demand))
@@ -194,7 +209,8 @@
             return False
         return reservation.keeps_out(state.name, request.request_id, ends_ms)
 
-    def _eats_headroom(self, request: PendingRequest) -> bool:
+    def eats_headroom(self, request: PendingRequest) -> bool:
+        """Tell whether a start would use slots that are kept for urgent work."""
         if request.urgency is Urgency.URGENT or is_large(request):
             return False
         left = self._zone.topology.free_slots - request.demand.members
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
@@ -55,6 +55,10 @@
 
     def step(self, event: SchedulerEvent, now_ms: int) -> list[Decision]:
         """Take one event in and return what to do, in the order to do it."""
+        if isinstance(event, RequestRunning):
+            self.zone.adopt(event.request, event.assignments, event.started_ms)
+            return []
+        self.zone.settle_adopted()
         decisions = self._take(event, now_ms)
         decisions += self._starter.start_ready(now_ms)
         if self._is_pass_due(now_ms):
@@ -82,8 +86,6 @@
     def _take_change(self, event: SchedulerEvent) -> None:
         zone = self.zone
         match event:
-            case RequestRunning(request=request, assignments=assignments, started_ms=started_ms):
-                zone.adopt(request, assignments, started_ms)
             case WorkerJoined(worker=worker):
                 self._join(worker)
             case WorkerLeaving(name=name):
@@ -94,10 +96,10 @@
                 self._close()
             case TeamsChanged(teams=teams):
                 zone.set_teams(teams)
-                zone.topology.version += 1
+                zone.topology.touch()
             case ConfigChanged(config=config):
                 zone.set_config(config)
-                zone.topology.version += 1
+                zone.topology.touch()
 
     def _queue(self, request: PendingRequest, now_ms: int) -> list[Decision]:
         decisions = self._admission.admit(request, now_ms)
@@ -143,7 +145,7 @@
         if state is None:
             return
         state.quarantined = not change.lifted
-        self.zone.topology.version += 1
+        self.zone.topology.touch()
         self._close()
 
     def _join(self, worker: Worker) -> None:
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -114,31 +114,30 @@
 
     def _start_now(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
         counts = self._find.within_cells(request) if self._may_use_cells(request) else None
-        if not request.preemptible:
-            if counts is not None:
-                return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
-            return self._start_pinned(group, request, now_ms)
-        if counts is not None and not self._find.breaks_whole(counts):
+        if counts is not None and not (request.preemptible and self._find.breaks_whole(counts)):
             return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
-        free = self._find.free(request, now_ms)
+        free = self._search_free(group, request, now_ms)
         if counts is not None and (free is None or self._find.breaks_whole(free)):
             return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
         if free is None:
-            group.waits_for = f"{_wanted(request)} free at the same time"
             return []
         if self._is_patient(request, free, now_ms):
             group.waits_for = "room on a worker that is already in use"
             return []
         covered = request.demand.accelerators > 0 and self._find.cover(request, free)
-        backing = Backing.GUARANTEED if covered else Backing.BORROWED
+        backing = Backing.GUARANTEED if covered else backing_of(request)
         return [self._start(request, free, backing, now_ms)]
 
-    def _start_pinned(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
-        counts = self._find.outside_cells(request, now_ms)
-        if counts is None:
-            group.waits_for = f"{_wanted(request)} outside the guarantees of other teams"
-            return []
-        return [self._start(request, counts, Backing.PINNED, now_ms)]
+    def _search_free(self, group: Group, request: PendingRequest, now_ms: int) -> Counts | None:
+        if self._find.eats_headroom(request):
+            group.waits_for = "slots that are not kept for urgent work"
+            return None
+        free = self._find.free(request, now_ms, group.searched)
+        if free is None:
+            group.searched = self._zone.topology.freed.mark()
+            where = "" if request.preemptible else " outside the guarantees of other teams"
+            group.waits_for = f"{_wanted(request)} free at the same time{where}"
+        return free
 
     def _take_back(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
         if now_ms - group.reclaim_tried_ms < RECLAIM_RETRY_MS and group.reclaim_tried_ms >= 0:
@@ -189,22 +188,29 @@
         zone = self._zone
         reservation = zone.reservation
         if reservation is not None and zone.queue.get(reservation.request.request_id) is None:
-            zone.reservation = reservation = None
+            self._drop_reservation()
+            reservation = None
         if reservation is not None and now_ms >= reservation.start_ms:
             found = self._yield_to(reservation.request, reservation.workers, now_ms)
             if found:
-                zone.reservation = None
+                self._drop_reservation()
                 return found
         if now_ms - self._reserved_ms < RESERVATION_CHECK_MS:
             return []
         if reservation is None or now_ms >= reservation.start_ms or self._is_broken(reservation):
             self._reserved_ms = now_ms
             oldest = zone.queue.oldest_large()
-            zone.reservation = None
+            self._drop_reservation()
             if oldest is not None:
                 zone.reservation = reserve(zone.topology, zone.estimates, oldest, now_ms)
         return []
 
+    def _drop_reservation(self) -> None:
+        """Let searches look again at the workers that were kept."""
+        if self._zone.reservation is not None:
+            self._zone.topology.freed.add(self._zone.reservation.workers)
+        self._zone.reservation = None
+
     def _is_broken(self, reservation: Reservation) -> bool:
         workers = self._zone.topology.workers
         return not all(name in workers and workers[name].is_open() for name in reservation.workers)
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/zone.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/zone.py
@@ -33,6 +33,7 @@
         self.health = Health(config)
         self.claims = Claims(self.topology)
         self.reservation: Reservation | None = None
+        self.adopting = False
         self.starts: dict[str, deque[int]] = {}
 
     def set_teams(self, teams: tuple[Team, ...]) -> None:
@@ -83,12 +84,14 @@
     ) -> None:
         """Count a request in that was started before this scheduler began."""
         backing = Backing.BORROWED if request.preemptible else Backing.PINNED
-        allocation = Allocation(request, assignments, started_ms, backing)
-        if request.demand.accelerators and self._lies_in_cells(allocation):
-            allocation.backing = Backing.GUARANTEED
-        self.put(allocation)
-        if allocation.backing is Backing.PINNED:
-            self.layout.lay_all()
+        self.put(Allocation(request, assignments, started_ms, backing))
+        self.adopting = True
+
+    def settle_adopted(self) -> None:
+        """Lay the guarantees around all that was adopted, once no more of it comes."""
+        if self.adopting:
+            self.adopting = False
+            self.layout.adopt_all()
 
     def note_start(self, team: str, now_ms: int) -> None:
         """Remember the times of a team's latest starts."""
@@ -99,13 +102,3 @@
         """Return how long one start of the team took of late; 0 when none is known."""
         times = self.starts.get(team)
         return (now_ms - times[0]) // len(times) if times else 0
-
-    def _lies_in_cells(self, allocation: Allocation) -> bool:
-        request = allocation.request
-        for name, members in allocation.counts.items():
-            state = self.topology.workers.get(name)
-            if state is None:
-                return False
-            if self.layout.room_own(request.team, state, request.demand) < members:
-                return False
-        return True
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/__init__.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/__init__.py
@@ -4,8 +4,8 @@
     Allocation,
     Backing,
     RackState,
-    Topology,
     WorkerState,
 )
+from agateferry_scheduling.topology.topology import Topology
 
 __all__ = ["Allocation", "Backing", "RackState", "Topology", "WorkerState"]
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
@@ -0,0 +1,149 @@
+"""The topology of one zone: its racks and workers, and what is placed on them."""
+
+from collections.abc import Iterator
+
+from agateferry_core.demand import Worker
+
+from agateferry_scheduling.topology.index import FreedLog, WorkerIndex
+from agateferry_scheduling.topology.state import Allocation, Backing, RackState, WorkerState
+
+
+class Topology:
+    """Keep the workers and allocations of one zone.
+
+    `version` grows whenever room may have grown. `seen` also holds workers that were lost, so that
+    a demand is called infeasible only when the zone never had the machines for it.
+    """
+
+    def __init__(self, zone: str) -> None:
+        self.zone = zone
+        self.racks: dict[str, RackState] = {}
+        self.workers: dict[str, WorkerState] = {}
+        self.seen: dict[str, Worker] = {}
+        self.allocations: dict[str, Allocation] = {}
+        self.version = 0
+        self.joined = 0
+        self.accelerators = 0
+        self.slots = 0
+        self.free_slots = 0
+        self.index = WorkerIndex()
+        self.freed = FreedLog()
+
+    def join(self, worker: Worker) -> bool:
+        """Add a worker or take its new size over; return whether it belongs to this zone."""
+        if worker.zone != self.zone:
+            return False
+        self.lose(worker.name)
+        self.seen[worker.name] = worker
+        self.version += 1
+        self.joined += 1
+        state = WorkerState(worker=worker, number=self.joined)
+        state.reset()
+        self.workers[worker.name] = state
+        rack = self.racks.setdefault(worker.rack, RackState(name=worker.rack))
+        rack.workers[worker.name] = state
+        rack.accelerators += worker.accelerators
+        rack.free_accelerators += worker.accelerators
+        self.accelerators += worker.accelerators
+        self.slots += worker.slots
+        self._retake(state, rack)
+        self.free_slots += state.free_slots
+        self.index.put(state)
+        self.freed.forget()
+        return True
+
+    def drain(self, name: str) -> None:
+        """Give a worker no new work; what it runs goes on."""
+        if name in self.workers:
+            self.workers[name].draining = True
+
+    def lose(self, name: str) -> None:
+        """Forget a worker; its allocations stay until their ends are reported."""
+        state = self.workers.pop(name, None)
+        if state is None:
+            return
+        rack = self.racks[state.worker.rack]
+        del rack.workers[name]
+        self.index.drop(name)
+        self.accelerators -= state.worker.accelerators
+        self.slots -= state.worker.slots
+        self.free_slots -= state.free_slots
+        rack.accelerators -= state.worker.accelerators
+        rack.free_accelerators -= state.free_accelerators
+        if not rack.workers:
+            del self.racks[rack.name]
+
+    def allocate(self, allocation: Allocation) -> None:
+        """Take the allocation's share on its workers."""
+        self.allocations[allocation.request.request_id] = allocation
+        self._take(allocation, 1)
+
+    def release(self, request_id: str) -> Allocation | None:
+        """Give an allocation's share back; return None when it is not known."""
+        allocation = self.allocations.pop(request_id, None)
+        if allocation is not None:
+            self._take(allocation, -1)
+            self.freed.add(allocation.counts)
+        return allocation
+
+    def change(
+        self,
+        allocation: Allocation,
+        backing: Backing | None = None,
+        stopping: bool | None = None,
+        pending: bool | None = None,
+    ) -> None:
+        """Change an allocation's standing and keep the sums of its workers right."""
+        self._book(allocation, -1)
+        allocation.backing = allocation.backing if backing is None else backing
+        allocation.stopping = allocation.stopping if stopping is None else stopping
+        allocation.pending = allocation.pending if pending is None else pending
+        self._book(allocation, 1)
+
+    def touch(self) -> None:
+        """Make every search look at all workers again."""
+        self.version += 1
+        self.freed.forget()
+
+    def open_workers(self) -> Iterator[WorkerState]:
+        """Yield the workers that may be given work, in the order in which they joined."""
+        return (state for state in self.workers.values() if state.is_open())
+
+    def _book(self, allocation: Allocation, sign: int) -> None:
+        for name, members in allocation.counts.items():
+            state = self.workers.get(name)
+            if state is None:
+                continue
+            book = state.book_for(allocation)
+            if book is not None:
+                book.add(allocation.request.demand, sign * members)
+
+    def _take(self, allocation: Allocation, sign: int) -> None:
+        self.version += sign < 0
+        self._book(allocation, sign)
+        demand = allocation.request.demand
+        for name, members in allocation.counts.items():
+            state = self.workers.get(name)
+            if state is None:
+                continue
+            state.take(demand, sign * members)
+            self.free_slots -= sign * members
+            self.index.put(state)
+            rack = self.racks[state.worker.rack]
+            rack.free_accelerators -= sign * members * demand.accelerators
+            if sign > 0:
+                state.requests.add(allocation.request.request_id)
+            else:
+                state.requests.discard(allocation.request.request_id)
+
+    def _retake(self, state: WorkerState, rack: RackState) -> None:
+        for request_id, allocation in self.allocations.items():
+            members = allocation.counts.get(state.name, 0)
+            if members == 0:
+                continue
+            state.take(allocation.request.demand, members)
+            book = state.book_for(allocation)
+            if book is not None:
+                book.add(allocation.request.demand, members)
+            rack.free_accelerators -= members * allocation.request.demand.accelerators
+            state.requests.add(request_id)
