--- a/packages/agateferry-scheduling/agateferry_scheduling/placement/compaction.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/compaction.py
@@ -15,6 +15,7 @@
 from agateferry_scheduling.topology import Allocation, Backing, Topology, WorkerState
 
 WORKERS_WEIGHED = 16
+MOVES_WEIGHED = 12
 LARGEST_MOVED = 16
 SHORTEST_RUN_MS = 120_000
 SMALLEST_GAIN = 0.5
@@ -48,7 +49,8 @@
     topology: Topology, now_ms: int, moved_ms: dict[str, int], gap_ms: int
 ) -> list[Allocation]:
     """Return checkpointable allocations on the least used of the partly used racks' workers."""
-    used = [w for w in topology.open_workers() if w.worker.accelerators > w.free_accelerators >= 0]
+    workers = topology.index.accelerated.values()
+    used = [w for w in workers if w.worker.accelerators > w.free_accelerators >= 0 and w.is_open()]
     used.sort(key=lambda w: (-w.free_accelerators, w.number))
     found: dict[str, Allocation] = {}
     for state in used[:WORKERS_WEIGHED]:
@@ -58,6 +60,8 @@
                 continue
             if now_ms - moved_ms.get(request_id, -gap_ms) >= gap_ms:
                 found[request_id] = allocation
+        if len(found) >= MOVES_WEIGHED:
+            break
     return list(found.values())
 
 
@@ -72,8 +76,10 @@
 def _target(topology: Topology, allocation: Allocation) -> Counts | None:
     demand = allocation.request.demand
     candidates = []
-    for state in topology.open_workers():
-        if state.name in allocation.counts or state.free_slots <= 0:
+    for state in topology.index.accelerated.values():
+        if state.free_accelerators < demand.accelerators or not state.is_open():
+            continue
+        if state.name in allocation.counts:
             continue
         room = state.room_for(demand)
         if room:
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/reservation.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/reservation.py
@@ -13,6 +13,7 @@
 from agateferry_scheduling.scheduler.messages import PendingRequest
 from agateferry_scheduling.topology import Topology, WorkerState
 from agateferry_scheduling.topology.amount import Amount
+from agateferry_scheduling.topology.state import capacity_for
 
 RACKS_WEIGHED = 4
 FAR_FUTURE_MS = 1 << 60
@@ -49,13 +50,30 @@
 def _places(topology: Topology, demand: Demand) -> list[list[WorkerState]]:
     racks = sorted(topology.racks.values(), key=lambda rack: -rack.free_accelerators)
     if demand.adjacency is Adjacency.ANY:
-        return [[w for rack in racks for w in rack.workers.values() if w.is_open()]]
+        return [_enough(topology, demand)]
     groups = [[w for w in rack.workers.values() if w.is_open()] for rack in racks]
     if demand.adjacency is Adjacency.RACK:
         return groups[:RACKS_WEIGHED]
     return [[worker] for group in groups[:RACKS_WEIGHED] for worker in group]
 
 
+def _enough(topology: Topology, demand: Demand) -> list[WorkerState]:
+    """Return the freest workers that, empty, would hold twice the demand."""
+    workers = topology.index.accelerated if demand.accelerators else topology.workers
+    ordered = sorted(
+        workers.values(), key=lambda w: (-w.free_accelerators, -w.free_slots, w.number)
+    )
+    enough = []
+    capacity = 0
+    for worker in ordered:
+        if worker.is_open():
+            enough.append(worker)
+            capacity += capacity_for(worker.worker, demand)
+        if capacity >= 2 * demand.members:
+            break
+    return enough
+
+
 def _soonest(
     topology: Topology,
     estimates: Estimates,
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -16,6 +16,8 @@
 from agateferry_scheduling.topology import Backing, WorkerState
 
 CANDIDATES_FOR_ONE = 48
+WORKERS_WEIGHED = 12
+RACKS_WEIGHED = 3
 
 
 class Finder:
@@ -99,7 +101,7 @@
                 room = min(room, self._zone.layout.slack(state).room_for(demand))
             if room:
                 rooms[name] = room
-        return self._cheapest(demand, rooms, allowed, now_ms)
+        return self._cheapest(demand, self._shortlist(demand, rooms), allowed, now_ms)
 
     def breaks_whole(self, counts: Counts) -> bool:
         """Tell whether a small placement would break into a worker that is wholly free."""
@@ -109,6 +111,24 @@
                 return True
         return False
 
+    def _shortlist(self, demand: Demand, rooms: dict[str, int]) -> dict[str, int]:
+        """Keep the roomiest racks or workers, because weighing what they run takes time."""
+        if len(rooms) <= WORKERS_WEIGHED:
+            return rooms
+        if demand.adjacency is Adjacency.RACK and demand.members > 1:
+            workers = self._zone.topology.workers
+            by_rack: dict[str, dict[str, int]] = {}
+            for name, room in rooms.items():
+                by_rack.setdefault(workers[name].worker.rack, {})[name] = room
+            best = sorted(by_rack.values(), key=lambda rack: -sum(rack.values()))
+            return {name: room for rack in best[:RACKS_WEIGHED] for name, room in rack.items()}
+        chosen: dict[str, int] = {}
+        for name, room in sorted(rooms.items(), key=lambda item: -item[1]):
+            if len(chosen) >= WORKERS_WEIGHED and sum(chosen.values()) >= 2 * demand.members:
+                break
+            chosen[name] = room
+        return chosen
+
     def _cheapest(
         self, demand: Demand, rooms: dict[str, int], allowed: Allowed, now_ms: int
     ) -> tuple[Counts, Plan] | None:
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -24,6 +24,7 @@
 STARTS_PER_PASS = 32
 ROUNDS_PER_PASS = 6
 RECLAIM_RETRY_MS = 1_000
+AGED_RETRY_MS = 10_000
 RESERVATION_CHECK_MS = 5_000
 PATIENCE_MS = 120_000
 SIZE_RANK = 0.2
@@ -140,7 +141,9 @@
         return free
 
     def _take_back(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
-        if now_ms - group.reclaim_tried_ms < RECLAIM_RETRY_MS and group.reclaim_tried_ms >= 0:
+        in_haste = request.urgency is Urgency.URGENT or self._may_use_cells(request)
+        retry_ms = RECLAIM_RETRY_MS if in_haste else AGED_RETRY_MS
+        if group.reclaim_tried_ms >= 0 and now_ms - group.reclaim_tried_ms < retry_ms:
             return []
         found = self._find_victims(request, now_ms)
         group.reclaim_tried_ms = -1 if found else now_ms
@@ -176,7 +179,9 @@
             waited = allocation.started_ms - other.submitted_ms
             return _not_urgent(allocation) and waited < limit_ms
 
-        names = list(self._zone.topology.workers)
+        topology = self._zone.topology
+        accelerated = request.demand.accelerators > 0
+        names = list(topology.index.accelerated if accelerated else topology.workers)
         found = self._find.take_back(request, names, allowed, now_ms)
         if found is None:
             return []
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/growth.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/growth.py
@@ -33,7 +33,7 @@
 RUNNING = 10_000
 TEAMS = 49
 WAITING = 300
-STEP_MS = 4_000
+STEP_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
