Measure fragmentation over the trace's own time

Cause: the integral ran on while stragglers drained, so a policy that stalls (bad-worker under the baseline: 7 requests never end) diluted its fragmentation by idle hours. It now ends with the last line of the trace, the same span for each policy.

--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/meter.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/meter.py
@@ -36,15 +36,21 @@
 
 @dataclass
 class Meter:
-    """Collect times and integrals; `report` sums them up."""
+    """Collect times and integrals; `report` sums them up.
+
+    Integrals run up to `until_ms`, the last line of the trace, so that they span the same time
+    under each policy.
+    """
 
     cluster: Cluster
+    until_ms: int
     lives: dict[str, Life] = field(default_factory=dict)
     waiting: dict[str, None] = field(default_factory=dict)
     completion: dict[Urgency, list[int]] = field(
         default_factory=lambda: {urgency: [] for urgency in Urgency}
     )
     small_urgent: list[int] = field(default_factory=list)
+    small_urgent_runs: list[int] = field(default_factory=list)
     slowdowns: list[float] = field(default_factory=list)
     reclaims: list[int] = field(default_factory=list)
     urgent_waits: list[tuple[int, bool]] = field(default_factory=list)
@@ -63,8 +69,8 @@
 
     def advance(self, now_ms: int) -> None:
         """Add the time since the last change to the integrals."""
-        span_ms = now_ms - self._last_ms
-        self._last_ms = now_ms
+        span_ms = min(now_ms, self.until_ms) - self._last_ms
+        self._last_ms = max(min(now_ms, self.until_ms), self._last_ms)
         if span_ms <= 0 or not self.cluster.workers:
             return
         total = sum(worker.accelerators for worker in self.cluster.workers.values())
@@ -153,6 +159,7 @@
             policy,
             completion={urgency: spread(times) for urgency, times in self.completion.items()},
             small_urgent=spread(self.small_urgent),
+            small_urgent_run=spread(self.small_urgent_runs),
             mean_slowdown=math.exp(mean_log),
             fragmentation_pct=100.0 * self._stranded_ms / max(self._total_ms, 1),
             utilization_pct=100.0 * self._used_ms / max(self._total_ms, 1),
@@ -191,6 +198,7 @@
         self.completion[request.urgency].append(took_ms)
         if request.urgency is Urgency.URGENT and request.demand.members == SMALL_MEMBERS:
             self.small_urgent.append(took_ms)
+            self.small_urgent_runs.append(life.run_ms)
         floor_ms = max(life.run_ms, SLOWDOWN_FLOOR_MS)
         self.slowdowns.append(max(took_ms / floor_ms, 1.0))
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/replay.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/replay.py
@@ -140,12 +140,13 @@
             self.config = replace(self.config, weights=self.weights)
         zones = [record.worker.zone for record in self.records if isinstance(record, WorkerUp)]
         self.scheduler = scheduler_for(self.policy, zones[0] if zones else "", self.config)
-        self.meter = Meter(self.cluster)
+        last_ms = max((record.at_ms for record in self.records), default=0)
+        self.end_ms = last_ms + DRAIN_MS
+        self.meter = Meter(self.cluster, last_ms)
         self._numbers = count()
         self._actions: list[tuple[int, int, _Action]] = []
         for record in self.records:
             self._later(record.at_ms, record)
-        self.end_ms = max((record.at_ms for record in self.records), default=0) + DRAIN_MS
         self._ticking = False
         self._tick_at_ms = 0
         self._changed_ms = 0
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/report.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/report.py
@@ -45,6 +45,7 @@
     policy: str
     completion: dict[Urgency, Spread] = field(default_factory=dict)
     small_urgent: Spread = field(default_factory=lambda: Spread(0, 0, 0, 0))
+    small_urgent_run: Spread = field(default_factory=lambda: Spread(0, 0, 0, 0))
     mean_slowdown: float = 0.0
     fragmentation_pct: float = 0.0
     utilization_pct: float = 0.0
