--- a/packages/agateferry-scheduling/agateferry_scheduling/placement/compaction.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/compaction.py
@@ -17,7 +17,7 @@
 WORKERS_WEIGHED = 16
 MOVES_WEIGHED = 12
 LARGEST_MOVED = 16
-SHORTEST_RUN_MS = 120_000
+SHORTEST_RUN_MS = 60_000
 SMALLEST_GAIN = 0.5
 
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
@@ -7,9 +7,9 @@
 from agateferry_scheduling.scheduler.zone import ZoneState
 from agateferry_scheduling.topology import Allocation, Backing
 
-MOVE_GAP_MS = 30_000
-BASE_REST_MS = 5 * 60_000
-MOVES_AT_ONCE = 2
+MOVE_GAP_MS = 10_000
+BASE_REST_MS = 2 * 60_000
+MOVES_AT_ONCE = 4
 
 
 class Mover:
