--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -27,6 +27,7 @@
 AGED_RETRY_MS = 10_000
 RESERVATION_CHECK_MS = 5_000
 PATIENCE_MS = 120_000
+TURN_MS = 30 * 60_000
 SIZE_RANK = 0.2
 WORKERS_WEIGHED = 12
 URGENT_MARGIN_MS = 300
@@ -176,8 +177,9 @@
 
         def allowed(allocation: Allocation) -> bool:
             other = allocation.request
-            waited = allocation.started_ms - other.submitted_ms
-            return _not_urgent(allocation) and waited < limit_ms
+            is_young = allocation.started_ms - other.submitted_ms < limit_ms
+            had_turn = now_ms - allocation.started_ms >= TURN_MS and other.checkpointable
+            return _not_urgent(allocation) and (is_young or had_turn)
 
         topology = self._zone.topology
         accelerated = request.demand.accelerators > 0
