--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 
 from agateferry_core.demand import Worker
-
 from agateferry_scheduling.topology.index import FreedLog, WorkerIndex
 from agateferry_scheduling.topology.state import Allocation, Backing, RackState, WorkerState
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/growth.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/growth.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, replace
 
 from agateferry_core.demand import Adjacency, Assignment, Demand, Shape, Urgency, Worker
-
 from agateferry_scheduling.scheduler.messages import (
     Decision,
     EndReason,
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_transport.py
@@ -4,9 +4,9 @@
 from types import SimpleNamespace
 
 import testtools
+
 from agateferry_core.clock import ManualClock
 from agateferry_core.support import free_port, run_async
-
 from agateferry_state.members import MemberId
 from agateferry_state.replica.codec import Envelope
 from agateferry_state.replica.link import LinkSettings
--- a/packages/agateferry-state/agateferry_state/replica/transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/transport.py
@@ -8,12 +8,12 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Protocol
 
-from agateferry_core.clock import Clock, SystemClock
-from agateferry_core.logs import EventLogger
 from expression import Error, Ok, Result
 from google.protobuf.message import DecodeError
 from grpc import aio
 
+from agateferry_core.clock import Clock, SystemClock
+from agateferry_core.logs import EventLogger
 from agateferry_state.events import ENVELOPE_REFUSED
 from agateferry_state.replica.codec import Envelope, decode_envelope, encode_envelope
 from agateferry_state.replica.datagrams import DatagramPaths, DatagramSocket
