Start the members of a gang that an earlier leader left reserved

Cause: a leader was killed between the starts of a gang. The next one looked at each member's lease, took "reserved" for "started" and waited for an end that could not come: the other members ran, one did not, and the caller got no answer. Ruled out: the scheduler (it showed the request as running) and lost announcements (the workers announced their finished leases). Change: a lease that is only reserved counts as not started, and its start is sent.

--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -206,7 +206,7 @@
         until_ms = self._clock.now_ms() + self._times.resolve_ms
         if member.sent:
             reply = await self._look(member)
-            if not _is_unknown(reply):
+            if not _is_unstarted(reply):
                 return reply
         tries = 0
         while True:
@@ -221,7 +221,7 @@
                 return reply
             reply = await self._look(member)
             tries += 1
-            if not _is_unknown(reply) or self._clock.now_ms() >= until_ms:
+            if not _is_unstarted(reply) or self._clock.now_ms() >= until_ms:
                 return reply
             await self._pause(tries)
 
@@ -335,8 +335,11 @@
     return reply.is_error() and reply.error.kind is WorkerErrorKind.UNREACHED
 
 
-def _is_unknown(reply: Result[LeaseView, WorkerError]) -> bool:
-    return reply.is_error() and reply.error.kind is WorkerErrorKind.UNKNOWN_LEASE
+def _is_unstarted(reply: Result[LeaseView, WorkerError]) -> bool:
+    """Tell whether a worker says that no start of the lease has arrived."""
+    if reply.is_ok():
+        return reply.ok.state is LeaseState.RESERVED
+    return reply.error.kind is WorkerErrorKind.UNKNOWN_LEASE
 
 
 def _was_stopped(member: Member) -> bool:
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -152,6 +152,14 @@
         )
         self.assertIn(("m0", "stop"), fake.calls)
 
+    def test_a_member_that_an_earlier_leader_left_reserved_is_started(self):
+        fake = FakeWorkers(m0_look=[LeaseState.FINISHED], m1_look=[LeaseState.RESERVED])
+        resumed = attempt(fake, 2)
+        for member in resumed.members:
+            member.sent = True
+        self.assertEqual(AttemptEnd.FINISHED, run_async(resumed.run(), 5).end)
+        self.assertEqual([("m1", "start")], [call for call in fake.calls if call[1] == "start"])
+
     def test_a_lost_worker_fails_the_whole_gang(self):
         fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m1_start=[LeaseState.RUNNING])
 
