Let a newer incarnation prove itself to a member that knows an older one

Change: a message from one that counts as superseded is answered by a question with a fresh number; the answer proves which one runs.

--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -254,9 +254,15 @@
 
     def _is_meant(self, sender: MemberId, recipient: MemberId, message: Message) -> bool:
         """Tell whether a message is for this incarnation and from one that still runs."""
+        state = self._state
         if isinstance(message, Greeting):
-            return recipient in (self._state.me.id, MemberId(self._state.me.id.host))
-        return recipient == self._state.me.id and not self._state.is_superseded(sender)
+            return recipient in (state.me.id, MemberId(state.me.id.host))
+        if recipient != state.me.id:
+            return False
+        if state.is_superseded(sender):
+            greeting.ask(state, sender)
+            return False
+        return True
 
     def _refuse(self, event: Event) -> None:
         """Answer what waits for an answer, after the disk failed."""
--- a/packages/agateferry-state/agateferry_state/replication/greeting.py
+++ b/packages/agateferry-state/agateferry_state/replication/greeting.py
@@ -4,7 +4,8 @@
 heard none for long, because it may have been removed. Whoever is greeted asks
 it to repeat the greeting with a number, so that a greeting that was long on its way is not taken
 for one of now. A confirmed greeting proves which incarnation runs on a host: any other that voted
-there is superseded.
+there is superseded. A message from one that counts as superseded is answered by the same question,
+because it may be the newer one.
 """
 
 from agateferry_state.members import Member, MemberId, Members
@@ -35,15 +36,23 @@
     """Ask for a greeting with a number, or take one in."""
     if sender != greeting.member.id:
         return
-    if greeting.nonce and state.nonces.get(sender) == greeting.nonce:
-        del state.nonces[sender]
-        present = Present(greeting.member, greeting.is_empty, state.now_ms)
-        state.present[sender.host] = present
-        return
     if not greeting.nonce:
-        state.nonces = {m: n for m, n in state.nonces.items() if m.host != sender.host}
-        state.nonces[sender] = state.rng.getrandbits(63) + 1
-        state.send(sender, GreetingRequest(state.term, state.nonces[sender]))
+        ask(state, sender)
+        return
+    nonce, asked_ms = state.nonces.get(sender, (0, 0))
+    if nonce == greeting.nonce and state.now_ms - asked_ms <= GREETING_VALID_MS:
+        del state.nonces[sender]
+        state.present[sender.host] = Present(greeting.member, greeting.is_empty, state.now_ms)
+
+
+def ask(state: State, member_id: MemberId) -> None:
+    """Ask a member to prove that it is the one that runs on its host now."""
+    nonce, asked_ms = state.nonces.get(member_id, (0, 0))
+    if not nonce or state.now_ms - asked_ms > GREETING_INTERVAL_MS:
+        nonce = state.rng.getrandbits(63) + 1
+        state.nonces = {m: n for m, n in state.nonces.items() if m.host != member_id.host}
+        state.nonces[member_id] = (nonce, state.now_ms)
+    state.send(member_id, GreetingRequest(state.term, nonce))
 
 
 def on_request(state: State, sender: MemberId, request: GreetingRequest) -> None:
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -78,7 +78,8 @@
     following: Following = field(default_factory=Following)
     leading: Leading | None = None
     present: dict[str, Present] = field(default_factory=dict)
-    nonces: dict[MemberId, int] = field(default_factory=dict)
+    nonces: dict[MemberId, tuple[int, int]] = field(default_factory=dict)
+    """For each member that was asked to prove itself, the number sent and when."""
     snapshot_asked_index: int = 0
     effects: list[Effect] = field(default_factory=list)
 
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -173,6 +173,44 @@
     return effects
 
 
+class GreetingTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.me = MemberId("b", "b1")
+        rng = random.Random(1)
+        self.core = Core(Member(self.me), Settings(), StoredState(), rng, 0)
+
+    def receive(self, sender, message, now_ms=0):
+        effects = self.core.step(m.MessageReceived(sender, self.me, message), now_ms)
+        return [e.message for e in effects if isinstance(e, m.Send) and e.to == sender]
+
+    def greet(self, sender):
+        (request,) = self.receive(sender, m.Greeting(0, Member(sender), is_empty=True))
+        self.receive(sender, m.Greeting(0, Member(sender), True, request.nonce))
+
+    def test_a_newer_incarnation_is_heard_once_it_proved_itself(self):
+        newer = MemberId("a", "a3")
+        heartbeat = m.AppendRequest(5, 0, 0, 0, round=1)
+        self.greet(MemberId("a", "a2"))
+        (request,) = self.receive(newer, heartbeat)
+        self.receive(newer, m.Greeting(5, Member(newer), False, request.nonce))
+        self.assertEqual([m.AppendResponse(5, 1, success=True)], self.receive(newer, heartbeat))
+
+    def test_a_late_greeting_does_not_supersede(self):
+        older, newer = MemberId("a", "a2"), MemberId("a", "a3")
+        (request,) = self.receive(older, m.Greeting(0, Member(older), is_empty=True))
+        self.greet(newer)
+        self.receive(older, m.Greeting(0, Member(older), True, request.nonce))
+        heartbeat = m.AppendRequest(5, 0, 0, 0, round=1)
+        self.assertEqual([m.AppendResponse(5, 1, success=True)], self.receive(newer, heartbeat))
+
+    def test_a_message_for_an_older_incarnation_is_dropped(self):
+        event = m.MessageReceived(
+            MemberId("a", "a1"), MemberId("b", "b0"), m.VoteRequest(9, 9, 9, transfer=True)
+        )
+        self.assertEqual([], [e for e in self.core.step(event, 0) if isinstance(e, m.Send)])
+
+
 class SnapshotTransferTests(testtools.TestCase):
     def test_a_transfer_survives_the_loss_of_either_side(self):
         settings = {"snapshot_every_entries": 10, "trailing_entries": 2, "snapshot_chunk_bytes": 64}
