--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -42,6 +42,7 @@
         self.leader = "h1"
         self.term = 1
         self.failing = None
+        self.lose_outcomes = False
         self._index = 0
 
     async def start(self):
@@ -57,7 +58,10 @@
         if self.failing is not None:
             return Error(ProposeError(self.failing))
         self._index += 1
-        return Ok(Applied(self._index, self.machine.apply(self._index, command)))
+        outcome = self.machine.apply(self._index, command)
+        if self.lose_outcomes:
+            return Error(ProposeError(ProposeErrorKind.UNKNOWN))
+        return Ok(Applied(self._index, outcome))
 
     async def read_barrier(self):
         return Ok(self._index)
@@ -135,12 +139,14 @@
     return Cell(ctx, BaselineScheduler)
 
 
-def give_records(machine):
+def give_records(machine, team="t"):
     """Put a team and three jobs in force: quick, once (not idempotent) and gang (three members)."""
     store = RecordStore()
+    store.restore(machine.records.snapshot())
+    known = store.revision
     gang = {"members": 3, "accelerators": 4, "adjacency": "rack"}
     contents = {
-        ("team", "t"): {},
+        ("team", team): {},
         ("job", "quick"): {"urgency": "urgent", "idempotent": True},
         ("job", "once"): {"idempotent": False},
         ("job", "gang"): {"urgency": "long", "idempotent": True, "demand": gang},
@@ -148,7 +154,7 @@
     for (kind, name), content in contents.items():
         body = {"schema": "v2", "replaces": 0, "content": content}
         store.put(parse_put(kind, name, body).ok)
-    adopt = commands_pb2.AdoptRecords(revisions=encode_revisions(store.since(0)))
+    adopt = commands_pb2.AdoptRecords(revisions=encode_revisions(store.since(known)))
     machine.apply(0, commands_pb2.Command(adopt=adopt).SerializeToString())
 
 
