Answer a forced recovery only where it asks for an answer

Cause: read in the replica's shell, which gives no id and would look up a proposal 0. Ruled out: leaving the check of what is lost to the command line, because the core knows the voters.

--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -69,16 +69,18 @@
     """Make this member the only voter and lead, where every other voter is named as lost."""
     old = state.log.members
     others = tuple(m.id for m in old.all if m.id != state.me.id)
-    gone = event.lost | state.superseded | {m.id for m in old.learners} | {state.me.id}
-    reason = RejectReason.NOT_NEEDED if state.role is Role.LEADER else RejectReason.UNSAFE
+    gone = event.lost | state.superseded | {state.me.id}
     if state.role is Role.LEADER or not old.voter_ids <= gone:
-        state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
+        if event.proposal_id:
+            reason = RejectReason.NOT_NEEDED if state.leading else RejectReason.UNSAFE
+            state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
         return
     given_up = (*old.given_up, *others)
     members = Members(voters=(state.me,), removed=old.removed, given_up=given_up)
     state.enter_term(state.term + RECOVERY_TERM_STEP, state.me.id)
     leader.start(state, members)
-    state.emit(ProposalAccepted(event.proposal_id, state.log.members_index, state.term))
+    if event.proposal_id:
+        state.emit(ProposalAccepted(event.proposal_id, state.log.members_index, state.term))
 
 
 def _is_change_open(state: State, leading: Leading) -> bool:
--- a/packages/agateferry-state/agateferry_state/replication/messages.py
+++ b/packages/agateferry-state/agateferry_state/replication/messages.py
@@ -199,7 +199,8 @@
 
     Every other voter must be named in `lost` or be superseded, else the answer is
     `ProposalRejected` as unsafe. Whatever this host's log lacks is given up, and so are all other
-    incarnations: their hosts come back with an empty folder. The answer repeats `proposal_id`.
+    incarnations: their hosts come back with an empty folder. The answer repeats `proposal_id`;
+    there is none where that is 0.
     """
 
     lost: frozenset[MemberId] = frozenset()
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -70,8 +70,8 @@
         cluster = Cluster(1)
         cluster.run_until(2500)
         host = next(h for h in cluster.hosts.values() if h.name != cluster.leader())
-        effects = cluster_step(cluster, m.RecoveryForced(), host.core)
-        self.assertIn(m.ProposalRejected(0, m.RejectReason.UNSAFE, host.core.leader), effects)
+        effects = cluster_step(cluster, m.RecoveryForced(proposal_id=7), host.core)
+        self.assertIn(m.ProposalRejected(7, m.RejectReason.UNSAFE, host.core.leader), effects)
 
     def test_a_member_that_was_given_up_stays_out_until_it_is_empty(self):
         cluster = Cluster(1)
