Start what an earlier leader had only reserved

Cause: a leader that took an attempt up again looked each lease up before it started it, and took a lease in state reserved for one that runs. A gang whose leader died between reservation and start was then shown as running and never started; its reservations lapsed. Ruled out: an intent that was not stored (explain named the workers) and a start whose answer was lost (no worker had seen the lease started). The new test of the attempt is red without the change and green with it.

--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -206,7 +206,7 @@
         until_ms = self._clock.now_ms() + self._times.resolve_ms
         if member.sent:
             reply = await self._look(member)
-            if not _is_unknown(reply):
+            if not _is_unstarted(reply):
                 return reply
         tries = 0
         while True:
@@ -221,8 +221,11 @@
                 return reply
             reply = await self._look(member)
             tries += 1
-            if not _is_unknown(reply) or self._clock.now_ms() >= until_ms:
+            if not _is_unstarted(reply):
                 return reply
+            if self._clock.now_ms() >= until_ms:
+                unanswered = WorkerError(WorkerErrorKind.SILENT, "start-unanswered")
+                return reply if reply.is_error() else Error(unanswered)
             await self._pause(tries)
 
     async def _look(self, member: Member) -> Result[LeaseView, WorkerError]:
@@ -335,8 +338,11 @@
     return reply.is_error() and reply.error.kind is WorkerErrorKind.UNREACHED
 
 
-def _is_unknown(reply: Result[LeaseView, WorkerError]) -> bool:
-    return reply.is_error() and reply.error.kind is WorkerErrorKind.UNKNOWN_LEASE
+def _is_unstarted(reply: Result[LeaseView, WorkerError]) -> bool:
+    """Tell whether the worker has seen no start of this lease: unknown, or reserved only."""
+    if reply.is_error():
+        return reply.error.kind is WorkerErrorKind.UNKNOWN_LEASE
+    return reply.ok.state is LeaseState.RESERVED
 
 
 def _was_stopped(member: Member) -> bool:
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -140,6 +140,16 @@
         self.assertEqual((AttemptEnd.FAILED, Run.NOT_RUN), (result.end, result.run))
         self.assertEqual([], [call for call in fake.calls if call[1] == "start"])
 
+    def test_a_next_leader_starts_what_was_only_reserved(self):
+        fake = FakeWorkers(m0_look=[LeaseState.RESERVED], m1_look=[LeaseState.FINISHED])
+        tried = attempt(fake, 2)
+        for member in tried.members:
+            member.sent = True
+        result = run_async(tried.run(), 5)
+        self.assertEqual(AttemptEnd.FINISHED, result.end)
+        self.assertIn(("m0", "start"), fake.calls)
+        self.assertNotIn(("m1", "start"), fake.calls)
+
     def test_answers_come_in_the_order_of_members(self):
         result = run_async(attempt(FakeWorkers(), 3).run())
         self.assertEqual(("m0", "m1", "m2"), result.answers)
