Name the members of each replicated group in the cell's status

docs/api.md promises the members in GET /v1/cell and nothing gave them; the test of a host with an emptied folder needs to see when it votes again.

--- a/packages/agateferry-service/agateferry_service/operators/hosts.py
+++ b/packages/agateferry-service/agateferry_service/operators/hosts.py
@@ -9,6 +9,7 @@
 from agateferry_service.records.plane import RecordsPlane
 from agateferry_service.settings import PeerSettings, Settings
 from agateferry_state.replica import Replica
+from agateferry_state.replica.node import NodeReplica
 
 ASK_TIMEOUT_S = 1.0
 
@@ -55,9 +56,26 @@
 
 
 def replica_status(replica: Replica) -> dict[str, Any]:
-    """Return the role, the term and the leader that a replica knows of."""
+    """Return the role, the term, the leader and the members that a replica knows of."""
     return {
         "term": replica.term,
         "role": "leader" if replica.is_leader else "follower",
         "leader": replica.leader,
+        "members": _members(replica),
     }
+
+
+def _members(replica: Replica) -> list[dict[str, Any]]:
+    """Return the members of a replicated group; one that is no voter still catches up."""
+    status = replica.status() if isinstance(replica, NodeReplica) else None
+    if status is None:
+        return []
+    return [
+        {
+            "host": member.host,
+            "incarnation": member.incarnation,
+            "voter": member.is_voter,
+            "disk": member.has_disk,
+        }
+        for member in status.members
+    ]
