--- a/packages/agateferry-standins/agateferry_standins/tests/support.py
+++ b/packages/agateferry-standins/agateferry_standins/tests/support.py
@@ -13,6 +13,7 @@
 from agateferry_standins.callers.tally import Verdict
 from agateferry_standins.deployment import LAGERTELLER, System, make_plan
 from agateferry_standins.deployment.system import wait_for
+from agateferry_standins.report import quiet_logs
 from agateferry_standins.worker import StartLog
 
 ZONE = "vestland-1"
@@ -29,6 +30,7 @@
 
     def setUp(self):
         super().setUp()
+        quiet_logs()
         folder = tempfile.mkdtemp()
         self.addCleanup(shutil.rmtree, folder)
         self.plan = make_plan((ZONE,), Path(folder) / "run")
--- a/packages/agateferry-standins/agateferry_standins/tests/test_crashes.py
+++ b/packages/agateferry-standins/agateferry_standins/tests/test_crashes.py
@@ -93,6 +93,7 @@
         async def test():
             leader = await self.system.leader(ZONE)
             emptied = next(host for host in self.plan.hosts if host.name != leader)
+            before = await self.incarnation(emptied)
             sending = self.send(count=60)
             await self.until_accepted(20)
             await self.system.daemons[emptied.name].kill()
@@ -100,17 +101,24 @@
             await self.system.daemons[emptied.name].start()
             await self.system.wait_ready([emptied.name])
             await sending
-            await self.until_voting(emptied)
+            await self.until_voting(emptied, before)
             await self.system.daemons[leader].kill()
             await self.send(count=40, seed=2)
             self.assert_clean()
 
         self.on_system(test)
 
-    async def until_voting(self, host):
+    async def voter(self, host):
+        _, body = await self.system.operator.call("GET", "/v1/cell", address=host.operators)
+        members = body.get("members", [])
+        return next((m for m in members if m["host"] == host.name and m["voter"]), None)
+
+    async def incarnation(self, host):
+        return (await self.voter(host))["incarnation"]
+
+    async def until_voting(self, host, old_incarnation):
         async def votes():
-            _, body = await self.system.operator.call("GET", "/v1/cell", address=host.operators)
-            members = body.get("members", [])
-            return any(m.get("host") == host.name and m.get("voter") for m in members)
+            voter = await self.voter(host)
+            return voter is not None and voter["incarnation"] != old_incarnation
 
         await wait_for(votes, f"{host.name} to vote again")
