--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
@@ -8,12 +8,12 @@
 from agateferry_scheduling.topology import Allocation, Backing
 
 MOVE_GAP_MS = 10_000
-BASE_REST_MS = 2 * 60_000
+REST_MS = 150_000
 MOVES_AT_ONCE = 4
 
 
 class Mover:
-    """Move work where fragmentation weighs; each job then rests, the longer the less it weighs."""
+    """Move work where fragmentation weighs at all; each job then rests for a while."""
 
     def __init__(self, zone: ZoneState) -> None:
         self._zone = zone
@@ -30,8 +30,7 @@
         self._looked_ms = now_ms
         if len(self._held) >= MOVES_AT_ONCE:
             return []
-        rest_ms = int(BASE_REST_MS / weight)
-        move = best_move(self._zone.topology, now_ms, self._moved_ms, rest_ms)
+        move = best_move(self._zone.topology, now_ms, self._moved_ms, REST_MS)
         if move is None:
             return []
         request = move.allocation.request
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -9,6 +9,7 @@
 from agateferry_core.demand import Urgency
 
 from agateferry_scheduling.placement.first_fit import Counts
+from agateferry_scheduling.placement.stranding import rack_group, stranded_by
 from agateferry_scheduling.preemption.claims import Claim
 from agateferry_scheduling.preemption.victims import CHECKPOINT_COST_MS, Plan
 from agateferry_scheduling.queueing import Group, is_large
@@ -26,7 +27,7 @@
 RECLAIM_RETRY_MS = 1_000
 AGED_RETRY_MS = 10_000
 RESERVATION_CHECK_MS = 5_000
-PATIENCE_MS = 120_000
+PATIENCE_MS = 300_000
 TURN_MS = 30 * 60_000
 SIZE_RANK = 0.2
 WORKERS_WEIGHED = 12
@@ -124,7 +125,7 @@
         if free is None:
             return []
         if self._is_patient(request, free, now_ms):
-            group.waits_for = "room on a worker that is already in use"
+            group.waits_for = "a place that leaves other free accelerators together"
             return []
         covered = request.demand.accelerators > 0 and self._find.cover(request, free)
         backing = Backing.GUARANTEED if covered else backing_of(request)
@@ -283,15 +284,16 @@
         return has_cells and (request.demand.accelerators > 0 or not request.preemptible)
 
     def _is_patient(self, request: PendingRequest, counts: Counts, now_ms: int) -> bool:
-        """Let small work wait a while for a partly used worker where fragmentation weighs."""
-        if request.urgency is Urgency.URGENT or is_large(request):
-            return False
+        """Let work wait a while for a place that strands nothing, where fragmentation weighs."""
         weight = self._zone.config.weights.fragmentation
+        if request.urgency is Urgency.URGENT or not request.demand.accelerators:
+            return False
         likely_ms = self._zone.estimates.likely_ms(request)
         patience_ms = weight * weight * min(PATIENCE_MS, likely_ms)
         if now_ms - request.submitted_ms >= patience_ms:
             return False
-        return self._find.breaks_whole(counts)
+        topology, layout = self._zone.topology, self._zone.layout
+        return stranded_by(topology, request.demand, counts, rack_group(layout)) > 0
 
     def _urgent_by(self, request: PendingRequest, now_ms: int) -> int:
         by_ms = request.submitted_ms + self._zone.config.urgent_start_ms - URGENT_MARGIN_MS
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
@@ -26,6 +26,7 @@
         self.accelerators = 0
         self.slots = 0
         self.free_slots = 0
+        self.free_accelerators = 0
         self.index = WorkerIndex()
         self.freed = FreedLog()
 
@@ -48,6 +49,7 @@
         self.slots += worker.slots
         self._retake(state, rack)
         self.free_slots += state.free_slots
+        self.free_accelerators += state.free_accelerators
         self.index.put(state)
         self.freed.forget()
         return True
@@ -68,6 +70,7 @@
         self.accelerators -= state.worker.accelerators
         self.slots -= state.worker.slots
         self.free_slots -= state.free_slots
+        self.free_accelerators -= state.free_accelerators
         rack.accelerators -= state.worker.accelerators
         rack.free_accelerators -= state.free_accelerators
         if not rack.workers:
@@ -128,6 +131,7 @@
                 continue
             state.take(demand, sign * members)
             self.free_slots -= sign * members
+            self.free_accelerators -= sign * members * demand.accelerators
             self.index.put(state)
             rack = self.racks[state.worker.rack]
             rack.free_accelerators -= sign * members * demand.accelerators
