Tell the two deployments' weights apart by moves, order and reservation

Change: the pace of moves follows the weight of fragmentation; short work goes first and the reservation begins later as completion time weighs more.

--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
@@ -7,13 +7,13 @@
 from agateferry_scheduling.scheduler.zone import ZoneState
 from agateferry_scheduling.topology import Allocation, Backing
 
-MOVE_GAP_MS = 10_000
-REST_MS = 150_000
+BASE_GAP_MS = 4_000
+BASE_REST_MS = 60_000
 MOVES_AT_ONCE = 4
 
 
 class Mover:
-    """Move work where fragmentation weighs at all; each job then rests for a while."""
+    """Move work where fragmentation weighs; each job then rests, the longer the less it weighs."""
 
     def __init__(self, zone: ZoneState) -> None:
         self._zone = zone
@@ -25,12 +25,13 @@
     def look(self, now_ms: int) -> list[Decision]:
         """Begin a move now and then, if one is worth while."""
         weight = self._zone.config.weights.fragmentation
-        if weight <= 0 or now_ms - self._looked_ms < MOVE_GAP_MS:
+        if weight <= 0 or now_ms - self._looked_ms < BASE_GAP_MS / weight:
             return []
         self._looked_ms = now_ms
         if len(self._held) >= MOVES_AT_ONCE:
             return []
-        move = best_move(self._zone.topology, now_ms, self._moved_ms, REST_MS)
+        rest_ms = int(BASE_REST_MS / weight)
+        move = best_move(self._zone.topology, now_ms, self._moved_ms, rest_ms)
         if move is None:
             return []
         request = move.allocation.request
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -29,7 +29,8 @@
 RESERVATION_CHECK_MS = 5_000
 PATIENCE_MS = 300_000
 TURN_MS = 30 * 60_000
-SIZE_RANK = 0.2
+SIZE_RANK = 1.0
+RESERVE_AFTER_MS = 30 * 60_000
 WORKERS_WEIGHED = 12
 URGENT_MARGIN_MS = 300
 
@@ -209,7 +210,8 @@
             self._reserved_ms = now_ms
             oldest = zone.queue.oldest_large()
             self._drop_reservation()
-            if oldest is not None:
+            after_ms = RESERVE_AFTER_MS * zone.config.weights.completion_time
+            if oldest is not None and now_ms - oldest.submitted_ms >= after_ms:
                 zone.reservation = reserve(zone.topology, zone.estimates, oldest, now_ms)
         return []
 
