Weigh the team's own cells against other free workers by what each destroys

Ruled out: slow moves. Change: both places are weighed by the same cost, and a cell is moved to the better one.

--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_queue.py
@@ -0,0 +1,65 @@
+import testtools
+from agateferry_core.demand import Demand, Urgency
+
+from agateferry_scheduling.queueing import Queue, is_large
+from agateferry_scheduling.queueing.fairness import Shares
+from agateferry_scheduling.scheduler.tests.zones import request
+
+
+class QueueTests(testtools.TestCase):
+    def test_alike_requests_form_a_group_in_their_order(self):
+        queue = Queue()
+        group = queue.add(request("x1", at_ms=1))
+        queue.add(request("x2", at_ms=2))
+        self.assertEqual(["x1", "x2"], list(group.requests))
+        queue.remove("x1")
+        self.assertEqual("x2", group.head().request_id)
+        self.assertEqual((1, 1), (len(queue), queue.counts["a"]))
+
+    def test_a_request_that_comes_back_goes_first(self):
+        queue = Queue()
+        queue.add(request("x2", at_ms=2))
+        self.assertEqual("x1", queue.add(request("x1", at_ms=1)).head().request_id)
+
+    def test_groups_left_out_come_first_next_time(self):
+        queue = Queue()
+        for number in range(4):
+            queue.add(request(f"x{number}", job=f"j{number}"))
+        first = [group.key.job for group in queue.next_groups(False, "a", 2)]
+        second = [group.key.job for group in queue.next_groups(False, "a", 3)]
+        self.assertEqual((["j0", "j1"], ["j0", "j2", "j3"]), (first, second))
+
+    def test_expired_requests_leave(self):
+        queue = Queue()
+        queue.add(request("x1", deadline_ms=10))
+        queue.add(request("x2", deadline_ms=20))
+        self.assertEqual(["x1"], [gone.request_id for gone in queue.take_expired(15)])
+        self.assertEqual(1, len(queue))
+
+    def test_the_oldest_large_request_is_found(self):
+        queue = Queue()
+        queue.add(request("small", at_ms=1))
+        queue.add(request("new", at_ms=3, members=2, accelerators=8))
+        queue.add(request("old", at_ms=2, accelerators=8))
+        self.assertEqual("old", queue.oldest_large().request_id)
+        queue.remove("old")
+        queue.remove("new")
+        self.assertIs(None, queue.oldest_large())
+
+    def test_urgent_work_is_never_large(self):
+        self.assertFalse(is_large(request("u", urgency=Urgency.URGENT, accelerators=8)))
+
+
+class SharesTests(testtools.TestCase):
+    def test_the_dominant_share_counts_by_weight(self):
+        shares = Shares()
+        shares.weights = {"a": 2.0, "b": 1.0}
+        for name in "ab":
+            shares.change(name, Demand(members=2, accelerators=4), 1)
+        self.assertEqual((0.25, 0.5), tuple(shares.share(name, 16, 16) for name in "ab"))
+        shares.change("b", Demand(members=2, accelerators=4), -1)
+        self.assertEqual(0.0, shares.share("b", 16, 16))
+
+    def test_waiting_makes_up_for_a_larger_share(self):
+        shares = Shares()
+        self.assertTrue(shares.rank(0.5, 3 * 3_600_000) < shares.rank(0.0, 0))
--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_reservation.py
@@ -0,0 +1,31 @@
+import testtools
+from agateferry_core.demand import Adjacency
+
+from agateferry_scheduling.estimates import Estimates
+from agateferry_scheduling.queueing.reservation import reserve
+from agateferry_scheduling.scheduler.tests.zones import queue, request, scheduler
+
+
+class ReservationTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.zone = scheduler(racks=2)
+        for number, run_ms in enumerate((9_000, 8_000, 4_000, 3_000)):
+            queue(self.zone, request(f"a{number}", accelerators=8, run_ms=run_ms))
+        self.gang = request("g", members=2, accelerators=8, adjacency=Adjacency.RACK)
+        self.estimates = Estimates()
+
+    def test_the_rack_that_is_likely_to_be_free_first_is_kept(self):
+        kept = reserve(self.zone.zone.topology, self.estimates, self.gang, 0)
+        racks = {self.zone.zone.topology.workers[n].worker.rack for n in kept.workers}
+        self.assertEqual((4_000, 1), (kept.start_ms, len(racks)))
+        [name] = list(kept.workers)[:1]
+        self.assertTrue(kept.keeps_out(name, "x", 4_001))
+        self.assertFalse(kept.keeps_out(name, "x", 4_000))
+        self.assertFalse(kept.keeps_out(name, "g", 9_000))
+
+    def test_learned_run_times_move_it(self):
+        for _ in range(20):
+            self.estimates.learn(request("x", run_ms=1_000), 10_000)
+        kept = reserve(self.zone.zone.topology, self.estimates, self.gang, 0)
+        self.assertTrue(39_000 < kept.start_ms < 41_000)
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -103,13 +103,18 @@
                 rooms[name] = room
         return self._cheapest(demand, self._shortlist(demand, rooms), allowed, now_ms)
 
-    def breaks_whole(self, counts: Counts) -> bool:
-        """Tell whether a small placement would break into a worker that is wholly free."""
-        for name in counts:
-            state = self._zone.topology.workers[name]
-            if state.worker.accelerators and state.free_accelerators == state.worker.accelerators:
-                return True
-        return False
+    def is_cheaper(self, request: PendingRequest, one: Counts, other: Counts) -> bool:
+        """Tell whether one placement destroys less than the other."""
+        return self._cost(request, one) < self._cost(request, other)
+
+    def _cost(self, request: PendingRequest, counts: Counts) -> float:
+        topology = self._zone.topology
+        cost = 0.0
+        for name, members in counts.items():
+            state = topology.workers[name]
+            rack = topology.racks[state.worker.rack]
+            cost += members * cost_of(state, rack, request.demand)
+        return cost
 
     def _shortlist(self, demand: Demand, rooms: dict[str, int]) -> dict[str, int]:
         """Keep the roomiest racks or workers, because weighing what they run takes time."""
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -117,20 +117,28 @@
         return found
 
     def _start_now(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
-        counts = self._find.within_cells(request) if self._may_use_cells(request) else None
-        if counts is not None and not (request.preemptible and self._find.breaks_whole(counts)):
-            return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
+        cells = self._find.within_cells(request) if self._may_use_cells(request) else None
+        if cells is not None and not request.preemptible:
+            return [self._start(request, cells, Backing.GUARANTEED, now_ms)]
         free = self._search_free(group, request, now_ms)
-        if counts is not None and (free is None or self._find.breaks_whole(free)):
-            return [self._start(request, counts, Backing.GUARANTEED, now_ms)]
+        if cells is not None and (free is None or not self._find.is_cheaper(request, free, cells)):
+            return [self._start(request, cells, Backing.GUARANTEED, now_ms)]
         if free is None:
             return []
         if self._is_patient(request, free, now_ms):
             group.waits_for = "a place that leaves other free accelerators together"
             return []
-        covered = request.demand.accelerators > 0 and self._find.cover(request, free)
-        backing = Backing.GUARANTEED if covered else backing_of(request)
-        return [self._start(request, free, backing, now_ms)]
+        return [self._start_free(request, free, now_ms)]
+
+    def _start_free(self, request: PendingRequest, free: Counts, now_ms: int) -> Decision:
+        """Start on free workers, within the team's cells if these can be moved there."""
+        if request.demand.accelerators > 0 and self._find.cover(request, free):
+            return self._start(request, free, Backing.GUARANTEED, now_ms)
+        if is_large(request) and self._may_use_cells(request):
+            cells = self._find.within_cells(request)
+            if cells is not None:
+                return self._start(request, cells, Backing.GUARANTEED, now_ms)
+        return self._start(request, free, backing_of(request), now_ms)
 
     def _search_free(self, group: Group, request: PendingRequest, now_ms: int) -> Counts | None:
         if self._find.eats_headroom(request):
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
@@ -80,10 +80,10 @@
             return WorkerUp(at_ms, worker(which % WORKERS))
 
 
-def crowded(team):
-    """Submit pinned work of one team until nothing outside the guarantees is left."""
+def crowded(team, preemptible=False):
+    """Submit whole workers' work of one team until nothing that it may use is left."""
     demand = Demand(1, 8, 1, 500)
-    step = ("submit", team, demand, Urgency.NORMAL, False, False, 500)
+    step = ("submit", team, demand, Urgency.NORMAL, preemptible, False, 500)
     return [step] * 8
 
 
@@ -128,5 +128,5 @@
             topology.allocations[allocation.request.request_id] = allocation
 
         with mock.patch.object(Topology, "allocate", forgetful):
-            report = replay(records_of(crowded("a")), Policy.FAIR)
+            report = replay(records_of(crowded("d", preemptible=True)), Policy.FAIR)
         self.assertIn("over its capacity", report.broken)
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/zones.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/zones.py
@@ -25,7 +25,10 @@
     return Team(name, tuple(Shape(*shape) for shape in shapes), **kept)
 
 
-def scheduler(racks=1, per_rack=2, teams=(Team("a"), Team("b")), config=None):
+TWO_TEAMS = (Team("a"), Team("b"))
+
+
+def scheduler(racks=1, per_rack=2, teams=TWO_TEAMS, config=None):
     zone = FairScheduler("z", config)
     zone.step(TeamsChanged(tuple(teams)), 0)
     for number in range(racks * per_rack):
