Split reclaiming and reserving from the pass over the queue, and close four gaps

Cause: a review of the policy. An urgent request that needs accelerators only looked at a dozen workers, which could all lack them; a request that failed on the only workers fit for it waited for ever; a request queued twice was counted twice; a reservation whose holder had gone kept others out until the next pass. Tests added for the second and third.

--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
@@ -168,8 +168,8 @@
         """Return the best place for a cell, in a list that is empty when there is none."""
         own = self.own[cell.team]
         rooms: dict[str, list[tuple[bool, int, int, str]]] = defaultdict(list)
-        for state in self.topology.open_workers():
-            room = self._room(cell, state) if state.worker.accelerators else 0
+        for state in self.topology.index.accelerated.values():
+            room = self._room(cell, state) if state.is_open() else 0
             if room:
                 uncovered = state.name in own and not self.team_laid[cell.team].get(state.name)
                 rooms[state.worker.rack].append((not uncovered, room, state.number, state.name))
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
@@ -75,7 +75,10 @@
         return len(self.by_request)
 
     def add(self, request: PendingRequest) -> Group:
-        """Add a request to its group."""
+        """Add a request to its group; one that waits already stays as it is."""
+        waiting = self.by_request.get(request.request_id)
+        if waiting is not None:
+            return waiting
         key = key_of(request)
         group = self.groups.get(key)
         if group is None:
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/reservation.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/reservation.py
@@ -28,11 +28,9 @@
     start_ms: int
     made_ms: int
 
-    def keeps_out(self, worker: str, request_id: str, ends_ms: int) -> bool:
-        """Tell whether a request that is likely to end then may not start on a worker."""
-        if worker not in self.workers or request_id == self.request.request_id:
-            return False
-        return ends_ms > self.start_ms
+    def keeps_out(self, worker: str, ends_ms: int) -> bool:
+        """Tell whether others that are likely to end then may not start on a worker."""
+        return worker in self.workers and ends_ms > self.start_ms
 
 
 def reserve(
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/admission.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/admission.py
@@ -46,7 +46,7 @@
         name = request.request_id
         if team is None:
             return Reject(name, RejectReason.UNKNOWN_TEAM, f"no team {request.team} in this zone")
-        if self._zone.health.fails_everywhere(name):
+        if self._fails_everywhere(request):
             detail = "it failed on several workers and succeeded on none"
             return Reject(name, RejectReason.FAILS_EVERYWHERE, detail)
         reason = self._why_infeasible(request.demand)
@@ -64,6 +64,17 @@
             return Reject(name, RejectReason.QUEUE_FULL, detail, LONGEST_RETRY_MS)
         return None
 
+    def _fails_everywhere(self, request: PendingRequest) -> bool:
+        """Tell whether a request failed on several workers, or on all that could run it."""
+        if self._zone.health.fails_everywhere(request.request_id):
+            return True
+        failed = self._zone.health.avoided(request.request_id)
+        if not failed:
+            return False
+        seen = self._zone.topology.seen
+        left = [worker for name, worker in seen.items() if name not in failed]
+        return why_infeasible(request.demand, left) is not None
+
     def _why_infeasible(self, demand: Demand) -> str | None:
         topology = self._zone.topology
         if not topology.seen:
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -45,10 +45,11 @@
         """
         demand = request.demand
         ends_ms = now_ms + self._zone.estimates.at_most_ms(request)
+        kept = self._reservation_against(request)
         candidates = []
         for state in self._open(request, searched):
             room = state.room_for(demand)
-            if not room or self._kept_out(request, state, ends_ms):
+            if not room or (kept is not None and kept.keeps_out(state.name, ends_ms)):
                 continue
             if not request.preemptible:
                 room = min(room, self._zone.layout.slack(state).room_for(demand))
@@ -228,11 +229,14 @@
         rack = self._zone.topology.racks[state.worker.rack]
         return Candidate(state, room, cost_of(state, rack, demand))
 
-    def _kept_out(self, request: PendingRequest, state: WorkerState, ends_ms: int) -> bool:
-        reservation: Reservation | None = self._zone.reservation
+    def _reservation_against(self, request: PendingRequest) -> Reservation | None:
+        """Return the reservation that a request must keep to, if its holder still waits."""
+        reservation = self._zone.reservation
         if reservation is None or request.urgency is Urgency.URGENT:
-            return False
-        return reservation.keeps_out(state.name, request.request_id, ends_ms)
+            return None
+        holder = reservation.request.request_id
+        waits = self._zone.queue.get(holder) is not None
+        return reservation if waits and holder != request.request_id else None
 
     def eats_headroom(self, request: PendingRequest) -> bool:
         """Tell whether a start would use slots that are kept for urgent work."""
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
@@ -15,9 +15,9 @@
 class Mover:
     """Move work where fragmentation weighs; each job then rests, the longer the less it weighs."""
 
-    def __init__(self, zone: ZoneState) -> None:
+    def __init__(self, zone: ZoneState, finder: Finder) -> None:
         self._zone = zone
-        self._find = Finder(zone)
+        self._find = finder
         self._held: dict[str, Allocation] = {}
         self._moved_ms: dict[str, int] = {}
         self._looked_ms = 0
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
@@ -9,6 +9,7 @@
 
 from agateferry_scheduling.scheduler.admission import Admission
 from agateferry_scheduling.scheduler.explaining import explain
+from agateferry_scheduling.scheduler.finder import Finder
 from agateferry_scheduling.scheduler.messages import (
     ConfigChanged,
     Decision,
@@ -30,6 +31,7 @@
     WorkerLost,
 )
 from agateferry_scheduling.scheduler.moving import Mover
+from agateferry_scheduling.scheduler.reclaiming import Reclaimer
 from agateferry_scheduling.scheduler.starting import Starter
 from agateferry_scheduling.scheduler.zone import ZoneState
 
@@ -46,8 +48,10 @@
     def __init__(self, zone: str, config: SchedulingConfig | None = None) -> None:
         self.zone = ZoneState(zone, config or SchedulingConfig())
         self._admission = Admission(self.zone)
-        self._starter = Starter(self.zone)
-        self._mover = Mover(self.zone)
+        finder = Finder(self.zone)
+        self._reclaimer = Reclaimer(self.zone, finder)
+        self._starter = Starter(self.zone, finder, self._reclaimer)
+        self._mover = Mover(self.zone, finder)
         self._at_risk: tuple[str, ...] = ()
         self._passed_version = -1
         self._passed_ms = 0
@@ -60,7 +64,7 @@
             return []
         self.zone.settle_adopted()
         decisions = self._take(event, now_ms)
-        decisions += self._starter.start_ready(now_ms)
+        decisions += self._reclaimer.start_ready(now_ms)
         if self._is_pass_due(now_ms):
             decisions += self._pass(now_ms)
         return decisions + self._risks()
@@ -102,6 +106,8 @@
                 zone.topology.touch()
 
     def _queue(self, request: PendingRequest, now_ms: int) -> list[Decision]:
+        if request.request_id in self.zone.topology.allocations:
+            return []
         decisions = self._admission.admit(request, now_ms)
         if not decisions:
             decisions = self._mover.resume(request, now_ms)
@@ -153,7 +159,8 @@
             return
         state = self.zone.topology.workers[worker.name]
         state.quarantined = self.zone.health.is_quarantined(worker.name)
-        self._close()
+        if worker.accelerators:
+            self._close()
 
     def _close(self) -> None:
         """Move cells and claims off workers that take no new work."""
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
@@ -211,6 +211,24 @@
         ended = zone.step(RequestEnded("y0", EndReason.FINISHED, 10), 72_000)
         self.assertEqual([True], [q.lifted for q in of_type(ended, Quarantine)])
 
+    def test_a_request_that_failed_on_all_that_could_run_it_is_given_up(self):
+        zone = scheduler()
+        pending = request("x", members=2, accelerators=8)
+        queue(zone, pending)
+        zone.step(RequestEnded("x", EndReason.FAILED, 10, ("w0",)), 1)
+        [reject] = of_type(queue(zone, pending, 1), Reject)
+        self.assertEqual(RejectReason.FAILS_EVERYWHERE, reject.reason)
+
+
+class DuplicateTests(testtools.TestCase):
+    def test_a_request_that_waits_or_runs_is_not_taken_twice(self):
+        zone = scheduler()
+        self.assertEqual(["x"], started(queue(zone, request("x", members=2, accelerators=8))))
+        self.assertEqual([], queue(zone, request("x", members=2, accelerators=8)))
+        for _ in range(2):
+            queue(zone, request("y", accelerators=8))
+        self.assertEqual(1, zone.zone.queue.counts["a"])
+
 
 class ChangeTests(testtools.TestCase):
     def test_lost_workers_put_guarantees_at_risk_and_back(self):
