--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
@@ -199,6 +199,7 @@
 
     def _put(self, cell: Cell, places: dict[str, int]) -> None:
         cell.places = places
+        self.topology.freed.add(places)
         team = self.team_laid[cell.team]
         for name, count in places.items():
             self.laid[name] += count
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
@@ -15,6 +15,7 @@
 
 LARGE_ACCELERATORS = 8
 LARGE_MEMBERS = 4
+LEAST_GROUPS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,10 +139,11 @@
         return min(heads, key=lambda r: (r.submitted_ms, r.request_id), default=None)
 
     def next_groups(self, urgent: bool, team: str, limit: int) -> list[Group]:
-        """Return some groups of a team and let the others come first next time."""
+        """Return at least two groups of a team, the oldest and others in turn."""
         groups = self.by_team[urgent].get(team)
         if not groups:
             return []
+        limit = max(limit, LEAST_GROUPS)
         some = list(islice(groups.values(), limit))
         if len(groups) > limit:
             for group in some[1:]:
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_queue.py
@@ -16,6 +16,13 @@
         self.assertEqual("x2", group.head().request_id)
         self.assertEqual((1, 1), (len(queue), queue.counts["a"]))
 
+    def test_no_group_is_left_out_for_ever(self):
+        queue = Queue()
+        for number in range(5):
+            queue.add(request(f"x{number}", job=f"j{number}"))
+        seen = {g.key.job for _ in range(4) for g in queue.next_groups(False, "a", 1)}
+        self.assertEqual(5, len(seen))
+
     def test_a_request_that_comes_back_goes_first(self):
         queue = Queue()
         queue.add(request("x2", at_ms=2))
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -19,7 +19,7 @@
 from agateferry_scheduling.topology import Backing
 
 GROUPS_PER_PASS = 24
-GROUPS_PER_TEAM = 4
+GROUPS_RANKED = 64
 STARTS_PER_GROUP = 4
 STARTS_PER_PASS = 32
 ROUNDS_PER_PASS = 6
@@ -75,10 +75,11 @@
     def _candidates(self, urgent: bool, now_ms: int) -> list[Group]:
         teams = self._zone.queue.by_team[urgent]
         accelerators, slots = self._zone.topology.accelerators, self._zone.topology.slots
+        limit = GROUPS_RANKED // max(len(teams), 1)
         ranked: list[tuple[float, int, Group]] = []
         for team in list(teams):
             share = self._zone.shares.share(team, accelerators, slots)
-            for group in self._zone.queue.next_groups(urgent, team, GROUPS_PER_TEAM):
+            for group in self._zone.queue.next_groups(urgent, team, limit):
                 head = group.head()
                 rank = self._zone.shares.rank(share, now_ms - head.submitted_ms)
                 rank += self._size_rank(head)
@@ -101,7 +102,7 @@
         return found
 
     def _start_now(self, group: Group, request: PendingRequest, now_ms: int) -> list[Decision]:
-        cells = self._find.within_cells(request) if may_use_cells(self._zone, request) else None
+        cells = self._search_cells(group, request)
         if cells is not None and not request.preemptible:
             return [self._start(request, cells, Backing.GUARANTEED, now_ms)]
         free = self._search_free(group, request, now_ms)
@@ -124,6 +125,17 @@
                 return self._start(request, cells, Backing.GUARANTEED, now_ms)
         return self._start(request, free, backing_of(request), now_ms)
 
+    def _search_cells(self, group: Group, request: PendingRequest) -> Counts | None:
+        """Look within the team's cells, unless nothing changed there since the last search."""
+        if not may_use_cells(self._zone, request):
+            return None
+        freed = self._zone.topology.freed.since(group.searched) if group.searched >= 0 else None
+        if freed is not None:
+            own = self._zone.layout.team_laid[request.team]
+            if not any(name in own for name in freed):
+                return None
+        return self._find.within_cells(request)
+
     def _search_free(self, group: Group, request: PendingRequest, now_ms: int) -> Counts | None:
         if self._find.eats_headroom(request):
             group.waits_for = "slots that are not kept for urgent work"
