--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
@@ -14,6 +14,7 @@
 
 LARGE_ACCELERATORS = 8
 LARGE_MEMBERS = 4
+LEAST_GROUPS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +75,10 @@
         return len(self.by_request)
 
     def add(self, request: PendingRequest) -> Group:
-        """Add a request to its group."""
+        """Add a request to its group; one that waits already stays as it is."""
+        waiting = self.by_request.get(request.request_id)
+        if waiting is not None:
+            return waiting
         key = key_of(request)
         group = self.groups.get(key)
         if group is None:
@@ -134,10 +138,11 @@
         return min(heads, key=lambda r: (r.submitted_ms, r.request_id), default=None)
 
     def next_groups(self, urgent: bool, team: str, limit: int) -> list[Group]:
-        """Return some groups of a team and let the others come first next time."""
+        """Return at least two groups of a team, the oldest and others in turn."""
         groups = self.by_team[urgent].get(team)
         if not groups:
             return []
+        limit = max(limit, LEAST_GROUPS)
         some = list(islice(groups.values(), limit))
         if len(groups) > limit:
             for group in some[1:]:
