Drop the replica with one voter and wire datagrams and counters in

Cause: every group runs on NodeReplica now; a second implementation had to be kept right too. Ruled out: keeping it for tests, which would then not test what runs. Conclusion: one way to hold state.

--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -36,6 +36,7 @@
     add_RecordsServicer_to_server,
 )
 from agateferry_service.settings import Settings
+from agateferry_state.replica import metrics as replica_metrics
 
 READY_POLL_S = 0.05
 FETCH_PATIENCE_MS = 2_000
@@ -91,6 +92,7 @@
     def _build_state(self) -> None:
         settings = self.settings
         self.replicas = Replicas(settings, self.clock, self.rng)
+        replica_metrics.register(self.metrics.registry)
         machine = CellMachine(settings.host.zone)
         replica = self.replicas.cell(machine)
         self.workers = WorkerClient()
--- a/packages/agateferry-service/agateferry_service/daemon/replicas.py
+++ b/packages/agateferry-service/agateferry_service/daemon/replicas.py
@@ -11,7 +11,6 @@
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
 from agateferry_state.replica.transport import GrpcTransport
 from agateferry_state.replication import Settings as ReplicationCoreSettings
-from agateferry_state.rpc.replication_pb2_grpc import add_ReplicationServicer_to_server
 
 RECORDS_GROUP = "records"
 ELECTION_SPREAD = 2
@@ -37,8 +36,9 @@
         return self._node(RECORDS_GROUP, self._settings.records_voters(), machine)
 
     def add_to(self, server: grpc.aio.Server) -> None:
-        """Serve the replicas' peers on the host's peers' port."""
-        add_ReplicationServicer_to_server(self._transport, server)
+        """Serve the replicas' peers on the host's peers' port, by TCP and UDP."""
+        self._transport.add_to(server)
+        self._transport.open_datagrams(str(self._settings.listen.peers))
 
     async def close(self) -> None:
         """Close the connections to peers."""
--- a/packages/agateferry-state/agateferry_state/events.py
+++ b/packages/agateferry-state/agateferry_state/events.py
@@ -34,3 +34,8 @@
     "Nothing to do; without a leader for longer, look at the hosts of the group.",
 )
 MEMBERS_CHANGED = Event(2009, "the members of the group changed", "Nothing to do.")
+DATAGRAMS_UNUSED = Event(
+    2010,
+    "the UDP port for heartbeats cannot be bound",
+    "Free the UDP port of the same number as the peers' port; until then streams carry all.",
+)
--- a/packages/agateferry-state/agateferry_state/replica/__init__.py
+++ b/packages/agateferry-state/agateferry_state/replica/__init__.py
@@ -9,7 +9,6 @@
     Replica,
     StateMachine,
 )
-from agateferry_state.replica.solo import SoloReplica
 from agateferry_state.replica.status import MemberStatus, NodeStatus
 from agateferry_state.replica.transport import GrpcTransport, Transport, start_server
 
@@ -24,7 +23,6 @@
     "ProposeError",
     "ProposeErrorKind",
     "Replica",
-    "SoloReplica",
     "StateMachine",
     "Transport",
     "server_options",
--- a/packages/agateferry-state/agateferry_state/replica/bench.py
+++ b/packages/agateferry-state/agateferry_state/replica/bench.py
@@ -19,7 +19,6 @@
 from agateferry_core.clock import SystemClock
 from agateferry_core.logs import configure
 from agateferry_core.support import free_port
-
 from agateferry_state.journal import Journal, Record
 from agateferry_state.members import Members
 from agateferry_state.replica.bench_transport import measure_transport, percentiles, row
--- a/packages/agateferry-state/agateferry_state/replica/bench_transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/bench_transport.py
@@ -7,9 +7,9 @@
 from pathlib import Path
 
 import grpc
-from agateferry_core.support import free_port
 from grpc import aio
 
+from agateferry_core.support import free_port
 from agateferry_state.members import MemberId
 from agateferry_state.replica.codec import Envelope, encode_envelope
 from agateferry_state.replica.link import server_options
--- a/packages/agateferry-state/agateferry_state/replica/datagrams.py
+++ b/packages/agateferry-state/agateferry_state/replica/datagrams.py
@@ -13,7 +13,6 @@
 from collections.abc import Callable
 
 from agateferry_core.clock import Clock
-
 from agateferry_state.replica.metrics import MESSAGES_DROPPED
 
 MAX_DATAGRAM_BYTES = 1200
--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -12,7 +12,6 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
-
 from agateferry_state.events import LEADER_CHANGED, MEMBERS_CHANGED, STORAGE_FAILED
 from agateferry_state.journal import JournalError
 from agateferry_state.members import MemberId
--- a/packages/agateferry-state/agateferry_state/replica/link.py
+++ b/packages/agateferry-state/agateferry_state/replica/link.py
@@ -13,9 +13,9 @@
 import random
 from dataclasses import dataclass
 
-from agateferry_core.logs import EventLogger
 from grpc import aio
 
+from agateferry_core.logs import EventLogger
 from agateferry_state.events import PEER_CONNECTED, PEER_CONNECTION_LOST
 from agateferry_state.replica.codec import encode_envelope
 from agateferry_state.replica.metrics import RECONNECTS
--- a/packages/agateferry-state/agateferry_state/replica/metrics.py
+++ b/packages/agateferry-state/agateferry_state/replica/metrics.py
@@ -1,6 +1,6 @@
 """Counters of what a replica and its transport refused, dropped or tried again."""
 
-from prometheus_client import Counter
+from prometheus_client import CollectorRegistry, Counter
 
 MESSAGES_DROPPED = Counter(
     "agateferry_replica_messages_dropped_total",
@@ -27,3 +27,15 @@
     "Proposals that were not applied here, by reason.",
     ["reason"],
 )
+
+
+def register(registry: CollectorRegistry) -> None:
+    """Have the counters of this process shown by a daemon's own registry too."""
+    for counter in (
+        MESSAGES_DROPPED,
+        MESSAGES_REFUSED,
+        RECONNECTS,
+        STORAGE_FAILURES,
+        PROPOSALS_REFUSED,
+    ):
+        registry.register(counter)
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
-from agateferry_core.clock import Clock
-from agateferry_core.logs import EventLogger
 from expression import Error, Ok, Result
 
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
 from agateferry_state.events import DATA_FOLDER_OPENED, DATA_FOLDER_UNUSABLE, TORN_BATCH_CUT
 from agateferry_state.journal import Files, JournalError
 from agateferry_state.members import Member, MemberId
--- a/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
@@ -11,7 +11,6 @@
 from pathlib import Path
 
 from agateferry_core.clock import SystemClock
-
 from agateferry_state.replica import GrpcTransport, NodeConfig, NodeReplica, Peer, start_server
 
 
--- /dev/null
+++ b/packages/agateferry-state/agateferry_state/replica/tests/support.py
@@ -0,0 +1,36 @@
+"""What several tests of this slice put behind or in front of a replica."""
+
+import errno
+
+from agateferry_state.journal import OsFiles
+
+
+class ListMachine:
+    """Remember every command in order."""
+
+    def __init__(self):
+        self.commands = []
+
+    def apply(self, index, command):
+        self.commands.append(command)
+        return len(self.commands)
+
+    def snapshot(self):
+        return b"\n".join(self.commands)
+
+    def restore(self, data):
+        self.commands = data.split(b"\n") if data else []
+
+
+class CountingFiles(OsFiles):
+    """Count syncs, and fail them on demand."""
+
+    def __init__(self):
+        self.syncs = 0
+        self.broken = False
+
+    def sync(self, fd):
+        self.syncs += 1
+        if self.broken:
+            raise OSError(errno.EIO, "injected")
+        super().sync(fd)
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -5,12 +5,12 @@
 from pathlib import Path
 
 import testtools
+
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import free_port, run_async
-
 from agateferry_state.replica import ProposeErrorKind
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
-from agateferry_state.replica.tests.test_solo import CountingFiles, ListMachine
+from agateferry_state.replica.tests.support import CountingFiles, ListMachine
 from agateferry_state.replica.transport import GrpcTransport, start_server
 from agateferry_state.replication import Role, Settings
 
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_process.py
@@ -8,6 +8,7 @@
 
 import pytest
 import testtools
+
 from agateferry_core.support import free_port, wait_until
 
 MEMBER = Path(__file__).with_name("member_process.py")
--- a/packages/agateferry-state/agateferry_state/replica/transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/transport.py
@@ -8,13 +8,13 @@
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Protocol
 
-from agateferry_core.clock import Clock, SystemClock
-from agateferry_core.logs import EventLogger
 from expression import Error, Ok, Result
 from google.protobuf.message import DecodeError
 from grpc import aio
 
-from agateferry_state.events import ENVELOPE_REFUSED
+from agateferry_core.clock import Clock, SystemClock
+from agateferry_core.logs import EventLogger
+from agateferry_state.events import DATAGRAMS_UNUSED, ENVELOPE_REFUSED
 from agateferry_state.replica.codec import Envelope, decode_envelope, encode_envelope
 from agateferry_state.replica.datagrams import DatagramPaths, DatagramSocket
 from agateferry_state.replica.link import LinkSettings, PeerLink, server_options
@@ -94,13 +94,12 @@
             return
         link.outbox.put(envelope)
 
-    def open_datagrams(self, address: str) -> Result[int, str]:
-        """Use datagrams too, on the UDP port of the server's number; the value is the port."""
+    def open_datagrams(self, address: str) -> None:
+        """Use datagrams too, on the UDP port of the server's number, where it can be bound."""
         try:
             self._datagrams = DatagramSocket(address, self._take_datagram)
         except OSError as exc:
-            return Error(str(exc))
-        return Ok(int(address.rpartition(":")[2]))
+            self._log.warning(DATAGRAMS_UNUSED, address=address, detail=str(exc))
 
     def add_to(self, server: aio.Server) -> None:
         """Take in the envelopes that arrive at a server, which has not been started."""
@@ -190,4 +189,5 @@
     except RuntimeError as exc:
         return Error(str(exc))
     await server.start()
-    return transport.open_datagrams(address).map(lambda _: server)
+    transport.open_datagrams(address)
+    return Ok(server)
