--- a/packages/agateferry-state/agateferry_state/events.py
+++ b/packages/agateferry-state/agateferry_state/events.py
@@ -39,3 +39,8 @@
     "the UDP port for heartbeats cannot be bound",
     "Free the UDP port of the same number as the peers' port; until then streams carry all.",
 )
+INVARIANT_BROKEN = Event(
+    2011,
+    "this replica found a contradiction and takes no part any more",
+    "Keep the data folder and the log, report both, and restart the daemon.",
+)
--- a/packages/agateferry-state/agateferry_state/journal/recovery.py
+++ b/packages/agateferry-state/agateferry_state/journal/recovery.py
@@ -81,8 +81,11 @@
 
 def numbers(files: Files, folder: Path, prefix: str) -> list[int]:
     """Return the numbers of the files of one sort in order."""
-    names = files.names(folder)
-    return sorted(int(name.removeprefix(prefix)) for name in names if name.startswith(prefix))
+    found = [name for name in files.names(folder) if name.startswith(prefix)]
+    for name in found:
+        if not name.removeprefix(prefix).isdecimal():
+            raise ContradictionError(f"{name}: no file of the journal has such a name")
+    return sorted(int(name.removeprefix(prefix)) for name in found)
 
 
 def is_fresh(files: Files, folder: Path) -> bool:
--- a/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
+++ b/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
@@ -262,6 +262,14 @@
             self.assertEqual(JournalErrorKind.LOST_DISK, self.refusal(), name)
             (self.folder / name).write_bytes(content)
 
+    def test_a_copy_of_a_file_left_in_the_folder_is_pointed_out(self):
+        journal, _ = self.open()
+        journal.close()
+        (self.folder / "segment-000000000001.bak").write_bytes(b"")
+        error = Journal.open(self.folder).error
+        self.assertEqual(JournalErrorKind.LOST_DISK, error.kind)
+        self.assertIn("segment-000000000001.bak", error.detail)
+
     def test_a_missing_segment_or_snapshot_is_a_lost_disk(self):
         journal, _ = self.open(segment_bytes=100)
         self.write(journal, *[records(n, n) for n in range(1, 40)])
--- a/packages/agateferry-state/agateferry_state/replica/bench.py
+++ b/packages/agateferry-state/agateferry_state/replica/bench.py
@@ -20,6 +20,7 @@
 from agateferry_core.logs import configure
 from agateferry_core.support import free_port
 from agateferry_state.journal import Journal, Record
+from agateferry_state.journal import Snapshot as StoredSnapshot
 from agateferry_state.members import Members
 from agateferry_state.replica.bench_transport import measure_transport, percentiles, row
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
@@ -33,7 +34,9 @@
 PROPOSERS = 64
 COMMITS = 4000
 SYNCS = 1000
+SNAPSHOT_BYTES = 4 * 1024 * 1024
 IDLE_S = 10.0
+IDLE_SIZES = (1, 3, 7)
 RESTART_CHANGES = (500, 5000)
 SNAPSHOT_EVERY = 1000
 POLL_S = 0.005
@@ -109,6 +112,9 @@
         journal.sync()
         took.append((time.perf_counter() - began) * MS)
     percentiles("append_and_sync", took)
+    began = time.perf_counter()
+    journal.save_snapshot(StoredSnapshot(SYNCS, 1, bytes(SNAPSHOT_BYTES)))
+    row("store_snapshot_of_4_mib", (time.perf_counter() - began) * MS, "ms")
     journal.close()
 
 
@@ -175,13 +181,14 @@
 
 
 async def measure_idle(folder: Path) -> None:
-    """Measure the processor time of three members that have nothing to do."""
-    async with group(folder / "idle", 3):
-        await asyncio.sleep(1)
-        began = time.process_time()
-        await asyncio.sleep(IDLE_S)
-        cpu_ms = (time.process_time() - began) * MS
-    row("idle_cpu_per_member", cpu_ms / IDLE_S / 3, "ms/s")
+    """Measure the processor time of groups that have nothing to do, all members together."""
+    for size in IDLE_SIZES:
+        async with group(folder / f"idle-{size}", size):
+            await asyncio.sleep(1)
+            began = time.process_time()
+            await asyncio.sleep(IDLE_S)
+            cpu_ms = (time.process_time() - began) * MS
+        row(f"idle_cpu_{size}_members_together", cpu_ms / IDLE_S, "ms/s")
 
 
 SECTIONS: dict[str, Callable[[Path], Coroutine[Any, Any, None]]] = {
--- a/packages/agateferry-state/agateferry_state/replica/bench_transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/bench_transport.py
@@ -65,6 +65,7 @@
 
 async def measure_transport(folder: Path) -> None:
     """Measure heartbeats at a fixed pace; a figure holds the work of both ends."""
+    row("datagram_bytes_per_heartbeat", len(encode_envelope(_envelope()).SerializeToString()), "B")
     await _measure_stream()
     await _measure_unary()
 
--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -12,7 +12,12 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
-from agateferry_state.events import LEADER_CHANGED, MEMBERS_CHANGED, STORAGE_FAILED
+from agateferry_state.events import (
+    INVARIANT_BROKEN,
+    LEADER_CHANGED,
+    MEMBERS_CHANGED,
+    STORAGE_FAILED,
+)
 from agateferry_state.journal import JournalError
 from agateferry_state.members import MemberId
 from agateferry_state.replica.codec import Envelope
@@ -86,8 +91,8 @@
 
     def close(self) -> None:
         """Sync what was appended, answer all who wait and give up the disk and the network."""
-        self._transport.unregister(self._group)
         self._sync()
+        self._transport.unregister(self._group)
         self._is_closed = True
         self.proposals.end(ProposeErrorKind.STOPPED)
         self._note_leading(0)
@@ -103,14 +108,31 @@
         if self._is_closed:
             return
         unsynced = self._write_id
-        for effect in self.core.step_all(events, self._clock.now_ms()):
-            if not self._carry_out(effect):
-                break
+        try:
+            self._take(events)
+        except Exception as exc:
+            self._leave(f"{type(exc).__name__}: {exc}")
+            raise
         if self._write_id != unsynced:
             self._loop.call_soon(self._sync)
         self._arm_timer()
         self._stepped.set()
 
+    def _take(self, events: list[m.Event]) -> None:
+        for effect in self.core.step_all(events, self._clock.now_ms()):
+            if not self._carry_out(effect):
+                break
+
+    def _leave(self, detail: str) -> None:
+        """Take no part any more after a broken invariant, as if this process had been killed."""
+        self._log.error(INVARIANT_BROKEN, detail=detail)
+        self.failure = ProposeError(ProposeErrorKind.STOPPED, detail=detail)
+        self._transport.unregister(self._group)
+        self._is_closed = True
+        self._note_leading(0)
+        self.proposals.end(ProposeErrorKind.UNKNOWN, detail)
+        self._stepped.set()
+
     def _carry_out(self, effect: m.Effect) -> bool:
         """Do what the core asks; False tells that the disk failed and the rest must not be done."""
         match effect:
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -81,7 +81,9 @@
     def is_leader(self) -> bool:
         """Tell whether this member leads under a lease that is valid now and has caught up."""
         driver = self._driver
-        if driver is None or driver.leads_in_term != driver.core.term:
+        if driver is None or driver.failure is not None:
+            return False
+        if driver.leads_in_term != driver.core.term:
             return False
         return driver.core.holds_lease(self._clock.now_ms())
 
@@ -127,7 +129,8 @@
         driver = self._driver
         if driver is None:
             return
-        if driver.core.role is Role.LEADER and len(driver.core.members.voters) > 1:
+        has_others = len(driver.core.members.voters) > 1
+        if driver.failure is None and driver.core.role is Role.LEADER and has_others:
             driver.put(m.TransferLeadership())
             await driver.until(lambda: driver.core.role is not Role.LEADER, STOP_WITHIN_MS)
         await driver.until(lambda: driver.proposals.is_idle, STOP_WITHIN_MS)
--- a/packages/agateferry-state/agateferry_state/replica/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/support.py
@@ -28,9 +28,10 @@
     def __init__(self):
         self.syncs = 0
         self.broken = False
+        self.error = errno.EIO
 
     def sync(self, fd):
         self.syncs += 1
         if self.broken:
-            raise OSError(errno.EIO, "injected")
+            raise OSError(self.error, "injected")
         super().sync(fd)
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 import random
 import tempfile
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -174,6 +175,21 @@
 
         run_async(main())
 
+    def test_a_broken_invariant_ends_its_part(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+                host.machine.apply = lambda index, command: 1 // 0
+                result = await host.replica.propose(b"x")
+                self.assertEqual(ProposeErrorKind.UNKNOWN, result.error.kind)
+                self.assertIn("ZeroDivisionError", host.replica.failure.detail)
+                self.assertFalse(host.replica.is_leader)
+                self.assertTrue((await host.replica.propose(b"y")).is_error())
+                self.assertFalse(host.leads[-1])
+
+        run_async(main())
+
     def test_a_stopped_replica_refuses(self):
         async def main():
             (host,) = self.make_hosts([True])
@@ -223,6 +239,22 @@
 
         run_async(main())
 
+    def test_a_leader_whose_disk_is_full_makes_room_for_another(self):
+        async def main():
+            hosts = self.make_hosts([True, True, True])
+            async with self.formed(hosts) as leader:
+                leader.files.error = errno.ENOSPC
+                leader.files.broken = True
+                result = await leader.replica.propose(b"one")
+                self.assertEqual(ProposeErrorKind.UNKNOWN, result.error.kind)
+                others = [host for host in hosts if host is not leader]
+                second = await self.leader_of(others)
+                self.assertTrue((await second.replica.propose(b"two")).is_ok())
+                self.assertFalse(leader.replica.is_leader)
+                self.assertEqual(b"two", second.machine.commands[-1])
+
+        run_async(main())
+
     def test_a_host_that_lost_its_disk_comes_back_as_another_member(self):
         async def main():
             hosts = self.make_hosts([True, True, True], snapshot_every_entries=10)
