--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/tests/test_layout.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/tests/test_layout.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.demand import Adjacency, Demand, Shape, Worker
 
+from agateferry_core.demand import Adjacency, Demand, Shape, Worker
 from agateferry_scheduling.guarantees.check import broken_guarantee
 from agateferry_scheduling.guarantees.layout import Layout
 from agateferry_scheduling.scheduler.messages import Team
--- a/packages/agateferry-scheduling/agateferry_scheduling/placement/stranding.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/stranding.py
@@ -7,7 +7,6 @@
 from collections import defaultdict
 
 from agateferry_core.demand import Adjacency, Demand
-
 from agateferry_scheduling.guarantees import Layout
 from agateferry_scheduling.placement.first_fit import Counts
 from agateferry_scheduling.topology import Topology
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_queue.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.demand import Demand, Urgency
 
+from agateferry_core.demand import Demand, Urgency
 from agateferry_scheduling.queueing import Queue, is_large
 from agateferry_scheduling.queueing.fairness import Shares
 from agateferry_scheduling.scheduler.tests.zones import request
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_reservation.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/tests/test_reservation.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.demand import Adjacency
 
+from agateferry_core.demand import Adjacency
 from agateferry_scheduling.estimates import Estimates
 from agateferry_scheduling.queueing.reservation import reserve
 from agateferry_scheduling.scheduler.tests.zones import queue, request, scheduler
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/reclaiming.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/reclaiming.py
@@ -1,7 +1,6 @@
 """Claim workers that other work must leave: for guarantees, urgent starts and aged gangs."""
 
 from agateferry_core.demand import Urgency
-
 from agateferry_scheduling.placement.first_fit import Counts
 from agateferry_scheduling.preemption.claims import Claim
 from agateferry_scheduling.preemption.victims import CHECKPOINT_COST_MS, Plan
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
@@ -1,10 +1,10 @@
 from unittest import mock
 
 import testtools
-from agateferry_core.demand import Adjacency, Demand, Shape, Urgency, Worker
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
+from agateferry_core.demand import Adjacency, Demand, Shape, Urgency, Worker
 from agateferry_scheduling.guarantees.layout import Layout
 from agateferry_scheduling.placement import choice
 from agateferry_scheduling.scheduler import finder
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.demand import Adjacency, Urgency
 
+from agateferry_core.demand import Adjacency, Urgency
 from agateferry_scheduling.scheduler.messages import (
     EndReason,
     GuaranteeAtRisk,
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/zones.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/zones.py
@@ -1,5 +1,4 @@
 from agateferry_core.demand import Demand, Shape, Urgency, Worker
-
 from agateferry_scheduling.scheduler.messages import (
     PendingRequest,
     RequestQueued,
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/drawing.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/drawing.py
@@ -3,9 +3,9 @@
 from pathlib import Path
 from typing import Any
 
-from agateferry_core.demand import Urgency
 from expression import Error, Ok, Result
 
+from agateferry_core.demand import Urgency
 from agateferry_scheduling.traces.report import Report
 
 MS_PER_HOUR = 3_600_000
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/tests/test_replay.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/tests/test_replay.py
@@ -2,8 +2,8 @@
 from pathlib import Path
 
 import testtools
-from agateferry_core.demand import Adjacency, Assignment, Demand, Urgency
 
+from agateferry_core.demand import Adjacency, Assignment, Demand, Urgency
 from agateferry_scheduling.scheduler.messages import (
     EndReason,
     RequestEnded,
