End an attempt at once when a worker refuses it

Cause: after a refusal the member's driver waited for the next look at the lease, up to 60 s, before it told the attempt. A request sent to a worker that had just said it leaves got no answer within the caller's 60 s. Ruled out: the scheduler (it was never told of the end), the announcement (the registry showed the worker as leaving). Change: a member about which nothing more is to be learned ends its driver.

--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -73,6 +73,11 @@
         ended_badly = self.view is not None and self.view.final and not self.finished
         return ended_badly or self.error is not None
 
+    @property
+    def decided(self) -> bool:
+        """Tell whether nothing more is to be learned of the member."""
+        return self.finished or self.broken
+
     def see(self, view: LeaseView) -> None:
         """Take in what the worker says of the lease."""
         self.view = view
@@ -174,13 +179,10 @@
 
     async def _drive(self, member: Member) -> None:
         """Start a member and follow its lease until it is final or lost."""
-        reply = await self._start(member)
-        while member.error is None:
-            self._take_in(member, reply)
-            if member.view is not None and member.view.final:
-                break
+        self._take_in(member, await self._start(member))
+        while not member.decided:
             await self._hint_or_timeout(member)
-            reply = await self._look(member)
+            self._take_in(member, await self._look(member))
         self._wake.set()
 
     def _take_in(self, member: Member, reply: Result[LeaseView, WorkerError]) -> None:
