Show members in cell status, and follow the new face of the traces

Cause: /v1/cell tells members with voter and disk now; agateferry_scheduling.traces exports a function named replay, which hid the module that the replay verb used, so that 4 tests were red.

--- a/packages/agateferry-cli/agateferry_cli/client/views.py
+++ b/packages/agateferry-cli/agateferry_cli/client/views.py
@@ -114,6 +114,15 @@
     content: dict[str, Any] = {}
 
 
+class MemberView(View):
+    """One member of a replicated log; one that does not vote still catches up."""
+
+    host: str
+    incarnation: str = ""
+    voter: bool = True
+    disk: bool = True
+
+
 class RecordsPlaneView(View):
     """One host's share in the records plane; `role` is empty on a host that does not vote."""
 
@@ -130,7 +139,7 @@
     term: int = 0
     role: str = ""
     leader: str | None = None
-    members: tuple[Any, ...] = ()
+    members: tuple[MemberView, ...] = ()
     records: RecordsPlaneView = RecordsPlaneView()
     reachable: bool = True
 
--- a/packages/agateferry-cli/agateferry_cli/verbs/cell.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/cell.py
@@ -3,13 +3,15 @@
 from expression import Result
 
 from agateferry_cli.client import Answer, ExitCode, Failure, Port
-from agateferry_cli.client.views import CellView, RecordsPlaneView, views_of
+from agateferry_cli.client.views import CellView, MemberView, RecordsPlaneView, views_of
 from agateferry_cli.output import Output
 from agateferry_cli.verbs.run import run_get
 
 COLUMNS = ("zone", "host", "role", "term", "leader", "members", "records plane", "revision")
 
 LEADER = "leader"
+NO_DISK = "no disk"
+CATCHES_UP = "catches up"
 
 
 def status(*, operators: str = "", json: bool = False) -> int:
@@ -36,7 +38,7 @@
 def _row(view: CellView) -> tuple[object, ...]:
     if not view.reachable:
         return (view.zone, view.host, "unreachable", *[None] * (len(COLUMNS) - 3))
-    members = " ".join(_member_name(member) for member in view.members)
+    members = ", ".join(_member(member) for member in view.members)
     return (
         view.zone,
         view.host,
@@ -57,5 +59,6 @@
     return f"{records.role} of {records.leader}" if records.leader else "no leader"
 
 
-def _member_name(member: object) -> str:
-    return str(member.get("name", member)) if isinstance(member, dict) else str(member)
+def _member(member: MemberView) -> str:
+    marks = ([] if member.disk else [NO_DISK]) + ([] if member.voter else [CATCHES_UP])
+    return f"{member.host} ({', '.join(marks)})" if marks else member.host
--- a/packages/agateferry-cli/agateferry_cli/verbs/replay.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/replay.py
@@ -38,10 +38,11 @@
     if trace.stat().st_size == 0:
         return Error(Failure(ExitCode.USAGE, f"{trace} holds no records", "Name another trace."))
     # Imported here because it would slow the start of every other verb.
-    from agateferry_scheduling.traces import replay as traces
+    from agateferry_scheduling.traces.replay import Policy
+    from agateferry_scheduling.traces.replay import replay as replay_trace
 
     try:
-        report = traces.replay(trace, traces.Policy(policy))
+        report = replay_trace(trace, Policy(policy))
     except ValueError as exc:
         advice = "Mend the line, or record the trace anew."
         return Error(Failure(ExitCode.USAGE, f"{trace} is not a trace: {exc}", advice))
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_lists.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_lists.py
@@ -53,16 +53,17 @@
     def test_cell_status(self):
         a1 = {"host": "a1", "zone": "a", "term": 3, "role": "leader", "leader": "a1"}
         a2 = {"host": "a2", "zone": "a", "term": 3, "role": "follower", "leader": "a1"}
+        members = [{"host": "a1", "voter": True}, {"host": "a2", "voter": False, "disk": False}]
         hosts = [
             {"host": "a4", "zone": "a", "reachable": False},
             {"host": "a3", "zone": "a", "records": {"revision": 2, "role": "follower"}},
             a2 | {"records": {"revision": 12, "role": "follower", "leader": "c1"}},
-            a1 | {"members": ["a1", "a2"], "records": {"revision": 12}},
+            a1 | {"members": members, "records": {"revision": 12}},
         ]
         out = self.listing("/v1/cells", {"hosts": hosts}, "cell", "status")
         rows = [" ".join(line.split()) for line in out.splitlines()[1:]]
         expected = [
-            "a a1 leader 3 a1 a1 a2 no voter 12",
+            "a a1 leader 3 a1 a1, a2 (no disk, catches up) no voter 12",
             "a a2 follower 3 a1 follower of c1 12",
             "a a3 0 none no leader 2",
             "a a4 unreachable",
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_local.py
@@ -5,7 +5,6 @@
 from agateferry_cli import main as main_module
 from agateferry_cli.client import ExitCode
 from agateferry_cli.verbs.tests.case import VerbCase
-from agateferry_scheduling.traces import replay as traces_replay
 from agateferry_scheduling.traces.makers import storm
 from agateferry_scheduling.traces.records import write_trace
 from agateferry_scheduling.traces.report import Report
@@ -101,7 +100,7 @@
 
     def test_a_broken_invariant_is_told_by_the_exit_code(self):
         report = Report("storm", "fair", broken="at 5 ms: x")
-        with mock.patch.object(traces_replay, "replay", return_value=report):
+        with mock.patch("agateferry_scheduling.traces.replay.replay", return_value=report):
             code = self.run_verb("replay", self.trace, "--json")
         self.assertEqual(ExitCode.REQUEST_FAILED, code)
         self.assertEqual("at 5 ms: x", self.json_out()["broken"])
