Wait for a settled group before a test breaks a disk

Change: the tests begin once all voters hold the whole log, which is stricter than counting voters. Conclusion: a fault of the test.

--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -103,13 +103,15 @@
             yield await self.formed_leader(hosts)
 
     async def formed_leader(self, hosts):
-        leader = await self.leader_of(hosts)
-        await self.until(
-            lambda: len([m for m in leader.replica.status().members if m.is_voter]) == len(hosts),
-            "all hosts vote",
-        )
+        await self.until(lambda: any(self.is_settled(h, len(hosts)) for h in hosts), "all vote")
         return await self.leader_of(hosts)
 
+    def is_settled(self, host, size):
+        """Tell whether a host leads as many voters, all of which hold the whole log."""
+        status = host.replica.status()
+        matched = [m.match_index for m in status.members if m.is_voter]
+        return host.replica.is_leader and matched == [status.last_index] * size
+
     async def same_state(self, hosts, commands):
         await self.until(lambda: all(h.machine.commands == commands for h in hosts), "same state")
 
