--- /dev/null
+++ b/packages/agateferry-scheduling/agateferry_scheduling/preemption/tests/test_victims.py
@@ -0,0 +1,57 @@
+import testtools
+from agateferry_core.demand import Demand, Urgency
+
+from agateferry_scheduling.preemption.victims import plan_for
+from agateferry_scheduling.scheduler.messages import SchedulingConfig
+from agateferry_scheduling.scheduler.tests.zones import queue, request, scheduler
+
+NOW_MS = 1_000_000
+
+
+class PlanTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        config = SchedulingConfig(urgent_headroom_slots=0)
+        self.zone = scheduler(per_rack=1, config=config)
+
+    def fill(self, *pendings):
+        for pending in pendings:
+            queue(self.zone, pending, pending.submitted_ms)
+
+    def plan(self, demand, allowed=lambda allocation: True):
+        topology = self.zone.zone.topology
+        state = topology.workers["w0"]
+        return plan_for(topology, state, demand, demand.members, allowed, NOW_MS)
+
+    def victims(self, plan):
+        return sorted(victim.request.request_id for victim in plan.victims)
+
+    def test_the_least_work_is_lost(self):
+        self.fill(
+            request("old", accelerators=4),
+            request("saved", accelerators=2, checkpointable=True),
+            request("new", accelerators=2, at_ms=NOW_MS - 1_000),
+        )
+        self.assertEqual(["new"], self.victims(self.plan(Demand(accelerators=2))))
+        self.assertEqual(["new", "saved"], self.victims(self.plan(Demand(accelerators=4))))
+
+    def test_what_turns_out_not_to_be_needed_goes_on(self):
+        self.fill(
+            request("small", accelerators=1, at_ms=NOW_MS - 1),
+            request("large", accelerators=7, at_ms=NOW_MS - 500),
+        )
+        self.assertEqual(["large"], self.victims(self.plan(Demand(accelerators=7))))
+
+    def test_urgent_work_is_taken_last(self):
+        self.fill(
+            request("u", urgency=Urgency.URGENT, accelerators=4, at_ms=NOW_MS - 1),
+            request("long", accelerators=4),
+        )
+        self.assertEqual(["long"], self.victims(self.plan(Demand(accelerators=4))))
+
+    def test_work_that_may_not_stop_is_no_victim(self):
+        self.fill(request("pinned", accelerators=8, preemptible=False))
+        self.assertIs(None, self.plan(Demand(accelerators=1)))
+
+    def test_nothing_stops_where_there_is_room(self):
+        self.assertEqual([], self.victims(self.plan(Demand(accelerators=8))))
