--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -221,11 +221,8 @@
                 return reply
             reply = await self._look(member)
             tries += 1
-            if not _is_unstarted(reply):
+            if not _is_unstarted(reply) or self._clock.now_ms() >= until_ms:
                 return reply
-            if self._clock.now_ms() >= until_ms:
-                unanswered = WorkerError(WorkerErrorKind.SILENT, "start-unanswered")
-                return reply if reply.is_error() else Error(unanswered)
             await self._pause(tries)
 
     async def _look(self, member: Member) -> Result[LeaseView, WorkerError]:
@@ -339,10 +336,10 @@
 
 
 def _is_unstarted(reply: Result[LeaseView, WorkerError]) -> bool:
-    """Tell whether the worker has seen no start of this lease: unknown, or reserved only."""
-    if reply.is_error():
-        return reply.error.kind is WorkerErrorKind.UNKNOWN_LEASE
-    return reply.ok.state is LeaseState.RESERVED
+    """Tell whether a worker says that no start of the lease has arrived."""
+    if reply.is_ok():
+        return reply.ok.state is LeaseState.RESERVED
+    return reply.error.kind is WorkerErrorKind.UNKNOWN_LEASE
 
 
 def _was_stopped(member: Member) -> bool:
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -35,11 +35,13 @@
     """What a follower knows of the leader's log in the present term.
 
     `verified_index` is the last place up to which both logs are known to agree. `unanswered_round`
-    is the newest round whose entries wait for the disk, or 0.
+    is the newest round whose entries wait for the disk, or 0; `answered_round` is the newest one
+    that the leader was told of.
     """
 
     verified_index: int = 0
     unanswered_round: int = 0
+    answered_round: int = 0
     snapshot_meta: SnapshotMeta | None = None
     snapshot_data: bytearray = field(default_factory=bytearray)
 
@@ -78,7 +80,8 @@
     following: Following = field(default_factory=Following)
     leading: Leading | None = None
     present: dict[str, Present] = field(default_factory=dict)
-    nonces: dict[MemberId, int] = field(default_factory=dict)
+    nonces: dict[MemberId, tuple[int, int]] = field(default_factory=dict)
+    """For each member that was asked to prove itself, the number sent and when."""
     snapshot_asked_index: int = 0
     effects: list[Effect] = field(default_factory=list)
 
