End an attempt at once when a worker refuses its start

Cause: after an error had been taken in, the driver of a member still waited for a hint or for look_ms, 60 s, before it saw that the member was broken. A request refused by a leaving worker, or whose worker could not be reached, was queued again a minute late. Ruled out: the scheduler and the requeue, which were never told. The tests of the attempt looked every 5 ms and could not see it; the new one looks every 60 s, is red without the change and green with it.

--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -177,7 +177,7 @@
         reply = await self._start(member)
         while member.error is None:
             self._take_in(member, reply)
-            if member.view is not None and member.view.final:
+            if member.finished or member.broken:
                 break
             await self._hint_or_timeout(member)
             reply = await self._look(member)
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -75,6 +75,12 @@
             (Run.NOT_RUN, False, "no-capacity"), (result.run, result.counts, result.reason)
         )
 
+    def test_a_refusal_ends_the_attempt_at_once(self):
+        fake = FakeWorkers(m0_start=[WorkerErrorKind.REFUSED])
+        times = AttemptTimes(look_ms=60_000)
+        tried = Attempt(members(1), fake, SystemClock(), lambda: True, random.Random(1), times)
+        self.assertEqual(AttemptEnd.FAILED, run_async(tried.run(), 5).end)
+
     def test_a_worker_that_was_not_reached_did_not_run_it(self):
         fake = FakeWorkers(m0_start=[WorkerErrorKind.UNREACHED])
         result = run_async(attempt(fake).run())
