--- a/packages/agateferry-scheduling/agateferry_scheduling/preemption/tests/test_victims.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/preemption/tests/test_victims.py
@@ -1,6 +1,6 @@
 import testtools
-from agateferry_core.demand import Demand, Urgency
 
+from agateferry_core.demand import Demand, Urgency
 from agateferry_scheduling.preemption.victims import plan_for
 from agateferry_scheduling.scheduler.messages import SchedulingConfig
 from agateferry_scheduling.scheduler.tests.zones import queue, request, scheduler
