--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -110,6 +110,7 @@
 
     async def abort(self) -> None:
         """Give up after a failed start, so that the process can end."""
+        await self.workers.close()
         if self.peers_server is not None:
             await self.peers_server.stop(grace=None)
 
