Let a worker announce an end at once only where no call waits for it

Cause: the leader holds the start call of a quick task open, so the worker's announcement of its end said what the answer on that call had just said. Seen in a profile of the leader at 100 requests a second: as many announcements as requests. Ruled out: dropping the announcement altogether (a lost answer would wait for the heartbeat). Measured: 29 tests of the worker pass; its effect on processor time is not measured yet, since the machine was busy (load 14 to 18). Conclusion: kept for the traffic it saves.

--- a/packages/agateferry-standins/agateferry_standins/worker/server.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -29,6 +30,7 @@
         self._faults = faults
         self._on_change = on_change
         self._waiters: dict[str, asyncio.Event] = {}
+        self._waiting: Counter[str] = Counter()
 
     def app(self) -> web.Application:
         """Return the application with all routes."""
@@ -44,11 +46,12 @@
         app.router.add_post("/control/behaviour", self._control)
         return app
 
-    def wake(self, lease_id: str) -> None:
-        """Let calls go on that wait for the end of a lease."""
+    def wake(self, lease_id: str) -> bool:
+        """Let calls go on that wait for the end of a lease; tell whether there were any."""
         waiter = self._waiters.pop(lease_id, None)
         if waiter is not None:
             waiter.set()
+        return self._waiting[lease_id] > 0
 
     async def _reserve(self, req: web.Request) -> web.StreamResponse:
         body = await req.json()
@@ -129,11 +132,17 @@
     async def _wait_for_end(self, lease: Lease, wait_s: float) -> None:
         if lease.final or wait_s <= 0:
             return
-        waiter = self._waiters.setdefault(lease.asked.lease, asyncio.Event())
+        lease_id = lease.asked.lease
+        waiter = self._waiters.setdefault(lease_id, asyncio.Event())
+        self._waiting[lease_id] += 1
         try:
             await asyncio.wait_for(waiter.wait(), wait_s)
         except TimeoutError:
             return
+        finally:
+            self._waiting[lease_id] -= 1
+            if not self._waiting[lease_id]:
+                del self._waiting[lease_id]
 
     async def _refuse(self, req: web.Request, refusal: Refusal) -> web.StreamResponse:
         status = 404 if refusal is Refusal.UNKNOWN_LEASE else 409
--- a/packages/agateferry-standins/agateferry_standins/worker/worker.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/worker.py
@@ -148,10 +148,10 @@
 
     def _changed(self) -> None:
         """Wake the calls that wait for a lease that ended, and set the timer for the next."""
-        ended = self.table.advance()
-        for lease in ended:
-            self._server.wake(lease.asked.lease)
-        if ended:
+        unheard = [
+            lease for lease in self.table.advance() if not self._server.wake(lease.asked.lease)
+        ]
+        if unheard:
             self.announcer.at_once()
         self._note_usage()
         if self._timer is not None:
