Give every setting its effect, and let heartbeats follow the number of workers

Cause: eight settings were read and used nowhere; a client that sent half a head held its connection for ever; at 102 workers a zone, heartbeats every 2 s would be 51 announcements a second at the leader. Ruled out: a shorter poll of leadership (20 turns a second while idle); float credits in the retry budget (19.99 in place of 20 retries, a test was red). Change: heartbeats are asked for so that a leader gets max_announcements_per_s of them, and silence is measured in heartbeats; heads are bounded in time; drain_ms, rpc_ms, endpoint_silence_ms, retry_pause_ms, reservation_ttl_ms and retry_budget_percent take effect, worker_leaving_ms is gone. Leadership is followed by its callback. Waits use asyncio.timeout.

--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -12,14 +12,16 @@
 from agateferry_service.cell.counting import count_end
 from agateferry_service.cell.decider import Decider
 from agateferry_service.dispatch.attempt import REASON_WORKER_LOST, Attempt, Member
+from agateferry_service.dispatch.budget import RetryBudget
 from agateferry_service.dispatch.client import StartOrder
 from agateferry_service.dispatch.messages import AttemptEnd, AttemptResult
-from agateferry_service.requests import Outcome, Placement, Request, RequestState, lease_name
+from agateferry_service.requests import Outcome, Placement, Request, RequestState, Run, lease_name
 from agateferry_service.requests.state import NO_CHECKPOINT, parse_lease
 from agateferry_service.rpc import commands_pb2 as pb
 from agateferry_state.replica import ProposeError
 
 MAX_REQUEUE_MS = 2_000
+BUDGET_PAUSE_MS = 5_000
 MAX_QUICK_FAILURES = 8
 BLAMELESS_REASONS = frozenset(
     {"no-capacity", "leaving", "wrong-incarnation", "deadline", "deposed", "gang-not-reserved"}
@@ -35,6 +37,7 @@
         self._running: dict[str, Attempt] = {}
         self._stop_wishes: dict[str, AttemptEnd] = {}
         self._refusals: dict[str, int] = {}
+        self._budget = RetryBudget(ctx.times.retry_budget_percent)
 
     def __len__(self) -> int:
         """Return how many attempts are under way."""
@@ -43,6 +46,8 @@
     def launch(self, request: Request, resumed: bool = False) -> None:
         """Begin, or take up again, the attempt that the ledger holds for a request."""
         ctx = self._ctx
+        if request.attempt == 1:
+            self._budget.note_first()
         members = [self._member(request, place, resumed) for place in request.placements]
         deadline_wall_ms = request.spec.deadline_wall_ms
         offset_ms = ctx.clock.now_ms() - ctx.clock.wall_ms()
@@ -219,7 +224,10 @@
         tries = self._refusals.get(request.id, 0) + 1
         self._refusals[request.id] = min(tries, MAX_QUICK_FAILURES)
         spread = self._ctx.rng.uniform(0.5, 1.5)
-        delay_ms = min(MAX_REQUEUE_MS, self._ctx.times.requeue_ms * 2 ** (tries - 1) * spread)
+        delay_ms = min(MAX_REQUEUE_MS, self._ctx.times.requeue_ms * 2 ** (tries - 1)) * spread
+        if result.run is not Run.NOT_RUN and not self._budget.take():
+            delay_ms = BUDGET_PAUSE_MS * spread
+            self._ctx.metrics.retried("budget-exhausted")
         self._ctx.tasks.spawn(self._requeue_later(request, delay_ms))
 
     async def _requeue_later(self, request: Request, delay_ms: float) -> None:
--- a/packages/agateferry-service/agateferry_service/cell/cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/cell.py
@@ -11,7 +11,7 @@
 from agateferry_service.cell.views import CellViews
 from agateferry_service.rpc import cell_pb2 as pb
 
-FOLLOW_EVERY_S = 0.05
+FOLLOW_EVERY_S = 0.25
 
 
 class Cell:
@@ -27,7 +27,10 @@
         self.leader = CellLeader(ctx, make_scheduler, record)
         self._views = CellViews(self.leader)
         self._follower: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
         ctx.machine.listeners.append(ctx.waiters.on_applied)
+        ctx.replica.on_leadership(lambda leads, term: self._changed.set())
+        ctx.proposer.on_doubt = self._changed.set
 
     async def start(self) -> None:
         """Start the replica and follow its leadership."""
@@ -103,4 +106,11 @@
             if leads and not led_term and await self.leader.begin():
                 led_term = term
                 self.ctx.metrics.leader_changed(LOG_NAME, True)
-            await asyncio.sleep(FOLLOW_EVERY_S)
+            await self._leadership_or_timeout()
+
+    async def _leadership_or_timeout(self) -> None:
+        """Return when leadership changes, or soon, since a lease can lapse without a call."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FOLLOW_EVERY_S):
+                await self._changed.wait()
+        self._changed.clear()
--- a/packages/agateferry-service/agateferry_service/cell/context.py
+++ b/packages/agateferry-service/agateferry_service/cell/context.py
@@ -24,8 +24,10 @@
     tick_ms: int = 200
     worker_heartbeat_ms: int = 2_000
     worker_silence_ms: int = 6_000
+    max_announcements_per_s: int = 5
     cancel_wait_ms: int = 5_000
     requeue_ms: int = 100
+    retry_budget_percent: int = 20
     answer_keep_ms: int = 3_600_000
     forget_every_ms: int = 30_000
     records_poll_ms: int = 1_000
--- a/packages/agateferry-service/agateferry_service/cell/proposer.py
+++ b/packages/agateferry-service/agateferry_service/cell/proposer.py
@@ -1,5 +1,7 @@
 """Proposing commands to the cell's log."""
 
+from collections.abc import Callable
+
 from expression import Error, Ok, Result
 
 from agateferry_core.metrics import Metrics
@@ -21,6 +23,7 @@
         self._replica = replica
         self._metrics = metrics
         self.doubtful = False
+        self.on_doubt: Callable[[], None] = lambda: None
 
     async def propose(self, **command: object) -> Result[object, ProposeError]:
         """Propose one command, named by its field, and return the machine's outcome.
@@ -31,6 +34,7 @@
         result = await self._replica.propose(message.SerializeToString())
         if result.is_error():
             self.doubtful = True
+            self.on_doubt()
             self._metrics.proposed(LOG_NAME, result.error.kind.value)
             return Error(result.error)
         self._metrics.proposed(LOG_NAME, "applied")
--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -46,6 +46,9 @@
         self.lose_outcomes = False
         self._index = 0
 
+    def on_leadership(self, listener):
+        pass
+
     async def start(self):
         pass
 
--- a/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -293,6 +293,18 @@
         self.assertNotEqual("not-run", view.run)
         self.assertEqual([1], list(workers.starts.values()))
 
+    def test_many_workers_are_asked_for_heartbeats_less_often(self):
+        async def main():
+            async with running_cell() as cell:
+                few = (await cell.announce(announcement("w1"))).heartbeat_ms
+                for number in range(102):
+                    reply = await cell.announce(announcement(f"x{number}"))
+                return few, reply.heartbeat_ms, cell.leader.watch.silence_ms()
+
+        few, many, silence = run_async(main())
+        self.assertEqual((2_000, 20_800), (few, many))
+        self.assertGreater(silence, 2 * many)
+
     def test_leases_that_nobody_waits_for_are_stopped_or_released(self):
         async def main():
             async with running_cell() as cell:
--- a/packages/agateferry-service/agateferry_service/cell/waiters.py
+++ b/packages/agateferry-service/agateferry_service/cell/waiters.py
@@ -32,7 +32,8 @@
         event = self._events.setdefault(request.id, asyncio.Event())
         self._counts[request.id] = self._counts.get(request.id, 0) + 1
         try:
-            await asyncio.wait_for(event.wait(), wait_ms / 1000)
+            async with asyncio.timeout(wait_ms / 1000):
+                await event.wait()
         except TimeoutError:
             return
         finally:
--- a/packages/agateferry-service/agateferry_service/cell/watch.py
+++ b/packages/agateferry-service/agateferry_service/cell/watch.py
@@ -22,6 +22,7 @@
 )
 from agateferry_service.rpc import cell_pb2 as pb
 
+MS_PER_S = 1_000
 FINAL_STATES = frozenset(state.value for state in FINAL_LEASE_STATES)
 
 
@@ -60,15 +61,29 @@
         if refused is not None:
             return pb.AnnounceReply(refusal=refused)
         self._report_usage(req)
-        reply = pb.AnnounceReply(heartbeat_ms=self._ctx.times.worker_heartbeat_ms)
+        reply = pb.AnnounceReply(heartbeat_ms=self.heartbeat_ms())
         for lease in req.leases:
             self._take_lease(lease, reply)
         return reply
 
+    def heartbeat_ms(self) -> int:
+        """Return how often workers are asked to announce themselves.
+
+        The more workers there are, the less often, so that heartbeats cost the leader the same.
+        """
+        times = self._ctx.times
+        even_ms = len(self._heard_ms) * MS_PER_S // times.max_announcements_per_s
+        return max(times.worker_heartbeat_ms, even_ms)
+
+    def silence_ms(self) -> int:
+        """Return after how long a worker counts as lost: as many heartbeats as are configured."""
+        times = self._ctx.times
+        return times.worker_silence_ms * self.heartbeat_ms() // times.worker_heartbeat_ms
+
     async def lose_silent(self) -> None:
         """Give up workers that have not been heard of for too long."""
         now_ms = self._ctx.clock.now_ms()
-        silence_ms = self._ctx.times.worker_silence_ms
+        silence_ms = self.silence_ms()
         silent = [name for name, heard in self._heard_ms.items() if now_ms - heard > silence_ms]
         for name in silent:
             await self._lose(name)
--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -19,7 +19,8 @@
 from agateferry_service.daemon import events
 from agateferry_service.daemon.replicas import Replicas
 from agateferry_service.daemon.trace import TraceFile
-from agateferry_service.dispatch.client import WorkerClient
+from agateferry_service.dispatch.attempt import AttemptTimes
+from agateferry_service.dispatch.client import WAIT_GRACE_MS, WorkerClient
 from agateferry_service.endpoints.app import EndpointsApp
 from agateferry_service.entry.app import Entry
 from agateferry_service.http.server import HttpServer
@@ -44,6 +45,7 @@
 READY_POLL_S = 0.05
 STATE_WATCH_S = 1.0
 PEERS_GRACE_S = 1.0
+CLOSE_MS = 1_000
 FETCH_PATIENCE_MS = 2_000
 
 
@@ -91,7 +93,7 @@
         await asyncio.sleep(self.settings.timeouts.drain_notice_ms / 1000)
         for server in self.http_servers:
             if server.name == "callers":
-                await server.stop()
+                await server.stop(self.settings.timeouts.drain_ms)
         await self._close()
         self.log.info(events.STOPPED)
 
@@ -179,14 +181,24 @@
         endpoints = EndpointsApp(
             zone, self.zones.router(zone), self.cell_calls, limits, self.metrics
         )
-        listen = settings.listen
+        listen, head_ms = settings.listen, limits.request_head_timeout_ms
         self.http_servers = [
-            HttpServer("callers", entry.app(), listen.callers, limits.max_connections_callers),
             HttpServer(
-                "operators", operators.app(), listen.operators, limits.max_connections_operators
+                "callers", entry.app(), listen.callers, limits.max_connections_callers, head_ms
             ),
             HttpServer(
-                "endpoints", endpoints.app(), listen.endpoints, limits.max_connections_endpoints
+                "operators",
+                operators.app(),
+                listen.operators,
+                limits.max_connections_operators,
+                head_ms,
+            ),
+            HttpServer(
+                "endpoints",
+                endpoints.app(),
+                listen.endpoints,
+                limits.max_connections_endpoints,
+                head_ms,
             ),
         ]
 
@@ -229,7 +241,7 @@
             await self.plane.replica.stop()
         for server in self.http_servers:
             if server.name != "callers":
-                await server.stop()
+                await server.stop(CLOSE_MS)
         if self.peers_server is not None:
             await self.peers_server.stop(grace=PEERS_GRACE_S)
         await self.replicas.close()
@@ -243,5 +255,13 @@
     return CellTimes(
         worker_heartbeat_ms=timeouts.worker_heartbeat_ms,
         worker_silence_ms=timeouts.worker_silence_ms,
+        max_announcements_per_s=settings.limits.max_announcements_per_s,
+        requeue_ms=timeouts.retry_pause_ms,
+        retry_budget_percent=settings.limits.retry_budget_percent,
+        attempt=AttemptTimes(
+            hold_ms=max(0, timeouts.endpoint_silence_ms - WAIT_GRACE_MS),
+            backoff_ms=timeouts.retry_pause_ms,
+            reserve_ms=timeouts.reservation_ttl_ms,
+        ),
         answer_keep_ms=timeouts.answer_keep_ms,
     )
--- a/packages/agateferry-service/agateferry_service/daemon/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/support.py
@@ -23,6 +23,7 @@
 [limits]
 max_body_bytes = 4096
 request_body_timeout_ms = 200
+request_head_timeout_ms = 300
 [timeouts]
 drain_notice_ms = 0
 [recording]
--- a/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
@@ -78,6 +78,17 @@
 
         self.assertEqual((408, "slow-body", "not-run", 200), self.submit(data=slow(), headers=JSON))
 
+    def test_a_head_that_never_ends_gives_its_connection_back(self):
+        async def work(client):
+            address = client.host.settings.listen.callers
+            reader, writer = await asyncio.open_connection(address.ip, address.port)
+            writer.write(b"POST /v1/requests HTTP/1.1\r\nHost: x\r\n")
+            ended = await asyncio.wait_for(reader.read(), 10)
+            writer.close()
+            return ended
+
+        self.assertEqual(b"", on_host(work))
+
     def test_an_unknown_zone(self):
         document = {"team": "t", "job": "j", "zone": "atlantis"}
         self.assertEqual((404, "unknown-zone", "not-run", 200), self.submit(json=document))
--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -200,7 +200,8 @@
 
     async def _hint_or_timeout(self, member: Member) -> None:
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(member.hint.wait(), self._times.look_ms / 1000)
+            async with asyncio.timeout(self._times.look_ms / 1000):
+                await member.hint.wait()
         member.hint.clear()
 
     async def _start(self, member: Member) -> Result[LeaseView, WorkerError]:
@@ -251,7 +252,8 @@
         if self._deadline_ms is not None:
             timeout_s = max(0, self._deadline_ms - self._clock.now_ms()) / 1000
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._wake.wait(), timeout_s)
+            async with asyncio.timeout(timeout_s):
+                await self._wake.wait()
         self._wake.clear()
 
     def _decided(self) -> bool:
--- a/packages/agateferry-service/agateferry_service/dispatch/client.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/client.py
@@ -22,7 +22,7 @@
 CONNECTIONS_PER_WORKER = 48
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
-WAIT_GRACE_S = 1.0
+WAIT_GRACE_MS = 1_000
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 PROBLEM_STATUSES = frozenset({404, 409, 421, 503})
 
@@ -168,7 +168,7 @@
         if verb:
             url = f"{url}/{verb}"
         headers = {"Prefer": f"wait={wait_ms / 1000:g}"} if wait_ms else {}
-        total_s = wait_ms / 1000 + WAIT_GRACE_S if wait_ms else CALL_TIMEOUT_S
+        total_s = (wait_ms + WAIT_GRACE_MS) / 1000 if wait_ms else CALL_TIMEOUT_S
         timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S, total=total_s)
         try:
             async with session.request(
--- a/packages/agateferry-service/agateferry_service/records/plane.py
+++ b/packages/agateferry-service/agateferry_service/records/plane.py
@@ -50,7 +50,8 @@
         if self.store.revision > revision or wait_ms <= 0:
             return
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self._changed.wait(), wait_ms / 1000)
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._changed.wait()
 
     def _wake(self) -> None:
         self._changed.set()
--- a/packages/agateferry-service/agateferry_service/routing/router.py
+++ b/packages/agateferry-service/agateferry_service/routing/router.py
@@ -16,7 +16,7 @@
 from agateferry_state.replica.metrics import count_received, count_sent
 
 RETRY_PAUSE_MS = 100
-ATTEMPT_GRACE_MS = 1_000
+ATTEMPT_MS = 2_000
 NEVER_SENT = "failed to connect"
 
 
@@ -59,6 +59,7 @@
         clock: Clock,
         metrics: Metrics,
         rng: random.Random,
+        attempt_ms: int = ATTEMPT_MS,
     ) -> None:
         self._host = host
         self._members = {member.name: member for member in members}
@@ -66,6 +67,7 @@
         self._clock = clock
         self._metrics = metrics
         self._rng = rng
+        self._attempt_ms = attempt_ms
         self._leader: str | None = host if host in self._members else None
 
     async def call(self, call: Call, request: Any, patience_ms: int, wait_ms: int = 0) -> Any:
@@ -103,7 +105,7 @@
         if target.name == self._host and call.local is not None:
             return await call.local(request), True
         method = call.method(self._channels.get(target.address))
-        bound_ms = wait_ms + min(patience_ms, ATTEMPT_GRACE_MS * 2)
+        bound_ms = wait_ms + min(patience_ms, self._attempt_ms)
         count_sent(request.ByteSize())
         try:
             reply = await method(request, timeout=bound_ms / 1000)
--- a/packages/agateferry-service/agateferry_service/routing/zones.py
+++ b/packages/agateferry-service/agateferry_service/routing/zones.py
@@ -26,11 +26,11 @@
             members.setdefault(peer.zone, []).append(Member(peer.name, str(peer.peers)))
         self.names = tuple(sorted(members))
         self._routers = {
-            zone: Router(host, hosts, channels, clock, metrics, rng)
+            zone: Router(host, hosts, channels, clock, metrics, rng, settings.timeouts.rpc_ms)
             for zone, hosts in members.items()
         }
         voters = [Member(peer.name, str(peer.peers)) for peer in settings.records_voters()]
-        self.records = Router(host, voters, channels, clock, metrics, rng)
+        self.records = Router(host, voters, channels, clock, metrics, rng, settings.timeouts.rpc_ms)
 
     def router(self, zone: str) -> Router:
         """Return the router to a zone's cell."""
--- a/packages/agateferry-service/agateferry_service/settings/settings.py
+++ b/packages/agateferry-service/agateferry_service/settings/settings.py
@@ -63,6 +63,7 @@
     request_head_timeout_ms: int
     request_body_timeout_ms: int
     max_wait_ms: int
+    max_announcements_per_s: int
     retry_budget_percent: int
 
 
@@ -72,7 +73,6 @@
 
     worker_heartbeat_ms: int
     worker_silence_ms: int
-    worker_leaving_ms: int
     reservation_ttl_ms: int
     rpc_ms: int
     endpoint_silence_ms: int
--- a/packages/agateferry-service/agateferry_service/settings/table.py
+++ b/packages/agateferry-service/agateferry_service/settings/table.py
@@ -125,6 +125,14 @@
         "How long a client may take to send a request's body.",
     ),
     _limit("max_wait_ms", 60_000, "ms", 0, 600_000, "Longest `Prefer: wait` that is held."),
+    _limit(
+        "max_announcements_per_s",
+        5,
+        "",
+        1,
+        10_000,
+        "Heartbeats a second for a zone's leader; many workers are asked for them less often.",
+    ),
     _limit(
         "retry_budget_percent",
         20,
@@ -133,17 +141,12 @@
         100,
         "Retries to workers allowed for each hundred first attempts.",
     ),
-    _timeout("worker_heartbeat_ms", 2_000, 100, 60_000, "How often a worker announces itself."),
-    _timeout("worker_silence_ms", 7_000, 300, 600_000, "Silence after which a worker is lost."),
     _timeout(
-        "worker_leaving_ms",
-        3_000,
-        100,
-        60_000,
-        "Time by which no host sends a leaving worker work.",
+        "worker_heartbeat_ms", 2_000, 100, 60_000, "How often a worker announces itself at least."
     ),
-    _timeout("reservation_ttl_ms", 5_000, 100, 600_000, "When an unused reservation lapses."),
-    _timeout("rpc_ms", 1_000, 50, 60_000, "How long a call to a peer may take."),
+    _timeout("worker_silence_ms", 7_000, 300, 600_000, "Silence after which a worker is lost."),
+    _timeout("reservation_ttl_ms", 10_000, 100, 600_000, "When an unused reservation lapses."),
+    _timeout("rpc_ms", 2_000, 50, 60_000, "How long a call to a peer may take."),
     _timeout(
         "endpoint_silence_ms",
         3_000,
--- a/packages/agateferry-state/agateferry_state/replica/protocols.py
+++ b/packages/agateferry-state/agateferry_state/replica/protocols.py
@@ -5,6 +5,7 @@
 a disk or a network, so that a test can put a machine behind a replica that lives in memory.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import Any, Protocol
@@ -73,6 +74,9 @@
     def term(self) -> int:
         """Return the term of the present leader; it only goes up."""
 
+    def on_leadership(self, listener: Callable[[bool, int], None]) -> None:
+        """Have `listener(leads, term)` called when this member begins or ceases to lead."""
+
     @property
     def failure(self) -> ProposeError | None:
         """Return why this member takes no part, or None while it does."""
