Undo the moves of cells that do not come to cover a request

Cause: a new property test (a team takes back what it is promised within the bound) found cells and pinned work overlapping: a gang that cannot be taken back and is larger than its team's cells had moved one of them onto its workers, and was then pinned there. Ruled out: the layout's own sums. Change: cover moves all or none.

--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
@@ -150,6 +150,22 @@
         self._put(cell, before)
         return False
 
+    def places(self) -> list[dict[str, int]]:
+        """Return where each cell lies, for `put_back`."""
+        return [cell.places for cell in self.cells]
+
+    def put_back(self, places: list[dict[str, int]]) -> None:
+        """Undo all moves since `places` was called."""
+        changed = [
+            (cell, before)
+            for cell, before in zip(self.cells, places, strict=True)
+            if cell.places is not before
+        ]
+        for cell, _ in changed:
+            self._lift(cell)
+        for cell, before in changed:
+            self._put(cell, before)
+
     def _takes(self, name: str, accelerators: int) -> bool:
         state = self.topology.workers.get(name)
         if state is None or not state.is_open():
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -60,19 +60,24 @@
         return choose(candidates, demand)
 
     def cover(self, request: PendingRequest, counts: Counts) -> bool:
-        """Move the team's unused cells onto these workers; tell whether they cover the request."""
+        """Move the team's unused cells onto these workers, or none if they cannot cover it."""
+        layout = self._zone.layout
+        before = layout.places()
+        covered = self._bring_cells(request, counts)
+        if not covered:
+            layout.put_back(before)
+        return covered
+
+    def _bring_cells(self, request: PendingRequest, counts: Counts) -> bool:
         layout = self._zone.layout
         demand = request.demand
-        for name, members in counts.items():
-            state = self._zone.topology.workers[name]
+        states = [(self._zone.topology.workers[name], n) for name, n in counts.items()]
+        for state, members in states:
             if layout.room_own(request.team, state, demand) >= members:
                 continue
             if not self._bring_cell(request, state, demand.accelerators * members):
                 return False
-        return all(
-            layout.room_own(request.team, self._zone.topology.workers[name], demand) >= members
-            for name, members in counts.items()
-        )
+        return all(layout.room_own(request.team, s, demand) >= n for s, n in states)
 
     def reclaim(self, request: PendingRequest, now_ms: int) -> tuple[Counts, Plan] | None:
         """Return workers within the team's cells, and what to stop there."""
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
@@ -95,6 +95,13 @@
         report = replay(records_of(plan), Policy.FAIR)
         self.assertIs(None, report.broken)
 
+    @seed(3)
+    @settings(max_examples=120, deadline=None, database=None)
+    @given(st.lists(submissions, max_size=40))
+    def test_a_team_takes_back_what_it_is_promised_within_the_bound(self, plan):
+        report = replay(records_of(plan), Policy.FAIR)
+        self.assertEqual((None, 0), (report.broken, report.reclaims_late))
+
     @seed(2)
     @settings(max_examples=60, deadline=None, database=None)
     @given(steps)
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
@@ -85,6 +85,17 @@
         self.assertEqual(8, len({p.request_id for p in of_type(decisions, Preempt)}))
 
 
+class CoverTests(testtools.TestCase):
+    def test_a_gang_that_its_cells_cannot_cover_leaves_them_in_place(self):
+        zone = scheduler(per_rack=3, teams=(team("a", (8,)), team("b", (8,))))
+        before = [dict(places) for places in zone.zone.layout.places()]
+        gang = request("x", members=2, accelerators=4, preemptible=False)
+        pinned = request("y", members=2, accelerators=8, preemptible=False)
+        self.assertEqual([], started(queue(zone, pinned)))
+        self.assertEqual(before, zone.zone.layout.places())
+        self.assertEqual(["x"], started(queue(zone, gang)))
+
+
 class UrgentTests(testtools.TestCase):
     def test_an_urgent_request_takes_cheap_borrowed_work_back(self):
         zone = scheduler(config=SchedulingConfig(urgent_headroom_slots=0))
