--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agateferry-$(p)))
 export PATH := $(abspath $(BIN)):$(PATH)
 
-.PHONY: setup demo test lint format measure budget soak generate
+.PHONY: setup demo test lint format measure bench budget capacity soak generate
 
 setup: $(VENV)/.ready
 
@@ -32,6 +32,9 @@
 
 generate: setup
 	$(BIN)/python tools/generate.py
+	$(BIN)/python tools/events.py
+	$(BIN)/python tools/settings.py
+	$(BIN)/python tools/metrics.py
 
 demo: setup
 	$(BIN)/python -m agateferry_standins.demo
@@ -39,8 +42,14 @@
 measure: setup
 	$(BIN)/python -m agateferry_scheduling.measure
 
+bench: setup
+	$(BIN)/python -m agateferry_state.replica.bench
+
 budget: setup
 	$(BIN)/python -m agateferry_standins.budget
 
+capacity: setup
+	$(BIN)/python -m agateferry_standins.capacity
+
 soak: setup
 	$(BIN)/python -m agateferry_standins.soak
--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/check.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/check.py
@@ -7,7 +7,6 @@
 from collections.abc import Iterable
 
 from agateferry_core.demand import Adjacency, Worker
-
 from agateferry_scheduling.guarantees.layout import Cell, Layout
 from agateferry_scheduling.scheduler.messages import Team
 from agateferry_scheduling.topology import Backing, Topology
--- a/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/guarantees/layout.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from agateferry_core.demand import Adjacency, Demand
-
 from agateferry_scheduling.scheduler.messages import Team
 from agateferry_scheduling.topology import Allocation, Backing, Topology, WorkerState
 from agateferry_scheduling.topology.amount import Amount, share, whole
--- a/packages/agateferry-scheduling/agateferry_scheduling/placement/choice.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/choice.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 
 from agateferry_core.demand import Adjacency, Demand
-
 from agateferry_scheduling.placement.first_fit import Counts
 from agateferry_scheduling.topology import WorkerState
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/placement/cost.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/placement/cost.py
@@ -6,7 +6,6 @@
 """
 
 from agateferry_core.demand import Demand
-
 from agateferry_scheduling.topology import RackState, WorkerState
 
 BROKEN_RACK = 100_000.0
--- a/packages/agateferry-scheduling/agateferry_scheduling/preemption/victims.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/preemption/victims.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 
 from agateferry_core.demand import Demand, Urgency
-
 from agateferry_scheduling.topology import Allocation, Backing, Topology, WorkerState
 from agateferry_scheduling.topology.amount import Amount
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/queue.py
@@ -10,7 +10,6 @@
 from itertools import islice
 
 from agateferry_core.demand import Demand, Urgency
-
 from agateferry_scheduling.scheduler.messages import PendingRequest
 
 LARGE_ACCELERATORS = 8
--- a/packages/agateferry-scheduling/agateferry_scheduling/queueing/reservation.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/queueing/reservation.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass
 
 from agateferry_core.demand import Adjacency, Demand
-
 from agateferry_scheduling.estimates import Estimates
 from agateferry_scheduling.scheduler.messages import PendingRequest
 from agateferry_scheduling.topology import Topology, WorkerState
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/admission.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/admission.py
@@ -1,7 +1,6 @@
 """Take a request into the queue, or give it its final answer at once."""
 
 from agateferry_core.demand import Demand
-
 from agateferry_scheduling.scheduler.messages import (
     Decision,
     PendingRequest,
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/finder.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable, Iterator
 
 from agateferry_core.demand import Adjacency, Demand, Urgency
-
 from agateferry_scheduling.guarantees import Cell
 from agateferry_scheduling.placement.choice import Candidate, choose
 from agateferry_scheduling.placement.cost import cost_of
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
@@ -6,7 +6,6 @@
 """
 
 from agateferry_core.demand import Worker
-
 from agateferry_scheduling.scheduler.admission import Admission
 from agateferry_scheduling.scheduler.explaining import explain
 from agateferry_scheduling.scheduler.finder import Finder
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -7,7 +7,6 @@
 from math import log10
 
 from agateferry_core.demand import Urgency
-
 from agateferry_scheduling.placement.first_fit import Counts
 from agateferry_scheduling.placement.stranding import rack_group, stranded_by
 from agateferry_scheduling.queueing import Group, is_large
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/zone.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/zone.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 
 from agateferry_core.demand import Assignment
-
 from agateferry_scheduling.estimates import Estimates
 from agateferry_scheduling.guarantees import Layout
 from agateferry_scheduling.health import Health
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
@@ -8,7 +8,6 @@
 from enum import StrEnum
 
 from agateferry_core.demand import Assignment, Demand, Urgency, Worker
-
 from agateferry_scheduling.scheduler.messages import PendingRequest
 from agateferry_scheduling.topology.amount import Amount
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/cluster.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/cluster.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 
 from agateferry_core.demand import Adjacency, Assignment, Demand, Urgency, Worker
-
 from agateferry_scheduling.scheduler.messages import PendingRequest
 from agateferry_scheduling.topology.amount import Amount, whole
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/makers.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/makers.py
@@ -10,7 +10,6 @@
 from dataclasses import dataclass, field, replace
 
 from agateferry_core.demand import Adjacency, Demand, Shape, Urgency, Worker
-
 from agateferry_scheduling.scheduler.messages import (
     PendingRequest,
     PolicyWeights,
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/meter.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/meter.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 
 from agateferry_core.demand import Adjacency, Demand, Urgency
-
 from agateferry_scheduling.queueing import is_large
 from agateferry_scheduling.scheduler.messages import (
     PendingRequest,
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/records.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/records.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from agateferry_core.demand import Worker
 from pydantic import Field, TypeAdapter, ValidationError
 
+from agateferry_core.demand import Worker
 from agateferry_scheduling.scheduler.messages import PendingRequest, SchedulingConfig, Team
 
 
