--- a/packages/agateferry-standins/agateferry_standins/deployment/plan.py
+++ b/packages/agateferry-standins/agateferry_standins/deployment/plan.py
@@ -1,6 +1,7 @@
 """Where each daemon of a system listens and keeps its state, and its settings file."""
 
 import json
+import random
 import socket
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -10,6 +11,8 @@
 PORTS_PER_HOST = 4
 RECORDS_VOTERS = 5
 PIDS_FILE = "pids"
+FREE_PORTS = (10_000, 32_000)
+PICK = random.SystemRandom()
 
 
 class PlanError(Exception):
@@ -165,11 +168,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return different ports that were free a moment ago."""
-    socks = [socket.socket() for _ in range(count)]
+    """Return different ports that were free a moment ago.
+
+    They lie below the range from which the operating system takes the ports of outgoing
+    connections, so that a daemon finds its port free again after a restart.
+    """
+    socks: list[socket.socket] = []
     try:
-        for sock in socks:
-            sock.bind((HOST, 0))
+        while len(socks) < count:
+            sock = socket.socket()
+            try:
+                sock.bind((HOST, PICK.randrange(*FREE_PORTS)))
+                socks.append(sock)
+            except OSError:
+                sock.close()
         return [int(sock.getsockname()[1]) for sock in socks]
     finally:
         for sock in socks:
--- a/packages/agateferry-standins/agateferry_standins/tests/support.py
+++ b/packages/agateferry-standins/agateferry_standins/tests/support.py
@@ -76,6 +76,9 @@
         await wait_for(led, "a new leader")
         return self.led_by
 
+    def busiest_worker(self):
+        return max(self.system.workers, key=lambda worker: worker.table.started)
+
     def freeze(self, name):
         daemon = self.system.daemons[name]
         daemon.signal(signal.SIGSTOP)
--- a/packages/agateferry-standins/agateferry_standins/tests/test_crashes.py
+++ b/packages/agateferry-standins/agateferry_standins/tests/test_crashes.py
@@ -65,7 +65,7 @@
         async def test():
             sending = self.send((ONCE,), 100)
             await self.until_started(30)
-            await self.system.workers[0].stop()
+            await self.busiest_worker().stop()
             await sending
             self.assert_clean()
 
--- a/packages/agateferry-standins/agateferry_standins/tests/test_operations.py
+++ b/packages/agateferry-standins/agateferry_standins/tests/test_operations.py
@@ -26,9 +26,9 @@
 class LeavingWorkerTests(SystemTestCase):
     def test_it_gets_nothing_new_after_three_seconds(self):
         async def test():
-            worker = self.system.workers[0]
             sending = self.send((ONCE, URGENT), 300, 40.0)
             await self.until_accepted(20)
+            worker = self.busiest_worker()
             worker.leave()
             await asyncio.sleep(LEAVING_S)
             asked = self.starts.violations["asked-while-leaving"]
--- a/packages/agateferry-standins/agateferry_standins/worker/leases.py
+++ b/packages/agateferry-standins/agateferry_standins/worker/leases.py
@@ -33,6 +33,7 @@
         self.leaving = False
         self.speed = 1.0
         self.failing = False
+        self.started = 0
         self._clock = clock
         self._log = log
         self._leases: dict[str, Lease] = {}
@@ -182,6 +183,7 @@
         lease.checkpoint_step = checkpoint_step
         lease.done_ms = task.run_ms * (checkpoint_step or 0) / CHECKPOINT_STEPS
         lease.deadline_ms = None if deadline_ms is None else now_ms + deadline_ms
+        self.started += 1
         self._log.started(asked, task.key)
         return lease
 
