--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/moving.py
@@ -7,17 +7,17 @@
 from agateferry_scheduling.scheduler.zone import ZoneState
 from agateferry_scheduling.topology import Allocation, Backing
 
-MOVE_GAP_MS = 10_000
-BASE_REST_MS = 2 * 60_000
+BASE_GAP_MS = 4_000
+BASE_REST_MS = 60_000
 MOVES_AT_ONCE = 4
 
 
 class Mover:
     """Move work where fragmentation weighs; each job then rests, the longer the less it weighs."""
 
-    def __init__(self, zone: ZoneState) -> None:
+    def __init__(self, zone: ZoneState, finder: Finder) -> None:
         self._zone = zone
-        self._find = Finder(zone)
+        self._find = finder
         self._held: dict[str, Allocation] = {}
         self._moved_ms: dict[str, int] = {}
         self._looked_ms = 0
@@ -25,7 +25,7 @@
     def look(self, now_ms: int) -> list[Decision]:
         """Begin a move now and then, if one is worth while."""
         weight = self._zone.config.weights.fragmentation
-        if weight <= 0 or now_ms - self._looked_ms < MOVE_GAP_MS:
+        if weight <= 0 or now_ms - self._looked_ms < BASE_GAP_MS / weight:
             return []
         self._looked_ms = now_ms
         if len(self._held) >= MOVES_AT_ONCE:
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 import random
 import tempfile
 from contextlib import AsyncExitStack, asynccontextmanager
@@ -10,7 +11,7 @@
 from agateferry_core.support import free_port, run_async
 from agateferry_state.replica import ProposeErrorKind
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
-from agateferry_state.replica.tests.test_solo import CountingFiles, ListMachine
+from agateferry_state.replica.tests.support import CountingFiles, ListMachine
 from agateferry_state.replica.transport import GrpcTransport, start_server
 from agateferry_state.replication import Role, Settings
 
@@ -102,13 +103,15 @@
             yield await self.formed_leader(hosts)
 
     async def formed_leader(self, hosts):
-        leader = await self.leader_of(hosts)
-        await self.until(
-            lambda: len([m for m in leader.replica.status().members if m.is_voter]) == len(hosts),
-            "all hosts vote",
-        )
+        await self.until(lambda: any(self.is_settled(h, len(hosts)) for h in hosts), "all vote")
         return await self.leader_of(hosts)
 
+    def is_settled(self, host, size):
+        """Tell whether a host leads as many voters, all of which hold the whole log."""
+        status = host.replica.status()
+        matched = [m.match_index for m in status.members if m.is_voter]
+        return host.replica.is_leader and matched == [status.last_index] * size
+
     async def same_state(self, hosts, commands):
         await self.until(lambda: all(h.machine.commands == commands for h in hosts), "same state")
 
@@ -174,6 +177,21 @@
 
         run_async(main())
 
+    def test_a_broken_invariant_ends_its_part(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+                host.machine.apply = lambda index, command: 1 // 0
+                result = await host.replica.propose(b"x")
+                self.assertEqual(ProposeErrorKind.UNKNOWN, result.error.kind)
+                self.assertIn("ZeroDivisionError", host.replica.failure.detail)
+                self.assertFalse(host.replica.is_leader)
+                self.assertTrue((await host.replica.propose(b"y")).is_error())
+                self.assertFalse(host.leads[-1])
+
+        run_async(main())
+
     def test_a_stopped_replica_refuses(self):
         async def main():
             (host,) = self.make_hosts([True])
@@ -223,6 +241,22 @@
 
         run_async(main())
 
+    def test_a_leader_whose_disk_is_full_makes_room_for_another(self):
+        async def main():
+            hosts = self.make_hosts([True, True, True])
+            async with self.formed(hosts) as leader:
+                leader.files.error = errno.ENOSPC
+                leader.files.broken = True
+                result = await leader.replica.propose(b"one")
+                self.assertEqual(ProposeErrorKind.UNKNOWN, result.error.kind)
+                others = [host for host in hosts if host is not leader]
+                second = await self.leader_of(others)
+                self.assertTrue((await second.replica.propose(b"two")).is_ok())
+                self.assertFalse(leader.replica.is_leader)
+                self.assertEqual(b"two", second.machine.commands[-1])
+
+        run_async(main())
+
     def test_a_host_that_lost_its_disk_comes_back_as_another_member(self):
         async def main():
             hosts = self.make_hosts([True, True, True], snapshot_every_entries=10)
--- a/packages/agateferry-state/agateferry_state/replica/transport.py
+++ b/packages/agateferry-state/agateferry_state/replica/transport.py
@@ -14,11 +14,16 @@
 
 from agateferry_core.clock import Clock, SystemClock
 from agateferry_core.logs import EventLogger
-from agateferry_state.events import ENVELOPE_REFUSED
+from agateferry_state.events import DATAGRAMS_UNUSED, ENVELOPE_REFUSED
 from agateferry_state.replica.codec import Envelope, decode_envelope, encode_envelope
 from agateferry_state.replica.datagrams import DatagramPaths, DatagramSocket
 from agateferry_state.replica.link import LinkSettings, PeerLink, server_options
-from agateferry_state.replica.metrics import MESSAGES_DROPPED, MESSAGES_REFUSED
+from agateferry_state.replica.metrics import (
+    MESSAGES_DROPPED,
+    MESSAGES_REFUSED,
+    count_received,
+    count_sent,
+)
 from agateferry_state.replication.messages import AppendResponse
 from agateferry_state.rpc import replication_pb2 as pb
 from agateferry_state.rpc import replication_pb2_grpc as rpc
@@ -94,13 +99,12 @@
             return
         link.outbox.put(envelope)
 
-    def open_datagrams(self, address: str) -> Result[int, str]:
-        """Use datagrams too, on the UDP port of the server's number; the value is the port."""
+    def open_datagrams(self, address: str) -> None:
+        """Use datagrams too, on the UDP port of the server's number, where it can be bound."""
         try:
             self._datagrams = DatagramSocket(address, self._take_datagram)
         except OSError as exc:
-            return Error(str(exc))
-        return Ok(int(address.rpartition(":")[2]))
+            self._log.warning(DATAGRAMS_UNUSED, address=address, detail=str(exc))
 
     def add_to(self, server: aio.Server) -> None:
         """Take in the envelopes that arrive at a server, which has not been started."""
@@ -121,6 +125,7 @@
     ) -> None:
         """Take in the envelopes of one stream from another host."""
         async for batch in request_iterator:
+            count_received(batch.ByteSize())
             for wire in batch.envelopes:
                 self._take_in(wire)
             if batch.wants_receipt:
@@ -145,7 +150,9 @@
             return False
         wire = encode_envelope(envelope)
         wire.hears_datagrams = self._paths.hears(host)
-        self._datagrams.send(address, wire.SerializeToString())
+        data = wire.SerializeToString()
+        count_sent(len(data))
+        self._datagrams.send(address, data)
         return self._paths.is_two_way(host)
 
     def _is_for_datagram(self, envelope: Envelope) -> bool:
@@ -156,6 +163,7 @@
         return bulk_ms is None or self._clock.now_ms() - bulk_ms > BULK_QUIET_MS
 
     def _take_datagram(self, data: bytes) -> None:
+        count_received(len(data))
         try:
             wire = pb.Envelope.FromString(data)
         except DecodeError:
@@ -190,4 +198,5 @@
     except RuntimeError as exc:
         return Error(str(exc))
     await server.start()
-    return transport.open_datagrams(address).map(lambda _: server)
+    transport.open_datagrams(address)
+    return Ok(server)
