--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
@@ -106,6 +106,42 @@
         self.assertEqual(["u"], started(queue(zone, request("u", "b", Urgency.URGENT))))
 
 
+class CancellationWaveTests(testtools.TestCase):
+    """A hundred requests are cancelled each virtual millisecond, in the order they came."""
+
+    WAVE = 10_000
+    PER_MS = 100
+
+    def wave(self, zone, urgent_at_ms, urgent):
+        """Cancel the wave around an urgent request and give the time at which that one started."""
+        preempted = {}
+        for ms in range(self.WAVE // self.PER_MS + 3_601):
+            decisions = queue(zone, urgent, ms) if ms == urgent_at_ms else zone.step(Tick(), ms)
+            for number in range(ms * self.PER_MS, min((ms + 1) * self.PER_MS, self.WAVE)):
+                decisions += zone.step(RequestWithdrawn(f"a{number}"), ms)
+            preempted |= {p.request_id: p.by_ms for p in of_type(decisions, Preempt)}
+            for name in [name for name, by_ms in preempted.items() if by_ms <= ms]:
+                del preempted[name]
+                decisions += zone.step(RequestEnded(name, EndReason.PREEMPTED, ms), ms)
+            if urgent.request_id in started(decisions):
+                return ms
+        return None
+
+    def test_an_urgent_request_starts_in_time_at_any_moment_of_a_wave(self):
+        for at_ms in (0, 50, 99):
+            config = SchedulingConfig(urgent_headroom_slots=0)
+            teams = (team("a", max_queued=self.WAVE), team("b"))
+            zone = scheduler(teams=teams, config=config)
+            for number in range(16):
+                queue(zone, request(f"r{number}", accelerators=1, checkpointable=True))
+            for number in range(self.WAVE):
+                queue(zone, request(f"a{number}", accelerators=1))
+            urgent = request("u", "b", Urgency.URGENT, at_ms, accelerators=1)
+            start_ms = self.wave(zone, at_ms, urgent)
+            self.assertIsNot(None, start_ms)
+            self.assertTrue(start_ms - at_ms <= 3_600, start_ms)
+
+
 class GangTests(testtools.TestCase):
     def test_a_gang_waits_whole_and_is_not_starved_by_small_work(self):
         zone = scheduler(teams=(team("a"), team("b")))
--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -135,18 +135,18 @@
     )
 
 
-def make_cell(ctx):
-    return Cell(ctx, BaselineScheduler)
+def make_cell(ctx, make_scheduler=BaselineScheduler):
+    return Cell(ctx, make_scheduler)
 
 
-def give_records(machine, team="t"):
+def give_records(machine, team="t", **team_content):
     """Put a team and three jobs in force: quick, once (not idempotent) and gang (three members)."""
     store = RecordStore()
     store.restore(machine.records.snapshot())
     known = store.revision
     gang = {"members": 3, "accelerators": 4, "adjacency": "rack"}
     contents = {
-        ("team", team): {},
+        ("team", team): team_content,
         ("job", "quick"): {"urgency": "urgent", "idempotent": True},
         ("job", "once"): {"idempotent": False},
         ("job", "gang"): {"urgency": "long", "idempotent": True, "demand": gang},
--- a/packages/agateferry-service/agateferry_service/requests/tests/test_ledger.py
+++ b/packages/agateferry-service/agateferry_service/requests/tests/test_ledger.py
@@ -138,6 +138,22 @@
         late = ledger.finish(pb.Finish(request_id="z.1", attempt=1, answers=["old"]))
         self.assertEqual((OutcomeKind.STALE, ()), (late.kind, late.request.answers))
 
+    def test_a_doubled_answer_changes_nothing(self):
+        ledger = Ledger()
+        accept(ledger, placed=True)
+        for answer in ("first", "second"):
+            ledger.finish(pb.Finish(request_id="z.1", attempt=1, answers=[answer]))
+        request = ledger.get("z.1")
+        self.assertEqual((RequestState.FINISHED, ("first",)), (request.state, request.answers))
+
+    def test_an_answer_after_the_end_changes_nothing(self):
+        ledger = Ledger()
+        accept(ledger, placed=True, idempotent=False)
+        fail(ledger, Run.MAY_HAVE_RUN)
+        ledger.finish(pb.Finish(request_id="z.1", attempt=1, answers=["late"]))
+        request = ledger.get("z.1")
+        self.assertEqual((RequestState.FAILED, ()), (request.state, request.answers))
+
     def test_a_lease_is_wanted_only_by_its_own_attempt(self):
         ledger = Ledger()
         accept(ledger, placed=True)
