Lose the leader at each command of a request's life in the cell's tests

Cause: kills at each step were covered by chance alone, in the process tests of crashes. Change: tests alone. The command of each number is the last of its leader, applied or not; the next leader takes the log up and the caller resends. One planted fault: a command that was told before it was committed, which ends in two starts. The cell's context manager moves to the support module.

--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces of a cell: a replica in memory and workers that keep their leases."""
 
 import asyncio
+import contextlib
 import random
 
 from expression import Error, Ok
@@ -180,3 +181,26 @@
     return cell_pb2.SubmitRequest(
         id=request_id, team="t", job=job, key=key, body_digest=digest, wait_ms=wait_ms, **fields
     )
+
+
+@contextlib.asynccontextmanager
+async def running_cell(workers=None, names=("w1", "w2"), machine=None, scheduler=BaselineScheduler):
+    ctx = make_context(machine, workers)
+    if machine is None:
+        give_records(ctx.machine)
+    cell = make_cell(ctx, scheduler)
+    await cell.start()
+    while not cell.leader.active:
+        await asyncio.sleep(0.01)
+    for name in names:
+        await cell.announce(announcement(name))
+    try:
+        yield cell
+    finally:
+        await cell.stop()
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_leader.py
@@ -0,0 +1,115 @@
+import asyncio
+import time
+
+import testtools
+from expression import Error
+
+from agateferry_core.support import run_async
+from agateferry_scheduling.scheduler.scheduler import FairScheduler
+from agateferry_service.cell.machine import CellMachine
+from agateferry_service.cell.tests.support import (
+    FakeWorkers,
+    give_records,
+    running_cell,
+    submission,
+    until,
+)
+from agateferry_service.rpc import cell_pb2 as pb
+from agateferry_state.replica import ProposeError, ProposeErrorKind
+
+URGENT_START_S = 3.6
+
+
+class StepSweepTests(testtools.TestCase):
+    """Leadership is lost at each command of a request's life, and the caller resends."""
+
+    STEPS = 6
+
+    def lose_at(self, replica, step, applied):
+        """Let the command of that number be the last, applied or not, without an outcome."""
+        propose, count = replica.propose, iter(range(step + 1))
+
+        async def propose_until_lost(command):
+            if not replica.is_leader or next(count) < step:
+                return await propose(command)
+            if applied:
+                await propose(command)
+            replica.is_leader = False
+            return Error(ProposeError(ProposeErrorKind.UNKNOWN))
+
+        replica.propose = propose_until_lost
+
+    async def run_with_loss(self, job, step, applied):
+        workers = FakeWorkers()
+        async with running_cell(workers) as cell:
+            machine = cell.ctx.machine
+            self.lose_at(cell.ctx.replica, step, applied)
+            await cell.submit(submission(job, key="k", wait_ms=60))
+            started_uncommitted = not len(machine.ledger) and bool(workers.starts)
+        async with running_cell(workers, names=(), machine=machine) as cell:
+            resent = submission(job, key="k", request_id="z.2")
+            view = (await cell.submit(resent)).view
+        return started_uncommitted, view.state, sorted(workers.starts.values())
+
+    async def run_with_dispatch_before_commit(self):
+        """Lose a command whose outcome was told before it was committed."""
+        workers, machine = FakeWorkers(), CellMachine("z")
+        async with running_cell(workers) as cell:
+            machine.restore(cell.ctx.machine.snapshot())
+            await cell.submit(submission("once", key="k"))
+        async with running_cell(workers, names=(), machine=machine) as cell:
+            await cell.submit(submission("once", key="k", request_id="z.2"))
+        return sorted(workers.starts.values())
+
+    def test_a_dispatch_before_the_commit_is_found(self):
+        self.assertEqual([1, 1], run_async(self.run_with_dispatch_before_commit()))
+
+    def sweep(self, job, starts):
+        for step in range(self.STEPS):
+            for applied in (True, False):
+                found = run_async(self.run_with_loss(job, step, applied))
+                self.assertEqual((False, "finished", starts), found, f"{step} {applied}")
+
+    def test_work_that_is_not_idempotent_runs_once(self):
+        self.sweep("once", [1])
+
+    def test_a_gang_runs_whole(self):
+        self.sweep("gang", [1, 1, 1])
+
+
+class CancellationWaveTests(testtools.TestCase):
+    """Ten thousand waiting requests are cancelled at once, and an urgent one comes after them.
+
+    The time is that of the processor, which other processes on a machine leave alone.
+    """
+
+    WAVE = 10_000
+
+    def test_an_urgent_request_starts_in_time(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+        ids = [f"z.{number}" for number in range(self.WAVE)]
+
+        async def main():
+            machine = CellMachine("z")
+            give_records(machine, max_queued=self.WAVE)
+            give_records(machine, team="u")
+            async with running_cell(workers, machine=machine, scheduler=FairScheduler) as cell:
+                for name in ids:
+                    await cell.submit(submission("gang", wait_ms=0, request_id=name))
+                cancels = [
+                    asyncio.create_task(cell.cancel(pb.CancelRequest(request_id=name)))
+                    for name in ids
+                ]
+                urgent = submission(wait_ms=0, request_id="z.u")
+                urgent.team = "u"
+                began_s = time.process_time()
+                await cell.submit(urgent)
+                await until(lambda: ("z.u", 0) in workers.starts)
+                took_s = time.process_time() - began_s
+                views = [reply.view for reply in await asyncio.gather(*cancels)]
+                return took_s, {view.state for view in views}
+
+        took_s, states = run_async(main(), 120)
+        self.assertEqual({"cancelled"}, states)
+        self.assertTrue(took_s <= URGENT_START_S, took_s)
