--- a/packages/agateferry-cli/agateferry_cli/tests/test_pages.py
+++ b/packages/agateferry-cli/agateferry_cli/tests/test_pages.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).resolve().parents[4]
 DECLARATION = re.compile(r"^[A-Z0-9_]+ = Event\(", re.MULTILINE)
+TEST_ID = re.compile(r"`(\w+)/([\w/]+\.py)::(\w+)(?:::(\w+))?`")
 LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
 
 
@@ -77,6 +78,18 @@
                 self.assertTrue((path.parent / target).exists(), f"{path.name}: {target}")
 
 
+class ProofsPageTests(testtools.TestCase):
+    def test_names_tests_that_exist(self):
+        names = TEST_ID.findall(page("docs/PROOFS.md"))
+        self.assertNotEqual([], names)
+        for package, path, subject, test in names:
+            file = ROOT / "packages" / f"agateferry-{package}" / f"agateferry_{package}" / path
+            text = file.read_text(encoding="utf-8")
+            self.assertIn(f"class {subject}(", text, path)
+            if test:
+                self.assertRegex(text, rf"def {test}\(", f"{path}::{subject}")
+
+
 class QuickstartTests(testtools.TestCase):
     def test_its_settings_are_valid(self):
         text, *_ = re.findall(r"```toml\n(.*?)```", page("docs/quickstart.md"), re.DOTALL)
