--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces of a cell: a replica in memory and workers that keep their leases."""
 
 import asyncio
+import contextlib
 import random
 
 from expression import Error, Ok
@@ -140,18 +141,18 @@
     )
 
 
-def make_cell(ctx):
-    return Cell(ctx, BaselineScheduler)
+def make_cell(ctx, make_scheduler=BaselineScheduler):
+    return Cell(ctx, make_scheduler)
 
 
-def give_records(machine, team="t"):
+def give_records(machine, team="t", **team_content):
     """Put a team and three jobs in force: quick, once (not idempotent) and gang (three members)."""
     store = RecordStore()
     store.restore(machine.records.snapshot())
     known = store.revision
     gang = {"members": 3, "accelerators": 4, "adjacency": "rack"}
     contents = {
-        ("team", team): {},
+        ("team", team): team_content,
         ("job", "quick"): {"urgency": "urgent", "idempotent": True},
         ("job", "once"): {"idempotent": False},
         ("job", "gang"): {"urgency": "long", "idempotent": True, "demand": gang},
@@ -183,3 +184,26 @@
     return cell_pb2.SubmitRequest(
         id=request_id, team="t", job=job, key=key, body_digest=digest, wait_ms=wait_ms, **fields
     )
+
+
+@contextlib.asynccontextmanager
+async def running_cell(workers=None, names=("w1", "w2"), machine=None, scheduler=BaselineScheduler):
+    ctx = make_context(machine, workers)
+    if machine is None:
+        give_records(ctx.machine)
+    cell = make_cell(ctx, scheduler)
+    await cell.start()
+    while not cell.leader.active:
+        await asyncio.sleep(0.01)
+    for name in names:
+        await cell.announce(announcement(name))
+    try:
+        yield cell
+    finally:
+        await cell.stop()
+
+
+async def until(condition):
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.005)
--- a/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -1,5 +1,4 @@
 import asyncio
-import contextlib
 
 import testtools
 
@@ -8,37 +7,14 @@
     FakeWorkers,
     announcement,
     give_records,
-    make_cell,
-    make_context,
+    running_cell,
     submission,
+    until,
 )
 from agateferry_service.rpc import cell_pb2 as pb
 from agateferry_state.replica import ProposeErrorKind
 
 
-@contextlib.asynccontextmanager
-async def running_cell(workers=None, names=("w1", "w2"), machine=None):
-    ctx = make_context(machine, workers)
-    if machine is None:
-        give_records(ctx.machine)
-    cell = make_cell(ctx)
-    await cell.start()
-    while not cell.leader.active:
-        await asyncio.sleep(0.01)
-    for name in names:
-        await cell.announce(announcement(name))
-    try:
-        yield cell
-    finally:
-        await cell.stop()
-
-
-async def until(condition):
-    async with asyncio.timeout(5):
-        while not condition():
-            await asyncio.sleep(0.005)
-
-
 class SubmitTests(testtools.TestCase):
     def test_a_request_is_answered_whole(self):
         async def main():
