Answer a forced recovery, and let operators preview changes of members

Cause: force_recovery sent no proposal id, so a refusal by the core was lost; nothing could say beforehand what a change would do. An empty host could be recovered as the truth, and ADMIT let in an incarnation that a recovery had given up. Change: the answer comes through _ask; the core plans a change apart from carrying it out; a host that is no voter in its own log, and a given up incarnation, are refused as unsafe.

--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -11,10 +11,10 @@
 from agateferry_core.logs import EventLogger
 from agateferry_state.events import DATA_FOLDER_OPENED, DATA_FOLDER_UNUSABLE, TORN_BATCH_CUT
 from agateferry_state.journal import Files, JournalError
-from agateferry_state.members import Member, MemberId
+from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.replica.driver import Driver, Listener
 from agateferry_state.replica.metrics import STORAGE_FAILURES
-from agateferry_state.replica.proposals import Answer
+from agateferry_state.replica.proposals import Answer, refusal_of
 from agateferry_state.replica.protocols import ProposeError, ProposeErrorKind, StateMachine
 from agateferry_state.replica.status import NodeStatus, describe
 from agateferry_state.replica.storage import Opened, open_storage
@@ -24,6 +24,8 @@
 
 STOP_WITHIN_MS = 3000
 
+Preview = Result[Members, ProposeError]
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
@@ -166,10 +168,20 @@
         if self._driver is not None:
             self._driver.put(m.BootstrapForced())
 
-    def force_recovery(self, lost: frozenset[MemberId]) -> None:
-        """Take this host's log as the truth after a quorum was lost, by an operator's word."""
-        if self._driver is not None:
-            self._driver.put(m.RecoveryForced(lost))
+    async def force_recovery(self, lost: frozenset[MemberId]) -> Answer:
+        """Take this host's log as the truth after a quorum was lost, by an operator's word.
+
+        Every other voter must be named in `lost`, else the core refuses it as unsafe.
+        """
+        return await self._ask(lambda proposal_id: m.RecoveryForced(lost, proposal_id))
+
+    def preview_change(self, action: m.MemberAction, host: str) -> Preview:
+        """Return the members that `change_member` would make now, and change nothing."""
+        return self._preview(lambda core: core.preview_change(action, host))
+
+    def preview_recovery(self, lost: frozenset[MemberId]) -> Preview:
+        """Return the members that `force_recovery` would make now, and change nothing."""
+        return self._preview(lambda core: core.preview_recovery(lost))
 
     def status(self) -> NodeStatus | None:
         """Return what operators see, or None while the replica is not started."""
@@ -192,6 +204,12 @@
         driver.put(event(proposal_id))
         return await fut
 
+    def _preview(self, plan: Callable[[Core], Result[Members, m.RejectReason]]) -> Preview:
+        driver = self._driver
+        if driver is None or driver.failure is not None:
+            return Error(self._refusal())
+        return plan(driver.core).map_error(lambda reason: refusal_of(reason, driver.leader))
+
     def _make_driver(self, opened: Opened) -> Driver:
         if opened.cut_bytes:
             self._log.warning(TORN_BATCH_CUT, bytes=opened.cut_bytes)
--- a/packages/agateferry-state/agateferry_state/replica/proposals.py
+++ b/packages/agateferry-state/agateferry_state/replica/proposals.py
@@ -54,8 +54,7 @@
 
     def reject(self, proposal_id: int, reason: RejectReason, leader: str | None) -> None:
         """Tell that a proposal was not appended."""
-        fut = self._asked.pop(proposal_id, None)
-        _refuse(fut, ProposeError(_kind_of(reason), leader, reason.value))
+        _refuse(self._asked.pop(proposal_id, None), refusal_of(reason, leader))
 
     def apply(self, entry: LogEntry, outcome: Any, leader: str | None) -> None:
         """Tell the outcome of an entry that was applied here to the one who proposed it."""
@@ -83,8 +82,7 @@
 
     def reject_read(self, read_id: int, reason: RejectReason, leader: str | None) -> None:
         """Tell that a read is not served here."""
-        fut = self._reads.pop(read_id, None)
-        _refuse(fut, ProposeError(_kind_of(reason), leader, reason.value))
+        _refuse(self._reads.pop(read_id, None), refusal_of(reason, leader))
 
     def end(self, kind: ProposeErrorKind, detail: str = "") -> None:
         """Answer all who wait; what stands in the log has an unknown fate."""
@@ -103,8 +101,9 @@
         return self._next_id - 1
 
 
-def _kind_of(reason: RejectReason) -> ProposeErrorKind:
-    return KINDS.get(reason, ProposeErrorKind.NOT_LEADER)
+def refusal_of(reason: RejectReason, leader: str | None) -> ProposeError:
+    """Return the error that a refusal of the core stands for; `detail` is the core's reason."""
+    return ProposeError(KINDS.get(reason, ProposeErrorKind.NOT_LEADER), leader, reason.value)
 
 
 def _refuse(fut: asyncio.Future[Any] | None, error: ProposeError) -> None:
--- a/packages/agateferry-state/agateferry_state/replica/status.py
+++ b/packages/agateferry-state/agateferry_state/replica/status.py
@@ -30,6 +30,7 @@
     term: int
     leader: str | None
     holds_lease: bool
+    last_term: int
     last_index: int
     commit_index: int
     applied_index: int
@@ -49,6 +50,7 @@
         term=core.term,
         leader=core.leader.host if core.leader is not None else None,
         holds_lease=core.holds_lease(now_ms),
+        last_term=core.last_term,
         last_index=core.last_index,
         commit_index=core.commit_index,
         applied_index=applied_index,
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -9,11 +9,13 @@
 
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import free_port, run_async
+from agateferry_state.members import Member, MemberId
 from agateferry_state.replica import ProposeErrorKind
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
 from agateferry_state.replica.tests.support import CountingFiles, ListMachine
 from agateferry_state.replica.transport import GrpcTransport, start_server
 from agateferry_state.replication import Role, Settings
+from agateferry_state.replication.messages import MemberAction, RejectReason
 
 POLL_S = 0.01
 
@@ -275,3 +277,57 @@
                 )
 
         run_async(main())
+
+
+class SteeringTests(NodeCase):
+    def test_a_recovery_waits_until_every_other_voter_is_given_up(self):
+        async def main():
+            hosts = self.make_hosts([True, True, True])
+            async with self.formed(hosts) as leader:
+                self.assertTrue((await leader.replica.propose(b"one")).is_ok())
+                await self.same_state(hosts, [b"one"])
+                left, *others = hosts
+                for host in others:
+                    await host.kill()
+                await self.until(lambda: left.replica.leader is None, "the loss is noticed")
+                voters = {m.host: m for m in left.replica.status().members}
+                lost = [MemberId(host.name, voters[host.name].incarnation) for host in others]
+                before = left.replica.status().members
+                refused = await left.replica.force_recovery(frozenset(lost[:1]))
+                self.assertEqual(RejectReason.UNSAFE, refused.error.detail)
+                preview = left.replica.preview_recovery(frozenset(lost))
+                self.assertEqual(["a"], [m.id.host for m in preview.ok.voters])
+                self.assertEqual(before, left.replica.status().members)
+                self.assertTrue((await left.replica.force_recovery(frozenset(lost))).is_ok())
+                self.assertTrue((await left.replica.propose(b"two")).is_ok())
+                self.assertEqual([b"one", b"two"], left.machine.commands)
+
+        run_async(main())
+
+    def test_a_host_with_an_empty_log_is_not_taken_as_the_truth(self):
+        async def main():
+            host, *_ = self.make_hosts([True, True, True])
+            await host.start()
+            refused = await host.replica.force_recovery(frozenset())
+            self.assertEqual(RejectReason.UNSAFE, refused.error.detail)
+            await host.stop()
+
+        run_async(main())
+
+    def test_a_removed_host_comes_back_by_word_alone(self):
+        async def main():
+            hosts = self.make_hosts([True, True, True])
+            async with self.formed(hosts) as leader:
+                gone = next(host for host in hosts if host is not leader)
+                change, preview = leader.replica.change_member, leader.replica.preview_change
+                member = Member(MemberId(gone.name))
+                after = preview(MemberAction.REMOVE, gone.name).ok
+                self.assertEqual((2, (gone.name,)), (len(after.voters), after.removed))
+                self.assertTrue((await change(MemberAction.REMOVE, member)).is_ok())
+                again = await change(MemberAction.REMOVE, member)
+                self.assertEqual(RejectReason.NOT_NEEDED, again.error.detail)
+                await self.until(lambda: preview(MemberAction.ADMIT, gone.name).is_ok(), "greeting")
+                self.assertTrue((await change(MemberAction.ADMIT, member)).is_ok())
+                await self.formed_leader(hosts)
+
+        run_async(main())
--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -7,6 +7,8 @@
 
 from dataclasses import replace
 
+from expression import Error, Ok, Result
+
 from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.members.admission import is_viable, next_change
 from agateferry_state.members.quorum import can_commit
@@ -47,40 +49,53 @@
 
 def on_requested(state: State, event: MemberChangeRequested) -> None:
     """Carry out an operator's change, or say why not."""
+    match plan_change(state, event.action, event.member.id.host):
+        case Result(tag="ok", ok=members):
+            entry = leader.append(state, EntryKind.MEMBERS, members.encode())
+            state.emit(ProposalAccepted(event.proposal_id, entry.index, entry.term))
+        case Result(error=reason):
+            state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
+
+
+def plan_change(state: State, action: MemberAction, host: str) -> Result[Members, RejectReason]:
+    """Return the members that an operator's change would make, or why it would be refused."""
     leading = state.leading
     if leading is None:
-        _reject(state, event, RejectReason.NOT_LEADER)
-        return
+        return Error(RejectReason.NOT_LEADER)
     if _is_change_open(state, leading):
-        _reject(state, event, RejectReason.BUSY)
-        return
-    if event.action is MemberAction.ADMIT:
-        members, problem = _admitted(state, event.member.id.host)
-    else:
-        members, problem = _removed(state, leading, event.member.id.host)
-    if problem is not None:
-        _reject(state, event, problem)
-        return
-    entry = leader.append(state, EntryKind.MEMBERS, members.encode())
-    state.emit(ProposalAccepted(event.proposal_id, entry.index, entry.term))
+        return Error(RejectReason.BUSY)
+    if action is MemberAction.ADMIT:
+        return _admitted(state, host)
+    return _removed(state, leading, host)
 
 
 def recover(state: State, event: RecoveryForced) -> None:
     """Make this member the only voter and lead, where every other voter is named as lost."""
+    match plan_recovery(state, event.lost):
+        case Result(tag="ok", ok=members):
+            state.enter_term(state.term + RECOVERY_TERM_STEP, state.me.id)
+            leader.start(state, members)
+            if event.proposal_id:
+                index = state.log.members_index
+                state.emit(ProposalAccepted(event.proposal_id, index, state.term))
+        case Result(error=reason):
+            if event.proposal_id:
+                state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
+
+
+def plan_recovery(state: State, lost: frozenset[MemberId]) -> Result[Members, RejectReason]:
+    """Return the members that a forced recovery would make, or why it would be refused.
+
+    A host that is no voter in its own log may hold nothing of what was accepted.
+    """
+    if state.role is Role.LEADER:
+        return Error(RejectReason.NOT_NEEDED)
     old = state.log.members
+    if not state.is_voter or not old.voter_ids <= lost | state.superseded | {state.me.id}:
+        return Error(RejectReason.UNSAFE)
     others = tuple(m.id for m in old.all if m.id != state.me.id)
-    gone = event.lost | state.superseded | {state.me.id}
-    if state.role is Role.LEADER or not old.voter_ids <= gone:
-        if event.proposal_id:
-            reason = RejectReason.NOT_NEEDED if state.leading else RejectReason.UNSAFE
-            state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
-        return
     given_up = (*old.given_up, *others)
-    members = Members(voters=(state.me,), removed=old.removed, given_up=given_up)
-    state.enter_term(state.term + RECOVERY_TERM_STEP, state.me.id)
-    leader.start(state, members)
-    if event.proposal_id:
-        state.emit(ProposalAccepted(event.proposal_id, state.log.members_index, state.term))
+    return Ok(Members(voters=(state.me,), removed=old.removed, given_up=given_up))
 
 
 def _is_change_open(state: State, leading: Leading) -> bool:
@@ -92,33 +107,31 @@
     return {m for m in recent if leading.peers[m].match_index >= state.commit_index}
 
 
-def _admitted(state: State, host: str) -> tuple[Members, RejectReason | None]:
+def _admitted(state: State, host: str) -> Result[Members, RejectReason]:
     members = state.log.members
     members = replace(members, removed=tuple(h for h in members.removed if h != host))
     present = state.present.get(host)
     if present is None:
-        return members, RejectReason.NOT_READY
+        return Error(RejectReason.NOT_READY)
     if members.find(present.member.id) is not None:
-        return members, RejectReason.NOT_NEEDED
-    return members.with_learner(present.member), None
+        return Error(RejectReason.NOT_NEEDED)
+    if present.member.id in members.given_up:
+        return Error(RejectReason.UNSAFE)
+    return Ok(members.with_learner(present.member))
 
 
-def _removed(state: State, leading: Leading, host: str) -> tuple[Members, RejectReason | None]:
+def _removed(state: State, leading: Leading, host: str) -> Result[Members, RejectReason]:
     members = state.log.members
     doomed: list[Member] = [m for m in members.all if m.id.host == host]
     if not doomed:
-        return members, RejectReason.NOT_NEEDED
+        return Error(RejectReason.NOT_NEEDED)
     if sum(1 for m in doomed if members.is_voter(m.id)) > 1:
-        return members, RejectReason.BUSY
+        return Error(RejectReason.BUSY)
     for member in doomed:
         members = members.without(member.id)
     members = replace(members, removed=(*(h for h in members.removed if h != host), host))
     alive = leading.recently_acked(state.now_ms, state.settings.election_timeout_min_ms)
     alive.add(state.me.id)
     if not is_viable(members) or not can_commit(members, alive, state.superseded):
-        return members, RejectReason.UNSAFE
-    return members, None
-
-
-def _reject(state: State, event: MemberChangeRequested, reason: RejectReason) -> None:
-    state.emit(ProposalRejected(event.proposal_id, reason, state.leader))
+        return Error(RejectReason.UNSAFE)
+    return Ok(members)
--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -13,6 +13,8 @@
 import random
 from collections.abc import Sequence
 
+from expression import Result
+
 from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.replication import (
     changing,
@@ -34,6 +36,7 @@
     Greeting,
     GreetingRequest,
     LeadershipChanged,
+    MemberAction,
     MemberChangeRequested,
     MembersChanged,
     Message,
@@ -153,6 +156,14 @@
         leading = self._state.leading
         return leading is not None and leading.lease.is_valid(now_ms)
 
+    def preview_change(self, action: MemberAction, host: str) -> Result[Members, RejectReason]:
+        """Return the members after an operator's change, or why it would be refused."""
+        return changing.plan_change(self._state, action, host)
+
+    def preview_recovery(self, lost: frozenset[MemberId]) -> Result[Members, RejectReason]:
+        """Return the members after a forced recovery here, or why it would be refused."""
+        return changing.plan_recovery(self._state, lost)
+
     def step(self, event: Event, now_ms: int) -> list[Effect]:
         """Take one event and return the effects to carry out, in order."""
         return self.step_all((event,), now_ms)
@@ -270,6 +281,8 @@
             case Proposed(proposal_id) | MemberChangeRequested(proposal_id):
                 reason = RejectReason.STORAGE_FAILED
                 self._state.emit(ProposalRejected(proposal_id, reason))
+            case RecoveryForced(proposal_id=proposal_id) if proposal_id:
+                self._state.emit(ProposalRejected(proposal_id, RejectReason.STORAGE_FAILED))
             case ReadRequested():
                 requests.on_read(self._state, event)
 
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -86,6 +86,10 @@
         cluster.start("a")
         cluster.run_until(20_000)
         self.assertEqual(1, len(cluster.hosts["c"].core.members.all))
+        admit = m.MemberChangeRequested(7, m.MemberAction.ADMIT, Member(MemberId("a")))
+        effects = cluster_step(cluster, admit, cluster.hosts["c"].core)
+        rejected = [e.reason for e in effects if isinstance(e, m.ProposalRejected)]
+        self.assertEqual([m.RejectReason.UNSAFE], rejected)
         cluster.wipe("a")
         cluster.start("a")
         cluster.run_until(25_000)
