Let operators steer the members of a cell and of the records plane

Cause: a host that was removed could not be admitted again, and a lost quorum could not be recovered, without code; records status took the newest revision from the copies alone. Change: cell replace and cell recover with a dry run, on POST /v1/cell/members and /recovery. The newest revision comes from the records plane, and from the copies where it is out of reach.

--- a/packages/agateferry-cli/agateferry_cli/client/problems.py
+++ b/packages/agateferry-cli/agateferry_cli/client/problems.py
@@ -12,6 +12,10 @@
     "key-reused": ExitCode.CONFLICT,
     "version-conflict": ExitCode.CONFLICT,
     "outcome-unknown": ExitCode.OUTCOME_UNKNOWN,
+    "not-ready": ExitCode.REFUSED,
+    "not-needed": ExitCode.REFUSED,
+    "busy": ExitCode.REFUSED,
+    "unsafe": ExitCode.REFUSED,
 }
 
 CODES_BY_STATUS = {
@@ -38,6 +42,9 @@
     "no-leader": "The zone elects a leader; try again in a moment.",
     "zone-unreachable": "The zone of the request is cut off from this host; ask a host there.",
     "stopping": "Ask another host.",
+    "not-leader": "Name the host that leads, or all hosts of the zone, in --operators.",
+    "no-voter": "Ask a host whose settings have records_voter = true.",
+    "unsafe": "See the members and the ends of the logs with: agateferry cell status",
 }
 
 
--- a/packages/agateferry-cli/agateferry_cli/client/views.py
+++ b/packages/agateferry-cli/agateferry_cli/client/views.py
@@ -123,12 +123,20 @@
     disk: bool = True
 
 
+class LogView(View):
+    """The last entry of a host's log; of two logs the one with the higher pair is the newer."""
+
+    term: int
+    index: int
+
+
 class RecordsPlaneView(View):
     """One host's share in the records plane; `role` is empty on a host that does not vote."""
 
     revision: int | None = None
     role: str = ""
     leader: str | None = None
+    log: LogView | None = None
 
 
 class CellView(View):
@@ -142,6 +150,21 @@
     members: tuple[MemberView, ...] = ()
     records: RecordsPlaneView = RecordsPlaneView()
     reachable: bool = True
+    log: LogView | None = None
+
+
+class SteeringView(View):
+    """What a change of members did, or would do, and what may be lost by it."""
+
+    asked: str
+    zone: str
+    group: str
+    changed: bool
+    dry_run: bool = False
+    voters: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
+    removed: tuple[str, ...] = ()
+    warnings: tuple[str, ...] = ()
 
 
 def view_of(model: type[V], body: Any) -> Result[V, Failure]:
--- a/packages/agateferry-cli/agateferry_cli/main.py
+++ b/packages/agateferry-cli/agateferry_cli/main.py
@@ -10,7 +10,7 @@
 
 from agateferry_cli import __version__
 from agateferry_cli.client import ExitCode
-from agateferry_cli.verbs import cell, records
+from agateferry_cli.verbs import cell, records, steering
 from agateferry_cli.verbs.cancel import cancel
 from agateferry_cli.verbs.check_config import check_config
 from agateferry_cli.verbs.explain import explain
@@ -41,7 +41,11 @@
     "teams": teams,
     "queue": queue,
     "explain": explain,
-    "cell": {"status": cell.status},
+    "cell": {
+        "status": cell.status,
+        "replace": steering.replace,
+        "recover": steering.recover,
+    },
     "check-config": check_config,
     "replay": replay,
 }
--- a/packages/agateferry-cli/agateferry_cli/verbs/cell.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/cell.py
@@ -3,11 +3,22 @@
 from expression import Result
 
 from agateferry_cli.client import Answer, ExitCode, Failure, Port
-from agateferry_cli.client.views import CellView, MemberView, RecordsPlaneView, views_of
+from agateferry_cli.client.views import CellView, LogView, MemberView, RecordsPlaneView, views_of
 from agateferry_cli.output import Output
 from agateferry_cli.verbs.run import run_get
 
-COLUMNS = ("zone", "host", "role", "term", "leader", "members", "records plane", "revision")
+COLUMNS = (
+    "zone",
+    "host",
+    "role",
+    "term",
+    "leader",
+    "members",
+    "records plane",
+    "revision",
+    "log",
+    "records log",
+)
 
 LEADER = "leader"
 NO_DISK = "no disk"
@@ -48,9 +59,15 @@
         members,
         _records_plane(view.records),
         view.records.revision,
+        _log_end(view.log),
+        _log_end(view.records.log),
     )
 
 
+def _log_end(log: LogView | None) -> str | None:
+    return f"{log.term}/{log.index}" if log is not None else None
+
+
 def _records_plane(records: RecordsPlaneView) -> str:
     if not records.role:
         return "no voter"
--- /dev/null
+++ b/packages/agateferry-cli/agateferry_cli/verbs/steering.py
@@ -0,0 +1,120 @@
+"""`agateferry cell replace` and `cell recover`: steer the members of replicated logs.
+
+Without `--yes`, a change that could lose data is only tried: the host tells what would happen, and
+the verb exits as for a command line that is not complete.
+"""
+
+from collections.abc import Sequence
+from typing import Any, Literal
+
+from expression import Error, Ok, Result
+
+from agateferry_cli.client import Answer, Client, ExitCode, Failure, Port
+from agateferry_cli.client.client import Call
+from agateferry_cli.client.views import SteeringView, view_of
+from agateferry_cli.output import Output
+from agateferry_cli.verbs.run import run_verb
+
+ADDRESS_SEPARATOR = ","
+CONFIRM = "Nothing was changed. Read the warnings, then repeat the command with --yes."
+
+
+def replace(
+    action: Literal["admit", "remove"],
+    host: str,
+    *,
+    group: Literal["cell", "records"] = "cell",
+    dry_run: bool = False,
+    yes: bool = False,
+    operators: str = "",
+    json: bool = False,
+) -> int:
+    """Admit a new host, or one that was removed, or remove one that is gone for good.
+
+    :param action: admit or remove
+    :param host: name of the host
+    :param group: cell of the asked host's zone, or the records plane
+    :param dry_run: show what would happen and change nothing
+    :param yes: remove the host, having read the warnings
+    :param operators: operators' addresses of entry hosts, IP:PORT with commas between
+    :param json: print the answer as JSON
+    """
+    body = {"group": group, "action": action, "host": host}
+    is_confirmed = yes or action == "admit"
+    return _steer(operators, Output(json), "/v1/cell/members", body, dry_run, is_confirmed)
+
+
+def recover(
+    *,
+    lost: Sequence[str],
+    group: Literal["cell", "records"] = "cell",
+    dry_run: bool = False,
+    yes: bool = False,
+    operators: str,
+    json: bool = False,
+) -> int:
+    """Take one host's log as the truth after a quorum was lost for good; may lose accepted work.
+
+    :param lost: names of all other voters, which are lost or given up
+    :param group: cell of the asked host's zone, or the records plane
+    :param dry_run: show what would happen and change nothing
+    :param yes: recover, having read the warnings
+    :param operators: operators' address of the one host whose log is the truth, IP:PORT
+    :param json: print the answer as JSON
+    """
+    output = Output(json)
+    if not operators or ADDRESS_SEPARATOR in operators:
+        advice = "Compare the ends of the logs with: agateferry cell status"
+        text = "--operators must name just the one host whose log is the truth"
+        return output.failure(Failure(ExitCode.USAGE, text, advice))
+    body = {"group": group, "lost": list(lost)}
+    return _steer(operators, output, "/v1/cell/recovery", body, dry_run, yes)
+
+
+def _steer(
+    operators: str,
+    output: Output,
+    path: str,
+    body: dict[str, Any],
+    dry_run: bool,
+    is_confirmed: bool,
+) -> int:
+    is_trial = dry_run or not is_confirmed
+
+    async def verb(client: Client) -> Result[ExitCode, Failure]:
+        answer = await client.call(Call("POST", path, body | {"dry_run": is_trial}))
+        if answer.is_error():
+            return Error(answer.error)
+        view = view_of(SteeringView, answer.ok.body)
+        if view.is_error():
+            return Error(view.error)
+        _show(output, answer.ok, view.ok)
+        if is_trial and not dry_run and view.ok.changed:
+            return Error(Failure(ExitCode.USAGE, "this may lose data", CONFIRM, "not-confirmed"))
+        return Ok(ExitCode.OK)
+
+    return run_verb(Port.OPERATORS, operators, output, verb)
+
+
+def _show(output: Output, answer: Answer, view: SteeringView) -> None:
+    if output.as_json:
+        output.json(answer.body)
+        return
+    output.line(_outcome(view))
+    output.fields(
+        {
+            "voters": ", ".join(view.voters),
+            "catch up": ", ".join(view.learners),
+            "removed": ", ".join(view.removed),
+        }
+    )
+    for warning in view.warnings:
+        output.line(f"warning: {warning}")
+
+
+def _outcome(view: SteeringView) -> str:
+    group = f"the cell of {view.zone}" if view.group == "cell" else "the records plane"
+    if not view.changed:
+        return f"{group} is so already, says {view.asked}; nothing is changed"
+    verb = "would then have" if view.dry_run else "now has"
+    return f"{group} {verb}, says {view.asked}:"
--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -25,6 +25,7 @@
 from agateferry_service.http.server import HttpServer
 from agateferry_service.operators.app import Operators
 from agateferry_service.operators.hosts import Hosts
+from agateferry_service.operators.steering import Group, Steering
 from agateferry_service.records.follower import RecordsFollower
 from agateferry_service.records.plane import RecordsPlane, WatchedRecords
 from agateferry_service.records.servicer import RecordsServicer
@@ -125,11 +126,13 @@
         replica_metrics.register(self.metrics.registry)
         machine = CellMachine(settings.host.zone)
         replica = self.replicas.cell(machine)
+        self.nodes = {Group.CELL: replica}
         self.workers = WorkerClient(self.metrics)
         self.records_machine = WatchedRecords()
         self.plane: RecordsPlane | None = None
         if settings.own_peer().records_voter:
             plane_replica = self.replicas.records(self.records_machine)
+            self.nodes[Group.RECORDS] = plane_replica
             self.plane = RecordsPlane(
                 settings.host.name, self.records_machine, plane_replica, self.metrics
             )
@@ -164,13 +167,15 @@
         entry = Entry(
             zone, self.zones, self.cell.ctx.catalog, self.cell_calls, limits, self.metrics
         )
+        hosts = Hosts(settings, self.cell, self.plane)
         operators = Operators(
             zone,
             self.zones,
             self.cell_calls,
             self.records_calls,
             self.cell.ctx.machine.records,
-            Hosts(settings, self.cell, self.plane),
+            hosts,
+            Steering(settings, self.nodes, hosts, self.metrics),
             limits,
             self.metrics,
             lambda: self.is_ready,
--- a/packages/agateferry-service/agateferry_service/operators/app.py
+++ b/packages/agateferry-service/agateferry_service/operators/app.py
@@ -1,5 +1,6 @@
 """The operators' HTTP application."""
 
+import asyncio
 import json
 from collections.abc import Callable
 from typing import Any
@@ -15,7 +16,8 @@
 from agateferry_service.http.bodies import read_model
 from agateferry_service.http.problems import problem, refused
 from agateferry_service.operators.hosts import Hosts
-from agateferry_service.records.plane import read_records
+from agateferry_service.operators.steering import Steering
+from agateferry_service.records.plane import NEWEST, read_records
 from agateferry_service.routing.calls import CellCalls, RecordsCalls
 from agateferry_service.routing.zones import Zones
 from agateferry_service.rpc import cell_pb2 as pb
@@ -48,6 +50,7 @@
         records_calls: RecordsCalls,
         copy: RecordStore,
         hosts: Hosts,
+        steering: Steering,
         limits: LimitSettings,
         metrics: Metrics,
         is_ready: Callable[[], bool],
@@ -59,6 +62,7 @@
         self._records_calls = records_calls
         self._copy = copy
         self._hosts = hosts
+        self._steering = steering
         self._limits = limits
         self._metrics = metrics
         self._is_ready = is_ready
@@ -79,6 +83,7 @@
                 Route("/v1/requests/{id}/explain", self.explain, methods=["GET"]),
                 Route("/v1/cell", self.cell, methods=["GET"]),
                 Route("/v1/cells", self.cells, methods=["GET"]),
+                *self._steering.routes(),
                 Route("/healthz", self.healthz, methods=["GET"]),
                 Route("/readyz", self.readyz, methods=["GET"]),
                 Route("/metrics", self.metrics, methods=["GET"]),
@@ -118,8 +123,8 @@
         return await self._read(req, "history")
 
     async def records_status(self, req: Request) -> Response:
-        """Return the revision in force on each host."""
-        hosts = await self._hosts.all()
+        """Return the revision in force on each host, and the newest that the plane agreed upon."""
+        newest, hosts = await asyncio.gather(self._newest_revision(), self._hosts.all())
         listed = [
             {
                 "host": host["host"],
@@ -129,8 +134,11 @@
             }
             for host in hosts
         ]
-        newest = max((host["revision"] or 0 for host in listed), default=0)
-        return _json({"hosts": listed, "newest": newest})
+        copies = max((host["revision"] or 0 for host in listed), default=0)
+        resp = _json({"hosts": listed, "newest": max(newest or 0, copies)})
+        if newest is None:
+            resp.headers["Agateferry-Stale"] = "true"
+        return resp
 
     async def workers(self, req: Request) -> Response:
         """Return the workers of this zone."""
@@ -193,6 +201,16 @@
             return resp
         return _query_response(reply)
 
+    async def _newest_revision(self) -> int | None:
+        """Return the plane's newest revision, or None where the plane cannot be reached."""
+        message = pb.QueryRequest(what=NEWEST)
+        read = self._records_calls.read
+        reply = await self._zones.records.call(read, message, READ_PATIENCE_MS)
+        if reply.HasField("refusal"):
+            return None
+        newest: int = json.loads(reply.body)["revision"]
+        return newest
+
     async def _query(self, zone: str, what: str, name: str) -> Response:
         query = self._cell_calls.query
         message = pb.QueryRequest(what=what, name=name)
--- a/packages/agateferry-service/agateferry_service/operators/hosts.py
+++ b/packages/agateferry-service/agateferry_service/operators/hosts.py
@@ -8,8 +8,7 @@
 from agateferry_service.cell.cell import Cell
 from agateferry_service.records.plane import RecordsPlane
 from agateferry_service.settings import PeerSettings, Settings
-from agateferry_state.replica import Replica
-from agateferry_state.replica.node import NodeReplica
+from agateferry_state.replica import NodeReplica, NodeStatus, Replica
 
 ASK_TIMEOUT_S = 1.0
 
@@ -57,17 +56,27 @@
 
 def replica_status(replica: Replica) -> dict[str, Any]:
     """Return the role, the term, the leader and the members that a replica knows of."""
+    status = replica.status() if isinstance(replica, NodeReplica) else None
+    own = {} if status is None else _own_log(status)
     return {
+        **own,
         "term": replica.term,
         "role": "leader" if replica.is_leader else "follower",
         "leader": replica.leader,
-        "members": _members(replica),
+        "members": _members(status),
+    }
+
+
+def _own_log(status: NodeStatus) -> dict[str, Any]:
+    """Return which incarnation this is and how far its log reaches, for operators to compare."""
+    return {
+        "incarnation": status.incarnation,
+        "log": {"term": status.last_term, "index": status.last_index},
     }
 
 
-def _members(replica: Replica) -> list[dict[str, Any]]:
+def _members(status: NodeStatus | None) -> list[dict[str, Any]]:
     """Return the members of a replicated group; one that is no voter still catches up."""
-    status = replica.status() if isinstance(replica, NodeReplica) else None
     if status is None:
         return []
     return [
--- a/packages/agateferry-service/agateferry_service/records/plane.py
+++ b/packages/agateferry-service/agateferry_service/records/plane.py
@@ -26,6 +26,8 @@
 )
 from agateferry_state.replica import Replica
 
+NEWEST = "newest"
+
 
 class WatchedRecords(RecordsMachine):
     """Tell those who wait when a newer revision has been agreed upon."""
@@ -138,7 +140,9 @@
 
 
 def read_records(store: RecordStore, req: pb.QueryRequest) -> pb.QueryReply:
-    """Answer a read: one record, all of a kind, or the history of one."""
+    """Answer a read: one record, all of a kind, the history of one, or the newest revision."""
+    if req.what == NEWEST:
+        return pb.QueryReply(body=json.dumps({"revision": store.revision}))
     kind_text, name, schema_text = req.name.split("/")
     kind, schema = Kind(kind_text), Schema(schema_text)
     match req.what:
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -104,6 +104,11 @@
         """Return why this member takes no part, or None while it does."""
         return self._driver.failure if self._driver is not None else self._failure
 
+    @property
+    def members(self) -> Members:
+        """Return the members in force in the local log; none while the replica is not started."""
+        return self._driver.core.members if self._driver is not None else Members()
+
     def on_leadership(self, listener: Listener) -> None:
         """Have `listener(leads, term)` called when this member begins or ceases to lead.
 
--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -112,7 +112,8 @@
     members = replace(members, removed=tuple(h for h in members.removed if h != host))
     present = state.present.get(host)
     if present is None:
-        return Error(RejectReason.NOT_READY)
+        is_member = any(m.id.host == host for m in members.all)
+        return Error(RejectReason.NOT_NEEDED if is_member else RejectReason.NOT_READY)
     if members.find(present.member.id) is not None:
         return Error(RejectReason.NOT_NEEDED)
     if present.member.id in members.given_up:
