--- a/packages/agateferry-service/agateferry_service/operators/steering.py
+++ b/packages/agateferry-service/agateferry_service/operators/steering.py
@@ -96,7 +96,7 @@
         if result.is_error():
             return self._refused(body, result.error)
         if result.ok["changed"] and not body.dry_run:
-            self._log.info(MEMBERS_STEERED, **body.model_dump(mode="json"))
+            self._log.info(MEMBERS_STEERED, asked=body.model_dump(mode="json"))
         return JSONResponse(result.ok)
 
     async def recover(self, req: Request) -> Response:
@@ -109,7 +109,7 @@
         if result.is_error():
             return self._refused(body, result.error)
         if not body.dry_run:
-            self._log.warning(RECOVERY_FORCED, **body.model_dump(mode="json"))
+            self._log.warning(RECOVERY_FORCED, asked=body.model_dump(mode="json"))
         return JSONResponse(result.ok)
 
     async def _change(self, body: MembersBody) -> Result[dict[str, Any], Refused]:
@@ -223,7 +223,7 @@
     def _refused(self, body: BaseModel, refused: Refused) -> Response:
         self._metrics.refused(refused.reason)
         asked = body.model_dump(mode="json")
-        self._log.info(STEERING_REFUSED, reason=refused.reason, detail=refused.detail, **asked)
+        self._log.info(STEERING_REFUSED, reason=refused.reason, detail=refused.detail, asked=asked)
         return problem(refused.status, refused.reason, refused.detail, run=None)
 
 
--- a/packages/agateferry-service/agateferry_service/operators/tests/test_steering.py
+++ b/packages/agateferry-service/agateferry_service/operators/tests/test_steering.py
@@ -1,7 +1,13 @@
+from types import SimpleNamespace
+
 import testtools
+from expression import Error, Ok
 
 from agateferry_core.support import run_async
 from agateferry_service.daemon.tests.support import running_host
+from agateferry_service.operators.steering import Group, RecoveryBody, Steering
+from agateferry_state.members import Member, MemberId, Members
+from agateferry_state.replica import Applied, MemberStatus, ProposeError, ProposeErrorKind
 
 
 def on_host(work):
@@ -62,3 +68,54 @@
 
         for status, body, _ in on_host(work):
             self.assertEqual((409, "not-needed"), (status, body["reason"]))
+
+    def test_a_host_that_still_runs_with_its_log_is_not_given_up(self):
+        refused = self.recover(["a2"], answering="i2").error
+        self.assertEqual((409, "unsafe"), (refused.status, refused.reason))
+        self.assertIn("a2 still run(s)", refused.detail)
+
+    def test_a_host_that_came_back_empty_may_be_given_up(self):
+        document = self.recover(["a2"], answering="another").ok
+        self.assertEqual((["a1"], {"term": 2, "index": 9}), (document["voters"], document["log"]))
+        self.assertIn("after term 2, index 9", document["warnings"][0])
+
+    def test_a_voter_that_is_not_named_is_told(self):
+        refused = self.recover([]).error
+        self.assertEqual("unsafe", refused.reason)
+        self.assertIn("not named: a2", refused.detail)
+
+    def recover(self, lost, answering=None):
+        steering = Steering(
+            SimpleNamespace(host=SimpleNamespace(name="a1", zone="z"), peers=()),
+            {Group.CELL: LeftNode()},
+            OtherHost(answering),
+            None,
+        )
+        return run_async(steering._recover(RecoveryBody(group=Group.CELL, lost=lost)))
+
+
+class LeftNode:
+    """A replica that was left alone by a2 and recovers once that is given up."""
+
+    def status(self):
+        members = tuple(MemberStatus(f"a{n}", f"i{n}", True, True, None) for n in (1, 2))
+        return SimpleNamespace(host="a1", leader=None, last_term=2, last_index=9, members=members)
+
+    def preview_recovery(self, lost):
+        if lost == {MemberId("a2", "i2")}:
+            return Ok(Members(voters=(Member(MemberId("a1", "i1")),)))
+        return Error(ProposeError(ProposeErrorKind.NOT_LEADER, None, "unsafe"))
+
+    async def force_recovery(self, lost):
+        return Ok(Applied(10, None))
+
+
+class OtherHost:
+    """Answer as a2 with an incarnation, or not at all where that is None."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+
+    async def all(self):
+        reachable = self.incarnation is not None
+        return [{"host": "a2", "reachable": reachable, "incarnation": self.incarnation}]
