Pause after a beginning that failed, and wait for its effect in the test

Ruled out: clearing the event before the beginning (a change in between would be missed). Change: a pause after a failed beginning; the test waits until the leader has ended its work.

--- a/packages/agateferry-service/agateferry_service/cell/cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/cell.py
@@ -103,11 +103,18 @@
                 self.ctx.metrics.leader_changed(LOG_NAME, False)
             if not led_term:
                 self.ctx.proposer.doubtful = False
-            if leads and not led_term and await self.leader.begin():
-                led_term = term
-                self.ctx.metrics.leader_changed(LOG_NAME, True)
+            if leads and not led_term:
+                led_term = await self._begin(term)
             await self._leadership_or_timeout()
 
+    async def _begin(self, term: int) -> int:
+        """Begin to lead and return the term; 0 when it failed, after a pause."""
+        if await self.leader.begin():
+            self.ctx.metrics.leader_changed(LOG_NAME, True)
+            return term
+        await asyncio.sleep(FOLLOW_EVERY_S)
+        return 0
+
     async def _leadership_or_timeout(self) -> None:
         """Return when leadership changes, or soon, since a lease can lapse without a call."""
         with contextlib.suppress(TimeoutError):
--- a/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -217,7 +217,7 @@
                 await until(lambda: workers.starts)
                 cell.ctx.replica.failing = ProposeErrorKind.UNKNOWN
                 workers.finish("z.1.1.0")
-                await until(lambda: cell.ctx.proposer.doubtful)
+                await until(lambda: not cell.leader.active)
                 cell.ctx.replica.failing = None
                 look = pb.LookRequest(request_id="z.1", wait_ms=2_000)
                 await until(lambda: cell.leader.active and not cell.ctx.proposer.doubtful)
