Leave an attempt to the next leader once this host does not lead

Cause: under load a lease can lapse for a moment between the starts of a gang. Ruled out: lapsed reservations (failover took under 10 s), double starts (none counted). Change: an attempt whose host does not lead neither starts, stops nor concludes anything; the leader that comes next, this host or another, takes it up from the log and starts the rest. Measured: the new test is red before, green after; 55 tests of dispatch and cell pass.

--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -141,6 +141,9 @@
     async def _see_through(self, request: Request, attempt: Attempt, number: int) -> None:
         result = await attempt.run()
         self._running.pop(request.id, None)
+        if result.end is AttemptEnd.ABANDONED:
+            self._ctx.proposer.doubt()
+            return
         if result.end is AttemptEnd.FINISHED:
             outcome = await self._propose_finish(request, number, result)
         else:
--- a/packages/agateferry-service/agateferry_service/cell/proposer.py
+++ b/packages/agateferry-service/agateferry_service/cell/proposer.py
@@ -25,6 +25,11 @@
         self.doubtful = False
         self.on_doubt: Callable[[], None] = lambda: None
 
+    def doubt(self) -> None:
+        """Have the leader's view built anew from the log."""
+        self.doubtful = True
+        self.on_doubt()
+
     async def propose(self, **command: object) -> Result[object, ProposeError]:
         """Propose one command, named by its field, and return the machine's outcome.
 
@@ -33,8 +38,7 @@
         message = commands_pb2.Command(**command)  # type: ignore[arg-type]
         result = await self._replica.propose(message.SerializeToString())
         if result.is_error():
-            self.doubtful = True
-            self.on_doubt()
+            self.doubt()
             self._metrics.proposed(LOG_NAME, result.error.kind.value)
             return Error(result.error)
         self._metrics.proposed(LOG_NAME, "applied")
--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -122,6 +122,7 @@
         self._on_running = on_running
         self._wake = asyncio.Event()
         self._stop_as: AttemptEnd | None = None
+        self._abandoned = False
         self._drivers: list[asyncio.Task[None]] = []
 
     async def run(self) -> AttemptResult:
@@ -160,7 +161,7 @@
         return all(replies) and self._stop_as is None
 
     async def _reserve(self, member: Member) -> bool:
-        if not self._may_act():
+        if not self._check_lead():
             return False
         ttl_ms = self._times.reserve_ms
         match await self._calls.reserve(member.address, member.order, ttl_ms):
@@ -172,6 +173,17 @@
                 member.error = error
         return False
 
+    def _check_lead(self) -> bool:
+        """Tell whether this host leads; once it does not, the attempt is left as it is.
+
+        A deposed leader must neither start nor stop anything, and must not say how an attempt
+        ended that it did not see to its end: a gang would be left running in part.
+        """
+        if not self._may_act():
+            self._abandoned = True
+            self._wake.set()
+        return not self._abandoned
+
     async def _undo(self) -> AttemptResult:
         await asyncio.gather(*(self._stop_member(member) for member in self.members))
         end = self._stop_as or AttemptEnd.FAILED
@@ -214,7 +226,7 @@
         tries = 0
         while True:
             uncertain = member.sent
-            if not self._may_act():
+            if not self._check_lead():
                 return Error(WorkerError(WorkerErrorKind.SILENT, "deposed"))
             member.sent = True
             hold_ms = self._times.hold_ms
@@ -257,7 +269,7 @@
         self._wake.clear()
 
     def _decided(self) -> bool:
-        if self._stop_as is not None or self._overdue():
+        if self._abandoned or self._stop_as is not None or self._overdue():
             return True
         return self._all_finished() or any(member.broken for member in self.members)
 
@@ -294,7 +306,7 @@
 
     async def _stop_member(self, member: Member) -> None:
         final = member.view is not None and member.view.final
-        if not final and self._may_act():
+        if not final and self._check_lead():
             await self._act(member, "stop")
 
     async def _act(self, member: Member, verb: str) -> None:
@@ -311,6 +323,8 @@
 
     def _ended(self, end: AttemptEnd, reason: str) -> AttemptResult:
         """Sum the members up: a gang is as far as the member that is furthest behind."""
+        if self._abandoned:
+            return AttemptResult(AttemptEnd.ABANDONED)
         broken = [member for member in self.members if member.broken and not _was_stopped(member)]
         runs = {member.run for member in self.members}
         run = Run.RAN if Run.RAN in runs else Run.NOT_RUN
--- a/packages/agateferry-service/agateferry_service/dispatch/messages.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/messages.py
@@ -71,6 +71,8 @@
     FAILED = "failed"
     CANCELLED = "cancelled"
     PREEMPTED = "preempted"
+    ABANDONED = "abandoned"
+    """This host no longer leads; the next leader takes the attempt up again."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -166,6 +166,13 @@
         self.assertEqual(AttemptEnd.FINISHED, run_async(resumed.run(), 5).end)
         self.assertEqual([("m1", "start")], [call for call in fake.calls if call[1] == "start"])
 
+    def test_a_leader_deposed_between_the_starts_leaves_the_gang_to_the_next(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING])
+        leads = iter([True] * 4 + [False] * 9)
+        result = run_async(attempt(fake, 3, may_act=lambda: next(leads)).run())
+        self.assertEqual(AttemptEnd.ABANDONED, result.end)
+        self.assertEqual({"reserve", "start"}, {verb for _, verb in fake.calls} - {"look"})
+
     def test_a_lost_worker_fails_the_whole_gang(self):
         fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m1_start=[LeaseState.RUNNING])
 
