--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -88,8 +88,7 @@
         attempt = self._running.get(parsed[0]) if parsed else None
         if parsed is None or attempt is None:
             return
-        if final:
-            attempt.notify(lease)
+        attempt.notify(lease, final)
         request = self._ctx.machine.ledger.get(parsed[0])
         alone = len(attempt.members) == 1
         if request is not None and alone and checkpoint_step > request.checkpoint_step:
--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -60,6 +60,7 @@
     ran: bool = False
     view: LeaseView | None = None
     error: WorkerError | None = None
+    heard_ms: int = 0
     hint: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -142,11 +143,13 @@
             self._stop_as = end
         self._wake.set()
 
-    def notify(self, lease: str) -> None:
-        """Take in that a worker announced a change of a lease, so that it is looked at now."""
+    def notify(self, lease: str, final: bool) -> None:
+        """Take in what a worker announced of a lease; one that has ended is looked at now."""
         for member in self.members:
             if member.order.lease == lease:
-                member.hint.set()
+                member.heard_ms = self._clock.now_ms()
+                if final:
+                    member.hint.set()
 
     def lose_worker(self, worker: str, detail: str) -> None:
         """Take in that a worker is gone or has started anew without this attempt's leases."""
@@ -193,8 +196,8 @@
         """Start a member and follow its lease until it is final or lost."""
         self._take_in(member, await self._start(member))
         while not member.decided:
-            await self._hint_or_timeout(member)
-            self._take_in(member, await self._look(member))
+            if await self._needs_look(member):
+                self._take_in(member, await self._look(member))
         self._wake.set()
 
     def _take_in(self, member: Member, reply: Result[LeaseView, WorkerError]) -> None:
@@ -210,11 +213,14 @@
         if all(view is not None for view in views) and not self._all_finished():
             self._on_running()
 
-    async def _hint_or_timeout(self, member: Member) -> None:
+    async def _needs_look(self, member: Member) -> bool:
+        """Wait for a hint of the lease's end; without one, tell whether its worker is overdue."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._times.look_ms / 1000):
                 await member.hint.wait()
+        hinted = member.hint.is_set()
         member.hint.clear()
+        return hinted or self._clock.now_ms() - member.heard_ms >= self._times.look_ms
 
     async def _start(self, member: Member) -> Result[LeaseView, WorkerError]:
         """Start a member; when the answer is lost, find out over fresh connections."""
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -17,7 +17,7 @@
 )
 from agateferry_service.requests.state import Run
 
-TIMES = AttemptTimes(hold_ms=20, resolve_ms=60, backoff_ms=5, look_ms=5)
+TIMES = AttemptTimes(hold_ms=20, resolve_ms=60, backoff_ms=5, look_ms=20)
 
 
 class FakeWorkers:
@@ -75,6 +75,21 @@
             (Run.NOT_RUN, False, "no-capacity"), (result.run, result.counts, result.reason)
         )
 
+    def test_a_lease_that_its_worker_speaks_of_is_not_looked_at(self):
+        fake = FakeWorkers(m0_start=[LeaseState.RUNNING], m0_look=[LeaseState.FINISHED])
+
+        async def main():
+            tried = attempt(fake)
+            work = asyncio.create_task(tried.run())
+            for _ in range(40):
+                tried.notify("m0", False)
+                await asyncio.sleep(0.001)
+            looks = fake.calls.count(("m0", "look"))
+            tried.notify("m0", True)
+            return looks, (await work).end
+
+        self.assertEqual((0, AttemptEnd.FINISHED), run_async(main(), 5))
+
     def test_a_refusal_ends_the_attempt_at_once(self):
         fake = FakeWorkers(m0_start=[WorkerErrorKind.REFUSED])
         times = AttemptTimes(look_ms=60_000)
