Let callers held at a deposed leader go on at once

Cause: a look, or a cancellation, that waited at a leader which then lost its place waited on, up to 10 s and 5 s, and the cancellation was answered "running" by a host that no longer knew. Ruled out: shorter waits (each costs a call). Change: those who wait are released when the leader's work ends, and a cancellation that has not ended is refused as not-leader, so that the entry host asks the next leader.

--- a/packages/agateferry-service/agateferry_service/cell/cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/cell.py
@@ -49,21 +49,23 @@
     async def submit(self, req: pb.SubmitRequest) -> pb.RequestReply:
         """Admit a request, if this host leads."""
         if not self.leader.active:
-            return pb.RequestReply(refusal=self._not_leader())
+            return self._refuse_request()
         return await self.leader.submit(req)
 
     async def look(self, req: pb.LookRequest) -> pb.RequestReply:
         """Return a request, if this host leads."""
         if not self.leader.active:
-            return pb.RequestReply(refusal=self._not_leader())
+            return self._refuse_request()
         reply = await self.leader.look(req)
-        return reply if self.leader.active else pb.RequestReply(refusal=self._not_leader())
+        return reply if self.leader.active else self._refuse_request()
 
     async def cancel(self, req: pb.CancelRequest) -> pb.RequestReply:
         """Cancel a request, if this host leads."""
         if not self.leader.active:
-            return pb.RequestReply(refusal=self._not_leader())
-        return await self.leader.cancel(req)
+            return self._refuse_request()
+        reply = await self.leader.cancel(req)
+        ended = reply.HasField("view") and reply.view.ended_wall_ms > 0
+        return reply if ended or self.leader.active else self._refuse_request()
 
     async def announce(self, req: pb.AnnounceRequest) -> pb.AnnounceReply:
         """Take a worker's announcement in, if this host leads.
@@ -82,6 +84,9 @@
             return pb.QueryReply(refusal=self._not_leader())
         return self._views.answer(req.what, req.name)
 
+    def _refuse_request(self) -> pb.RequestReply:
+        return pb.RequestReply(refusal=self._not_leader())
+
     def _not_leader(self) -> pb.Refusal:
         leader = self.ctx.replica.leader
         return not_leader(None if leader == self.ctx.host else leader)
@@ -99,6 +104,7 @@
             doubtful = self.ctx.proposer.doubtful
             if led_term and (doubtful or not leads or term != led_term):
                 await self.leader.end()
+                self.ctx.waiters.release()
                 led_term = 0
                 self.ctx.metrics.leader_changed(LOG_NAME, False)
             if not led_term:
--- a/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/test_cell.py
@@ -180,6 +180,26 @@
         self.assertEqual("finished", run_async(main()).state)
         self.assertEqual({("z.1", 0): 1}, workers.starts)
 
+    def test_a_cancel_and_a_look_held_at_a_deposed_leader_go_to_the_next_at_once(self):
+        workers = FakeWorkers()
+        workers.finish_at_once = False
+
+        async def main():
+            async with running_cell(workers) as cell:
+                await cell.submit(submission(wait_ms=0))
+                await until(lambda: workers.starts)
+                look = pb.LookRequest(request_id="z.1", wait_ms=60_000)
+                held = asyncio.create_task(cell.look(look))
+                await asyncio.sleep(0)
+                workers.act = lambda *call: asyncio.sleep(60)
+                cancel = asyncio.create_task(cell.cancel(pb.CancelRequest(request_id="z.1")))
+                await until(lambda: cell.ctx.machine.ledger.get("z.1").cancelling)
+                cell.ctx.replica.is_leader = False
+                async with asyncio.timeout(3):
+                    return [(await reply).refusal.reason for reply in (held, cancel)]
+
+        self.assertEqual(["not-leader", "not-leader"], run_async(main()))
+
     def test_a_deposed_leader_answers_nothing(self):
         async def main():
             async with running_cell() as cell:
--- a/packages/agateferry-service/agateferry_service/cell/waiters.py
+++ b/packages/agateferry-service/agateferry_service/cell/waiters.py
@@ -39,6 +39,11 @@
         finally:
             self._leave(request.id)
 
+    def release(self) -> None:
+        """Let all who wait go on, because this host can no longer tell them the end."""
+        for event in self._events.values():
+            event.set()
+
     def _leave(self, request_id: str) -> None:
         self._counts[request_id] -= 1
         if self._counts[request_id] == 0:
