Make a call again when its channel was closed by another call

Cause: a call that finds a host silent closes the channel to it, and gRPC then cancels every other call on that channel. The cancellation reached whoever waited: the zone's follower of records ended without a word, and the zone adopted nothing any more until its leader changed. Seen when the measure of records in force was run again: with the zone of the records leader frozen, a revision was not in force elsewhere after 30 s. Ruled out: the poll of 1.5 s (the follower's task was gone), the records plane (the put was accepted). Change: a call that was cancelled while its task was not counts as one without an answer. Measured: the new test is red before, green after.

--- a/packages/agateferry-service/agateferry_service/routing/router.py
+++ b/packages/agateferry-service/agateferry_service/routing/router.py
@@ -111,6 +111,10 @@
             reply = await method(request, timeout=bound_ms / 1000)
             count_received(reply.ByteSize())
             return reply, True
+        except asyncio.CancelledError:
+            if _is_cancelled_itself():
+                raise
+            return None, True
         except grpc.aio.AioRpcError as exc:
             if exc.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 self._metrics.silent_connection("peer")
@@ -121,6 +125,15 @@
         await asyncio.sleep(RETRY_PAUSE_MS * self._rng.uniform(0.5, 1.5) / 1000)
 
 
+def _is_cancelled_itself() -> bool:
+    """Tell whether the running task is cancelled, and not just its call.
+
+    gRPC cancels the calls of a channel that is closed because another call found it silent.
+    """
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _is_not_leader(reply: Any) -> bool:
     refused = reply.HasField("refusal")
     return bool(refused and reply.refusal.reason == RefusalReason.NOT_LEADER)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/routing/tests/test_router.py
@@ -0,0 +1,49 @@
+import asyncio
+import random
+
+import testtools
+
+from agateferry_core.clock import SystemClock
+from agateferry_core.metrics import Metrics
+from agateferry_core.support import run_async
+from agateferry_service.routing import Call, Channels, Router
+from agateferry_service.routing.router import Member
+from agateferry_service.rpc import cell_pb2 as pb
+
+
+def make_router():
+    members = [Member("a", "127.0.0.1:1"), Member("b", "127.0.0.1:2")]
+    return Router("c", members, Channels(), SystemClock(), Metrics(), random.Random(1))
+
+
+class ClosedChannelTests(testtools.TestCase):
+    def test_a_call_whose_channel_was_closed_is_made_again(self):
+        tries = []
+
+        async def method(request, **options):
+            tries.append(request)
+            if len(tries) == 1:
+                raise asyncio.CancelledError
+            return pb.QueryReply(body="answer")
+
+        call = Call("query", lambda channel: method, lambda refusal: pb.QueryReply(refusal=refusal))
+
+        async def main():
+            return await make_router().call(call, pb.QueryRequest(), 5_000)
+
+        self.assertEqual("answer", run_async(main(), 10).body)
+
+    def test_a_cancelled_caller_is_not_held(self):
+        async def method(request, **options):
+            await asyncio.sleep(60)
+
+        call = Call("query", lambda channel: method, lambda refusal: pb.QueryReply(refusal=refusal))
+
+        async def main():
+            work = asyncio.create_task(make_router().call(call, pb.QueryRequest(), 5_000))
+            await asyncio.sleep(0.01)
+            work.cancel()
+            return await asyncio.gather(work, return_exceptions=True)
+
+        (ended,) = run_async(main(), 10)
+        self.assertIsInstance(ended, asyncio.CancelledError)
