Remove a dead time, a second name for one conversion, and a test's repeated beginning

`records_poll_ms` was read nowhere since the zone waits on the records plane; `pending_request` only called `pending_of`; four tests of a host began with the same lines, two of them with the same held request. Ruled out: folding the gRPC servicers and the lease bodies, which are alike in shape only. Change: the field and the wrapper are gone; the tests share `put_quick` and `held_request`, with their assertions as they were. Conclusion: behaviour is unchanged.

--- a/packages/agateferry-service/agateferry_service/cell/admission.py
+++ b/packages/agateferry-service/agateferry_service/cell/admission.py
@@ -6,7 +6,7 @@
 from agateferry_scheduling.scheduler.messages import PendingRequest
 from agateferry_service.cell.catalog import Catalog
 from agateferry_service.cell.refusals import RefusalReason, refusal
-from agateferry_service.requests import Request, Spec
+from agateferry_service.requests import Spec
 from agateferry_service.requests.codec import demand_from_pb
 from agateferry_service.rpc import cell_pb2 as pb
 
@@ -63,8 +63,3 @@
         preemptible=spec.preemptible,
         checkpointable=spec.checkpointable,
     )
-
-
-def pending_request(request: Request, clock: Clock) -> PendingRequest:
-    """Return a stored request as the scheduler sees it."""
-    return pending_of(request.spec, clock)
--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -7,7 +7,7 @@
 
 from agateferry_scheduling.scheduler.messages import EndReason, RequestEnded, RequestQueued
 from agateferry_service.cell import events
-from agateferry_service.cell.admission import pending_request
+from agateferry_service.cell.admission import pending_of
 from agateferry_service.cell.context import CellContext
 from agateferry_service.cell.counting import count_end
 from agateferry_service.cell.decider import Decider
@@ -221,7 +221,7 @@
     def _requeue(self, request: Request, result: AttemptResult) -> None:
         """Queue a request again, the later the more often workers refused it."""
         if result.end is AttemptEnd.PREEMPTED:
-            self._decider().feed(RequestQueued(pending_request(request, self._ctx.clock)))
+            self._decider().feed(RequestQueued(pending_of(request.spec, self._ctx.clock)))
             return
         tries = self._refusals.get(request.id, 0) + 1
         self._refusals[request.id] = min(tries, MAX_QUICK_FAILURES)
@@ -235,7 +235,7 @@
     async def _requeue_later(self, request: Request, delay_ms: float) -> None:
         await asyncio.sleep(delay_ms / 1000)
         if request.state is RequestState.ACCEPTED:
-            self._decider().feed(RequestQueued(pending_request(request, self._ctx.clock)))
+            self._decider().feed(RequestQueued(pending_of(request.spec, self._ctx.clock)))
 
 
 def _end_reason(result: AttemptResult) -> EndReason:
--- a/packages/agateferry-service/agateferry_service/cell/context.py
+++ b/packages/agateferry-service/agateferry_service/cell/context.py
@@ -30,7 +30,6 @@
     retry_budget_percent: int = 20
     answer_keep_ms: int = 3_600_000
     forget_every_ms: int = 30_000
-    records_poll_ms: int = 1_000
 
 
 @dataclass(slots=True)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -28,7 +28,7 @@
     Tick,
 )
 from agateferry_service.cell import events
-from agateferry_service.cell.admission import Admission, pending_of, pending_request
+from agateferry_service.cell.admission import Admission, pending_of
 from agateferry_service.cell.attempts import Attempts
 from agateferry_service.cell.context import CellContext
 from agateferry_service.cell.counting import count_end
@@ -299,7 +299,7 @@
         return RequestRunning(self._pending(request), assignments, now_ms)
 
     def _pending(self, request: Request) -> PendingRequest:
-        return pending_request(request, self.ctx.clock)
+        return pending_of(request.spec, self.ctx.clock)
 
     async def _tick_for_ever(self) -> None:
         """Let time pass for the scheduler, silent workers, records and old answers."""
--- a/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
@@ -27,6 +27,24 @@
             await asyncio.sleep(0.01)
 
 
+async def put_quick(client):
+    """Put a team and a job in force."""
+    await client.put("team", "t", {})
+    await client.put("job", "quick", QUICK)
+    await in_force(client, "quick")
+
+
+async def held_request(client, wait_s):
+    """Return a submission that waits at the host, since the only worker is leaving."""
+    await put_quick(client)
+    await client.announce("w1", state="leaving")
+    prefer = f"wait={wait_s}"
+    held = asyncio.create_task(client.submit({"team": "t", "job": "quick"}, Prefer=prefer))
+    while not len(client.host.cell.ctx.machine.ledger):
+        await asyncio.sleep(0.01)
+    return held
+
+
 class BadInputTests(testtools.TestCase):
     def submit(self, **options):
         async def work(client):
@@ -103,9 +121,7 @@
 class RequestTests(testtools.TestCase):
     def test_is_accepted_looked_up_and_cancelled(self):
         async def work(client):
-            await client.put("team", "t", {})
-            await client.put("job", "quick", QUICK)
-            await in_force(client, "quick")
+            await put_quick(client)
             announced, _, _ = await client.announce("w1", state="leaving")
             status, body, headers = await client.submit({"team": "t", "job": "quick"})
             looked, seen, _ = await client.call("callers", "GET", headers["Location"])
@@ -137,9 +153,7 @@
 class RecordingTests(testtools.TestCase):
     def test_what_the_scheduler_took_can_be_replayed(self):
         async def work(client):
-            await client.put("team", "t", {})
-            await client.put("job", "quick", QUICK)
-            await in_force(client, "quick")
+            await put_quick(client)
             await client.announce("w1", state="leaving")
             _, body, _ = await client.submit({"team": "t", "job": "quick"})
             await client.call("callers", "DELETE", f"/v1/requests/{body['id']}")
@@ -168,15 +182,7 @@
 class LongWaitTests(testtools.TestCase):
     def test_a_planned_stop_answers_a_wait_that_is_longer_than_the_drain(self):
         async def work(client):
-            await client.put("team", "t", {})
-            await client.put("job", "quick", QUICK)
-            await in_force(client, "quick")
-            await client.announce("w1", state="leaving")
-            held = asyncio.create_task(
-                client.submit({"team": "t", "job": "quick"}, Prefer="wait=60")
-            )
-            while not len(client.host.cell.ctx.machine.ledger):
-                await asyncio.sleep(0.01)
+            held = await held_request(client, 60)
             async with asyncio.timeout(20):
                 await client.host.stop()
                 status, body, headers = await held
@@ -238,15 +244,7 @@
 class StopTests(testtools.TestCase):
     def test_a_planned_stop_cuts_no_held_request_short(self):
         async def work(client):
-            await client.put("team", "t", {})
-            await client.put("job", "quick", QUICK)
-            await in_force(client, "quick")
-            await client.announce("w1", state="leaving")
-            held = asyncio.create_task(
-                client.submit({"team": "t", "job": "quick"}, Prefer="wait=1")
-            )
-            while not len(client.host.cell.ctx.machine.ledger):
-                await asyncio.sleep(0.01)
+            held = await held_request(client, 1)
             await client.host.stop()
             return (await held)[0]
 
