--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN := $(VENV)/bin
-PACKAGES := core state scheduling service cli standins
+PACKAGES := core state jobs scheduling service cli standins
 SOURCES := $(foreach p,$(PACKAGES),packages/agateferry-$(p))
 EMPTY :=
 SPACE := $(EMPTY) $(EMPTY)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs of steps whose subtasks run on workers under leases."""
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -0,0 +1,154 @@
+"""Finding the leader and asking it until an answer comes or the time is over.
+
+Any host of the cell names the leader. A call that gets no answer in time is made again, at another
+host and over a fresh connection, since a connection may be silent for good while new ones work.
+"""
+
+import asyncio
+from collections.abc import Iterable
+from typing import Protocol
+
+import grpc
+import msgspec
+
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
+from agateferry_jobs.calls import events
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.rpc import leader_pb2 as pb
+from agateferry_jobs.rpc import leader_pb2_grpc as rpc
+
+MS_PER_S = 1000
+TRY_MS = 700
+"""A leader answers in a few ms where its disk and a follower's do; silence beyond this is a fault."""
+PAUSE_MS = 60
+"""The pause between two tries while no leader is known."""
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 500
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+CHANNEL_OPTIONS = (
+    ("grpc.initial_reconnect_backoff_ms", RECONNECT_MIN_MS),
+    ("grpc.min_reconnect_backoff_ms", TRY_MS),
+    ("grpc.max_reconnect_backoff_ms", RECONNECT_MAX_MS),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.enable_http_proxy", 0),
+)
+
+
+
+class AskLeader(Protocol):
+    """Something that carries a question to the leader."""
+
+    async def ask(self, ask: m.Ask, within_ms: int) -> m.Reply:
+        """Return the leader's reply, or why there is none."""
+
+
+class LeaderClient:
+    """Ask the leader of the cell, whichever host that is."""
+
+    def __init__(self, clock: Clock, port: int) -> None:
+        self._clock = clock
+        self._port = port
+        self._hosts: list[str] = []
+        self._leader: str | None = None
+        self._next = 0
+        self._channels: dict[str, grpc.aio.Channel] = {}
+        self._log = EventLogger()
+        self.answered_ms: int | None = None
+        """When the leader last answered, by the clock that counts suspensions."""
+
+    @property
+    def hosts(self) -> tuple[str, ...]:
+        """Return the hosts of the cell that are known."""
+        return tuple(self._hosts)
+
+    def add_hosts(self, hosts: Iterable[str]) -> None:
+        """Learn of hosts of the cell; those named last are the newest."""
+        for host in hosts:
+            if host not in self._hosts:
+                self._hosts.append(host)
+
+    async def ask(self, ask: m.Ask, within_ms: int) -> m.Reply:
+        """Ask until a leader replies; `Uncertain` where one may have acted without a reply."""
+        until_ms = self._clock.now_ms() + within_ms
+        may_have_acted = False
+        while True:
+            left_ms = until_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                break
+            host = self._choose()
+            reply = await self._try(host, ask, min(TRY_MS, left_ms)) if host else m.NotLeader()
+            match reply:
+                case m.NotLeader(leader):
+                    await self._follow(host, leader)
+                case m.Uncertain():
+                    may_have_acted = True
+                    self._leader = None
+                case _:
+                    self._leader = host
+                    self.answered_ms = self._clock.now_ms()
+                    return reply
+        if may_have_acted:
+            return m.Uncertain("no reply in time")
+        return m.Refused("no leader", 0)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for host in list(self._channels):
+            await self._drop(host)
+
+    def _choose(self) -> str | None:
+        if self._leader is not None:
+            return self._leader
+        if not self._hosts:
+            return None
+        self._next += 1
+        return self._hosts[self._next % len(self._hosts)]
+
+    async def _follow(self, host: str | None, leader: str | None) -> None:
+        if leader is not None and leader != host:
+            self._leader = leader
+            return
+        self._leader = None
+        await asyncio.sleep(PAUSE_MS / MS_PER_S)
+
+    async def _try(self, host: str, ask: m.Ask, timeout_ms: int) -> m.Reply:
+        stub = rpc.LeaderStub(self._channel(host))
+        wire = pb.LeaderAsk(ask=m.encode(ask))
+        try:
+            answer = await stub.Ask(wire, timeout=timeout_ms / MS_PER_S)
+            decoded = m.decode_answer(answer.answer)
+        except grpc.aio.AioRpcError as exc:
+            await self._drop(host)
+            self._log.info(events.ASK_FAILED, host=host, code=exc.code().name, kind=_name(ask))
+            return m.Uncertain(exc.code().name)
+        except msgspec.DecodeError as exc:
+            self._log.warning(events.ANSWER_UNREADABLE, host=host, detail=str(exc))
+            return m.Uncertain("unreadable")
+        self._learn(decoded.hosts)
+        return decoded.reply
+
+    def _learn(self, hosts: tuple[str, ...]) -> None:
+        """Prefer what a host of the cell says to what the settings said at the start."""
+        for host in hosts:
+            if host not in self._hosts:
+                self._hosts.insert(0, host)
+
+    def _channel(self, host: str) -> grpc.aio.Channel:
+        channel = self._channels.get(host)
+        if channel is None:
+            address = f"{host}:{self._port}"
+            channel = grpc.aio.insecure_channel(address, options=list(CHANNEL_OPTIONS))
+            self._channels[host] = channel
+        return channel
+
+    async def _drop(self, host: str) -> None:
+        channel = self._channels.pop(host, None)
+        if channel is not None:
+            await channel.close(grace=None)
+
+
+def _name(ask: m.Ask) -> str:
+    return type(ask).__name__
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
@@ -0,0 +1,137 @@
+"""What callers and operators ask of the leader."""
+
+from collections.abc import Callable
+
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell import events
+from agateferry_jobs.cell.proposing import Proposer, reply_for
+from agateferry_jobs.ledger import Job, Ledger
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.manifest import Manifest, Queue
+
+NO_MANIFEST_RETRY_MS = 1_000
+"""When to come back where no manifest was given yet; operators resend theirs about as often."""
+
+
+class Callers:
+    """Answer for jobs, queues and the manifest."""
+
+    def __init__(
+        self, ledger: Ledger, proposer: Proposer, clock: Clock, on_change: Callable[[], None]
+    ) -> None:
+        self._ledger = ledger
+        self._proposer = proposer
+        self._clock = clock
+        self._on_change = on_change
+        self._log = EventLogger()
+
+    async def submit(self, ask: m.Submit, now_ms: int) -> m.Reply:
+        """Store a job, once, whatever number of times it is handed in."""
+        found = self._admit(ask.place)
+        if not isinstance(found, tuple):
+            return found
+        queue, team = found
+        id = _id_in(ask.place.path, queue)
+        if not id or ask.job is None:
+            return m.Invalid(ask.flaw or "no id in the path")
+        known = self._ledger.jobs.get(id)
+        if known is not None:
+            return m.Done() if known.queue == queue.name else m.Invalid("id used in another queue")
+        command = c.AcceptJob(
+            id, queue.name, queue.service, team, queue.priority, queue.attempts, now_ms, ask.job
+        )
+        outcome = await self._proposer.propose(command)
+        if outcome.is_error():
+            return reply_for(outcome.error)
+        self._log.info(
+            events.JOB_ACCEPTED, job=id, queue=queue.name, team=team, steps=_shape(ask)
+        )
+        self._on_change()
+        return m.Done()
+
+    def look(self, ask: m.Look) -> m.Reply:
+        """Tell how far a job got, or how many jobs of a queue wait."""
+        found = self._admit(ask.place)
+        if not isinstance(found, tuple):
+            return found
+        queue, _ = found
+        id = _id_in(ask.place.path, queue)
+        if not id:
+            return m.Counted(self._waiting_in(queue))
+        job = self._job(id, queue)
+        return m.Shown(job.state) if job is not None else m.NoJob()
+
+    async def cancel(self, ask: m.Cancel, now_ms: int) -> m.Reply:
+        """Cancel a job; one that is over stays as it is."""
+        found = self._admit(ask.place)
+        if not isinstance(found, tuple):
+            return found
+        queue, _ = found
+        job = self._job(_id_in(ask.place.path, queue), queue)
+        if job is None:
+            return m.NoJob()
+        if not job.is_over:
+            outcome = await self._proposer.propose(c.CancelJob(job.id, now_ms))
+            if outcome.is_error():
+                return reply_for(outcome.error)
+            self._log.info(events.JOB_CANCELLED, job=job.id, had_started=job.has_started)
+            self._on_change()
+        return m.Done()
+
+    async def install(self, manifest: Manifest) -> m.Reply:
+        """Bring a manifest in force; one that is not newer is acknowledged and changes nothing."""
+        current = self._ledger.manifest
+        if current is not None and manifest.version <= current.version:
+            return m.Done()
+        outcome = await self._proposer.propose(c.PutManifest(manifest))
+        if outcome.is_error():
+            return reply_for(outcome.error)
+        self._log.info(events.MANIFEST_IN_FORCE, version=manifest.version)
+        self._on_change()
+        return m.Done()
+
+    def read_manifest(self) -> m.Reply:
+        """Return the newest manifest."""
+        manifest = self._ledger.manifest
+        if manifest is None:
+            return m.Refused("no manifest yet", NO_MANIFEST_RETRY_MS)
+        return m.ManifestRead(manifest.source)
+
+    def _admit(self, place: m.Place) -> tuple[Queue, str] | m.Reply:
+        """Return the queue and the team's name, or why the call is not taken."""
+        manifest = self._ledger.manifest
+        if manifest is None:
+            return m.Refused("no manifest yet", NO_MANIFEST_RETRY_MS)
+        queue = manifest.queue_for(place.host, place.path)
+        if queue is None:
+            return m.NoQueue()
+        team = manifest.team_of(place.key)
+        if team is None and not queue.is_public:
+            return m.BadKey()
+        return queue, team.name if team is not None else ""
+
+    def _job(self, id: str, queue: Queue) -> Job | None:
+        job = self._ledger.jobs.get(id)
+        return job if job is not None and job.queue == queue.name else None
+
+    def _waiting_in(self, queue: Queue) -> int:
+        return sum(
+            1
+            for job in self._ledger.jobs.values()
+            if job.queue == queue.name and not job.has_started and not job.is_over
+        )
+
+
+def _id_in(path: str, queue: Queue) -> str:
+    return path[len(queue.prefix) :]
+
+
+def _shape(ask: m.Submit) -> list[str]:
+    steps = ask.job.steps if ask.job is not None else ()
+    return [
+        f"{s.count}x{s.need.cpu}c{s.need.mem_mb}m{s.need.gpu}g{'G' if s.is_gang else ''}"
+        f"{'R' if s.same_rack else ''}{s.required_label}@{s.data_rack}~{s.estimated_ms}"
+        for s in steps
+    ]
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -0,0 +1,244 @@
+"""What the leader does: it answers calls, plans, orders and takes in how runs end."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from expression import Result
+
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell import events
+from agateferry_jobs.cell.callers import Callers
+from agateferry_jobs.cell.doubts import Doubts
+from agateferry_jobs.cell.proposing import Proposer
+from agateferry_jobs.cell.roster import Roster
+from agateferry_jobs.ledger import Ledger, Run
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.planning import Fleet, Planner
+from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.workers.session import Phase, PortFactory, Tracked
+from agateferry_state.replica.protocols import Replica
+
+MS_PER_S = 1000
+TICK_MS = 250
+"""How often what depends on time alone is looked at."""
+HUNG_MS = 4_000
+"""A run whose progress stood still for this long is taken for hung; a slow one moves in less."""
+
+
+class Leader:
+    """Run the cell while this host leads it."""
+
+    def __init__(
+        self, replica: Replica, ledger: Ledger, clock: Clock, make_port: PortFactory, lease_ms: int
+    ) -> None:
+        self._replica = replica
+        self._ledger = ledger
+        self._clock = clock
+        self._log = EventLogger()
+        self._proposer = Proposer(replica)
+        self._doubts = Doubts()
+        self._roster = Roster(
+            ledger, clock, make_port, lease_ms, self, self._proposer
+        )
+        self._callers = Callers(ledger, self._proposer, clock, self.on_change)
+        self._wall_offset_ms = 0
+        self._tokens = 0
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._ticker: asyncio.Task[None] | None = None
+        self._is_planning = False
+        self._is_plan_due = False
+        replica.on_leadership(self._on_leadership)
+
+    @property
+    def now_ms(self) -> int:
+        """Return the time of day in ms, by an offset that stays the same while this host leads."""
+        return self._clock.now_ms() + self._wall_offset_ms
+
+    async def handle(self, ask: m.Ask) -> m.Reply:
+        """Answer one call; nothing is answered on knowledge that may be out of date."""
+        if not self._replica.is_leader:
+            return m.NotLeader(self._replica.leader)
+        reply = await self._answer(ask)
+        if not self._replica.is_leader and not isinstance(reply, m.Uncertain):
+            return m.Uncertain("leadership lapsed before the answer")
+        return reply
+
+    async def close(self) -> None:
+        """Stop leading."""
+        self._stop()
+        await self._roster.clear()
+
+    async def _answer(self, ask: m.Ask) -> m.Reply:
+        match ask:
+            case m.Submit():
+                return await self._callers.submit(ask, self.now_ms)
+            case m.Look():
+                return self._callers.look(ask)
+            case m.Cancel():
+                return await self._callers.cancel(ask, self.now_ms)
+            case m.Beat():
+                return await self._roster.on_beat(ask)
+            case m.Leave(worker):
+                return await self._roster.on_leave(worker)
+            case m.Install(manifest):
+                return await self._callers.install(manifest)
+            case m.ReadManifest():
+                return self._callers.read_manifest()
+            case m.Ping():
+                return m.Done()
+
+    def next_token(self) -> int:
+        """Return a fencing token above all that this or an earlier leader gave out."""
+        self._tokens += 1
+        return (self._replica.term << 20) + self._tokens
+
+    def may_order(self) -> bool:
+        """Tell whether orders may go out now."""
+        return self._replica.is_leader
+
+    async def store_ends(self, ends: tuple[c.RunEnded, ...]) -> bool:
+        """Store how runs ended and plan anew."""
+        outcome = await self._proposer.propose(c.EndRuns(ends, self.now_ms))
+        if outcome.is_error():
+            return False
+        for end in outcome.ok:
+            self._note_end(end)
+        self.on_change()
+        return True
+
+    def on_change(self) -> None:
+        """Plan soon."""
+        self._is_plan_due = True
+        if not self._is_planning and self._ticker is not None:
+            self._is_planning = True
+            self._spawn(self._plan_all())
+
+    def _on_leadership(self, leads: bool, term: int) -> None:
+        if not leads:
+            self._log.info(events.NOT_LEADING, term=term)
+            self._stop()
+            self._spawn(self._roster.clear())
+            return
+        self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
+        self._tokens = 0
+        self._wall_offset_ms = self._clock.wall_ms() - self._clock.now_ms()
+        self._roster.fill()
+        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+        self.on_change()
+
+    def _stop(self) -> None:
+        if self._ticker is not None:
+            self._ticker.cancel()
+            self._ticker = None
+
+    def _spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(coro)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error(events.TASK_FAILED, detail=repr(task.exception()))
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_MS / MS_PER_S)
+            if not self._replica.is_leader:
+                continue
+            await self._roster.settle_lapsed()
+            self._stop_hung()
+            self.on_change()
+
+    async def _plan_all(self) -> None:
+        try:
+            while self._is_plan_due and self._replica.is_leader:
+                self._is_plan_due = False
+                await self._plan_once()
+        finally:
+            self._is_planning = False
+
+    async def _plan_once(self) -> None:
+        self._stop_unwanted()
+        fleet = Fleet.of(
+            self._ledger, self._roster.health(self._is_suspect), self._roster.stopping()
+        )
+        plan = Planner(self._ledger, fleet, self.now_ms).plan()
+        for key, run in plan.stops:
+            self._stop_run(key, run, "room for urgent work")
+        if not plan.starts:
+            return
+        outcome: Result[Any, Any] = await self._proposer.propose(c.StartRuns(tuple(plan.starts)))
+        if outcome.is_error() or not self._replica.is_leader:
+            return
+        for start in outcome.ok:
+            self._log.info(
+                events.RUN_STARTED,
+                job=start.job,
+                subtask=start.subtask,
+                run=start.run.number,
+                worker=start.run.worker,
+            )
+            job = self._ledger.jobs.get(start.job)
+            self._roster.start(start, job.spec.payload if job is not None else "")
+
+    def _stop_unwanted(self) -> None:
+        """Stop what runs for jobs that are over or subtasks that are done."""
+        for job in self._ledger.jobs.values():
+            if not job.is_over:
+                continue
+            for name, subtask in job.subtasks.items():
+                if subtask.active is not None and not subtask.is_done:
+                    self._stop_run((job.id, name), subtask.active, "job is over")
+
+    def _stop_hung(self) -> None:
+        now_ms = self._clock.now_ms()
+        for session in self._roster.sessions.values():
+            for key, tracked in list(session.runs.items()):
+                if not _is_hung(tracked, now_ms) or self._lasts(key):
+                    continue
+                run = tracked.run
+                if self._doubts.note_failed(run.worker, run.born, key[0], now_ms, weight=2):
+                    self._log.warning(events.WORKER_SUSPECT, worker=run.worker, reason="hung run")
+                self._stop_run(key, run, "no progress")
+
+    def _lasts(self, key: RunKey) -> bool:
+        job = self._ledger.jobs.get(key[0])
+        return job is None or job.step_of(key[1]).lasts
+
+    def _stop_run(self, key: RunKey, run: Run, reason: str) -> None:
+        if self._roster.stop(key, run):
+            self._log.info(
+                events.RUN_STOPPING, job=key[0], subtask=key[1], run=run.number, reason=reason
+            )
+
+    def _is_suspect(self, worker: str, born: int) -> bool:
+        return self._doubts.is_suspect(worker, born, self._clock.now_ms())
+
+    def _note_end(self, end: c.RunEnded) -> None:
+        run = end.run
+        self._log.info(
+            events.RUN_ENDED,
+            job=end.job,
+            subtask=end.subtask,
+            run=run.number,
+            worker=run.worker,
+            how=end.how,
+        )
+        if end.how is c.RunEnd.DONE:
+            self._doubts.note_done(run.worker, run.born)
+        elif end.how is c.RunEnd.FAILED:
+            now_ms = self._clock.now_ms()
+            if self._doubts.note_failed(run.worker, run.born, end.job, now_ms):
+                self._log.warning(events.WORKER_SUSPECT, worker=run.worker, reason="failed runs")
+        job = self._ledger.jobs.get(end.job)
+        if job is not None and job.is_over:
+            self._log.info(events.JOB_ENDED, job=job.id, state=job.state)
+
+
+def _is_hung(tracked: Tracked, now_ms: int) -> bool:
+    is_at_work = tracked.phase is Phase.CONFIRMED and not tracked.is_stopping
+    return is_at_work and tracked.percent < 100 and now_ms - tracked.moved_ms > HUNG_MS
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/proposing.py
@@ -0,0 +1,40 @@
+"""Putting commands into the replicated log."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from agateferry_core.logs import EventLogger
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell import events
+from agateferry_jobs.ledger import commands as c
+from agateferry_state.replica.protocols import ProposeError, ProposeErrorKind, Replica
+
+
+class Proposer:
+    """Propose commands and log those that have no outcome."""
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+        self._log = EventLogger()
+
+    async def propose(self, command: c.Command) -> Result[Any, ProposeError]:
+        """Return the outcome of a command once it is stored and applied here."""
+        match await self._replica.propose(c.encode(command)):
+            case Result(tag="ok", ok=applied):
+                return Ok(applied.outcome)
+            case Result(error=error):
+                self._log.warning(
+                    events.PROPOSAL_FAILED,
+                    command=type(command).__name__,
+                    kind=error.kind,
+                    detail=error.detail,
+                )
+                return Error(error)
+
+
+def reply_for(error: ProposeError) -> m.Reply:
+    """Return what is told to the one who asked for a command without an outcome."""
+    if error.kind is ProposeErrorKind.UNKNOWN:
+        return m.Uncertain(error.detail or error.kind)
+    return m.NotLeader(error.leader)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
@@ -0,0 +1,229 @@
+"""The workers that the leader knows, and one session for the life of each."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell import events
+from agateferry_jobs.cell.proposing import Proposer, reply_for
+from agateferry_jobs.ledger import Ledger, Run, WorkerLife, WorkerState
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.planning import WorkerHealth
+from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.workers.lease import Lease, longest_local_ms
+from agateferry_jobs.workers.session import PortFactory, SessionListener, WorkerSession
+
+
+class RosterOwner(Protocol):
+    """What the roster asks of the leader."""
+
+    def next_token(self) -> int:
+        """Return a fencing token above all before."""
+
+    def may_order(self) -> bool:
+        """Tell whether orders may go out now."""
+
+    async def store_ends(self, ends: tuple[c.RunEnded, ...]) -> bool:
+        """Store ends."""
+
+    def on_change(self) -> None:
+        """Plan soon."""
+
+    def _spawn(self, coro: object) -> None:
+        """Run a task that is watched."""
+
+
+class Roster(SessionListener):
+    """Open a session for each life that the ledger holds, and close it when the life is over."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        clock: Clock,
+        make_port: PortFactory,
+        lease_ms: int,
+        owner: RosterOwner,
+        proposer: Proposer,
+    ) -> None:
+        self.sessions: dict[str, WorkerSession] = {}
+        self._ledger = ledger
+        self._clock = clock
+        self._make_port = make_port
+        self._lease_ms = lease_ms
+        self._owner = owner
+        self._proposer = proposer
+        self._sequences: dict[tuple[str, int], int] = {}
+        self._log = EventLogger()
+
+    def fill(self) -> None:
+        """Open the sessions of all lives in the ledger and adopt what may run there."""
+        unknown_until_ms = self._clock.now_ms() + longest_local_ms(self._lease_ms)
+        for life in self._ledger.workers.values():
+            self._open(life, unknown_until_ms)
+        for job in self._ledger.jobs.values():
+            for name, subtask in job.subtasks.items():
+                if subtask.active is not None:
+                    self._adopt((job.id, name), subtask.active)
+
+    async def clear(self) -> None:
+        """Close all sessions."""
+        sessions, self.sessions = self.sessions, {}
+        for session in sessions.values():
+            await session.close()
+
+    async def on_beat(self, beat: m.Beat) -> m.Reply:
+        """Take in what a worker says of itself; an answer says that it is stored."""
+        life = beat.worker
+        key = (life.id, life.born)
+        if beat.sequence < self._sequences.get(key, -1):
+            return m.Done()
+        known = self._ledger.workers.get(life.id)
+        if known != life and not self._is_outdated(life):
+            outcome = await self._proposer.propose(c.NoteWorker(life))
+            if outcome.is_error():
+                return reply_for(outcome.error)
+            if outcome.ok:
+                self._log.info(
+                    events.WORKER_NOTED, worker=life.id, born=life.born, state=life.state
+                )
+                await self._renew(life)
+        self._sequences[key] = beat.sequence
+        session = self.sessions.get(life.id)
+        if session is not None and session.life.born == life.born:
+            session.note_beat()
+        return m.Done()
+
+    async def on_leave(self, worker: str) -> m.Reply:
+        """Take in that a worker ends; what ran there is over."""
+        life = self._ledger.workers.get(worker)
+        if life is not None and not await self._remove(life):
+            return m.Uncertain("not stored")
+        return m.Done()
+
+    def start(self, start: c.RunStart, payload: str) -> None:
+        """Order a run whose intent is stored."""
+        session = self.sessions.get(start.run.worker)
+        if session is not None and session.life.born == start.run.born:
+            session.start(start, payload)
+        else:
+            self._owner._spawn(self._lose((_lost((start.job, start.subtask), start.run),)))
+
+    def stop(self, key: RunKey, run: Run) -> bool:
+        """Have a run stopped; tell whether that is news."""
+        session = self.sessions.get(run.worker)
+        tracked = session.runs.get(key) if session is not None else None
+        if session is None or tracked is None or tracked.run != run or tracked.is_stopping:
+            return False
+        session.stop_run(key)
+        return True
+
+    def stopping(self) -> set[RunKey]:
+        """Return the runs that are being stopped."""
+        return {
+            key
+            for session in self.sessions.values()
+            for key, tracked in session.runs.items()
+            if tracked.is_stopping
+        }
+
+    def health(self, is_suspect: Callable[[str, int], bool]) -> dict[str, WorkerHealth]:
+        """Return what the planner needs to know of each worker."""
+        return {
+            id: session.health(is_suspect(id, session.life.born))
+            for id, session in self.sessions.items()
+        }
+
+    async def settle_lapsed(self) -> None:
+        """Conclude the runs of workers that cannot be reached and whose lease is over."""
+        for session in list(self.sessions.values()):
+            is_silent = not session.health(False).answers
+            if session.runs and is_silent and session.is_lease_over():
+                await self._lose(session.lose_all())
+
+    def next_token(self) -> int:
+        """Return a fencing token above all before."""
+        return self._owner.next_token()
+
+    def may_order(self) -> bool:
+        """Tell whether orders may go out now."""
+        return self._owner.may_order()
+
+    async def store_ends(self, ends: tuple[c.RunEnded, ...]) -> bool:
+        """Store ends."""
+        return await self._owner.store_ends(ends)
+
+    def on_change(self) -> None:
+        """Plan soon."""
+        self._owner.on_change()
+
+    def on_other_life(self, life: WorkerLife) -> None:
+        """Conclude the runs of a life that is over; its successor makes itself known."""
+        self._owner._spawn(self._remove(life))
+
+    def _is_outdated(self, life: WorkerLife) -> bool:
+        """Tell whether a younger life is known at the same address."""
+        return any(
+            other.address == life.address and other.born > life.born
+            for other in self._ledger.workers.values()
+        )
+
+    async def _renew(self, life: WorkerLife) -> None:
+        """Open a session for a new life and conclude the lives that it follows."""
+        session = self.sessions.get(life.id)
+        if session is not None and session.life.born == life.born:
+            session.life = life
+            self.on_change()
+            return
+        if session is not None:
+            await self._close(session)
+        for other in list(self._ledger.workers.values()):
+            if other.address == life.address and other.born < life.born:
+                await self._remove(other)
+        self._open(life, unknown_until_ms=0)
+
+    async def _remove(self, life: WorkerLife) -> bool:
+        gone = WorkerLife(
+            life.id, life.born, life.service, life.address, life.zone, life.capacity,
+            state=WorkerState.GONE,
+        )  # fmt: skip
+        outcome = await self._proposer.propose(c.NoteWorker(gone))
+        if outcome.is_error():
+            return False
+        self._log.info(events.WORKER_GONE, worker=life.id, born=life.born)
+        session = self.sessions.get(life.id)
+        if session is not None and session.life.born == life.born:
+            await self._close(session)
+        return True
+
+    async def _close(self, session: WorkerSession) -> None:
+        ends = session.lose_all()
+        self.sessions.pop(session.life.id, None)
+        await session.close()
+        await self._lose(ends)
+
+    async def _lose(self, ends: tuple[c.RunEnded, ...]) -> None:
+        if not ends or not await self._owner.store_ends(ends):
+            return
+        for end in ends:
+            session = self.sessions.get(end.run.worker)
+            if session is not None:
+                session.forget((end.job, end.subtask), end.run)
+
+    def _open(self, life: WorkerLife, unknown_until_ms: int) -> None:
+        lease = Lease(self._lease_ms, unknown_until_ms)
+        self.sessions[life.id] = WorkerSession(
+            life, self._make_port(life), self, self._clock, lease
+        )
+
+    def _adopt(self, key: RunKey, run: Run) -> None:
+        session = self.sessions.get(run.worker)
+        if session is not None and session.life.born == run.born:
+            session.adopt(key, run)
+        else:
+            self._owner._spawn(self._lose((_lost(key, run),)))
+
+
+def _lost(key: RunKey, run: Run) -> c.RunEnded:
+    return c.RunEnded(key[0], key[1], run, c.RunEnd.LOST)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -0,0 +1,111 @@
+"""A host of the cell: its share of the replicated log, and the leader's work when it leads."""
+
+import random
+
+import grpc
+
+from agateferry_core.clock import Clock
+from agateferry_core.logs import EventLogger
+from agateferry_jobs.calls import LeaderClient
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell.leader import Leader
+from agateferry_jobs.cell.servicer import LeaderServicer
+from agateferry_jobs.ledger import Ledger
+from agateferry_jobs.rpc import leader_pb2_grpc as rpc
+from agateferry_jobs.settings import HostSettings
+from agateferry_jobs.workers.session import PortFactory
+from agateferry_state.replica.link import server_options
+from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
+from agateferry_state.replica.transport import GrpcTransport
+from agateferry_state.replication import Settings
+
+GROUP = "cell"
+LEASE_MS = 8_000
+"""How long a worker runs on unseen: longer than a cut of 6 s, so that its work outlives one."""
+DISCOVERY_TRY_MS = 1_000
+"""How long a host that joins a running cell asks one round of its seeds for the others."""
+RPC_GRACE_S = 1.0
+"""How long calls in flight may take once the host has handed its leadership on."""
+
+
+class CellHost:
+    """Start and stop the parts of a host of the cell."""
+
+    def __init__(self, cfg: HostSettings, clock: Clock, make_port: PortFactory) -> None:
+        self.cfg = cfg
+        self.ledger = Ledger()
+        self.client = LeaderClient(clock, cfg.internal_port)
+        self.client.add_hosts(cfg.seeds)
+        self._clock = clock
+        self._rng = random.Random()
+        self._make_port = make_port
+        self._log = EventLogger(node=cfg.node)
+        self._transport = GrpcTransport({}, self._rng, clock=clock)
+        self._server: grpc.aio.Server | None = None
+        self._replica: NodeReplica | None = None
+        self._leader: Leader | None = None
+
+    async def start(self) -> None:
+        """Join the cell, or form it where this is the first start of all."""
+        replica = self._make_replica(await self._find_hosts())
+        self._replica = replica
+        lease_ms = min(LEASE_MS, self.cfg.bounds.max_lease_ms)
+        self._leader = Leader(replica, self.ledger, self._clock, self._make_port, lease_ms)
+        server = grpc.aio.server(options=server_options())
+        self._transport.add_to(server)
+        rpc.add_LeaderServicer_to_server(LeaderServicer(self.answer), server)
+        server.add_insecure_port(self.cfg.internal_address)
+        self._server = server
+        await server.start()
+        self._transport.open_datagrams(self.cfg.internal_address)
+        await replica.start()
+
+    async def stop(self) -> None:
+        """Hand leadership on and give up the network and the disk."""
+        if self._replica is not None:
+            await self._replica.stop()
+        if self._leader is not None:
+            await self._leader.close()
+        if self._server is not None:
+            await self._server.stop(RPC_GRACE_S)
+        await self._transport.close()
+        await self.client.close()
+
+    async def answer(self, ask: m.Ask) -> m.Answer:
+        """Answer a question of another host."""
+        if self._leader is None or self._replica is None:
+            return m.Answer(m.NotLeader())
+        reply = await self._leader.handle(ask)
+        hosts = tuple(member.id.host for member in self._replica.members.voters)
+        return m.Answer(reply, hosts)
+
+    async def ask(self, ask: m.Ask, within_ms: int) -> m.Reply:
+        """Answer here where this host leads, else ask the host that does."""
+        answer = await self.answer(ask)
+        if not isinstance(answer.reply, m.NotLeader):
+            return answer.reply
+        self.client.add_hosts(answer.hosts)
+        return await self.client.ask(ask, within_ms)
+
+    @property
+    def leader_host(self) -> str | None:
+        """Return the host that leads, as far as this one knows."""
+        return self._replica.leader if self._replica is not None else None
+
+    async def _find_hosts(self) -> tuple[str, ...]:
+        """Return the hosts to greet: the seeds, and for a late comer those that they know."""
+        if self.cfg.may_bootstrap:
+            return self.cfg.seeds
+        await self.client.ask(m.Ping(), DISCOVERY_TRY_MS)
+        return self.client.hosts
+
+    def _make_replica(self, hosts: tuple[str, ...]) -> NodeReplica:
+        port = self.cfg.internal_port
+        peers = tuple(Peer(host, f"{host}:{port}") for host in hosts)
+        settings = Settings(may_bootstrap=self.cfg.may_bootstrap, replaces_hosts=True)
+        cfg = NodeConfig(
+            GROUP, self.cfg.ip, peers, self.cfg.folder, settings, self.cfg.internal_address
+        )
+        return NodeReplica(cfg, self.ledger, self._transport, self._clock, self._rng)
+
+
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -0,0 +1,228 @@
+"""The replicated ledger: a deterministic function of its commands.
+
+Every decision that callers or workers may see is stored here first. A start that contradicts what
+the ledger holds (a cancelled job, a subtask that already runs) is left out when it is applied, and
+only the starts that were taken come back as the outcome.
+"""
+
+from typing import Any
+
+import msgspec
+from msgspec import Struct, field
+
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.specs import JobSpec
+from agateferry_jobs.ledger.state import (
+    Gang,
+    Job,
+    Subtask,
+    WorkerLife,
+    WorkerState,
+    gang_of,
+)
+from agateferry_jobs.manifest import Manifest
+
+RETAIN_MS = 300_000
+"""How long the state of a job that ended can be asked for; over twice the platform's longest."""
+
+
+class State(Struct):
+    """All that the ledger holds."""
+
+    manifest: Manifest | None = None
+    jobs: dict[str, Job] = field(default_factory=dict)
+    workers: dict[str, WorkerLife] = field(default_factory=dict)
+    gone: dict[str, int] = field(default_factory=dict)
+    """For each worker that left, the start of its last life; late words of that life are dropped."""
+
+
+class Ledger:
+    """Apply commands to jobs and workers; also the state machine of the replicated log."""
+
+    def __init__(self) -> None:
+        self.state = State()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(State)
+
+    @property
+    def manifest(self) -> Manifest | None:
+        """Return the manifest in force."""
+        return self.state.manifest
+
+    @property
+    def jobs(self) -> dict[str, Job]:
+        """Return the jobs by id."""
+        return self.state.jobs
+
+    @property
+    def workers(self) -> dict[str, WorkerLife]:
+        """Return the newest life of each worker by id."""
+        return self.state.workers
+
+    def apply(self, index: int, command: bytes) -> Any:
+        """Apply one command and return its outcome."""
+        match c.decode(command):
+            case c.PutManifest(manifest):
+                return self._put_manifest(manifest)
+            case c.AcceptJob() as accepted:
+                return self._accept(accepted)
+            case c.CancelJob(id, at_ms):
+                return self._cancel(id, at_ms)
+            case c.NoteWorker(worker):
+                return self._note_worker(worker)
+            case c.StartRuns(starts):
+                return tuple(start for start in starts if self._start(start))
+            case c.EndRuns(ends, at_ms):
+                return tuple(end for end in ends if self._end(end, at_ms))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state."""
+        return self._encoder.encode(self.state)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot."""
+        self.state = self._decoder.decode(data)
+
+    def _put_manifest(self, manifest: Manifest) -> bool:
+        current = self.state.manifest
+        if current is not None and manifest.version <= current.version:
+            return False
+        self.state.manifest = manifest
+        return True
+
+    def _accept(self, command: c.AcceptJob) -> bool:
+        if command.id in self.jobs:
+            return False
+        self._forget_old(command.at_ms)
+        job = Job(
+            id=command.id,
+            queue=command.queue,
+            service=command.service,
+            team=command.team,
+            priority=command.priority,
+            attempts=command.attempts,
+            accepted_ms=command.at_ms,
+            spec=command.spec,
+        )
+        job.subtasks = {name: Subtask() for name in _subtask_names(command.spec)}
+        self.jobs[job.id] = job
+        return True
+
+    def _forget_old(self, now_ms: int) -> None:
+        for job in list(self.jobs.values()):
+            if job.is_over and not job.subtasks and now_ms - job.ended_ms > RETAIN_MS:
+                del self.jobs[job.id]
+
+    def _cancel(self, id: str, at_ms: int) -> bool:
+        job = self.jobs.get(id)
+        if job is None:
+            return False
+        if not job.is_over:
+            job.is_cancelled = True
+            job.ended_ms = at_ms
+            _drop_idle(job)
+        return True
+
+    def _note_worker(self, worker: WorkerLife) -> bool:
+        known = self.workers.get(worker.id)
+        if known is not None and worker.born < known.born:
+            return False
+        if worker.born <= self.state.gone.get(worker.id, -1):
+            return False
+        if worker.state is WorkerState.GONE:
+            self.workers.pop(worker.id, None)
+            self.state.gone[worker.id] = worker.born
+            return known is not None
+        if known is not None and known.born == worker.born:
+            if known.state is WorkerState.DRAINING and worker.state is WorkerState.READY:
+                return False
+        self.workers[worker.id] = worker
+        return True
+
+    def _start(self, start: c.RunStart) -> bool:
+        job = self.jobs.get(start.job)
+        if job is None or job.is_over:
+            return False
+        subtask = job.subtasks.get(start.subtask)
+        if subtask is None or subtask.is_done or subtask.active is not None:
+            return False
+        if start.run.number <= subtask.last_run:
+            return False
+        subtask.last_run = start.run.number
+        subtask.active = start.run
+        gang = job.gangs.setdefault(gang_of(start.subtask), Gang())
+        gang.last_run = max(gang.last_run, start.run.number)
+        job.has_started = True
+        return True
+
+    def _end(self, end: c.RunEnded, at_ms: int) -> bool:
+        job = self.jobs.get(end.job)
+        subtask = job.subtasks.get(end.subtask) if job is not None else None
+        if job is None or subtask is None:
+            return False
+        was_active = subtask.active == end.run
+        if was_active:
+            subtask.active = None
+        if end.checkpoint and end.run.number == subtask.last_run:
+            subtask.checkpoint = end.checkpoint
+        self._count(job, subtask, end, was_active)
+        _settle(job, at_ms)
+        if job.is_over:
+            _drop_idle(job)
+        return was_active or end.how is c.RunEnd.DONE
+
+    def _count(self, job: Job, subtask: Subtask, end: c.RunEnded, was_active: bool) -> None:
+        step = job.step_of(end.subtask)
+        if end.how is c.RunEnd.DONE and not step.lasts:
+            _mark_done(job, end)
+        if end.how is c.RunEnd.FAILED and was_active:
+            subtask.failures += 1
+            gang = job.gangs[gang_of(end.subtask)]
+            if end.run.number > gang.failed_run:
+                gang.failed_run = end.run.number
+                gang.failures += 1
+
+
+def _mark_done(job: Job, end: c.RunEnded) -> None:
+    """Note a subtask as done; one member's end stands for its whole gang."""
+    names = [end.subtask]
+    if job.step_of(end.subtask).is_gang:
+        names = job.members(gang_of(end.subtask))
+    for name in names:
+        if name in job.subtasks:
+            job.subtasks[name].is_done = True
+
+
+def _settle(job: Job, at_ms: int) -> None:
+    """Work out whether the job completed or failed."""
+    if job.is_over:
+        return
+    if all(subtask.is_done for subtask in job.subtasks.values()):
+        job.is_completed = True
+        job.ended_ms = at_ms
+        return
+    for name, subtask in job.subtasks.items():
+        step = job.step_of(name)
+        if subtask.is_done or step.lasts:
+            continue
+        failures = subtask.failures
+        if step.is_gang and subtask.last_run:
+            failures = job.gangs[gang_of(name)].failures
+        if failures >= job.attempts:
+            job.is_failed = True
+            job.ended_ms = at_ms
+            return
+
+
+def _drop_idle(job: Job) -> None:
+    """Keep only the subtasks that still hold a worker."""
+    job.subtasks = {name: s for name, s in job.subtasks.items() if s.active is not None}
+
+
+def _subtask_names(spec: JobSpec) -> list[str]:
+    return [
+        f"{occurrence}.{step}.{index}"
+        for occurrence in range(spec.occurrences)
+        for step, each in enumerate(spec.steps)
+        for index in range(each.count)
+    ]
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -0,0 +1,125 @@
+"""The records that the ledger keeps; all of it goes into its snapshots."""
+
+from enum import StrEnum
+
+from msgspec import Struct, field
+
+from agateferry_jobs.ledger.specs import Amount, JobSpec, StepSpec
+
+
+class JobState(StrEnum):
+    """How far a job got, as its callers see it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class WorkerState(StrEnum):
+    """Whether a worker takes work."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class WorkerLife(Struct):
+    """One life of a worker: `born` differs where it starts again under the same id."""
+
+    id: str
+    born: int
+    service: str
+    address: str
+    zone: str
+    capacity: Amount
+    labels: tuple[str, ...] = ()
+    slots: int = 0
+    machine: str = ""
+    state: WorkerState = WorkerState.READY
+
+    @property
+    def rack(self) -> str:
+        """Return the rack, which is the label after the worker's kind."""
+        return self.labels[1] if len(self.labels) > 1 else ""
+
+
+class Run(Struct, frozen=True):
+    """One start of a subtask on one life of a worker."""
+
+    number: int
+    worker: str
+    born: int
+
+
+class Subtask(Struct):
+    """One subtask: its newest run number, the run that holds a worker, and what it reached."""
+
+    last_run: int = 0
+    failures: int = 0
+    is_done: bool = False
+    checkpoint: str = ""
+    active: Run | None = None
+
+
+class Gang(Struct):
+    """What the members of a gang share; `failed_run` is the newest run that counted as failed."""
+
+    last_run: int = 0
+    failures: int = 0
+    failed_run: int = 0
+
+
+class Job(Struct):
+    """An accepted job. Subtasks are kept by name, `K.STEP.INDEX`; gangs by `K.STEP`."""
+
+    id: str
+    queue: str
+    service: str
+    team: str
+    priority: int
+    attempts: int
+    accepted_ms: int
+    spec: JobSpec
+    subtasks: dict[str, Subtask] = field(default_factory=dict)
+    gangs: dict[str, Gang] = field(default_factory=dict)
+    has_started: bool = False
+    is_cancelled: bool = False
+    is_failed: bool = False
+    is_completed: bool = False
+    ended_ms: int = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether nothing of this job may start any more."""
+        return self.is_cancelled or self.is_failed or self.is_completed
+
+    @property
+    def state(self) -> JobState:
+        """Return how far the job got."""
+        if self.is_completed:
+            return JobState.COMPLETED
+        if self.is_cancelled:
+            return JobState.CANCELLED
+        if self.is_failed:
+            return JobState.FAILED
+        return JobState.RUNNING if self.has_started else JobState.QUEUED
+
+    def step_of(self, name: str) -> StepSpec:
+        """Return the step that a subtask belongs to."""
+        return self.spec.steps[int(name.split(".")[1])]
+
+    def members(self, gang: str) -> list[str]:
+        """Return the names of the subtasks of one step of one occurrence."""
+        step = self.spec.steps[int(gang.split(".")[1])]
+        return [f"{gang}.{index}" for index in range(step.count)]
+
+    def is_step_done(self, occurrence: int, step: int) -> bool:
+        """Tell whether all subtasks of a step ended as done."""
+        return all(self.subtasks[name].is_done for name in self.members(f"{occurrence}.{step}"))
+
+
+def gang_of(name: str) -> str:
+    """Return `K.STEP` for a subtask's name `K.STEP.INDEX`."""
+    return name.rpartition(".")[0]
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
@@ -0,0 +1,146 @@
+"""Which workers a step's subtasks go to."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
+
+from agateferry_jobs.ledger.specs import Amount
+from agateferry_jobs.planning.fleet import Occupant, Seat
+
+if TYPE_CHECKING:
+    from agateferry_jobs.planning.planner import Wave
+
+FAR_PATIENCE = 2.0
+"""Work that is three times as slow away from its rack waits for it up to twice its own length."""
+GPU_CORES = 8
+"""What one accelerator counts for in cores when lost work is weighed, as the platform prices it."""
+CORE = 1000
+
+Room = list[tuple[Seat, list[Occupant]]]
+
+
+class Chooser:
+    """Choose among the workers of one service for the subtasks of one wave."""
+
+    def __init__(self, seats: Sequence[Seat], wave: Wave) -> None:
+        self._wave = wave
+        self._step = wave.step
+        self._seats = [s for s in seats if s.takes_work and s.can_hold(wave.step)]
+        self._is_patient = wave.waited_ms < FAR_PATIENCE * wave.step.estimated_ms
+
+    def single(self) -> Seat | None:
+        """Return the worker for one subtask, or None where it should wait."""
+        fitting = [s for s in self._seats if s.has_room(self._step) and self._is_below_limit(s)]
+        near = [s for s in fitting if self._is_near(s)]
+        if not near and self._is_patient and any(self._is_near(s) for s in self._seats):
+            return None
+        return min(near or fitting, key=self._cost, default=None)
+
+    def whole(self) -> tuple[Seat, ...] | None:
+        """Return a worker for each member of the gang, or None where it should wait."""
+        count = len(self._wave.names)
+        groups = self._groups()
+        found = [seats for group in groups if (seats := self._fill(group, count)) is not None]
+        if found:
+            return min(found, key=lambda seats: sum(self._cost(s)[1] for s in set_of(seats)))
+        is_rack_possible = any(self._could_ever_hold(group, count) for group in groups)
+        if self._step.same_rack and (not self._is_patient or not is_rack_possible):
+            return self._fill(self._seats, count)
+        return None
+
+    def room_for(self, count: int, priority: int) -> Room:
+        """Return workers that hold `count` more subtasks once the named runs have ended.
+
+        Returns nothing where no runs of a lower priority stand in the way of enough room.
+        """
+        best: tuple[float, Room] | None = None
+        for group in self._groups():
+            room = self._room_in(group, count, priority)
+            if room is None:
+                continue
+            loss = sum(_loss(victim) for _, victims in room for victim in victims)
+            if best is None or loss < best[0]:
+                best = (loss, room)
+        return best[1] if best is not None else []
+
+    def _groups(self) -> list[list[Seat]]:
+        """Return the sets of workers that one gang may use: the racks, or all."""
+        if not (self._step.same_rack and self._step.is_gang):
+            return [self._seats]
+        racks: dict[str, list[Seat]] = defaultdict(list)
+        for seat in self._seats:
+            racks[seat.life.rack].append(seat)
+        return list(racks.values())
+
+    def _fill(self, group: Sequence[Seat], count: int) -> tuple[Seat, ...] | None:
+        """Return a worker for each of `count` subtasks within a group, fullest workers first."""
+        chosen: list[Seat] = []
+        for seat in sorted(group, key=self._cost):
+            places = min(self._places(seat, seat.free), seat.free_slots)
+            chosen += [seat] * min(places, count - len(chosen))
+        return tuple(chosen) if len(chosen) == count else None
+
+    def _could_ever_hold(self, group: Sequence[Seat], count: int) -> bool:
+        return sum(min(self._places(s, s.life.capacity), s.life.slots) for s in group) >= count
+
+    def _places(self, seat: Seat, room: Amount) -> int:
+        """Return how many subtasks fit into `room` on a worker."""
+        need = self._step.need
+        pairs = ((room.cpu, need.cpu), (room.mem_mb, need.mem_mb), (room.gpu, need.gpu))
+        places = min((have // want for have, want in pairs if want > 0), default=seat.life.slots)
+        if self._step.max_per_worker:
+            there = seat.count_of(self._wave.job, self._wave.gang)
+            places = min(places, self._step.max_per_worker - there)
+        return max(0, places)
+
+    def _room_in(self, group: Sequence[Seat], count: int, priority: int) -> Room | None:
+        room: Room = []
+        for seat in group:
+            room += self._room_on(seat, priority)
+        room.sort(key=lambda each: sum(_loss(v) for v in each[1]))
+        return room[:count] if len(room) >= count else None
+
+    def _room_on(self, seat: Seat, priority: int) -> Room:
+        """Return one entry for each subtask that fits here, with the runs that it displaces."""
+        lower = [o for o in seat.occupants if o.job.priority > priority and not o.is_stopping]
+        lower.sort(key=lambda o: (-o.job.priority, _loss(o)))
+        future, room = seat.future, []
+        slots = seat.free_slots + sum(1 for o in seat.occupants if o.is_stopping)
+        victims: list[Occupant] = []
+        limit = self._places(seat, seat.life.capacity)
+        while len(room) < limit:
+            if slots > 0 and self._step.need.fits(future):
+                room.append((seat, victims))
+                future, slots, victims = future.minus(self._step.need), slots - 1, []
+            elif lower:
+                victim = lower.pop(0)
+                victims = [*victims, victim]
+                future, slots = future.plus(victim.need), slots + 1
+            else:
+                break
+        return room
+
+    def _is_below_limit(self, seat: Seat) -> bool:
+        limit = self._step.max_per_worker
+        return not limit or seat.count_of(self._wave.job, self._wave.gang) < limit
+
+    def _is_near(self, seat: Seat) -> bool:
+        return not self._step.data_rack or seat.life.rack == self._step.data_rack
+
+    def _cost(self, seat: Seat) -> tuple[bool, int, int]:
+        """Order workers: sound ones first, then those that are left with the least room."""
+        return (seat.health.is_suspect, seat.free.gpu, seat.free.cpu)
+
+
+def set_of(seats: Sequence[Seat]) -> list[Seat]:
+    """Return each worker once."""
+    return list({seat.life.id: seat for seat in seats}.values())
+
+
+def _loss(victim: Occupant) -> float:
+    """Return what is held by a run, and by its whole gang where it has one, in cores."""
+    step = victim.job.step_of(victim.subtask)
+    members = step.count if step.is_gang else 1
+    return members * (victim.need.gpu * GPU_CORES + victim.need.cpu / CORE)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -0,0 +1,137 @@
+"""The workers as the planner sees them: what is free now and what will be once stops end."""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from agateferry_jobs.ledger import Job, Ledger, Run, WorkerLife, WorkerState
+from agateferry_jobs.ledger.specs import Amount, StepSpec
+from agateferry_jobs.ledger.state import gang_of
+
+RunKey = tuple[str, str]
+"""A job's id and a subtask's name."""
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerHealth:
+    """What calls to a worker showed: whether it answers, and whether its runs come to an end."""
+
+    answers: bool = True
+    is_suspect: bool = False
+    strays: tuple[RunKey, ...] = ()
+    """Runs that the worker holds and the ledger does not count there; they take room too."""
+
+
+@dataclass(slots=True)
+class Occupant:
+    """A run that holds a part of a worker."""
+
+    job: Job
+    subtask: str
+    need: Amount
+    is_stopping: bool
+
+
+@dataclass(slots=True)
+class Seat:
+    """One worker: its life, what is free, and who holds the rest.
+
+    `free` is free now. `future` is free once everything that is being stopped has ended, less
+    what the planner has promised to jobs that wait for it.
+    """
+
+    life: WorkerLife
+    health: WorkerHealth
+    free: Amount
+    future: Amount
+    free_slots: int
+    occupants: list[Occupant] = field(default_factory=list)
+
+    @property
+    def takes_work(self) -> bool:
+        """Tell whether new runs may go to this worker."""
+        return self.life.state is WorkerState.READY and self.health.answers
+
+    def can_hold(self, step: StepSpec) -> bool:
+        """Tell whether a subtask may run here at all, as far as service labels and size go."""
+        if step.required_label and step.required_label not in self.life.labels:
+            return False
+        return step.need.fits(self.life.capacity)
+
+    def has_room(self, step: StepSpec) -> bool:
+        """Tell whether a subtask fits now."""
+        return self.free_slots > 0 and step.need.fits(self.free)
+
+    def count_of(self, job: Job, gang: str) -> int:
+        """Return how many subtasks of one step of one occurrence run here."""
+        return sum(1 for o in self.occupants if o.job is job and gang_of(o.subtask) == gang)
+
+    def take(self, job: Job, subtask: str, need: Amount) -> None:
+        """Count a run that is about to start."""
+        self.occupants.append(Occupant(job, subtask, need, is_stopping=False))
+        self.free = self.free.minus(need)
+        self.future = self.future.minus(need)
+        self.free_slots -= 1
+
+    def promise(self, need: Amount) -> None:
+        """Keep room for a job that waits, so that jobs after it do not take it."""
+        self.future = self.future.minus(need)
+        self.free = Amount(
+            min(self.free.cpu, self.future.cpu),
+            min(self.free.mem_mb, self.future.mem_mb),
+            min(self.free.gpu, self.future.gpu),
+        )
+
+
+class Fleet:
+    """All workers of all services at one moment."""
+
+    def __init__(self, seats: Iterable[Seat]) -> None:
+        self.by_service: dict[str, list[Seat]] = defaultdict(list)
+        for seat in seats:
+            self.by_service[seat.life.service].append(seat)
+
+    @classmethod
+    def of(
+        cls,
+        ledger: Ledger,
+        health: Mapping[str, WorkerHealth],
+        stopping: Collection[RunKey],
+    ) -> "Fleet":
+        """Return the fleet that a ledger and the calls to its workers tell."""
+        unknown = WorkerHealth(answers=False)
+        seats = {
+            life.id: Seat(
+                life, health.get(life.id, unknown), life.capacity, life.capacity, life.slots
+            )
+            for life in ledger.workers.values()
+        }
+        for job in ledger.jobs.values():
+            for name, subtask in job.subtasks.items():
+                if subtask.active is not None:
+                    _seat_run(seats, job, name, subtask.active, (job.id, name) in stopping)
+        for seat in seats.values():
+            _seat_strays(seat, ledger)
+        return cls(seats.values())
+
+
+def _seat_run(
+    seats: Mapping[str, Seat], job: Job, name: str, run: Run, is_stopping: bool
+) -> None:
+    seat = seats.get(run.worker)
+    if seat is None or seat.life.born != run.born:
+        return
+    need = job.step_of(name).need
+    seat.take(job, name, need)
+    if is_stopping or job.is_over or job.subtasks[name].is_done:
+        seat.occupants[-1].is_stopping = True
+        seat.future = seat.future.plus(need)
+
+
+def _seat_strays(seat: Seat, ledger: Ledger) -> None:
+    for job_id, name in seat.health.strays:
+        job = ledger.jobs.get(job_id)
+        if job is not None:
+            seat.take(job, name, job.step_of(name).need)
+            seat.occupants[-1].is_stopping = True
+            seat.future = seat.future.plus(seat.occupants[-1].need)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -0,0 +1,147 @@
+"""The order in which waiting work starts, and what makes room for urgent work.
+
+Jobs are taken by priority, then by age. A gang starts whole or not at all. What cannot start yet
+and is urgent takes runs of lower priority back, whole gangs at a time, those with least to lose
+first; room that becomes free is promised to it, so that later jobs do not take it.
+"""
+
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from agateferry_jobs.ledger import Job, Ledger, Run
+from agateferry_jobs.ledger.commands import RunStart
+from agateferry_jobs.ledger.specs import StepSpec
+from agateferry_jobs.ledger.state import gang_of
+from agateferry_jobs.planning.choice import Chooser
+from agateferry_jobs.planning.fleet import Fleet, Occupant, RunKey, Seat
+
+URGENT_PRIORITY = 0
+"""Jobs of this priority may take runs of others back."""
+
+
+@dataclass(slots=True)
+class Plan:
+    """What to start and what to stop."""
+
+    starts: list[RunStart] = field(default_factory=list)
+    stops: list[tuple[RunKey, Run]] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Wave:
+    """Subtasks of one step of one occurrence that may start now."""
+
+    job: Job
+    gang: str
+    step: StepSpec
+    names: tuple[str, ...]
+    waited_ms: int
+
+
+class Planner:
+    """Make one plan from the ledger and the fleet as they stand."""
+
+    def __init__(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> None:
+        self._ledger = ledger
+        self._fleet = fleet
+        self._now_ms = now_ms
+        self._plan = Plan()
+
+    def plan(self) -> Plan:
+        """Return the starts and stops that are due now."""
+        for job in self._waiting_jobs():
+            for wave in self._waves(job):
+                self._place(wave)
+        return self._plan
+
+    def _waiting_jobs(self) -> list[Job]:
+        jobs = [job for job in self._ledger.jobs.values() if not job.is_over]
+        return sorted(jobs, key=lambda job: (job.priority, job.accepted_ms, job.id))
+
+    def _waves(self, job: Job) -> Iterator[Wave]:
+        for occurrence in range(job.spec.occurrences):
+            due_ms = job.spec.due_ms(occurrence)
+            if due_ms > self._now_ms:
+                return
+            since_ms = max(due_ms, job.accepted_ms)
+            for number, step in enumerate(job.spec.steps):
+                wave = self._wave(job, occurrence, number, step, since_ms)
+                if wave is not None:
+                    yield wave
+
+    def _wave(
+        self, job: Job, occurrence: int, number: int, step: StepSpec, since_ms: int
+    ) -> Wave | None:
+        gang = f"{occurrence}.{number}"
+        names = tuple(
+            name
+            for name in job.members(gang)
+            if not job.subtasks[name].is_done and job.subtasks[name].active is None
+        )
+        if not names or (step.is_gang and len(names) < step.count):
+            return None
+        if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
+            return None
+        return Wave(job, gang, step, names, self._now_ms - since_ms)
+
+    def _place(self, wave: Wave) -> None:
+        chooser = Chooser(self._seats_for(wave.job), wave)
+        if wave.step.is_gang:
+            seats = chooser.whole()
+            if seats is None:
+                self._make_room(wave, chooser, wave.names)
+                return
+            self._start(wave, wave.names, seats)
+            return
+        for position, name in enumerate(wave.names):
+            seat = chooser.single()
+            if seat is None:
+                self._make_room(wave, chooser, wave.names[position:])
+                return
+            self._start(wave, (name,), (seat,))
+
+    def _seats_for(self, job: Job) -> list[Seat]:
+        manifest = self._ledger.manifest
+        queue = manifest.queue_named(job.queue) if manifest is not None else None
+        service = queue.service if queue is not None else job.service
+        return self._fleet.by_service.get(service, [])
+
+    def _start(self, wave: Wave, names: Sequence[str], seats: Sequence[Seat]) -> None:
+        job = wave.job
+        number = 1 + max(job.subtasks[name].last_run for name in names)
+        checkpoint = self._checkpoint(wave, names)
+        for name, seat in zip(names, seats, strict=True):
+            seat.take(job, name, wave.step.need)
+            run = Run(number, seat.life.id, seat.life.born)
+            self._plan.starts.append(RunStart(job.id, name, run, checkpoint))
+
+    def _checkpoint(self, wave: Wave, names: Sequence[str]) -> str:
+        """Return the newest checkpoint; any member's serves its whole gang."""
+        subtasks = [wave.job.subtasks[name] for name in names]
+        saved = [each for each in subtasks if each.checkpoint]
+        return max(saved, key=lambda s: s.last_run).checkpoint if saved else ""
+
+    def _make_room(self, wave: Wave, chooser: Chooser, names: Sequence[str]) -> None:
+        """Promise room to urgent work and take back what stands in its way."""
+        if wave.job.priority != URGENT_PRIORITY:
+            return
+        for seat, victims in chooser.room_for(len(names), wave.job.priority):
+            for victim in victims:
+                self._stop(victim)
+            seat.promise(wave.step.need)
+
+    def _stop(self, victim: Occupant) -> None:
+        """Stop a run, and the other members with it where it belongs to a gang."""
+        job = victim.job
+        names = [victim.subtask]
+        if job.step_of(victim.subtask).is_gang:
+            names = job.members(gang_of(victim.subtask))
+        for seats in self._fleet.by_service.values():
+            for seat in seats:
+                for other in seat.occupants:
+                    if other.job is job and other.subtask in names and not other.is_stopping:
+                        other.is_stopping = True
+                        seat.future = seat.future.plus(other.need)
+                        run = job.subtasks[other.subtask].active
+                        if run is not None:
+                            self._plan.stops.append(((job.id, other.subtask), run))
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code for the calls between hosts; see `make generate`."""
--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -28,6 +28,7 @@
 from agateferry_state.replica.transport import Transport
 from agateferry_state.replication import Core, Role
 from agateferry_state.replication import messages as m
+from agateferry_state.replication.messages import Greeting
 
 MS_PER_S = 1000
 MIN_DELAY_MS = 1
@@ -101,6 +102,9 @@
         self._storage.close()
 
     def _receive(self, envelope: Envelope) -> None:
+        message = envelope.message
+        if isinstance(message, Greeting) and message.member.address:
+            self._transport.set_address(message.member.id.host, message.member.address)
         self.put(m.MessageReceived(envelope.sender, envelope.recipient, envelope.message))
 
     def _step(self) -> None:
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -41,7 +41,8 @@
 class NodeConfig:
     """Which group this is, which of `peers` this host is, and where its files are.
 
-    `folder` is None on a host without a disk. `peers` lists all first hosts, this one too.
+    `folder` is None on a host without a disk. `peers` lists all first hosts; `address` says how a
+    host that is none of them is reached.
     """
 
     group: str
@@ -49,6 +50,12 @@
     peers: tuple[Peer, ...]
     folder: Path | None
     settings: Settings = field(default_factory=Settings)
+    address: str = ""
+
+    @property
+    def own_address(self) -> str:
+        """Return the `ip:port` of this host."""
+        return next((p.address for p in self.peers if p.name == self.name), self.address)
 
     @property
     def first_hosts(self) -> tuple[Member, ...]:
@@ -233,9 +240,8 @@
         )
 
     def _make_core(self, opened: Opened) -> Core:
-        own = next(peer for peer in self._cfg.peers if peer.name == self._cfg.name)
-        has_disk = self._cfg.folder is not None
-        me = Member(MemberId(own.name, opened.incarnation), has_disk, own.address)
+        cfg = self._cfg
+        me = Member(MemberId(cfg.name, opened.incarnation), cfg.folder is not None, cfg.own_address)
         settings = replace(
             self._cfg.settings, cell=self._cfg.group, first_hosts=self._cfg.first_hosts
         )
--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -12,6 +12,7 @@
 from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.members.admission import is_viable, next_change
 from agateferry_state.members.quorum import can_commit
+from agateferry_state.members.replacement import next_replacement, promotable
 from agateferry_state.replication import leader
 from agateferry_state.replication.election import RECOVERY_TERM_STEP
 from agateferry_state.replication.leading import Leading
@@ -26,6 +27,9 @@
 )
 from agateferry_state.replication.state import Role, State
 
+PRESENT_FRESH_MS = 3000
+"""How long a greeting proves that a host runs; a host that is left out greets several times in it."""
+
 
 def on_time(state: State) -> None:
     """With each heartbeat, take the next step towards the members that should be.
@@ -42,11 +46,41 @@
     present = {host: p.member for host, p in state.present.items()}
     caught_up = _caught_up(state, leading) if is_settled else set()
     hosts = state.settings.first_host_names
-    members = next_change(state.log.members, present, caught_up, hosts, is_settled)
+    if state.settings.replaces_hosts:
+        members = _next_by_itself(state, leading, present, caught_up, is_settled)
+    else:
+        members = next_change(state.log.members, present, caught_up, hosts, is_settled)
     if members is not None:
         leader.append(state, EntryKind.MEMBERS, members.encode())
 
 
+def _next_by_itself(
+    state: State,
+    leading: Leading,
+    present: dict[str, Member],
+    caught_up: set[MemberId],
+    is_settled: bool,
+) -> Members | None:
+    """Return the next change in a cell that lets hosts in and out without an operator."""
+    members = state.log.members
+    hosts = state.settings.first_host_names
+    ready = promotable(members, caught_up)
+    change = next_change(members, present, ready, hosts, is_settled)
+    if change is not None or not is_settled:
+        return change
+    fresh = {
+        host: p.member
+        for host, p in state.present.items()
+        if state.now_ms - p.at_ms <= PRESENT_FRESH_MS
+    }
+    alive = leading.recently_acked(state.now_ms, state.settings.replace_after_ms)
+    led_ms = state.now_ms - leading.since_ms
+    silent = members.voter_ids - alive - {state.me.id}
+    if led_ms < state.settings.replace_after_ms:
+        silent = frozenset()
+    return next_replacement(members, fresh, caught_up, silent)
+
+
 def on_requested(state: State, event: MemberChangeRequested) -> None:
     """Carry out an operator's change, or say why not."""
     match plan_change(state, event.action, event.member.id.host):
--- a/packages/agateferry-state/agateferry_state/replication/greeting.py
+++ b/packages/agateferry-state/agateferry_state/replication/greeting.py
@@ -68,6 +68,8 @@
 
 
 def _bootstrap_when_safe(state: State) -> None:
+    if not state.settings.may_bootstrap:
+        return
     if not state.log.is_empty or state.role is not Role.FOLLOWER:
         return
     empty: dict[str, Member] = {state.me.id.host: state.me}
--- a/packages/agateferry-state/agateferry_state/replication/leader.py
+++ b/packages/agateferry-state/agateferry_state/replication/leader.py
@@ -25,7 +25,7 @@
     state.role = Role.LEADER
     state.leader = state.me.id
     lease = Lease(state.settings.lease_ms, state.now_ms)
-    state.leading = Leading(lease, start_index=state.log.last_index + 1)
+    state.leading = Leading(lease, state.log.last_index + 1, state.now_ms)
     if members is None:
         append(state, EntryKind.NOOP, b"")
     else:
--- a/packages/agateferry-state/agateferry_state/replication/leading.py
+++ b/packages/agateferry-state/agateferry_state/replication/leading.py
@@ -58,6 +58,7 @@
 
     lease: Lease
     start_index: int
+    since_ms: int = 0
     peers: dict[MemberId, Progress] = field(default_factory=dict)
     reads: list[WaitingRead] = field(default_factory=list)
     heartbeat_due_ms: int = 0
--- a/packages/agateferry-state/agateferry_state/replication/settings.py
+++ b/packages/agateferry-state/agateferry_state/replication/settings.py
@@ -32,6 +32,13 @@
     trailing_entries: int = 1024
     """Entries kept after a snapshot, so that a follower a little behind needs no snapshot."""
 
+    may_bootstrap: bool = True
+    """Whether empty first hosts may form a new cell; false where one was formed before."""
+    replaces_hosts: bool = False
+    """Whether hosts are let in and silent voters replaced without an operator."""
+    replace_after_ms: int = 4000
+    """How long a voter must be silent before a host that waits takes its place."""
+
     @property
     def first_host_names(self) -> tuple[str, ...]:
         """Return the names of the first hosts."""
