Close a channel that failed only after the calls under way on it

Change: the channel is given up at once and closed after two tries' time; a cancelled call that was not the task's own is an uncertain outcome.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -23,6 +23,8 @@
 """A leader answers in a few ms where its disk and a follower's do; silence beyond this is a fault."""
 PAUSE_MS = 60
 """The pause between two tries while no leader is known."""
+RETIRE_MS = 2 * TRY_MS
+"""No call on a channel that was given up takes longer."""
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 500
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
@@ -55,6 +57,7 @@
         self._leader: str | None = None
         self._next = 0
         self._channels: dict[str, grpc.aio.Channel] = {}
+        self._retiring: set[asyncio.Task[None]] = set()
         self._log = EventLogger()
         self.answered_ms: int | None = None
         """When the leader last answered, by the clock that counts suspensions."""
@@ -96,8 +99,11 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for host in list(self._channels):
-            await self._drop(host)
+        for task in list(self._retiring):
+            task.cancel()
+        for channel in self._channels.values():
+            await channel.close(grace=None)
+        self._channels.clear()
 
     def _choose(self) -> str | None:
         if self._leader is not None:
@@ -115,15 +121,22 @@
         await asyncio.sleep(PAUSE_MS / MS_PER_S)
 
     async def _try(self, host: str, ask: m.Ask, timeout_ms: int) -> m.Reply:
-        stub = rpc.LeaderStub(self._channel(host))
+        stub_channel = self._channel(host)
+        stub = rpc.LeaderStub(stub_channel)
         wire = pb.LeaderAsk(ask=m.encode(ask))
         try:
             answer = await stub.Ask(wire, timeout=timeout_ms / MS_PER_S)
             decoded = m.decode_answer(answer.answer)
         except grpc.aio.AioRpcError as exc:
-            await self._drop(host)
+            self._retire(host, stub_channel)
             self._log.info(events.ASK_FAILED, host=host, code=exc.code().name, kind=_name(ask))
             return m.Uncertain(exc.code().name)
+        except asyncio.CancelledError:
+            if _is_cancelled_itself():
+                raise
+            return m.Uncertain("its channel was closed by another call")
+        except grpc.aio.UsageError:
+            return m.Uncertain("its channel was closed by another call")
         except msgspec.DecodeError as exc:
             self._log.warning(events.ANSWER_UNREADABLE, host=host, detail=str(exc))
             return m.Uncertain("unreadable")
@@ -144,10 +157,27 @@
             self._channels[host] = channel
         return channel
 
-    async def _drop(self, host: str) -> None:
-        channel = self._channels.pop(host, None)
-        if channel is not None:
-            await channel.close(grace=None)
+    def _retire(self, host: str, channel: grpc.aio.Channel) -> None:
+        """Use a fresh channel from now on; calls under way on the old one may still end."""
+        if self._channels.get(host) is not channel:
+            return
+        del self._channels[host]
+        task = asyncio.get_running_loop().create_task(_close_later(channel))
+        self._retiring.add(task)
+        task.add_done_callback(self._retiring.discard)
+
+
+async def _close_later(channel: grpc.aio.Channel) -> None:
+    try:
+        await asyncio.sleep(RETIRE_MS / MS_PER_S)
+    finally:
+        await channel.close(grace=None)
+
+
+def _is_cancelled_itself() -> bool:
+    """Tell whether this task was cancelled, rather than the call that it waits for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
 
 
 def _name(ask: m.Ask) -> str:
