Leave proposals of the own term alone when an older one is given up, and look after every run

The starts were in the ledger and were never ordered. Ruled out: the planner (it placed the job), the power loss (the log held everything). Change: the note spares the own term; each tick the leader adopts runs that no session looks after. Failed calls to the leader pause and are logged once for each spell of failures.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -58,6 +58,7 @@
         self._next = 0
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._retiring: set[asyncio.Task[None]] = set()
+        self._failing: set[str] = set()
         self._log = EventLogger()
         self.answered_ms: int | None = None
         """When the leader last answered, by the clock that counts suspensions."""
@@ -89,6 +90,7 @@
                 case m.Uncertain():
                     may_have_acted = True
                     self._leader = None
+                    await asyncio.sleep(PAUSE_MS / MS_PER_S)
                 case _:
                     self._leader = host
                     self.answered_ms = self._clock.now_ms()
@@ -129,7 +131,7 @@
             decoded = m.decode_answer(answer.answer)
         except grpc.aio.AioRpcError as exc:
             self._retire(host, stub_channel)
-            self._log.info(events.ASK_FAILED, host=host, code=exc.code().name, kind=_name(ask))
+            self._note_failed(host, exc.code().name, _name(ask))
             return m.Uncertain(exc.code().name)
         except asyncio.CancelledError:
             if _is_cancelled_itself():
@@ -140,9 +142,16 @@
         except msgspec.DecodeError as exc:
             self._log.warning(events.ANSWER_UNREADABLE, host=host, detail=str(exc))
             return m.Uncertain("unreadable")
+        self._failing.discard(host)
         self._learn(decoded.hosts)
         return decoded.reply
 
+    def _note_failed(self, host: str, code: str, kind: str) -> None:
+        """Log the first failure since the host last answered."""
+        if host not in self._failing:
+            self._failing.add(host)
+            self._log.info(events.ASK_FAILED, host=host, code=code, kind=kind)
+
     def _learn(self, hosts: tuple[str, ...]) -> None:
         """Prefer what a host of the cell says to what the settings said at the start."""
         for host in hosts:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -149,7 +149,8 @@
             await asyncio.sleep(TICK_MS / MS_PER_S)
             if not self._replica.is_leader:
                 continue
-            await self._roster.settle_lapsed()
+            if not self._is_planning:
+                await self._roster.settle()
             self._stop_hung()
             self.on_change()
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
@@ -62,10 +62,9 @@
         unknown_until_ms = self._clock.now_ms() + longest_local_ms(self._lease_ms)
         for life in self._ledger.workers.values():
             self._open(life, unknown_until_ms)
-        for job in self._ledger.jobs.values():
-            for name, subtask in job.subtasks.items():
-                if subtask.active is not None:
-                    self._adopt((job.id, name), subtask.active)
+        lost = self._adopt_all()
+        if lost:
+            self._owner._spawn(self._lose(lost))
 
     async def clear(self) -> None:
         """Close all sessions."""
@@ -135,8 +134,9 @@
             for id, session in self.sessions.items()
         }
 
-    async def settle_lapsed(self) -> None:
-        """Conclude the runs of workers that cannot be reached and whose lease is over."""
+    async def settle(self) -> None:
+        """Conclude runs that no worker can tell of, and take over those that nobody looks after."""
+        await self._lose(self._adopt_all())
         for session in list(self.sessions.values()):
             is_silent = not session.health(False).answers
             if session.runs and is_silent and session.is_lease_over():
@@ -217,12 +217,23 @@
             life, self._make_port(life), self, self._clock, lease
         )
 
-    def _adopt(self, key: RunKey, run: Run) -> None:
-        session = self.sessions.get(run.worker)
-        if session is not None and session.life.born == run.born:
-            session.adopt(key, run)
-        else:
-            self._owner._spawn(self._lose((_lost(key, run),)))
+    def _adopt_all(self) -> tuple[c.RunEnded, ...]:
+        """Have each run of the ledger looked after; return those whose worker's life is over.
+
+        A start whose storing had no clear outcome is in the ledger without ever being ordered.
+        """
+        lost = []
+        for job in self._ledger.jobs.values():
+            for name, subtask in job.subtasks.items():
+                run = subtask.active
+                if run is None:
+                    continue
+                session = self.sessions.get(run.worker)
+                if session is None or session.life.born != run.born:
+                    lost.append(_lost((job.id, name), run))
+                else:
+                    session.adopt((job.id, name), run)
+        return tuple(lost)
 
 
 def _lost(key: RunKey, run: Run) -> c.RunEnded:
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
@@ -0,0 +1,153 @@
+import testtools
+
+from agateferry_jobs.ledger import JobState, Ledger, Run, WorkerState
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.specs import StepSpec
+from agateferry_jobs.support import job_command, manifest, start_of, worker
+from agateferry_jobs.support.making import NEED
+
+
+class LedgerCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ledger = Ledger()
+        self.index = 0
+
+    def do(self, command):
+        self.index += 1
+        return self.ledger.apply(self.index, c.encode(command))
+
+    def end(self, job, subtask, how, number=1, checkpoint=""):
+        run = Run(number, "w1", 1)
+        return self.do(c.EndRuns((c.RunEnded(job, subtask, run, how, checkpoint),), 0))
+
+    def start(self, *starts):
+        return self.do(c.StartRuns(starts))
+
+
+class JobTests(LedgerCase):
+    def test_a_job_handed_in_twice_is_one_job(self):
+        self.assertTrue(self.do(job_command("j")))
+        self.assertFalse(self.do(job_command("j")))
+        self.assertEqual(JobState.QUEUED, self.ledger.jobs["j"].state)
+
+    def test_completes_when_all_subtasks_are_done(self):
+        self.do(job_command("j", StepSpec(2, NEED)))
+        self.start(start_of("j", "0.0.0"), start_of("j", "0.0.1"))
+        self.end("j", "0.0.0", c.RunEnd.DONE)
+        self.assertEqual(JobState.RUNNING, self.ledger.jobs["j"].state)
+        self.end("j", "0.0.1", c.RunEnd.DONE)
+        self.assertEqual(JobState.COMPLETED, self.ledger.jobs["j"].state)
+
+    def test_only_failed_ends_count_as_attempts(self):
+        self.do(job_command("j", attempts=2))
+        kinds = (c.RunEnd.LAPSED, c.RunEnd.FAILED, c.RunEnd.STOPPED, c.RunEnd.BROKEN, c.RunEnd.LOST)
+        for number, how in enumerate(kinds, 1):
+            self.start(start_of("j", "0.0.0", number))
+            self.end("j", "0.0.0", how, number)
+        self.assertEqual(JobState.RUNNING, self.ledger.jobs["j"].state)
+        self.start(start_of("j", "0.0.0", 6))
+        self.end("j", "0.0.0", c.RunEnd.FAILED, 6)
+        self.assertEqual(JobState.FAILED, self.ledger.jobs["j"].state)
+
+    def test_a_cancelled_job_starts_nothing_and_stays_cancelled(self):
+        self.do(job_command("j", StepSpec(2, NEED)))
+        self.start(start_of("j", "0.0.0"))
+        self.do(c.CancelJob("j", 5))
+        self.assertEqual((), self.start(start_of("j", "0.0.1")))
+        self.end("j", "0.0.0", c.RunEnd.DONE)
+        self.assertEqual(JobState.CANCELLED, self.ledger.jobs["j"].state)
+
+    def test_subtasks_that_last_are_never_done(self):
+        self.do(job_command("j", StepSpec(1, NEED, lasts=True), attempts=1))
+        self.start(start_of("j", "0.0.0"))
+        self.end("j", "0.0.0", c.RunEnd.FAILED)
+        self.start(start_of("j", "0.0.0", 2))
+        self.end("j", "0.0.0", c.RunEnd.DONE, 2)
+        self.assertEqual(JobState.RUNNING, self.ledger.jobs["j"].state)
+
+
+class RunTests(LedgerCase):
+    def test_a_subtask_that_runs_or_is_done_is_not_started_again(self):
+        self.do(job_command("j", StepSpec(2, NEED)))
+        self.assertEqual(1, len(self.start(start_of("j", "0.0.0"))))
+        self.assertEqual((), self.start(start_of("j", "0.0.0", 2, "w2")))
+        self.end("j", "0.0.0", c.RunEnd.DONE)
+        self.assertEqual((), self.start(start_of("j", "0.0.0", 2)))
+
+    def test_run_numbers_only_rise(self):
+        self.do(job_command("j"))
+        self.start(start_of("j", "0.0.0", 3))
+        self.end("j", "0.0.0", c.RunEnd.STOPPED, 3)
+        self.assertEqual((), self.start(start_of("j", "0.0.0", 3)))
+
+    def test_a_done_that_was_listed_late_counts(self):
+        self.do(job_command("j"))
+        self.start(start_of("j", "0.0.0"))
+        self.end("j", "0.0.0", c.RunEnd.LOST)
+        self.end("j", "0.0.0", c.RunEnd.DONE)
+        self.assertEqual(JobState.COMPLETED, self.ledger.jobs["j"].state)
+
+    def test_a_failure_that_was_concluded_otherwise_does_not_count_twice(self):
+        self.do(job_command("j", attempts=1))
+        self.start(start_of("j", "0.0.0"))
+        self.end("j", "0.0.0", c.RunEnd.LOST)
+        self.end("j", "0.0.0", c.RunEnd.FAILED)
+        self.assertEqual(JobState.RUNNING, self.ledger.jobs["j"].state)
+
+    def test_the_newest_checkpoint_is_kept(self):
+        self.do(job_command("j"))
+        self.start(start_of("j", "0.0.0"))
+        self.end("j", "0.0.0", c.RunEnd.STOPPED, 1, "first")
+        self.start(start_of("j", "0.0.0", 2))
+        self.end("j", "0.0.0", c.RunEnd.LOST, 2)
+        self.assertEqual("first", self.ledger.jobs["j"].subtasks["0.0.0"].checkpoint)
+
+
+class GangTests(LedgerCase):
+    def setUp(self):
+        super().setUp()
+        self.do(job_command("j", StepSpec(2, NEED, is_gang=True), attempts=2))
+        self.start(start_of("j", "0.0.0"), start_of("j", "0.0.1"))
+
+    def test_one_member_done_stands_for_all(self):
+        self.end("j", "0.0.0", c.RunEnd.DONE)
+        self.assertEqual(JobState.COMPLETED, self.ledger.jobs["j"].state)
+
+    def test_two_failures_in_one_run_count_once(self):
+        self.end("j", "0.0.0", c.RunEnd.FAILED)
+        self.end("j", "0.0.1", c.RunEnd.FAILED)
+        self.assertEqual(JobState.RUNNING, self.ledger.jobs["j"].state)
+
+
+class WorkerTests(LedgerCase):
+    def test_words_of_a_life_that_left_are_dropped(self):
+        self.do(c.NoteWorker(worker("w1")))
+        self.do(c.NoteWorker(worker("w1", state=WorkerState.GONE)))
+        self.assertFalse(self.do(c.NoteWorker(worker("w1"))))
+        self.assertNotIn("w1", self.ledger.workers)
+        self.assertTrue(self.do(c.NoteWorker(worker("w1", born=2))))
+
+    def test_a_draining_worker_is_not_ready_again_in_the_same_life(self):
+        self.do(c.NoteWorker(worker("w1", state=WorkerState.DRAINING)))
+        self.do(c.NoteWorker(worker("w1")))
+        self.assertEqual(WorkerState.DRAINING, self.ledger.workers["w1"].state)
+
+
+class ManifestTests(LedgerCase):
+    def test_the_highest_version_wins_and_an_equal_one_changes_nothing(self):
+        self.assertTrue(self.do(c.PutManifest(manifest(2, source="first"))))
+        self.assertFalse(self.do(c.PutManifest(manifest(2, source="other"))))
+        self.assertFalse(self.do(c.PutManifest(manifest(1))))
+        self.assertEqual(b"first", self.ledger.manifest.source)
+
+
+class SnapshotTests(LedgerCase):
+    def test_a_snapshot_holds_everything(self):
+        self.do(c.PutManifest(manifest()))
+        self.do(c.NoteWorker(worker("w1")))
+        self.do(job_command("j", StepSpec(2, NEED, is_gang=True)))
+        self.start(start_of("j", "0.0.0"), start_of("j", "0.0.1"))
+        copy = Ledger()
+        copy.restore(self.ledger.snapshot())
+        self.assertEqual(self.ledger.state, copy.state)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/support/making.py
@@ -0,0 +1,39 @@
+"""Short makers of the values that tests need."""
+
+from agateferry_jobs.ledger import Run, WorkerLife, WorkerState
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.specs import Amount, JobSpec, StepSpec
+from agateferry_jobs.manifest import Manifest, Queue, Service, Team
+
+NEED = Amount(cpu=1000, mem_mb=100, gpu=1)
+ROOM = Amount(cpu=16_000, mem_mb=10_000, gpu=8)
+
+
+def worker(
+    id: str, rack: str = "r1", born: int = 1, state: WorkerState = WorkerState.READY
+) -> WorkerLife:
+    """Return a life of a worker with eight accelerators."""
+    return WorkerLife(
+        id, born, "pool", f"{id}:80", "zone-a", ROOM, ("kind", rack), slots=8, state=state
+    )
+
+
+def job_command(
+    id: str, *steps: StepSpec, priority: int = 1, attempts: int = 2, at_ms: int = 0, **when: int
+) -> c.AcceptJob:
+    """Return the command that stores a job; without steps it has one of one subtask."""
+    spec = JobSpec("payload", steps or (StepSpec(1, NEED),), **when)
+    return c.AcceptJob(id, "queue", "pool", "team", priority, attempts, at_ms, spec)
+
+
+def start_of(job: str, subtask: str, number: int = 1, on: str = "w1", born: int = 1) -> c.RunStart:
+    """Return the intent to start a subtask."""
+    return c.RunStart(job, subtask, Run(number, on, born))
+
+
+def manifest(version: int = 1, **changes: str) -> Manifest:
+    """Return a manifest with one queue, one pool and one team."""
+    queue = Queue("queue", "host", "/jobs/", "pool", 3000, priority=1, attempts=2)
+    team = Team("team", ("key",), reserved_gpus=8)
+    source = changes.get("source", f"version {version}").encode()
+    return Manifest(version, (queue,), (Service("pool"),), (team,), source)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -0,0 +1,107 @@
+"""A worker as the platform's pages describe it, without a network.
+
+Orders can be lost, answered, or carried out later; leases and fencing tokens hold as on a real one.
+"""
+
+from dataclasses import dataclass, field
+
+from agateferry_core.clock import Clock
+from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.workers.port import (
+    Answer,
+    Confirmed,
+    FinishedRun,
+    HoldOrder,
+    Listed,
+    NoAnswer,
+    OtherLife,
+    Rejected,
+    RunningRun,
+    StartOrder,
+    StopOrder,
+)
+
+
+@dataclass
+class ModelWorker:
+    """One life of a worker. `late` collects orders that got no answer; `carry_out` does them."""
+
+    clock: Clock
+    born: int = 1
+    loses_orders: int = 0
+    is_cut: bool = False
+    is_other: bool = False
+    token: int = 0
+    deadline_ms: int = 0
+    running: dict[RunKey, int] = field(default_factory=dict)
+    over: dict[RunKey, int] = field(default_factory=dict)
+    ends: list[FinishedRun] = field(default_factory=list)
+    late: list[StartOrder] = field(default_factory=list)
+    starts: list[tuple[RunKey, int]] = field(default_factory=list)
+    percent: float = 0.0
+
+    async def start(self, order: StartOrder, timeout_ms: int) -> Answer:
+        """Take a start, or lose it for now."""
+        if self.is_cut:
+            return NoAnswer("cut")
+        if self.loses_orders > 0:
+            self.loses_orders -= 1
+            self.late.append(order)
+            return NoAnswer("lost")
+        return self.carry_out(order)
+
+    def carry_out(self, order: StartOrder) -> Answer:
+        """Do what a start asks."""
+        now_ms = self.clock.now_ms()
+        if order.token < self.token:
+            return Rejected("fence", now_ms)
+        self.token = order.token
+        if order.deadline_ms <= now_ms:
+            return Rejected("late", now_ms)
+        self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+        if self.running.get(order.key) == order.run:
+            return Confirmed(now_ms)
+        if order.run <= self.over.get(order.key, 0):
+            return Rejected("old", now_ms)
+        self.running[order.key] = order.run
+        self.starts.append((order.key, order.run))
+        return Confirmed(now_ms)
+
+    async def stop(self, order: StopOrder, timeout_ms: int) -> Answer:
+        """Take a stop."""
+        if self.is_cut:
+            return NoAnswer("cut")
+        if order.token < self.token:
+            return Rejected("fence", self.clock.now_ms())
+        self.token = order.token
+        self.over[order.key] = max(order.run, self.over.get(order.key, 0))
+        if self.running.get(order.key) == order.run:
+            self.end(order.key, "stopped")
+        return Confirmed(self.clock.now_ms())
+
+    async def hold(
+        self, order: HoldOrder, timeout_ms: int
+    ) -> Listed | Rejected | OtherLife | NoAnswer:
+        """Extend the lease and list."""
+        if self.is_cut:
+            return NoAnswer("cut")
+        if self.is_other:
+            return OtherLife()
+        if order.token < self.token:
+            return Rejected("fence", self.clock.now_ms())
+        self.token = order.token
+        if order.deadline_ms is not None:
+            self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+        self.ends = [end for end in self.ends if end.number > order.cursor]
+        running = tuple(RunningRun(k, r, "", self.percent) for k, r in self.running.items())
+        return Listed(self.clock.now_ms(), self.born, running, tuple(self.ends))
+
+    def end(self, key: RunKey, how: str, checkpoint: str = "") -> None:
+        """Have a run end."""
+        run = self.running.pop(key)
+        self.over[key] = run
+        number = self.ends[-1].number + 1 if self.ends else len(self.over)
+        self.ends.append(FinishedRun(number, key, run, how, checkpoint))
+
+    async def close(self) -> None:
+        """Do nothing."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -128,8 +128,11 @@
         return WorkerHealth(answers, is_suspect, tuple(self.strays))
 
     def adopt(self, key: RunKey, run: Run) -> None:
-        """Take over a run that an earlier leader may have ordered."""
-        self.runs[key] = Tracked(run, Phase.UNCERTAIN, known_at=-1, moved_ms=self._clock.now_ms())
+        """Take over a run that may have been ordered, unless it is looked after already."""
+        tracked = self.runs.get(key)
+        if tracked is not None and tracked.run == run:
+            return
+        self.runs[key] = Tracked(run, Phase.UNCERTAIN, self._look, moved_ms=self._clock.now_ms())
         self._wake.set()
 
     def start(self, start: RunStart, payload: str) -> None:
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -0,0 +1,157 @@
+import asyncio
+
+import testtools
+
+from agateferry_core.clock import SystemClock
+from agateferry_core.support import run_async
+from agateferry_jobs.ledger import Run
+from agateferry_jobs.ledger.commands import RunEnd
+from agateferry_jobs.support import ModelWorker, start_of, worker
+from agateferry_jobs.workers.lease import Lease
+from agateferry_jobs.workers.session import WorkerSession
+
+KEY = ("j", "0.0.0")
+
+
+class Listener:
+    """Keep what a session tells."""
+
+    def __init__(self):
+        self.tokens = 0
+        self.ends = []
+        self.other_lives = []
+        self.stores = True
+
+    def next_token(self):
+        self.tokens += 1
+        return self.tokens
+
+    def may_order(self):
+        return True
+
+    async def store_ends(self, ends):
+        if self.stores:
+            self.ends += ends
+        return self.stores
+
+    def on_other_life(self, life):
+        self.other_lives.append(life)
+
+    def on_change(self):
+        pass
+
+
+class SessionCase(testtools.TestCase):
+    async def begin(self, unknown_until_ms=0):
+        self.clock = SystemClock()
+        self.worker = ModelWorker(self.clock)
+        self.listener = Listener()
+        lease = Lease(8000, unknown_until_ms)
+        self.session = WorkerSession(worker("w1"), self.worker, self.listener, self.clock, lease)
+        await self.until(lambda: self.session.health(False).answers, "contact")
+
+    async def until(self, condition, what):
+        for _ in range(600):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"in vain: {what}")
+
+    def check(self, scenario):
+        async def main():
+            await self.begin()
+            try:
+                await scenario()
+            finally:
+                await self.session.close()
+
+        run_async(main())
+
+    def hows(self):
+        return [end.how for end in self.listener.ends]
+
+
+class StartTests(SessionCase):
+    def test_a_lost_order_is_asked_again_and_runs_once(self):
+        async def scenario():
+            self.worker.loses_orders = 1
+            self.session.start(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.worker.carry_out(self.worker.late[0])
+            self.assertEqual([(KEY, 1)], self.worker.starts)
+
+        self.check(scenario)
+
+    def test_a_start_without_any_answer_is_refused_once_its_order_can_do_nothing(self):
+        async def scenario():
+            self.worker.loses_orders = 2
+            self.session.start(start_of(*KEY), "payload")
+            await self.until(lambda: self.hows() == [RunEnd.REFUSED], "refused")
+            for order in self.worker.late:
+                self.worker.carry_out(order)
+            self.assertEqual({}, self.worker.running)
+
+        self.check(scenario)
+
+    def test_a_start_that_was_carried_out_without_an_answer_is_found(self):
+        async def scenario():
+            self.worker.loses_orders = 2
+            self.session.start(start_of(*KEY), "payload")
+            await self.until(lambda: self.worker.late, "lost order")
+            self.worker.carry_out(self.worker.late[0])
+            await asyncio.sleep(0.3)
+            self.assertEqual([], self.hows())
+            self.worker.end(KEY, "done")
+            await self.until(lambda: self.hows() == [RunEnd.DONE], "done")
+
+        self.check(scenario)
+
+
+class AdoptTests(SessionCase):
+    def test_a_run_of_an_earlier_leader_that_is_not_there_is_refused(self):
+        async def scenario():
+            self.session.adopt(KEY, Run(1, "w1", 1))
+            await self.until(lambda: self.hows() == [RunEnd.REFUSED], "refused")
+
+        self.check(scenario)
+
+    def test_a_run_that_nobody_ordered_here_is_stopped(self):
+        async def scenario():
+            self.worker.running[KEY] = 7
+            self.session.adopt(("other", "0.0.0"), Run(1, "w1", 1))
+            await self.until(lambda: not self.worker.running, "stray stopped")
+
+        self.check(scenario)
+
+
+class EndTests(SessionCase):
+    def test_an_end_is_forgotten_only_once_it_is_stored(self):
+        async def scenario():
+            self.listener.stores = False
+            self.session.start(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.worker.end(KEY, "done")
+            await asyncio.sleep(0.6)
+            self.assertEqual(1, len(self.worker.ends))
+            self.listener.stores = True
+            await self.until(lambda: not self.worker.ends, "forgotten")
+            self.assertEqual([RunEnd.DONE], self.hows())
+
+        self.check(scenario)
+
+    def test_another_life_at_the_address_ends_this_one(self):
+        async def scenario():
+            self.worker.born = 2
+            self.session.start(start_of(*KEY), "payload")
+            await self.until(lambda: self.listener.other_lives, "other life")
+
+        self.check(scenario)
+
+    def test_a_stop_goes_on_until_the_end_is_listed(self):
+        async def scenario():
+            self.session.start(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.session.stop_run(KEY)
+            await self.until(lambda: self.hows() == [RunEnd.STOPPED], "stopped")
+
+        self.check(scenario)
--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -218,9 +218,17 @@
         self._log.info(LEADER_CHANGED, leader=_host(leader), term=term)
         if leader != self.core.me.id:
             self._note_leading(0)
-            self._loop.call_later(
-                UNKNOWN_AFTER_MS / MS_PER_S, self.proposals.give_up, term + 1, _host(leader)
-            )
+            self._loop.call_later(UNKNOWN_AFTER_MS / MS_PER_S, self._give_up, term, _host(leader))
+
+    def _give_up(self, term: int, leader: str | None) -> None:
+        """Give up what was appended up to a term, but for what this member appended as its leader.
+
+        A candidate has no leader in its own term at first, and then leads in that very term.
+        """
+        before_term = term + 1
+        if self.core.role is Role.LEADER:
+            before_term = min(before_term, self.core.term)
+        self.proposals.give_up(before_term, leader)
 
     def _note_leading(self, term: int) -> None:
         if term == self.leads_in_term:
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -137,6 +137,21 @@
 
         run_async(main())
 
+    def test_a_late_doubt_about_an_older_term_leaves_proposals_of_the_own_term_alone(self):
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                driver = host.replica._driver
+                proposal_id, fut = driver.proposals.ask()
+                driver.proposals.accept(proposal_id, driver.core.last_index + 1, driver.core.term)
+                driver._give_up(driver.core.term, None)
+                self.assertFalse(fut.done())
+                driver._give_up(driver.core.term - 1, None)
+                self.assertFalse(fut.done())
+                fut.cancel()
+
+        run_async(main())
+
     def test_proposals_of_one_turn_share_a_sync(self):
         async def main():
             (host,) = self.make_hosts([True])
