Take room for urgent work in the order in which it becomes free, and let silent leases end

Each worker's places are now taken in their order. - Every look at a silent worker counted as a new deadline given, so its lease never ended and its runs were never started elsewhere. A worker that does not answer gets no deadline.

--- a/Makefile
+++ b/Makefile
@@ -21,14 +21,15 @@
 	$(BIN)/python -m pytest -n 6
 
 lint: setup
-	$(BIN)/black --check -q packages
-	$(BIN)/ruff check -q packages
-	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/agateferry-$(p)/agateferry_$(p))
+	$(BIN)/black --check -q packages platform
+	$(BIN)/ruff check -q packages platform
+	$(BIN)/mypy $(foreach p,$(PACKAGES),packages/agateferry-$(p)/agateferry_$(p)) \
+		platform/agateferry_platform
 	$(BIN)/lint-imports --no-cache
 
 format: setup
-	$(BIN)/black -q packages
-	$(BIN)/ruff check -q --fix packages
+	$(BIN)/black -q packages platform
+	$(BIN)/ruff check -q --fix packages platform
 
 generate: setup
 	$(BIN)/python tools/generate.py
--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -20,7 +20,7 @@
 
 MS_PER_S = 1000
 TRY_MS = 700
-"""A leader answers in a few ms where its disk and a follower's do; silence beyond this is a fault."""
+"""A leader answers in a few ms where disks do; silence beyond this is a fault."""
 PAUSE_MS = 60
 """The pause between two tries while no leader is known."""
 RETIRE_MS = 2 * TRY_MS
@@ -39,7 +39,6 @@
 )
 
 
-
 class AskLeader(Protocol):
     """Something that carries a question to the leader."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
@@ -45,9 +45,7 @@
         outcome = await self._proposer.propose(command)
         if outcome.is_error():
             return reply_for(outcome.error)
-        self._log.info(
-            events.JOB_ACCEPTED, job=id, queue=queue.name, team=team, steps=_shape(ask)
-        )
+        self._log.info(events.JOB_ACCEPTED, job=id, queue=queue.name, team=team, steps=_shape(ask))
         self._on_change()
         return m.Done()
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -40,9 +40,7 @@
         self._log = EventLogger()
         self._proposer = Proposer(replica)
         self._doubts = Doubts()
-        self._roster = Roster(
-            ledger, clock, make_port, lease_ms, self, self._proposer
-        )
+        self._roster = Roster(ledger, clock, make_port, lease_ms, self, self._proposer)
         self._callers = Callers(ledger, self._proposer, clock, self.on_change)
         self._wall_offset_ms = 0
         self._tokens = 0
@@ -114,13 +112,13 @@
         self._is_plan_due = True
         if not self._is_planning and self._ticker is not None:
             self._is_planning = True
-            self._spawn(self._plan_all())
+            self.spawn(self._plan_all())
 
     def _on_leadership(self, leads: bool, term: int) -> None:
         if not leads:
             self._log.info(events.NOT_LEADING, term=term)
             self._stop()
-            self._spawn(self._roster.clear())
+            self.spawn(self._roster.clear())
             return
         self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
         self._tokens = 0
@@ -134,7 +132,8 @@
             self._ticker.cancel()
             self._ticker = None
 
-    def _spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        """Run a task; an exception in it is logged."""
         task = asyncio.get_running_loop().create_task(coro)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
@@ -198,6 +197,8 @@
     def _stop_hung(self) -> None:
         now_ms = self._clock.now_ms()
         for session in self._roster.sessions.values():
+            if not session.health(False).answers:
+                continue
             for key, tracked in list(session.runs.items()):
                 if not _is_hung(tracked, now_ms) or self._lasts(key):
                     continue
--- a/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
@@ -1,7 +1,7 @@
 """The workers that the leader knows, and one session for the life of each."""
 
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
@@ -31,7 +31,7 @@
     def on_change(self) -> None:
         """Plan soon."""
 
-    def _spawn(self, coro: object) -> None:
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         """Run a task that is watched."""
 
 
@@ -64,7 +64,7 @@
             self._open(life, unknown_until_ms)
         lost = self._adopt_all()
         if lost:
-            self._owner._spawn(self._lose(lost))
+            self._owner.spawn(self._lose(lost))
 
     async def clear(self) -> None:
         """Close all sessions."""
@@ -107,7 +107,7 @@
         if session is not None and session.life.born == start.run.born:
             session.start(start, payload)
         else:
-            self._owner._spawn(self._lose((_lost((start.job, start.subtask), start.run),)))
+            self._owner.spawn(self._lose((_lost((start.job, start.subtask), start.run),)))
 
     def stop(self, key: RunKey, run: Run) -> bool:
         """Have a run stopped; tell whether that is news."""
@@ -160,7 +160,7 @@
 
     def on_other_life(self, life: WorkerLife) -> None:
         """Conclude the runs of a life that is over; its successor makes itself known."""
-        self._owner._spawn(self._remove(life))
+        self._owner.spawn(self._remove(life))
 
     def _is_outdated(self, life: WorkerLife) -> bool:
         """Tell whether a younger life is known at the same address."""
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
@@ -0,0 +1,203 @@
+import asyncio
+
+import testtools
+
+from agateferry_core.clock import SystemClock
+from agateferry_core.support import run_async
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell.leader import Leader
+from agateferry_jobs.ledger import JobState, Ledger, WorkerState
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.specs import JobSpec, StepSpec
+from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
+from agateferry_jobs.support.making import NEED
+from agateferry_state.replica.protocols import ProposeErrorKind
+
+JOB = JobSpec("payload", (StepSpec(1, NEED),))
+ID = "5c0e7a21d94b36f8"
+
+
+def place(path=ID, key="key", host="host"):
+    return m.Place(host, f"/jobs/{path}", key)
+
+
+class LeaderCase(testtools.TestCase):
+    def check(self, scenario, lease_ms=8000):
+        async def main():
+            self.clock = SystemClock()
+            self.ports = {}
+            self.ledger = Ledger()
+            self.replica = MemoryReplica(self.ledger)
+            self.leader = Leader(self.replica, self.ledger, self.clock, self.port_to, lease_ms)
+            self.replica.lead()
+            await self.ask(m.Install(manifest()))
+            try:
+                await scenario()
+            finally:
+                await self.leader.close()
+
+        run_async(main())
+
+    def port_to(self, life):
+        known = self.ports.get(life.id)
+        if known is None or known.born != life.born:
+            known = self.ports[life.id] = ModelWorker(self.clock, life.born)
+        return known
+
+    async def ask(self, ask):
+        return await self.leader.handle(ask)
+
+    async def beat(self, life, sequence=1):
+        return await self.ask(m.Beat(life, sequence))
+
+    async def until(self, condition, what):
+        for _ in range(600):
+            if condition():
+                return
+            await asyncio.sleep(0.01)
+        raise AssertionError(f"in vain: {what}")
+
+    async def running_on(self, id, count=1):
+        await self.until(lambda: len(self.ports[id].running) == count, f"{count} runs on {id}")
+
+    async def state(self):
+        return (await self.ask(m.Look(place()))).state
+
+
+class CallTests(LeaderCase):
+    def test_a_job_runs_to_its_end(self):
+        async def scenario():
+            await self.beat(worker("w1"))
+            self.assertEqual(m.Done(), await self.ask(m.Submit(place(), JOB)))
+            await self.running_on("w1")
+            self.assertEqual(JobState.RUNNING, await self.state())
+            self.ports["w1"].end((ID, "0.0.0"), "done")
+            await self.until(lambda: self.ledger.jobs[ID].is_completed, "completed")
+            self.assertEqual(JobState.COMPLETED, await self.state())
+            self.assertEqual(m.Done(), await self.ask(m.Submit(place(), JOB)))
+
+        self.check(scenario)
+
+    def test_calls_are_refused_as_the_manifest_in_force_says(self):
+        async def scenario():
+            self.assertEqual(m.NoQueue(), await self.ask(m.Look(place(host="other"))))
+            self.assertEqual(m.BadKey(), await self.ask(m.Look(place(key="old"))))
+            self.assertEqual(m.NoJob(), await self.ask(m.Look(place())))
+            self.assertEqual(m.NoJob(), await self.ask(m.Cancel(place())))
+            self.assertIsInstance(await self.ask(m.Submit(place(), None, "flaw")), m.Invalid)
+
+        self.check(scenario)
+
+    def test_a_queue_counts_what_has_not_begun(self):
+        async def scenario():
+            await self.ask(m.Submit(place(), JOB))
+            self.assertEqual(m.Counted(1), await self.ask(m.Look(place(""))))
+            await self.beat(worker("w1"))
+            await self.running_on("w1")
+            self.assertEqual(m.Counted(0), await self.ask(m.Look(place(""))))
+
+        self.check(scenario)
+
+    def test_who_does_not_lead_answers_nothing(self):
+        async def scenario():
+            self.replica.is_leader = False
+            self.replica.leader = "there"
+            self.assertEqual(m.NotLeader("there"), await self.ask(m.Look(place())))
+            self.replica.is_leader = True
+
+        self.check(scenario)
+
+    def test_a_job_whose_fate_is_unknown_is_neither_accepted_nor_refused(self):
+        async def scenario():
+            self.replica.fate = lambda _: ProposeErrorKind.UNKNOWN
+            self.assertIsInstance(await self.ask(m.Submit(place(), JOB)), m.Uncertain)
+            self.replica.fate = lambda _: None
+            self.assertEqual(m.Done(), await self.ask(m.Submit(place(), JOB)))
+
+        self.check(scenario)
+
+
+class RunTests(LeaderCase):
+    def test_no_order_goes_out_before_its_intent_is_stored(self):
+        async def scenario():
+            is_start = lambda data: isinstance(c.decode(data), c.StartRuns)  # noqa: E731
+            self.replica.fate = lambda data: ProposeErrorKind.NOT_LEADER if is_start(data) else None
+            await self.beat(worker("w1"))
+            await self.ask(m.Submit(place(), JOB))
+            await asyncio.sleep(0.5)
+            self.assertEqual([], self.ports["w1"].starts)
+            self.replica.fate = lambda _: None
+            await self.running_on("w1")
+
+        self.check(scenario)
+
+    def test_a_start_that_is_stored_without_a_clear_outcome_runs_in_the_end(self):
+        async def scenario():
+            is_start = lambda data: isinstance(c.decode(data), c.StartRuns)  # noqa: E731
+            self.replica.fate = lambda data: ProposeErrorKind.UNKNOWN if is_start(data) else None
+            await self.beat(worker("w1"))
+            await self.ask(m.Submit(place(), JOB))
+            await self.until(lambda: self.ledger.jobs[ID].has_started, "stored")
+            self.replica.fate = lambda _: None
+            await self.running_on("w1")
+
+        self.check(scenario)
+
+    def test_a_cancelled_job_is_stopped(self):
+        async def scenario():
+            await self.beat(worker("w1"))
+            await self.ask(m.Submit(place(), JOB))
+            await self.running_on("w1")
+            await self.ask(m.Cancel(place()))
+            await self.running_on("w1", 0)
+            self.assertEqual(JobState.CANCELLED, await self.state())
+
+        self.check(scenario)
+
+    def test_a_new_leader_takes_over_what_runs(self):
+        async def scenario():
+            await self.beat(worker("w1"))
+            await self.ask(m.Submit(place(), JOB))
+            await self.running_on("w1")
+            self.replica.lead(False)
+            self.replica.lead()
+            self.ports["w1"].end((ID, "0.0.0"), "done")
+            await self.until(lambda: self.ledger.jobs[ID].is_completed, "completed")
+            self.assertEqual(1, len(self.ports["w1"].starts))
+
+        self.check(scenario)
+
+
+class WorkerTests(LeaderCase):
+    def test_a_draining_worker_gets_nothing_once_that_is_acknowledged(self):
+        async def scenario():
+            await self.beat(worker("w1", state=WorkerState.DRAINING))
+            await self.ask(m.Submit(place(), JOB))
+            await asyncio.sleep(0.4)
+            self.assertEqual([], self.ports["w1"].starts)
+
+        self.check(scenario)
+
+    def test_work_of_a_life_that_is_over_runs_elsewhere_at_once(self):
+        async def scenario():
+            await self.beat(worker("w1"))
+            await self.ask(m.Submit(place(), JOB))
+            await self.running_on("w1")
+            await self.beat(worker("w2"))
+            await self.beat(worker("w1", born=2, state=WorkerState.DRAINING))
+            await self.running_on("w2")
+
+        self.check(scenario)
+
+    def test_work_of_a_silent_worker_runs_elsewhere_only_after_its_lease(self):
+        async def scenario():
+            await self.beat(worker("w1"))
+            await self.ask(m.Submit(place(), JOB))
+            await self.running_on("w1")
+            silent = self.ports["w1"]
+            silent.is_cut = True
+            await self.beat(worker("w2"))
+            await self.running_on("w2")
+            self.assertGreaterEqual(self.clock.now_ms(), silent.deadline_ms)
+
+        self.check(scenario, lease_ms=1500)
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -107,5 +107,3 @@
             GROUP, self.cfg.ip, peers, self.cfg.folder, settings, self.cfg.internal_address
         )
         return NodeReplica(cfg, self.ledger, self._transport, self._clock, self._rng)
-
-
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -33,7 +33,7 @@
     jobs: dict[str, Job] = field(default_factory=dict)
     workers: dict[str, WorkerLife] = field(default_factory=dict)
     gone: dict[str, int] = field(default_factory=dict)
-    """For each worker that left, the start of its last life; late words of that life are dropped."""
+    """For each worker that left, the start of its last life; its late words are dropped."""
 
 
 class Ledger:
@@ -133,9 +133,8 @@
             self.workers.pop(worker.id, None)
             self.state.gone[worker.id] = worker.born
             return known is not None
-        if known is not None and known.born == worker.born:
-            if known.state is WorkerState.DRAINING and worker.state is WorkerState.READY:
-                return False
+        if known is not None and known.born == worker.born and _is_step_back(known, worker):
+            return False
         self.workers[worker.id] = worker
         return True
 
@@ -183,6 +182,11 @@
                 gang.failures += 1
 
 
+def _is_step_back(known: WorkerLife, word: WorkerLife) -> bool:
+    """Tell whether a word is older than what is known: a life that drains is never ready again."""
+    return known.state is WorkerState.DRAINING and word.state is WorkerState.READY
+
+
 def _mark_done(job: Job, end: c.RunEnded) -> None:
     """Note a subtask as done; one member's end stands for its whole gang."""
     names = [end.subtask]
--- a/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -96,17 +96,23 @@
         return max(0, places)
 
     def _room_in(self, group: Sequence[Seat], count: int, priority: int) -> Room | None:
+        """Return the cheapest room; on one worker a later place rests on the victims before it."""
+        places = [deque(self._room_on(seat, priority)) for seat in group]
         room: Room = []
-        for seat in group:
-            room += self._room_on(seat, priority)
-        room.sort(key=lambda each: sum(_loss(v) for v in each[1]))
-        return room[:count] if len(room) >= count else None
+        while len(room) < count:
+            places = [each for each in places if each]
+            if not places:
+                return None
+            cheapest = min(places, key=lambda each: sum(_loss(v) for v in each[0][1]))
+            room.append(cheapest.popleft())
+        return room
 
     def _room_on(self, seat: Seat, priority: int) -> Room:
         """Return one entry for each subtask that fits here, with the runs that it displaces."""
         lower = [o for o in seat.occupants if o.job.priority > priority and not o.is_stopping]
         lower.sort(key=lambda o: (-o.job.priority, _loss(o)))
-        future, room = seat.future, []
+        future = seat.future
+        room: Room = []
         slots = seat.free_slots + sum(1 for o in seat.occupants if o.is_stopping)
         victims: list[Occupant] = []
         limit = self._places(seat, seat.life.capacity)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -115,9 +115,7 @@
         return cls(seats.values())
 
 
-def _seat_run(
-    seats: Mapping[str, Seat], job: Job, name: str, run: Run, is_stopping: bool
-) -> None:
+def _seat_run(seats: Mapping[str, Seat], job: Job, name: str, run: Run, is_stopping: bool) -> None:
     seat = seats.get(run.worker)
     if seat is None or seat.life.born != run.born:
         return
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -0,0 +1,177 @@
+import testtools
+
+from agateferry_jobs.ledger import Ledger, WorkerState
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.specs import Amount, StepSpec
+from agateferry_jobs.planning import Fleet, Planner, WorkerHealth
+from agateferry_jobs.support import job_command, manifest, start_of, worker
+from agateferry_jobs.support.making import NEED
+
+WHOLE = Amount(cpu=1000, mem_mb=100, gpu=8)
+
+
+class PlannerCase(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.ledger = Ledger()
+        self.health = {}
+        self.stopping = set()
+        self.do(c.PutManifest(manifest()))
+
+    def do(self, command):
+        return self.ledger.apply(1, c.encode(command))
+
+    def add(self, *lives, **health):
+        for life in lives:
+            self.do(c.NoteWorker(life))
+            self.health[life.id] = WorkerHealth(**health)
+
+    def plan(self, now_ms=0):
+        fleet = Fleet.of(self.ledger, self.health, self.stopping)
+        return Planner(self.ledger, fleet, now_ms).plan()
+
+    def placed(self, now_ms=0):
+        """Return where each subtask goes, and store the starts."""
+        starts = self.plan(now_ms).starts
+        self.do(c.StartRuns(tuple(starts)))
+        return {(s.job, s.subtask): s.run.worker for s in starts}
+
+
+class RoomTests(PlannerCase):
+    def test_no_worker_gets_more_than_it_has(self):
+        self.add(worker("w1"))
+        self.do(job_command("j", StepSpec(3, Amount(gpu=4))))
+        self.assertEqual(2, len(self.placed()))
+        self.assertEqual({}, self.placed())
+
+    def test_what_is_being_stopped_still_counts(self):
+        self.add(worker("w1"))
+        self.do(job_command("j", StepSpec(1, WHOLE)))
+        self.placed()
+        self.do(c.CancelJob("j", 0))
+        self.do(job_command("k", StepSpec(1, WHOLE)))
+        self.assertEqual({}, self.placed())
+
+    def test_a_stray_run_takes_room(self):
+        self.do(job_command("j", StepSpec(1, WHOLE)))
+        self.add(worker("w1"), strays=(("j", "0.0.0"),))
+        self.do(job_command("k", StepSpec(1, WHOLE)))
+        self.assertEqual({}, self.placed())
+
+    def test_draining_and_silent_workers_get_nothing(self):
+        self.add(worker("w1", state=WorkerState.DRAINING))
+        self.add(worker("w2"), answers=False)
+        self.do(job_command("j"))
+        self.assertEqual({}, self.placed())
+
+    def test_a_suspect_worker_is_the_last_choice(self):
+        self.add(worker("w1"), is_suspect=True)
+        self.add(worker("w2"))
+        self.do(job_command("j", StepSpec(1, WHOLE)))
+        self.assertEqual({("j", "0.0.0"): "w2"}, self.placed())
+
+    def test_small_subtasks_fill_a_worker_before_they_open_another(self):
+        self.add(worker("w1"), worker("w2"))
+        self.do(job_command("j", StepSpec(6, NEED)))
+        self.assertEqual(1, len(set(self.placed().values())))
+
+
+class StepTests(PlannerCase):
+    def test_a_step_waits_for_those_it_depends_on(self):
+        self.add(worker("w1"))
+        self.do(job_command("j", StepSpec(1, NEED), StepSpec(1, NEED, depends_on=(0,))))
+        self.assertEqual({("j", "0.0.0"): "w1"}, self.placed())
+        end = c.RunEnded("j", "0.0.0", start_of("j", "0.0.0").run, c.RunEnd.DONE)
+        self.do(c.EndRuns((end,), 0))
+        self.assertEqual({("j", "0.1.0"): "w1"}, self.placed())
+
+    def test_an_occurrence_waits_for_its_time(self):
+        self.add(worker("w1"))
+        self.do(job_command("j", start_at_ms=1000, interval_ms=500, repeat_count=2))
+        self.assertEqual({}, self.placed(999))
+        self.assertEqual([("j", "0.0.0")], list(self.placed(1000)))
+        self.assertEqual([("j", "1.0.0")], list(self.placed(1500)))
+
+    def test_a_label_and_a_limit_for_each_worker_are_kept(self):
+        self.add(worker("w1"), worker("w2"))
+        self.do(job_command("j", StepSpec(3, NEED, required_label="other")))
+        self.do(job_command("k", StepSpec(3, NEED, required_label="kind", max_per_worker=1)))
+        self.assertEqual({"w1", "w2"}, set(self.placed().values()))
+        self.assertEqual({}, self.placed())
+
+    def test_data_is_waited_for_only_as_long_as_it_pays(self):
+        self.add(worker("w1", rack="far"), worker("w2", rack="near"))
+        self.do(job_command("big", StepSpec(1, WHOLE, required_label="near")))
+        self.placed()
+        self.do(job_command("j", StepSpec(1, NEED, data_rack="near", estimated_ms=100)))
+        self.assertEqual({}, self.placed(100))
+        self.assertEqual({("j", "0.0.0"): "w1"}, self.placed(201))
+
+
+class GangTests(PlannerCase):
+    def test_a_gang_starts_whole_or_not_at_all(self):
+        self.add(worker("w1"))
+        self.do(job_command("j", StepSpec(2, WHOLE, is_gang=True)))
+        self.assertEqual({}, self.placed())
+        self.add(worker("w2"))
+        self.assertEqual({"w1", "w2"}, set(self.placed().values()))
+
+    def test_members_share_the_run_number(self):
+        self.add(worker("w1"), worker("w2"))
+        self.do(job_command("j", StepSpec(2, WHOLE, is_gang=True)))
+        self.do(c.StartRuns((start_of("j", "0.0.0", 4),)))
+        end = c.RunEnded("j", "0.0.0", start_of("j", "0.0.0", 4).run, c.RunEnd.STOPPED, "saved")
+        self.do(c.EndRuns((end,), 0))
+        starts = self.plan().starts
+        self.assertEqual([(5, "saved")] * 2, [(s.run.number, s.checkpoint) for s in starts])
+
+    def test_one_rack_holds_the_gang(self):
+        self.add(worker("a1", rack="a"), worker("b1", rack="b"), worker("b2", rack="b"))
+        self.do(job_command("j", StepSpec(2, WHOLE, is_gang=True, same_rack=True)))
+        self.assertEqual({"b1", "b2"}, set(self.placed().values()))
+
+    def test_a_gang_that_no_rack_can_ever_hold_is_spread(self):
+        self.add(worker("a1", rack="a"), worker("b1", rack="b"))
+        step = StepSpec(2, WHOLE, is_gang=True, same_rack=True, estimated_ms=9000)
+        self.do(job_command("j", step))
+        self.assertEqual({"a1", "b1"}, set(self.placed().values()))
+
+
+class UrgentTests(PlannerCase):
+    def test_urgent_work_takes_back_the_least_that_makes_room(self):
+        self.add(worker("w1"), worker("w2"))
+        self.do(job_command("low", StepSpec(2, Amount(gpu=6)), priority=2))
+        self.placed()
+        self.do(job_command("small", StepSpec(1, Amount(gpu=2)), priority=2))
+        self.placed()
+        self.do(job_command("urgent", StepSpec(1, Amount(gpu=2)), priority=0))
+        self.assertEqual([], self.plan().stops)
+        self.placed()
+        self.do(job_command("urgent2", StepSpec(1, Amount(gpu=2)), priority=0))
+        stops = self.plan().stops
+        self.assertEqual([("small", "0.0.0")], [key for key, _ in stops])
+
+    def test_a_gang_is_taken_back_whole(self):
+        self.add(worker("w1"), worker("w2"))
+        self.do(job_command("low", StepSpec(2, WHOLE, is_gang=True), priority=1))
+        self.placed()
+        self.do(job_command("urgent", StepSpec(1, WHOLE), priority=0))
+        self.assertEqual({("low", "0.0.0"), ("low", "0.0.1")}, {k for k, _ in self.plan().stops})
+
+    def test_room_that_becomes_free_is_kept_for_the_one_it_was_freed_for(self):
+        self.add(worker("w1"))
+        self.do(job_command("low", StepSpec(1, Amount(gpu=6)), priority=2))
+        self.placed()
+        self.do(job_command("urgent", StepSpec(1, WHOLE), priority=0))
+        self.do(job_command("late", StepSpec(1, NEED), priority=2))
+        plan = self.plan()
+        self.assertEqual([], plan.starts)
+        self.stopping = {key for key, _ in plan.stops}
+        self.assertEqual(([], []), (self.plan().starts, self.plan().stops))
+
+    def test_work_that_is_not_urgent_takes_nothing_back(self):
+        self.add(worker("w1"))
+        self.do(job_command("low", StepSpec(1, WHOLE), priority=2))
+        self.placed()
+        self.do(job_command("j", StepSpec(1, WHOLE), priority=1))
+        self.assertEqual([], self.plan().stops)
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -3,6 +3,7 @@
 Orders can be lost, answered, or carried out later; leases and fencing tokens hold as on a real one.
 """
 
+import asyncio
 from dataclasses import dataclass, field
 
 from agateferry_core.clock import Clock
@@ -21,6 +22,10 @@
     StopOrder,
 )
 
+WAIT_STEP_MS = 10
+"""How often a hold that waits looks for an end."""
+WAIT_STEP_S = WAIT_STEP_MS / 1000
+
 
 @dataclass
 class ModelWorker:
@@ -83,6 +88,11 @@
         self, order: HoldOrder, timeout_ms: int
     ) -> Listed | Rejected | OtherLife | NoAnswer:
         """Extend the lease and list."""
+        await asyncio.sleep(WAIT_STEP_S)
+        for _ in range(order.wait_ms // WAIT_STEP_MS):
+            if self.is_cut or self.is_other or any(e.number > order.cursor for e in self.ends):
+                break
+            await asyncio.sleep(WAIT_STEP_S)
         if self.is_cut:
             return NoAnswer("cut")
         if self.is_other:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/port.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/port.py
@@ -110,7 +110,9 @@
     async def stop(self, order: StopOrder, timeout_ms: int) -> Answer:
         """Order a stop."""
 
-    async def hold(self, order: HoldOrder, timeout_ms: int) -> Listed | Rejected | OtherLife | NoAnswer:
+    async def hold(
+        self, order: HoldOrder, timeout_ms: int
+    ) -> Listed | Rejected | OtherLife | NoAnswer:
         """Extend the lease and ask for the lists."""
 
     async def close(self) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -199,7 +199,7 @@
         is_urgent = not self._is_contacted or bool(self.strays)
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
         wait_ms = 0 if is_urgent or not self.runs else WAIT_MS
-        deadline_ms = self._lease.next_deadline(now_ms) if self.runs else None
+        deadline_ms = self._next_deadline(now_ms)
         cursor = self._cursor
         self._look += 1
         look, token = self._look, self._token
@@ -219,6 +219,12 @@
                 self._note_failing(str(answer))
                 return False
 
+    def _next_deadline(self, now_ms: int) -> int | None:
+        """Return the deadline to give; a silent worker gets none, so that its lease can end."""
+        if not self.runs or self._is_failing:
+            return None
+        return self._lease.next_deadline(now_ms)
+
     def _note_failing(self, detail: str) -> None:
         if not self._is_failing:
             self._log.warning(events.WORKER_SILENT, detail=detail, runs=len(self.runs))
@@ -233,6 +239,8 @@
         if self._is_failing:
             self._log.info(events.WORKER_ANSWERS)
             self._is_failing = False
+            for tracked in self.runs.values():
+                tracked.moved_ms = now_ms
             self._listener.on_change()
 
     async def _take_lists(self, lists: Listed, look: int) -> bool:
@@ -354,9 +362,7 @@
         self._wake.set()
         answer = await self._port.stop(StopOrder(key, run, self._token), ORDER_TIMEOUT_MS)
         if isinstance(answer, NoAnswer | Rejected):
-            self._log.warning(
-                events.STOP_UNCERTAIN, job=key[0], subtask=key[1], detail=str(answer)
-            )
+            self._log.warning(events.STOP_UNCERTAIN, job=key[0], subtask=key[1], detail=str(answer))
 
 
 def _is_due(sent_ms: int | None, now_ms: int) -> bool:
--- a/packages/agateferry-state/agateferry_state/members/tests/test_replacement.py
+++ b/packages/agateferry-state/agateferry_state/members/tests/test_replacement.py
@@ -37,7 +37,9 @@
 
     def test_a_silent_voter_of_four_goes_without_a_successor(self):
         members = Members((*THREE.voters, member("d")))
-        self.assertEqual(ids("a", "b", "c"), next_replacement(members, {}, set(), ids("d")).voter_ids)
+        self.assertEqual(
+            ids("a", "b", "c"), next_replacement(members, {}, set(), ids("d")).voter_ids
+        )
 
 
 class PromotableTests(testtools.TestCase):
--- a/packages/agateferry-state/agateferry_state/replication/changing.py
+++ b/packages/agateferry-state/agateferry_state/replication/changing.py
@@ -28,7 +28,7 @@
 from agateferry_state.replication.state import Role, State
 
 PRESENT_FRESH_MS = 3000
-"""How long a greeting proves that a host runs; a host that is left out greets several times in it."""
+"""How long a greeting proves that a host runs; one that is left out greets more often."""
 
 
 def on_time(state: State) -> None:
