--- a/packages/agateferry-core/agateferry_core/logs/__init__.py
+++ b/packages/agateferry-core/agateferry_core/logs/__init__.py
@@ -1,5 +1,6 @@
 """Numbered log events."""
 
 from agateferry_core.logs.logs import Event, EventLogger, configure
+from agateferry_core.logs.writer import LineWriter
 
-__all__ = ["Event", "EventLogger", "configure"]
+__all__ = ["Event", "EventLogger", "LineWriter", "configure"]
--- a/packages/agateferry-core/agateferry_core/logs/logs.py
+++ b/packages/agateferry-core/agateferry_core/logs/logs.py
@@ -10,10 +10,12 @@
 import logging
 import sys
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TextIO
 
 import structlog
 
+from agateferry_core.logs.writer import LineWriter
+
 REGISTRY: dict[int, "Event"] = {}
 
 
@@ -53,8 +55,10 @@
         self._log.error(event.text, number=event.number, advice=event.advice, **fields)
 
 
-def configure(level: str = "info", as_json: bool = True) -> None:
-    """Send log lines to standard error, as JSON or in a form for people."""
+def configure(
+    level: str = "info", as_json: bool = True, file: TextIO | LineWriter | None = None
+) -> None:
+    """Send log lines to `file`, standard error where none is given; as JSON or for people."""
     renderer: Any = structlog.processors.JSONRenderer()
     if not as_json:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
@@ -65,5 +69,5 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(file=file or sys.stderr),  # type: ignore[arg-type],
     )
--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -13,6 +13,7 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
 from agateferry_jobs.calls import events
 from agateferry_jobs.calls import messages as m
 from agateferry_jobs.rpc import leader_pb2 as pb
@@ -85,8 +86,10 @@
             reply = await self._try(host, ask, min(TRY_MS, left_ms)) if host else m.NotLeader()
             match reply:
                 case m.NotLeader(leader):
+                    metrics.ASK_RETRIES.labels("not-leader").inc()
                     await self._follow(host, leader)
-                case m.Uncertain():
+                case m.Uncertain(reason):
+                    metrics.ASK_RETRIES.labels(reason).inc()
                     may_have_acted = True
                     self._leader = None
                     await asyncio.sleep(PAUSE_MS / MS_PER_S)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
@@ -4,6 +4,7 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages as m
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.proposing import Proposer, reply_for
@@ -45,6 +46,7 @@
         outcome = await self._proposer.propose(command)
         if outcome.is_error():
             return reply_for(outcome.error)
+        metrics.ACCEPTED.labels(str(queue.priority)).inc()
         self._log.info(events.JOB_ACCEPTED, job=id, queue=queue.name, team=team, steps=_shape(ask))
         self._on_change()
         return m.Done()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -8,6 +8,7 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages as m
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.callers import Callers
@@ -61,7 +62,10 @@
             return m.NotLeader(self._replica.leader)
         reply = await self._answer(ask)
         if not self._replica.is_leader and not isinstance(reply, m.Uncertain):
-            return m.Uncertain("leadership lapsed before the answer")
+            reply = m.Uncertain("leadership lapsed before the answer")
+        metrics.REPLIES.labels(type(ask).__name__, type(reply).__name__).inc()
+        if isinstance(reply, m.Refused):
+            metrics.REFUSALS.labels(reply.reason).inc()
         return reply
 
     async def close(self) -> None:
@@ -183,8 +187,15 @@
                 worker=start.run.worker,
             )
             job = self._ledger.jobs.get(start.job)
+            self._note_first_start(start)
             self._roster.start(start, job.spec.payload if job is not None else "")
 
+    def _note_first_start(self, start: c.RunStart) -> None:
+        job = self._ledger.jobs.get(start.job)
+        if job is not None and start.subtask == "0.0.0" and start.run.number == 1:
+            waited_s = (self.now_ms - job.accepted_ms) / MS_PER_S
+            metrics.FIRST_START_SECONDS.labels(str(job.priority)).observe(waited_s)
+
     def _stop_unwanted(self) -> None:
         """Stop what runs for jobs that are over or subtasks that are done."""
         for job in self._ledger.jobs.values():
@@ -213,6 +224,7 @@
 
     def _stop_run(self, key: RunKey, run: Run, reason: str) -> None:
         if self._roster.stop(key, run):
+            metrics.RUNS_STOPPED.labels(reason).inc()
             self._log.info(
                 events.RUN_STOPPING, job=key[0], subtask=key[1], run=run.number, reason=reason
             )
@@ -230,6 +242,7 @@
             worker=run.worker,
             how=end.how,
         )
+        metrics.RUNS_ENDED.labels(end.how.value).inc()
         if end.how is c.RunEnd.DONE:
             self._doubts.note_done(run.worker, run.born)
         elif end.how is c.RunEnd.FAILED:
@@ -238,6 +251,7 @@
                 self._log.warning(events.WORKER_SUSPECT, worker=run.worker, reason="failed runs")
         job = self._ledger.jobs.get(end.job)
         if job is not None and job.is_over:
+            metrics.ENDED.labels(job.state.value).inc()
             self._log.info(events.JOB_ENDED, job=job.id, state=job.state)
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/events.py
@@ -3,11 +3,11 @@
 from agateferry_core.logs import Event
 
 WORKER_SILENT = Event(
-    5101, "worker does not answer", "See whether the worker runs and can be reached from here."
+    7101, "worker does not answer", "See whether the worker runs and can be reached from here."
 )
-WORKER_ANSWERS = Event(5102, "worker answers again", "Nothing to do.")
-START_REJECTED = Event(5110, "start rejected by the worker", "Look at the reason.")
+WORKER_ANSWERS = Event(7102, "worker answers again", "Nothing to do.")
+START_REJECTED = Event(7110, "start rejected by the worker", "Look at the reason.")
 START_UNCERTAIN = Event(
-    5111, "start without a clear answer", "Nothing to do; it is asked again or settled by a look."
+    7111, "start without a clear answer", "Nothing to do; it is asked again or settled by a look."
 )
-STOP_UNCERTAIN = Event(5112, "stop without a clear answer", "Nothing to do; it is ordered again.")
+STOP_UNCERTAIN = Event(7112, "stop without a clear answer", "Nothing to do; it is ordered again.")
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -14,6 +14,7 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
 from agateferry_jobs.ledger import Run, WorkerLife
 from agateferry_jobs.ledger.commands import RunEnd, RunEnded, RunStart
 from agateferry_jobs.planning.fleet import RunKey, WorkerHealth
@@ -205,6 +206,7 @@
         look, token = self._look, self._token
         order = HoldOrder(deadline_ms, token, cursor, wait_ms)
         answer = await self._port.hold(order, wait_ms + ANSWER_SLACK_MS)
+        metrics.LOOKS.labels(type(answer).__name__).inc()
         match answer:
             case Listed():
                 self._told_cursor = max(self._told_cursor, cursor)
@@ -330,12 +332,14 @@
                     self._wake.set()
                     return
                 case Rejected(reason) if attempt == 0:
+                    metrics.STARTS_UNCLEAR.labels(reason).inc()
                     self._log.warning(
                         events.START_REJECTED, job=key[0], subtask=key[1], reason=reason
                     )
                     await self._refuse(key, tracked)
                     return
                 case _:
+                    metrics.STARTS_UNCLEAR.labels(type(answer).__name__).inc()
                     self._log.warning(
                         events.START_UNCERTAIN, job=key[0], subtask=key[1], detail=str(answer)
                     )
