--- a/packages/agateferry-core/agateferry_core/logs/logs.py
+++ b/packages/agateferry-core/agateferry_core/logs/logs.py
@@ -10,7 +10,7 @@
 import logging
 import sys
 from dataclasses import dataclass
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
@@ -69,5 +69,5 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.WriteLoggerFactory(file=file or sys.stderr),  # type: ignore[arg-type],
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, file or sys.stderr)),
     )
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/events.py
@@ -12,4 +12,5 @@
 )
 LEADER_LOST = Event(7410, "no answer from a leader", "See whether the cell has a leader.")
 LEADER_FOUND = Event(7411, "a leader answers", "Nothing to do.")
+CALL_ANSWERED = Event(7412, "call answered", "Look for the id in the leader's log.")
 TASK_FAILED = Event(7420, "task failed", "Report the traceback.")
