--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -197,13 +197,15 @@
             metrics.FIRST_START_SECONDS.labels(str(job.priority)).observe(waited_s)
 
     def _stop_unwanted(self) -> None:
-        """Stop what runs for jobs that are over or subtasks that are done."""
+        """Stop what runs for jobs that are over, and what is left of gangs that broke."""
         for job in self._ledger.jobs.values():
-            if not job.is_over:
-                continue
             for name, subtask in job.subtasks.items():
-                if subtask.active is not None and not subtask.is_done:
+                if subtask.active is None or subtask.is_done:
+                    continue
+                if job.is_over:
                     self._stop_run((job.id, name), subtask.active, "job is over")
+                elif job.is_gang_broken(name):
+                    self._stop_run((job.id, name), subtask.active, "gang is not whole")
 
     def _stop_hung(self) -> None:
         now_ms = self._clock.now_ms()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
@@ -5,14 +5,15 @@
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import run_async
 from agateferry_jobs.calls import messages as m
-from agateferry_jobs.cell.leader import Leader
+from agateferry_jobs.cell.leader import HUNG_MS, Leader
 from agateferry_jobs.ledger import JobState, Ledger, WorkerState
 from agateferry_jobs.ledger import commands as c
-from agateferry_jobs.ledger.specs import JobSpec, StepSpec
+from agateferry_jobs.ledger.specs import Amount, JobSpec, StepSpec
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.making import NEED
 from agateferry_state.replica.protocols import ProposeErrorKind
 
+WHOLE = Amount(cpu=1000, mem_mb=100, gpu=8)
 JOB = JobSpec("payload", (StepSpec(1, NEED),))
 ID = "5c0e7a21d94b36f8"
 
@@ -201,3 +202,20 @@
             self.assertGreaterEqual(self.clock.now_ms(), silent.deadline_ms)
 
         self.check(scenario, lease_ms=1500)
+
+
+class GangTests(LeaderCase):
+    def test_members_of_a_gang_that_did_not_start_whole_are_stopped_at_once(self):
+        async def scenario():
+            await self.beat(worker("w1"))
+            await self.beat(worker("w2"))
+            step = StepSpec(2, WHOLE, is_gang=True)
+            await self.until(lambda: len(self.ports) == 2, "sessions")
+            self.ports["w2"].is_full = True
+            await self.ask(m.Submit(place(), JobSpec("payload", (step,))))
+            await self.until(lambda: self.ports["w1"].starts, "one member")
+            async with asyncio.timeout(HUNG_MS / 2 / 1000):
+                await self.running_on("w1", 0)
+            self.assertEqual("stopped", self.ports["w1"].how_first_ended)
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -115,6 +115,15 @@
         step = self.spec.steps[int(gang.split(".")[1])]
         return [f"{gang}.{index}" for index in range(step.count)]
 
+    def is_gang_broken(self, name: str) -> bool:
+        """Tell whether a subtask belongs to a gang of which another member does not run."""
+        if not self.step_of(name).is_gang:
+            return False
+        return any(
+            member not in self.subtasks or self.subtasks[member].active is None
+            for member in self.members(gang_of(name))
+        )
+
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Tell whether all subtasks of a step ended as done."""
         return all(self.subtasks[name].is_done for name in self.members(f"{occurrence}.{step}"))
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -35,6 +35,7 @@
     born: int = 1
     loses_orders: int = 0
     is_cut: bool = False
+    is_full: bool = False
     is_other: bool = False
     token: int = 0
     deadline_ms: int = 0
@@ -44,6 +45,7 @@
     late: list[StartOrder] = field(default_factory=list)
     starts: list[tuple[RunKey, int]] = field(default_factory=list)
     percent: float = 0.0
+    how_first_ended: str = ""
 
     async def start(self, order: StartOrder, timeout_ms: int) -> Answer:
         """Take a start, or lose it for now."""
@@ -53,6 +55,8 @@
             self.loses_orders -= 1
             self.late.append(order)
             return NoAnswer("lost")
+        if self.is_full:
+            return Rejected("room", self.clock.now_ms())
         return self.carry_out(order)
 
     def carry_out(self, order: StartOrder) -> Answer:
@@ -109,6 +113,7 @@
     def end(self, key: RunKey, how: str, checkpoint: str = "") -> None:
         """Have a run end."""
         run = self.running.pop(key)
+        self.how_first_ended = self.how_first_ended or how
         self.over[key] = run
         number = self.ends[-1].number + 1 if self.ends else len(self.over)
         self.ends.append(FinishedRun(number, key, run, how, checkpoint))
