Let teams within their reserve take back what others borrow, and weigh what a stop loses

Urgent work also waited for its rack up to twice its own length. Change: ranks; the loss is the work since the start or the newest checkpoint, for the whole gang, weighed by rank; promised work waits 0.8 s for its best place. Tests first: the planner's ReserveTests and LossTests.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -175,7 +175,9 @@
             self._stop_run(key, run, "room for urgent work")
         if not plan.starts:
             return
-        outcome: Result[Any, Any] = await self._proposer.propose(c.StartRuns(tuple(plan.starts)))
+        outcome: Result[Any, Any] = await self._proposer.propose(
+            c.StartRuns(tuple(plan.starts), self.now_ms)
+        )
         if outcome.is_error() or not self._replica.is_leader:
             return
         for start in outcome.ok:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -78,6 +78,7 @@
     """Store the intent to start subtasks."""
 
     starts: tuple[RunStart, ...]
+    at_ms: int = 0
 
 
 class EndRuns(Struct, frozen=True, tag="end"):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -70,8 +70,8 @@
                 return self._cancel(id, at_ms)
             case c.NoteWorker(worker):
                 return self._note_worker(worker)
-            case c.StartRuns(starts):
-                return tuple(start for start in starts if self._start(start))
+            case c.StartRuns(starts, at_ms):
+                return tuple(start for start in starts if self._start(start, at_ms))
             case c.EndRuns(ends, at_ms):
                 return tuple(end for end in ends if self._end(end, at_ms))
 
@@ -138,7 +138,7 @@
         self.workers[worker.id] = worker
         return True
 
-    def _start(self, start: c.RunStart) -> bool:
+    def _start(self, start: c.RunStart, at_ms: int) -> bool:
         job = self.jobs.get(start.job)
         if job is None or job.is_over:
             return False
@@ -149,6 +149,7 @@
             return False
         subtask.last_run = start.run.number
         subtask.active = start.run
+        subtask.started_ms = at_ms
         gang = job.gangs.setdefault(gang_of(start.subtask), Gang())
         gang.last_run = max(gang.last_run, start.run.number)
         job.has_started = True
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -61,6 +61,7 @@
     is_done: bool = False
     checkpoint: str = ""
     active: Run | None = None
+    started_ms: int = 0
 
 
 class Gang(Struct):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
@@ -3,20 +3,29 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING
 
 from agateferry_jobs.ledger.specs import Amount
 from agateferry_jobs.planning.fleet import Occupant, Seat
+from agateferry_jobs.planning.ranks import BORROWED_RANK
 
 if TYPE_CHECKING:
     from agateferry_jobs.planning.planner import Wave
 
 FAR_PATIENCE = 2.0
 """Work that is three times as slow away from its rack waits for it up to twice its own length."""
+URGENT_PATIENCE_MS = 800
+"""What promised work waits for its best place; its start is owed within a few seconds."""
+RANK_WEIGHT = 3
+"""How much more the loss of a run counts for each rank that it is nearer to the first."""
+LOWEST_RANK = 4
+RESTORE_S = 1.5
+"""What a stopped run loses even with a checkpoint: the newest second of work and the restore."""
 GPU_CORES = 8
 """What one accelerator counts for in cores when lost work is weighed, as the platform prices it."""
 CORE = 1000
+MS_PER_S = 1000
 
 Room = list[tuple[Seat, list[Occupant]]]
 
@@ -24,11 +33,15 @@
 class Chooser:
     """Choose among the workers of one service for the subtasks of one wave."""
 
-    def __init__(self, seats: Sequence[Seat], wave: Wave) -> None:
+    def __init__(self, seats: Sequence[Seat], wave: Wave, ranks: Mapping[str, int]) -> None:
         self._wave = wave
         self._step = wave.step
         self._seats = [s for s in seats if s.takes_work and s.can_hold(wave.step)]
-        self._is_patient = wave.waited_ms < FAR_PATIENCE * wave.step.estimated_ms
+        self._ranks = ranks
+        patience_ms = FAR_PATIENCE * wave.step.estimated_ms
+        if wave.rank <= BORROWED_RANK:
+            patience_ms = min(patience_ms, URGENT_PATIENCE_MS)
+        self._is_patient = wave.waited_ms < patience_ms
 
     def single(self) -> Seat | None:
         """Return the worker for one subtask, or None where it should wait."""
@@ -50,17 +63,20 @@
             return self._fill(self._seats, count)
         return None
 
-    def room_for(self, count: int, priority: int) -> Room:
+    def room_for(self, count: int) -> Room:
         """Return workers that hold `count` more subtasks once the named runs have ended.
 
-        Returns nothing where no runs of a lower priority stand in the way of enough room.
+        Returns nothing where runs of lower ranks do not hold enough room.
         """
         best: tuple[float, Room] | None = None
-        for group in self._groups():
-            room = self._room_in(group, count, priority)
+        groups = self._groups()
+        if not self._is_patient:
+            groups = [*groups, self._seats]
+        for group in groups:
+            room = self._room_in(group, count)
             if room is None:
                 continue
-            loss = sum(_loss(victim) for _, victims in room for victim in victims)
+            loss = sum(self._loss(victim) for _, victims in room for victim in victims)
             if best is None or loss < best[0]:
                 best = (loss, room)
         return best[1] if best is not None else []
@@ -95,22 +111,22 @@
             places = min(places, self._step.max_per_worker - there)
         return max(0, places)
 
-    def _room_in(self, group: Sequence[Seat], count: int, priority: int) -> Room | None:
+    def _room_in(self, group: Sequence[Seat], count: int) -> Room | None:
         """Return the cheapest room; on one worker a later place rests on the victims before it."""
-        places = [deque(self._room_on(seat, priority)) for seat in group]
+        places = [deque(self._room_on(seat)) for seat in group]
         room: Room = []
         while len(room) < count:
             places = [each for each in places if each]
             if not places:
                 return None
-            cheapest = min(places, key=lambda each: sum(_loss(v) for v in each[0][1]))
+            cheapest = min(places, key=lambda each: sum(self._loss(v) for v in each[0][1]))
             room.append(cheapest.popleft())
         return room
 
-    def _room_on(self, seat: Seat, priority: int) -> Room:
+    def _room_on(self, seat: Seat) -> Room:
         """Return one entry for each subtask that fits here, with the runs that it displaces."""
-        lower = [o for o in seat.occupants if o.job.priority > priority and not o.is_stopping]
-        lower.sort(key=lambda o: (-o.job.priority, _loss(o)))
+        lower = [o for o in seat.occupants if self._gives_way(o)]
+        lower.sort(key=self._loss)
         future = seat.future
         room: Room = []
         slots = seat.free_slots + sum(1 for o in seat.occupants if o.is_stopping)
@@ -128,6 +144,21 @@
                 break
         return room
 
+    def _gives_way(self, occupant: Occupant) -> bool:
+        rank = self._ranks.get(occupant.job.id, LOWEST_RANK)
+        return rank > self._wave.rank and not occupant.is_stopping
+
+    def _loss(self, victim: Occupant) -> float:
+        """Return the work, in core seconds, that is lost with a run and the rest of its gang."""
+        job, step = victim.job, victim.job.step_of(victim.subtask)
+        members = step.count if step.is_gang else 1
+        lost_s = max(0, self._wave.now_ms - job.subtasks[victim.subtask].started_ms) / MS_PER_S
+        if step.saves_checkpoints:
+            lost_s = min(lost_s, RESTORE_S)
+        cores = victim.need.gpu * GPU_CORES + victim.need.cpu / CORE
+        nearness = LOWEST_RANK - self._ranks.get(job.id, LOWEST_RANK)
+        return members * cores * (lost_s + RESTORE_S) * RANK_WEIGHT**nearness
+
     def _is_below_limit(self, seat: Seat) -> bool:
         limit = self._step.max_per_worker
         return not limit or seat.count_of(self._wave.job, self._wave.gang) < limit
@@ -143,10 +174,3 @@
 def set_of(seats: Sequence[Seat]) -> list[Seat]:
     """Return each worker once."""
     return list({seat.life.id: seat for seat in seats}.values())
-
-
-def _loss(victim: Occupant) -> float:
-    """Return what is held by a run, and by its whole gang where it has one, in cores."""
-    step = victim.job.step_of(victim.subtask)
-    members = step.count if step.is_gang else 1
-    return members * (victim.need.gpu * GPU_CORES + victim.need.cpu / CORE)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -14,9 +14,7 @@
 from agateferry_jobs.ledger.state import gang_of
 from agateferry_jobs.planning.choice import Chooser
 from agateferry_jobs.planning.fleet import Fleet, Occupant, RunKey, Seat
-
-URGENT_PRIORITY = 0
-"""Jobs of this priority may take runs of others back."""
+from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
 
 
 @dataclass(slots=True)
@@ -35,7 +33,9 @@
     gang: str
     step: StepSpec
     names: tuple[str, ...]
+    now_ms: int
     waited_ms: int
+    rank: int
 
 
 class Planner:
@@ -46,6 +46,7 @@
         self._fleet = fleet
         self._now_ms = now_ms
         self._plan = Plan()
+        self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
 
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
@@ -56,7 +57,7 @@
 
     def _waiting_jobs(self) -> list[Job]:
         jobs = [job for job in self._ledger.jobs.values() if not job.is_over]
-        return sorted(jobs, key=lambda job: (job.priority, job.accepted_ms, job.id))
+        return sorted(jobs, key=lambda job: (self._ranks[job.id], job.accepted_ms, job.id))
 
     def _waves(self, job: Job) -> Iterator[Wave]:
         for occurrence in range(job.spec.occurrences):
@@ -82,10 +83,11 @@
             return None
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
             return None
-        return Wave(job, gang, step, names, self._now_ms - since_ms)
+        rank = self._ranks[job.id]
+        return Wave(job, gang, step, names, self._now_ms, self._now_ms - since_ms, rank)
 
     def _place(self, wave: Wave) -> None:
-        chooser = Chooser(self._seats_for(wave.job), wave)
+        chooser = Chooser(self._seats_for(wave.job), wave, self._ranks)
         if wave.step.is_gang:
             seats = chooser.whole()
             if seats is None:
@@ -123,9 +125,9 @@
 
     def _make_room(self, wave: Wave, chooser: Chooser, names: Sequence[str]) -> None:
         """Promise room to urgent work and take back what stands in its way."""
-        if wave.job.priority != URGENT_PRIORITY:
+        if wave.rank > BORROWED_RANK:
             return
-        for seat, victims in chooser.room_for(len(names), wave.job.priority):
+        for seat, victims in chooser.room_for(len(names)):
             for victim in victims:
                 self._stop(victim)
             seat.promise(wave.step.need)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -1,9 +1,11 @@
+import msgspec
 import testtools
 
 from agateferry_jobs.ledger import Ledger, WorkerState
 from agateferry_jobs.ledger import commands as c
 from agateferry_jobs.ledger.specs import Amount, StepSpec
 from agateferry_jobs.planning import Fleet, Planner, WorkerHealth
+from agateferry_jobs.planning.choice import URGENT_PATIENCE_MS
 from agateferry_jobs.support import job_command, manifest, start_of, worker
 from agateferry_jobs.support.making import NEED
 
@@ -175,3 +177,61 @@
         self.placed()
         self.do(job_command("j", StepSpec(1, WHOLE), priority=1))
         self.assertEqual([], self.plan().stops)
+
+
+class ReserveTests(PlannerCase):
+    """The team of the manifest has eight accelerators reserved; nobody else has any."""
+
+    def borrow(self, id, team, gpu, at_ms=0):
+        command = job_command(id, StepSpec(1, Amount(gpu=gpu)), priority=0, at_ms=at_ms)
+        self.do(msgspec.structs.replace(command, team=team))
+
+    def test_urgent_work_of_a_team_beyond_its_reserve_gives_way(self):
+        self.add(worker("w1"))
+        self.borrow("borrowed", "other", 8)
+        self.placed()
+        self.borrow("reserved", "team", 8, at_ms=1)
+        self.assertEqual([("borrowed", "0.0.0")], [key for key, _ in self.plan().stops])
+
+    def test_borrowers_take_nothing_back_from_each_other(self):
+        self.add(worker("w1"))
+        self.borrow("first", "other", 8)
+        self.placed()
+        self.borrow("second", "another", 8, at_ms=1)
+        self.assertEqual([], self.plan().stops)
+
+    def test_work_within_the_reserve_is_never_taken_back(self):
+        self.add(worker("w1"))
+        self.borrow("reserved", "team", 8)
+        self.placed()
+        self.borrow("borrowed", "other", 8, at_ms=1)
+        self.assertEqual([], self.plan().stops)
+
+    def test_promised_work_does_not_wait_long_for_its_rack(self):
+        self.add(worker("a1", rack="a"), worker("b1", rack="b"))
+        step = StepSpec(1, NEED, data_rack="c", estimated_ms=60_000)
+        self.add(worker("c1", rack="c", state=WorkerState.READY), answers=True)
+        self.do(job_command("full", StepSpec(1, WHOLE, required_label="c"), priority=0))
+        self.placed()
+        self.do(job_command("j", step, priority=0))
+        self.assertEqual({}, self.placed(URGENT_PATIENCE_MS - 1))
+        self.assertEqual(1, len(self.placed(URGENT_PATIENCE_MS)))
+
+
+class LossTests(PlannerCase):
+    def test_the_run_with_the_least_work_behind_it_is_taken_back(self):
+        self.add(worker("w1"))
+        for id, at_ms in (("old", 0), ("new", 9000)):
+            self.do(job_command(id, StepSpec(1, Amount(gpu=4)), priority=2))
+            self.do(c.StartRuns(tuple(self.plan(at_ms).starts), at_ms))
+        self.do(job_command("urgent", StepSpec(1, Amount(gpu=4)), priority=0))
+        self.assertEqual([("new", "0.0.0")], [key for key, _ in self.plan(9500).stops])
+
+    def test_a_run_that_saves_loses_little(self):
+        self.add(worker("w1"))
+        for id, saves, at_ms in (("saves", True, 0), ("new", False, 5000)):
+            step = StepSpec(1, Amount(gpu=4), saves_checkpoints=saves)
+            self.do(job_command(id, step, priority=2))
+            self.do(c.StartRuns(tuple(self.plan(at_ms).starts), at_ms))
+        self.do(job_command("urgent", StepSpec(1, Amount(gpu=4)), priority=0))
+        self.assertEqual([("saves", "0.0.0")], [key for key, _ in self.plan(9000).stops])
