Let gangs that get late take back what ranks below them

Change: a gang that waited for half of its slack and can still be in time takes runs of lower ranks back, those with the least work behind them first.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -15,6 +15,10 @@
 from agateferry_jobs.planning.choice import Chooser
 from agateferry_jobs.planning.fleet import Fleet, Occupant, RunKey, Seat
 from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
+from agateferry_jobs.planning.timing import Lateness, lateness, slack_ms
+
+WAITED_SHARE = 0.5
+"""A gang that has waited for this share of its slack takes runs of lower ranks back."""
 
 
 @dataclass(slots=True)
@@ -125,13 +129,22 @@
 
     def _make_room(self, wave: Wave, chooser: Chooser, names: Sequence[str]) -> None:
         """Promise room to urgent work and take back what stands in its way."""
-        if wave.rank > BORROWED_RANK:
+        if not self._may_take_back(wave):
             return
         for seat, victims in chooser.room_for(len(names)):
             for victim in victims:
                 self._stop(victim)
             seat.promise(wave.step.need)
 
+    def _may_take_back(self, wave: Wave) -> bool:
+        """Tell whether runs of lower ranks give way: to urgent work, and to what gets late."""
+        if wave.rank <= BORROWED_RANK:
+            return True
+        if lateness(wave.job, self._ledger.manifest, wave.waited_ms) is not Lateness.IN_TIME:
+            return False
+        slack = slack_ms(wave.job, self._ledger.manifest)
+        return wave.step.is_gang and wave.waited_ms > WAITED_SHARE * slack
+
     def _stop(self, victim: Occupant) -> None:
         """Stop a run, and the other members with it where it belongs to a gang."""
         job = victim.job
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -171,6 +171,16 @@
         self.stopping = {key for key, _ in plan.stops}
         self.assertEqual(([], []), (self.plan().starts, self.plan().stops))
 
+    def test_a_gang_that_gets_late_takes_back_what_ranks_below_it(self):
+        self.add(worker("w1"))
+        self.do(job_command("low", StepSpec(1, WHOLE), priority=2))
+        self.placed()
+        step = StepSpec(1, WHOLE, is_gang=True, estimated_ms=4500)
+        self.do(job_command("gang", step, priority=1))
+        self.assertEqual([], self.plan(5000).stops)
+        self.assertEqual([("low", "0.0.0")], [key for key, _ in self.plan(5001).stops])
+        self.assertEqual([], self.plan(10_001).stops)
+
     def test_work_that_is_not_urgent_takes_nothing_back(self):
         self.add(worker("w1"))
         self.do(job_command("low", StepSpec(1, WHOLE), priority=2))
--- a/packages/agateferry-jobs/agateferry_jobs/support/making.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/making.py
@@ -31,9 +31,13 @@
     return c.RunStart(job, subtask, Run(number, on, born))
 
 
-def manifest(version: int = 1, **changes: str) -> Manifest:
+def manifest(
+    version: int = 1, source: str = "", stretch: float = 3.0, target_ms: float = 1000
+) -> Manifest:
     """Return a manifest with one queue, one pool and one team."""
-    queue = Queue("queue", "host", "/jobs/", "pool", 3000, priority=1, attempts=2)
+    queue = Queue(
+        "queue", "host", "/jobs/", "pool", 3000, target_ms, 1, attempts=2, stretch=stretch
+    )
     team = Team("team", ("key",), reserved_gpus=8)
-    source = changes.get("source", f"version {version}").encode()
-    return Manifest(version, (queue,), (Service("pool"),), (team,), source)
+    source = source or f"version {version}"
+    return Manifest(version, (queue,), (Service("pool"),), (team,), source.encode())
