--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -171,8 +171,8 @@
             self._ledger, self._roster.health(self._is_suspect), self._roster.stopping()
         )
         plan = Planner(self._ledger, fleet, self.now_ms).plan()
-        for key, run in plan.stops:
-            self._stop_run(key, run, "room for urgent work")
+        for stop in plan.stops:
+            self._stop_run(stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank)
         if not plan.starts:
             return
         outcome: Result[Any, Any] = await self._proposer.propose(
@@ -226,11 +226,16 @@
         job = self._ledger.jobs.get(key[0])
         return job is None or job.step_of(key[1]).lasts
 
-    def _stop_run(self, key: RunKey, run: Run, reason: str) -> None:
+    def _stop_run(self, key: RunKey, run: Run, reason: str, **inputs: str | int) -> None:
         if self._roster.stop(key, run):
             metrics.RUNS_STOPPED.labels(reason).inc()
             self._log.info(
-                events.RUN_STOPPING, job=key[0], subtask=key[1], run=run.number, reason=reason
+                events.RUN_STOPPING,
+                job=key[0],
+                subtask=key[1],
+                run=run.number,
+                reason=reason,
+                **inputs,
             )
 
     def _is_suspect(self, worker: str, born: int) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -21,12 +21,22 @@
 """A gang that has waited for this share of its slack takes runs of lower ranks back."""
 
 
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """A run to stop, and the job and the subtasks that its room is for."""
+
+    key: RunKey
+    run: Run
+    for_job: str
+    for_rank: int
+
+
 @dataclass(slots=True)
 class Plan:
     """What to start and what to stop."""
 
     starts: list[RunStart] = field(default_factory=list)
-    stops: list[tuple[RunKey, Run]] = field(default_factory=list)
+    stops: list[Stop] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,7 +143,7 @@
             return
         for seat, victims in chooser.room_for(len(names)):
             for victim in victims:
-                self._stop(victim)
+                self._stop(victim, wave)
             seat.promise(wave.step.need)
 
     def _may_take_back(self, wave: Wave) -> bool:
@@ -145,7 +155,7 @@
         slack = slack_ms(wave.job, self._ledger.manifest)
         return wave.step.is_gang and wave.waited_ms > WAITED_SHARE * slack
 
-    def _stop(self, victim: Occupant) -> None:
+    def _stop(self, victim: Occupant, wave: Wave) -> None:
         """Stop a run, and the other members with it where it belongs to a gang."""
         job = victim.job
         names = [victim.subtask]
@@ -159,4 +169,5 @@
                         seat.future = seat.future.plus(other.need)
                         run = job.subtasks[other.subtask].active
                         if run is not None:
-                            self._plan.stops.append(((job.id, other.subtask), run))
+                            key = (job.id, other.subtask)
+                            self._plan.stops.append(Stop(key, run, wave.job.id, wave.rank))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -151,14 +151,16 @@
         self.placed()
         self.do(job_command("urgent2", StepSpec(1, Amount(gpu=2)), priority=0))
         stops = self.plan().stops
-        self.assertEqual([("small", "0.0.0")], [key for key, _ in stops])
+        self.assertEqual([("small", "0.0.0")], [stop.key for stop in stops])
 
     def test_a_gang_is_taken_back_whole(self):
         self.add(worker("w1"), worker("w2"))
         self.do(job_command("low", StepSpec(2, WHOLE, is_gang=True), priority=1))
         self.placed()
         self.do(job_command("urgent", StepSpec(1, WHOLE), priority=0))
-        self.assertEqual({("low", "0.0.0"), ("low", "0.0.1")}, {k for k, _ in self.plan().stops})
+        self.assertEqual(
+            {("low", "0.0.0"), ("low", "0.0.1")}, {stop.key for stop in self.plan().stops}
+        )
 
     def test_room_that_becomes_free_is_kept_for_the_one_it_was_freed_for(self):
         self.add(worker("w1"))
@@ -168,7 +170,7 @@
         self.do(job_command("late", StepSpec(1, NEED), priority=2))
         plan = self.plan()
         self.assertEqual([], plan.starts)
-        self.stopping = {key for key, _ in plan.stops}
+        self.stopping = {stop.key for stop in plan.stops}
         self.assertEqual(([], []), (self.plan().starts, self.plan().stops))
 
     def test_a_gang_that_gets_late_takes_back_what_ranks_below_it(self):
@@ -178,7 +180,7 @@
         step = StepSpec(1, WHOLE, is_gang=True, estimated_ms=4500)
         self.do(job_command("gang", step, priority=1))
         self.assertEqual([], self.plan(5000).stops)
-        self.assertEqual([("low", "0.0.0")], [key for key, _ in self.plan(5001).stops])
+        self.assertEqual([("low", "0.0.0")], [stop.key for stop in self.plan(5001).stops])
         self.assertEqual([], self.plan(10_001).stops)
 
     def test_work_that_is_not_urgent_takes_nothing_back(self):
@@ -201,7 +203,7 @@
         self.borrow("borrowed", "other", 8)
         self.placed()
         self.borrow("reserved", "team", 8, at_ms=1)
-        self.assertEqual([("borrowed", "0.0.0")], [key for key, _ in self.plan().stops])
+        self.assertEqual([("borrowed", "0.0.0")], [stop.key for stop in self.plan().stops])
 
     def test_borrowers_take_nothing_back_from_each_other(self):
         self.add(worker("w1"))
@@ -235,7 +237,7 @@
             self.do(job_command(id, StepSpec(1, Amount(gpu=4)), priority=2))
             self.do(c.StartRuns(tuple(self.plan(at_ms).starts), at_ms))
         self.do(job_command("urgent", StepSpec(1, Amount(gpu=4)), priority=0))
-        self.assertEqual([("new", "0.0.0")], [key for key, _ in self.plan(9500).stops])
+        self.assertEqual([("new", "0.0.0")], [stop.key for stop in self.plan(9500).stops])
 
     def test_a_run_that_saves_loses_little(self):
         self.add(worker("w1"))
@@ -244,4 +246,4 @@
             self.do(job_command(id, step, priority=2))
             self.do(c.StartRuns(tuple(self.plan(at_ms).starts), at_ms))
         self.do(job_command("urgent", StepSpec(1, Amount(gpu=4)), priority=0))
-        self.assertEqual([("saves", "0.0.0")], [key for key, _ in self.plan(9000).stops])
+        self.assertEqual([("saves", "0.0.0")], [stop.key for stop in self.plan(9000).stops])
