Let gangs keep the room that becomes free early, and take back only late

Cause: gangs of priority 1 took runs back after half of their slack, several times over for one gang (88 stops for a gang of 3), since urgent work took the room meanwhile. Change: room that becomes free is promised from a twentieth of the slack on; runs are taken back after seven tenths.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
@@ -17,10 +18,20 @@
 from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
 from agateferry_jobs.planning.timing import Lateness, lateness, slack_ms
 
-WAITED_SHARE = 0.5
+KEEP_SHARE = 0.05
+"""A gang that has waited for this share of its slack keeps room that becomes free for itself."""
+TAKE_BACK_SHARE = 0.7
 """A gang that has waited for this share of its slack takes runs of lower ranks back."""
 
 
+class Urgency(Enum):
+    """What a wave that cannot start may do to others."""
+
+    WAITS = auto()
+    KEEPS_ROOM = auto()
+    TAKES_BACK = auto()
+
+
 @dataclass(frozen=True, slots=True)
 class Stop:
     """A run to stop, and the job and the subtasks that its room is for."""
@@ -138,22 +149,28 @@
         return max(saved, key=lambda s: s.last_run).checkpoint if saved else ""
 
     def _make_room(self, wave: Wave, chooser: Chooser, names: Sequence[str]) -> None:
-        """Promise room to urgent work and take back what stands in its way."""
-        if not self._may_take_back(wave):
+        """Promise room to what goes first, and take back what stands in its way where that pays."""
+        urgency = self._urgency(wave)
+        if urgency is Urgency.WAITS:
             return
         for seat, victims in chooser.room_for(len(names)):
-            for victim in victims:
-                self._stop(victim, wave)
+            if urgency is Urgency.TAKES_BACK:
+                for victim in victims:
+                    self._stop(victim, wave)
             seat.promise(wave.step.need)
 
-    def _may_take_back(self, wave: Wave) -> bool:
-        """Tell whether runs of lower ranks give way: to urgent work, and to what gets late."""
+    def _urgency(self, wave: Wave) -> Urgency:
+        """Tell what a wave that cannot start may do to others."""
         if wave.rank <= BORROWED_RANK:
-            return True
+            return Urgency.TAKES_BACK
+        if not wave.step.is_gang:
+            return Urgency.WAITS
         if lateness(wave.job, self._ledger.manifest, wave.waited_ms) is not Lateness.IN_TIME:
-            return False
-        slack = slack_ms(wave.job, self._ledger.manifest)
-        return wave.step.is_gang and wave.waited_ms > WAITED_SHARE * slack
+            return Urgency.WAITS
+        waited_share = wave.waited_ms / max(1.0, slack_ms(wave.job, self._ledger.manifest))
+        if waited_share > TAKE_BACK_SHARE:
+            return Urgency.TAKES_BACK
+        return Urgency.KEEPS_ROOM if waited_share > KEEP_SHARE else Urgency.WAITS
 
     def _stop(self, victim: Occupant, wave: Wave) -> None:
         """Stop a run, and the other members with it where it belongs to a gang."""
