--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -103,11 +103,14 @@
 
     async def store_ends(self, ends: tuple[c.RunEnded, ...]) -> bool:
         """Store how runs ended and plan anew."""
-        outcome = await self._proposer.propose(c.EndRuns(ends, self.now_ms))
+        at_ms = self.now_ms
+        outcome = await self._proposer.propose(c.EndRuns(ends, at_ms))
         if outcome.is_error():
             return False
         for end in outcome.ok:
             self._note_end(end)
+        for id in {end.job for end in outcome.ok}:
+            self._note_job_over(id, at_ms)
         self.on_change()
         return True
 
@@ -258,8 +261,11 @@
             now_ms = self._clock.now_ms()
             if self._doubts.note_failed(run.worker, run.born, end.job, now_ms):
                 self._log.warning(events.WORKER_SUSPECT, worker=run.worker, reason="failed runs")
-        job = self._ledger.jobs.get(end.job)
-        if job is not None and job.is_over:
+
+    def _note_job_over(self, id: str, at_ms: int) -> None:
+        """Log a job that these ends completed or failed."""
+        job = self._ledger.jobs.get(id)
+        if job is not None and job.is_over and job.ended_ms == at_ms:
             metrics.ENDED.labels(job.state.value).inc()
             self._log.info(events.JOB_ENDED, job=job.id, state=job.state)
 
