Keep the least urgent work on workers of its own until it has waited

Change: until a wave of the least urgent rank has waited for a fifth of its slack, it goes to workers that hold only its like, and opens an empty one only where an eighth stays empty; after that, anywhere.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict, deque
 from collections.abc import Mapping, Sequence
 from typing import TYPE_CHECKING
@@ -15,6 +16,10 @@
 
 FAR_PATIENCE = 2.0
 """Work that is three times as slow away from its rack waits for it up to twice its own length."""
+ALOOF_SHARE = 0.2
+"""The least urgent work uses any room once it has waited for this share of its slack."""
+HEADROOM_SHARE = 0.12
+"""The share of workers that the least urgent work leaves empty for gangs that come."""
 URGENT_PATIENCE_MS = 800
 """What promised work waits for its best place; its start is owed within a few seconds."""
 RANK_WEIGHT = 3
@@ -45,12 +50,31 @@
 
     def single(self) -> Seat | None:
         """Return the worker for one subtask, or None where it should wait."""
-        fitting = [s for s in self._seats if s.has_room(self._step) and self._is_below_limit(s)]
+        fitting = [s for s in self._open_seats() if s.has_room(self._step)]
+        fitting = [s for s in fitting if self._is_below_limit(s)]
         near = [s for s in fitting if self._is_near(s)]
         if not near and self._is_patient and any(self._is_near(s) for s in self._seats):
             return None
         return min(near or fitting, key=self._cost, default=None)
 
+    def _open_seats(self) -> list[Seat]:
+        """Return the workers that this wave may use.
+
+        Gangs ask for whole workers at any moment, and each small run that stands on one is thrown
+        away. So the least urgent work stays on workers of its own and leaves some empty, until it
+        has waited for a part of its slack.
+        """
+        is_least_urgent = self._wave.rank > BORROWED_RANK + 1
+        if not is_least_urgent or self._wave.waited_share > ALOOF_SHARE:
+            return self._seats
+        empty = [s for s in self._seats if not s.occupants]
+        kept = math.ceil(len(self._seats) * HEADROOM_SHARE)
+        own = [s for s in self._seats if s.occupants and all(map(self._is_peer, s.occupants))]
+        return own + empty if len(empty) > kept else own
+
+    def _is_peer(self, occupant: Occupant) -> bool:
+        return self._ranks.get(occupant.job.id, LOWEST_RANK) >= self._wave.rank
+
     def whole(self) -> tuple[Seat, ...] | None:
         """Return a worker for each member of the gang, or None where it should wait."""
         count = len(self._wave.names)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -60,6 +60,8 @@
     names: tuple[str, ...]
     now_ms: int
     waited_ms: int
+    waited_share: float
+    """The wait as a share of the job's slack."""
     rank: int
 
 
@@ -108,8 +110,10 @@
             return None
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
             return None
+        waited_ms = self._now_ms - since_ms
+        share = waited_ms / max(1.0, slack_ms(job, self._ledger.manifest))
         rank = self._ranks[job.id]
-        return Wave(job, gang, step, names, self._now_ms, self._now_ms - since_ms, rank)
+        return Wave(job, gang, step, names, self._now_ms, waited_ms, share, rank)
 
     def _place(self, wave: Wave) -> None:
         chooser = Chooser(self._seats_for(wave.job), wave, self._ranks)
@@ -167,10 +171,9 @@
             return Urgency.WAITS
         if lateness(wave.job, self._ledger.manifest, wave.waited_ms) is not Lateness.IN_TIME:
             return Urgency.WAITS
-        waited_share = wave.waited_ms / max(1.0, slack_ms(wave.job, self._ledger.manifest))
-        if waited_share > TAKE_BACK_SHARE:
+        if wave.waited_share > TAKE_BACK_SHARE:
             return Urgency.TAKES_BACK
-        return Urgency.KEEPS_ROOM if waited_share > KEEP_SHARE else Urgency.WAITS
+        return Urgency.KEEPS_ROOM if wave.waited_share > KEEP_SHARE else Urgency.WAITS
 
     def _stop(self, victim: Occupant, wave: Wave) -> None:
         """Stop a run, and the other members with it where it belongs to a gang."""
