--- a/tools/metrics.py
+++ b/tools/metrics.py
@@ -1,6 +1,7 @@
 """Write docs/metrics.md, the list of metrics, from the class that declares them."""
 
 import sys
+from collections.abc import Iterable
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -10,6 +11,7 @@
 from prometheus_client.metrics import MetricWrapperBase  # noqa: E402
 
 from agateferry_core.metrics import Metrics  # noqa: E402
+from agateferry_jobs import metrics as job_metrics  # noqa: E402
 
 HEAD = """# Metrics
 
@@ -24,9 +26,26 @@
 """
 
 
+ROLES_HEAD = """
+## Roles on the users' platform
+
+At the address that `metrics` names in `deploy/system.toml`. [Operations](OPERATIONS.md) tells when to
+look at which.
+
+| metric | type | labels | meaning |
+| --- | --- | --- | --- |
+"""
+
+
 def page() -> str:
     """Return the text of the page."""
-    declared = [one for one in vars(Metrics()).values() if isinstance(one, MetricWrapperBase)]
+    daemon, roles = rows_of(vars(Metrics()).values()), rows_of(vars(job_metrics).values())
+    return HEAD + "\n".join(daemon) + "\n" + ROLES_HEAD + "\n".join(roles) + "\n"
+
+
+def rows_of(values: Iterable[object]) -> list[str]:
+    """Return a row for each metric among some values, in the order of their names."""
+    declared = [one for one in values if isinstance(one, MetricWrapperBase)]
     rows = []
     for metric in sorted(declared, key=lambda one: one._name):
         family = metric.describe()[0]
@@ -34,7 +53,7 @@
         labels = ", ".join(f"`{label}`" for label in metric._labelnames) or "-"
         text = family.documentation
         rows.append(f"| `{family.name}{ending}` | {family.type} | {labels} | {text} |")
-    return HEAD + "\n".join(rows) + "\n"
+    return rows
 
 
 if __name__ == "__main__":
