--- a/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages as m
@@ -19,17 +18,22 @@
 class Callers:
     """Answer for jobs, queues and the manifest."""
 
-    def __init__(
-        self, ledger: Ledger, proposer: Proposer, clock: Clock, on_change: Callable[[], None]
-    ) -> None:
+    def __init__(self, ledger: Ledger, proposer: Proposer, on_change: Callable[[], None]) -> None:
         self._ledger = ledger
         self._proposer = proposer
-        self._clock = clock
         self._on_change = on_change
         self._log = EventLogger()
 
     async def submit(self, ask: m.Submit, now_ms: int) -> m.Reply:
         """Store a job, once, whatever number of times it is handed in."""
+        reply = await self._submit(ask, now_ms)
+        if not isinstance(reply, m.Done):
+            self._log.info(
+                events.JOB_REFUSED, path=ask.place.path, reason=type(reply).__name__, flaw=ask.flaw
+            )
+        return reply
+
+    async def _submit(self, ask: m.Submit, now_ms: int) -> m.Reply:
         found = self._admit(ask.place)
         if not isinstance(found, tuple):
             return found
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -42,7 +42,7 @@
         self._proposer = Proposer(replica)
         self._doubts = Doubts()
         self._roster = Roster(ledger, clock, make_port, lease_ms, self, self._proposer)
-        self._callers = Callers(ledger, self._proposer, clock, self.on_change)
+        self._callers = Callers(ledger, self._proposer, self.on_change)
         self._wall_offset_ms = 0
         self._tokens = 0
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -6,13 +6,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Bounds:
-    """Times that the platform promises or asks for, in ms."""
+    """Times in ms: from a stop's signal to the kill, and the longest lease of a worker."""
 
-    heartbeat_ms: int = 1500
     grace_ms: int = 6000
     max_lease_ms: int = 10_000
-    stop_ms: int = 900
-    gang_ms: int = 3000
 
 
 @dataclass(frozen=True, slots=True)
