Ask in one place whether a task was cancelled itself

Cause: LeaderClient wrote again what the router of the records plane and the cells had, word for word. Change: agateferry_core.tasks holds the question; a Protocol that nothing used is gone. Behaviour as before.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -6,13 +6,13 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import Protocol
 
 import grpc
 import msgspec
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
+from agateferry_core.tasks import is_cancelled_itself
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import events
 from agateferry_jobs.calls import messages as m
@@ -40,13 +40,6 @@
 )
 
 
-class AskLeader(Protocol):
-    """Something that carries a question to the leader."""
-
-    async def ask(self, ask: m.Ask, within_ms: int) -> m.Reply:
-        """Return the leader's reply, or why there is none."""
-
-
 class LeaderClient:
     """Ask the leader of the cell, whichever host that is."""
 
@@ -136,7 +129,7 @@
             self._note_failed(host, exc.code().name, _name(ask))
             return m.Uncertain(exc.code().name)
         except asyncio.CancelledError:
-            if _is_cancelled_itself():
+            if is_cancelled_itself():
                 raise
             return m.Uncertain("its channel was closed by another call")
         except grpc.aio.UsageError:
@@ -185,11 +178,5 @@
         await channel.close(grace=None)
 
 
-def _is_cancelled_itself() -> bool:
-    """Tell whether this task was cancelled, rather than the call that it waits for."""
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _name(ask: m.Ask) -> str:
     return type(ask).__name__
--- a/packages/agateferry-service/agateferry_service/routing/router.py
+++ b/packages/agateferry-service/agateferry_service/routing/router.py
@@ -10,6 +10,7 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.metrics import Metrics
+from agateferry_core.tasks import is_cancelled_itself
 from agateferry_service.cell.refusals import COME_BACK_MS, RefusalReason, refusal
 from agateferry_service.routing.channels import Channels
 from agateferry_service.rpc import cell_pb2 as pb
@@ -112,7 +113,7 @@
             count_received(reply.ByteSize())
             return reply, True
         except asyncio.CancelledError:
-            if _is_cancelled_itself():
+            if is_cancelled_itself():
                 raise
             return None, True
         except grpc.aio.AioRpcError as exc:
@@ -125,15 +126,6 @@
         await asyncio.sleep(RETRY_PAUSE_MS * self._rng.uniform(0.5, 1.5) / 1000)
 
 
-def _is_cancelled_itself() -> bool:
-    """Tell whether the running task is cancelled, and not just its call.
-
-    gRPC cancels the calls of a channel that is closed because another call found it silent.
-    """
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
-
-
 def _is_not_leader(reply: Any) -> bool:
     refused = reply.HasField("refusal")
     return bool(refused and reply.refusal.reason == RefusalReason.NOT_LEADER)
