--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -0,0 +1,51 @@
+"""Play simulated days and print what each policy earned."""
+
+from statistics import mean, stdev
+
+import defopt
+
+from agateferry_jobs.simulation.loads import LOADS, draw
+from agateferry_jobs.simulation.policies import POLICIES
+from agateferry_jobs.simulation.report import Summary, summarize
+from agateferry_jobs.simulation.world import World
+
+
+def simulate(*, load: str = "surge", policy: str = "", seeds: int = 10) -> None:
+    """Play a load under one policy, or under each of them.
+
+    :param load: the name of a load: calm, surge or slow
+    :param policy: the name of a policy; without it all are played
+    :param seeds: how many days are played; the seeds are 1 to this number
+    """
+    for name in [policy] if policy else POLICIES:
+        days = [play(load, name, seed) for seed in range(1, seeds + 1)]
+        print(f"{load} {name}: {describe(days)}")
+
+
+def play(load: str, policy: str, seed: int) -> Summary:
+    """Return what one day earned."""
+    jobs = draw(LOADS[load], seed)
+    return summarize(World(LOADS[load], jobs, POLICIES[policy], seed).play())
+
+
+def describe(days: list[Summary]) -> str:
+    """Return the means over several days in one line."""
+    scores = [day.score for day in days]
+    spread = stdev(scores) if len(scores) > 1 else 0.0
+    names = sorted({name for day in days for name in day.by_kind})
+    kinds = " ".join(
+        f"{name}={mean(day.by_kind[name] for day in days if name in day.by_kind):.3f}"
+        for name in names
+    )
+    return (
+        f"score={mean(scores):.3f} spread={spread:.3f} day={mean(day.day for day in days):.3f} "
+        f"worst_kind={mean(day.worst_kind for day in days):.3f} "
+        f"worst_windows={mean(day.worst_windows for day in days):.3f} "
+        f"wasted_gpu_s={mean(day.wasted_gpu_s for day in days):.0f} "
+        f"stops={mean(day.stops for day in days):.1f} "
+        f"far_starts={mean(day.far_starts for day in days):.1f} {kinds}"
+    )
+
+
+if __name__ == "__main__":
+    defopt.run(simulate)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -0,0 +1,225 @@
+"""The jobs of a simulated day, drawn from a seed.
+
+A load names kinds of jobs with their rates, shapes and worth, and the times at which more of them
+come than usual. The same seed always gives the same jobs.
+
+    jobs = draw(LOADS["surge"], seed=1)
+"""
+
+import random
+from dataclasses import dataclass, replace
+
+from agateferry_jobs.ledger.specs import Amount, JobSpec, StepSpec
+
+MS_PER_S = 1000
+WORKER_ROOM = Amount(cpu=64_000, mem_mb=256_000, gpu=8)
+"""What every simulated worker has."""
+WORKERS_PER_RACK = 8
+LONGEST_SHARE = 4
+"""How many times the mean of its kind a width may be at most, so that one job is not the day."""
+
+
+@dataclass(frozen=True, slots=True)
+class JobKind:
+    """Jobs that are alike: how many come, what they need and what they are worth.
+
+    `per_s` is the rate in jobs a second, `work_ms` the mean length of a subtask, `gpus` the
+    accelerators of a subtask to draw from, `estimate_error` the share by which declared lengths
+    are off, and `objective` is `stretch` times the length plus `target_ms`.
+    """
+
+    name: str
+    priority: int
+    per_s: float
+    width: float
+    work_ms: float
+    gpus: tuple[int, ...]
+    cpu: int
+    stretch: float
+    target_ms: int
+    worth: float
+    late_worth: float
+    attempts: int = 3
+    is_gang: bool = True
+    same_rack_share: float = 0.0
+    saves_share: float = 0.0
+    failing_share: float = 0.0
+    estimate_error: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Surge:
+    """A span in which `times` as many jobs of one kind come."""
+
+    kind: str
+    at_s: float
+    for_s: float
+    times: float
+
+
+@dataclass(frozen=True, slots=True)
+class Slowness:
+    """A span in which a share of the workers takes `times` as long; 0 stands for standing still."""
+
+    at_s: float
+    for_s: float
+    share: float
+    times: float
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """A day: its workers, its kinds of jobs, and what makes it hard."""
+
+    kinds: tuple[JobKind, ...]
+    workers: int = 24
+    teams: int = 4
+    reserved_share: float = 0.62
+    """The share of all accelerators that the teams hold guarantees for, in equal parts."""
+    length_s: float = 36.0
+    surges: tuple[Surge, ...] = ()
+    slowness: tuple[Slowness, ...] = ()
+
+    def kind_named(self, name: str) -> JobKind:
+        """Return the kind of this name; a missing one is a broken load."""
+        return next(kind for kind in self.kinds if kind.name == name)
+
+
+@dataclass(frozen=True, slots=True)
+class SimulatedJob:
+    """A job as its caller hands it in, and what only the simulation knows of it."""
+
+    id: str
+    kind: JobKind
+    team: str
+    at_ms: int
+    spec: JobSpec
+    work_ms: tuple[int, ...]
+    """How long each subtask of the only step really takes on a sound worker."""
+    fails_at: tuple[float, ...]
+    """The shares of the work at which the first runs fail; one entry for each failing run."""
+
+
+def draw(load: Load, seed: int) -> list[SimulatedJob]:
+    """Return the jobs of a day in the order in which they come."""
+    rng = random.Random(seed)
+    jobs: list[SimulatedJob] = []
+    for kind in load.kinds:
+        for at_ms in _times(load, kind, rng):
+            jobs.append(_job(load, kind, at_ms, rng))
+    return sorted(jobs, key=lambda job: (job.at_ms, job.id))
+
+
+def _times(load: Load, kind: JobKind, rng: random.Random) -> list[int]:
+    """Draw arrivals by thinning, as Lewis and Shedler (1979) describe it."""
+    surges = [surge for surge in load.surges if surge.kind == kind.name]
+    most = kind.per_s * max([1.0, *(surge.times for surge in surges)])
+    times: list[int] = []
+    at_s = rng.expovariate(most)
+    while at_s < load.length_s:
+        rate = kind.per_s
+        for surge in surges:
+            if surge.at_s <= at_s < surge.at_s + surge.for_s:
+                rate *= surge.times
+        if rng.random() < rate / most:
+            times.append(round(at_s * MS_PER_S))
+        at_s += rng.expovariate(most)
+    return times
+
+
+def _job(load: Load, kind: JobKind, at_ms: int, rng: random.Random) -> SimulatedJob:
+    gpu = rng.choice(kind.gpus)
+    same_rack = kind.is_gang and rng.random() < kind.same_rack_share
+    count = _width(load, kind, gpu, same_rack, rng)
+    length_ms = max(300.0, rng.gauss(1.0, 0.3) * kind.work_ms)
+    spread = 0.0 if kind.is_gang else 0.15
+    work_ms = tuple(round(length_ms * (1 + rng.uniform(-spread, spread))) for _ in range(count))
+    estimate = length_ms * (1 + rng.uniform(-kind.estimate_error, kind.estimate_error))
+    step = StepSpec(
+        count,
+        Amount(min(kind.cpu, WORKER_ROOM.cpu * gpu // WORKER_ROOM.gpu), 2_000 * gpu, gpu),
+        estimated_ms=round(estimate),
+        is_gang=kind.is_gang,
+        same_rack=same_rack,
+        saves_checkpoints=rng.random() < kind.saves_share,
+    )
+    fails = (rng.random(),) if rng.random() < kind.failing_share else ()
+    id = f"{rng.getrandbits(64):016x}"
+    team = f"team-{rng.randrange(load.teams)}"
+    return SimulatedJob(id, kind, team, at_ms, JobSpec("payload", (step,)), work_ms, fails)
+
+
+def _width(load: Load, kind: JobKind, gpu: int, same_rack: bool, rng: random.Random) -> int:
+    """Draw how many subtasks a job has; a gang must fit into a rack or into half of the workers."""
+    width = rng.lognormvariate(0.0, 0.8) * kind.width * 0.73
+    count = max(1, round(min(width, LONGEST_SHARE * kind.width)))
+    if not kind.is_gang:
+        return count
+    workers = WORKERS_PER_RACK if same_rack else load.workers // 2
+    return min(count, workers * (WORKER_ROOM.gpu // gpu))
+
+
+URGENT = JobKind(
+    "urgent",
+    priority=0,
+    per_s=0.95,
+    width=3.4,
+    work_ms=2_500,
+    gpus=(1, 2, 4, 8, 8),
+    cpu=7_500,
+    stretch=1.5,
+    target_ms=250,
+    worth=4.0,
+    late_worth=0.8,
+    same_rack_share=0.8,
+    failing_share=0.05,
+)
+GANGS = JobKind(
+    "gangs",
+    priority=1,
+    per_s=0.31,
+    width=5.0,
+    work_ms=8_500,
+    gpus=(1, 2, 4, 8, 8),
+    cpu=26_000,
+    stretch=3.0,
+    target_ms=1_000,
+    worth=3.0,
+    late_worth=0.9,
+    attempts=4,
+    same_rack_share=0.6,
+    saves_share=0.45,
+    failing_share=0.02,
+    estimate_error=0.8,
+)
+BATCH = JobKind(
+    "batch",
+    priority=2,
+    per_s=0.3,
+    width=16.0,
+    work_ms=7_600,
+    gpus=(1,),
+    cpu=5_600,
+    stretch=3.0,
+    target_ms=3_000,
+    worth=1.0,
+    late_worth=0.3,
+    attempts=4,
+    is_gang=False,
+    saves_share=0.45,
+    failing_share=0.05,
+)
+
+CALM = Load((URGENT, GANGS, BATCH))
+SURGE = replace(
+    CALM,
+    kinds=tuple(replace(kind, per_s=kind.per_s * 1.2) for kind in CALM.kinds),
+    surges=(Surge("gangs", 5.2, 3.5, 2.7), Surge("urgent", 3.7, 6.0, 2.3)),
+)
+SLOW = replace(
+    CALM,
+    surges=(Surge("urgent", 1.0, 6.0, 1.9),),
+    slowness=(Slowness(8.0, 8.0, 0.2, 7.0), Slowness(18.0, 6.0, 0.1, 0.0)),
+)
+
+LOADS = {"calm": CALM, "surge": SURGE, "slow": SLOW}
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -0,0 +1,63 @@
+"""The policies that a simulated day can be played under."""
+
+from typing import Protocol
+
+from agateferry_jobs.ledger import Job, Ledger, Run
+from agateferry_jobs.ledger.commands import RunStart
+from agateferry_jobs.planning import Fleet, Plan, Planner, Seat
+
+
+class Policy(Protocol):
+    """What decides which subtask starts where, and what is stopped for it."""
+
+    def plan(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> Plan:
+        """Return the starts and stops that are due now."""
+
+
+class LeaderPolicy:
+    """Plan as the leader of a cell does."""
+
+    def plan(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> Plan:
+        """Return the leader's plan."""
+        return Planner(ledger, fleet, now_ms).plan()
+
+
+class FirstFit:
+    """Serve jobs as they came, each subtask on the first worker with room; nothing gives way.
+
+    This is the baseline that the leader's plan is compared with.
+    """
+
+    def plan(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> Plan:
+        """Return the starts that fit, up to the first job that does not."""
+        plan = Plan()
+        jobs = [job for job in ledger.jobs.values() if not job.is_over]
+        for job in sorted(jobs, key=lambda job: (job.accepted_ms, job.id)):
+            seats = fleet.by_service.get(job.service, [])
+            if not _start_all(job, seats, plan):
+                break
+        return plan
+
+
+def _start_all(job: Job, seats: list[Seat], plan: Plan) -> bool:
+    """Add the starts of a job's waiting subtasks; a gang is started whole or not at all."""
+    waiting = [n for n, s in job.subtasks.items() if s.active is None and not s.is_done]
+    placed: list[tuple[str, Seat]] = []
+    for name in waiting:
+        step = job.step_of(name)
+        seat = next((s for s in seats if s.takes_work and s.has_room(step)), None)
+        if seat is None:
+            break
+        seat.take(job, name, step.need)
+        placed.append((name, seat))
+    is_whole = len(placed) == len(waiting)
+    if not is_whole and any(job.step_of(name).is_gang for name in waiting):
+        return False
+    number = 1 + max((job.subtasks[name].last_run for name in waiting), default=0)
+    for name, seat in placed:
+        run = Run(number, seat.life.id, seat.life.born)
+        plan.starts.append(RunStart(job.id, name, run, job.subtasks[name].checkpoint))
+    return is_whole
+
+
+POLICIES: dict[str, Policy] = {"leader": LeaderPolicy(), "first-fit": FirstFit()}
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
@@ -0,0 +1,285 @@
+"""One simulated day: workers that run what the policy starts, in steps of virtual time."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from agateferry_jobs.ledger import Ledger, WorkerLife
+from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.state import Run, gang_of
+from agateferry_jobs.manifest import Manifest, Queue, Service, Team
+from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
+from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.simulation.loads import (
+    MS_PER_S,
+    WORKER_ROOM,
+    WORKERS_PER_RACK,
+    Load,
+    SimulatedJob,
+)
+from agateferry_jobs.simulation.policies import Policy
+
+STEP_MS = 50
+"""How much time passes between two looks at the world."""
+PLAN_EVERY_MS = 250
+"""How often the policy is asked where nothing changed; the leader's own tick."""
+AFTER_S = 25
+"""How long a day goes on after its last job came."""
+STOP_MS = (100, 900)
+"""The least and the most that a stop takes."""
+SAVE_EVERY_MS = 1_000
+RESTORE_MS = 600
+FAR_FACTOR = 3
+"""How many times as long a gang takes that asked for one rack and is on several."""
+HUNG_MS = 4_000
+"""After what time without progress the leader stops a run."""
+
+
+@dataclass(slots=True)
+class Group:
+    """A subtask that runs, or the members of a gang that run together."""
+
+    job: SimulatedJob
+    members: dict[str, Run]
+    work_ms: float
+    done_ms: float
+    fails_at_ms: float | None
+    far_factor: int
+    restore_ms: float = 0.0
+    ran_ms: float = 0.0
+    still_ms: float = 0.0
+    stops_at_ms: int | None = None
+    stopping: set[str] = field(default_factory=set)
+
+    @property
+    def saved_ms(self) -> float:
+        """Return the work that a checkpoint holds."""
+        if not self.job.spec.steps[0].saves_checkpoints:
+            return 0.0
+        return self.done_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What became of one job, and the accelerator-seconds that were thrown away for it."""
+
+    job: SimulatedJob
+    ended_ms: int | None
+
+
+@dataclass(slots=True)
+class Day:
+    """What a day came to; times in ms from its start."""
+
+    outcomes: list[Outcome]
+    first_starts_ms: dict[str, int]
+    wasted_gpu_s: float
+    stops: int
+    far_starts: int
+
+
+class World:
+    """Play one day of a load under a policy."""
+
+    def __init__(self, load: Load, jobs: Sequence[SimulatedJob], policy: Policy, seed: int) -> None:
+        self._load = load
+        self._coming = list(jobs)
+        self._jobs = {job.id: job for job in jobs}
+        self._policy = policy
+        self._rng = random.Random(seed)
+        self._ledger = Ledger()
+        self._groups: list[Group] = []
+        self._failed: dict[str, int] = {}
+        self._first_starts_ms: dict[str, int] = {}
+        self._wasted_gpu_s = 0.0
+        self._stops = 0
+        self._far_starts = 0
+        self._now_ms = 0
+        self._speeds: dict[str, float] = {}
+        self._racks: dict[str, str] = {}
+
+    def play(self) -> Day:
+        """Return what the day came to."""
+        self._open()
+        end_ms = round((self._load.length_s + AFTER_S) * MS_PER_S)
+        is_changed = True
+        for self._now_ms in range(0, end_ms, STEP_MS):
+            is_changed |= self._accept()
+            self._set_speeds()
+            is_changed |= self._work()
+            if is_changed or self._now_ms % PLAN_EVERY_MS == 0:
+                self._plan()
+                is_changed = False
+        return Day(
+            [Outcome(job, self._ended_ms(job)) for job in self._jobs.values()],
+            self._first_starts_ms,
+            self._wasted_gpu_s,
+            self._stops,
+            self._far_starts,
+        )
+
+    def _ended_ms(self, job: SimulatedJob) -> int | None:
+        held = self._ledger.jobs[job.id]
+        return held.ended_ms if held.is_completed else None
+
+    def _do(self, command: c.Command) -> None:
+        self._ledger.apply(1, c.encode(command))
+
+    def _open(self) -> None:
+        queues = tuple(
+            Queue(
+                kind.name,
+                "host",
+                f"/{kind.name}/",
+                "pool",
+                3_000,
+                kind.target_ms,
+                kind.priority,
+                kind.attempts,
+                kind.stretch,
+            )
+            for kind in self._load.kinds
+        )
+        reserved = self._load.reserved_share * self._load.workers * WORKER_ROOM.gpu
+        teams = tuple(
+            Team(
+                f"team-{number}", (f"key-{number}",), reserved_gpus=int(reserved / self._load.teams)
+            )
+            for number in range(self._load.teams)
+        )
+        self._do(c.PutManifest(Manifest(1, queues, (Service("pool"),), teams)))
+        for number in range(self._load.workers):
+            id = f"w{number:03d}"
+            rack = f"r{number // WORKERS_PER_RACK}"
+            self._racks[id] = rack
+            labels = ("kind", rack)
+            life = WorkerLife(id, 1, "pool", id, "zone", WORKER_ROOM, labels, WORKER_ROOM.gpu)
+            self._do(c.NoteWorker(life))
+
+    def _accept(self) -> bool:
+        due = [job for job in self._coming if job.at_ms <= self._now_ms]
+        self._coming = self._coming[len(due) :]
+        for job in due:
+            kind = job.kind
+            self._do(
+                c.AcceptJob(
+                    job.id,
+                    kind.name,
+                    "pool",
+                    job.team,
+                    kind.priority,
+                    kind.attempts,
+                    self._now_ms,
+                    job.spec,
+                )
+            )
+        return bool(due)
+
+    def _set_speeds(self) -> None:
+        """Work out how fast each worker is now; each span hits workers of its own."""
+        self._speeds = dict.fromkeys(self._racks, 1.0)
+        ids = sorted(self._racks)
+        for number, slowness in enumerate(self._load.slowness):
+            begin_ms = slowness.at_s * MS_PER_S
+            if not begin_ms <= self._now_ms < begin_ms + slowness.for_s * MS_PER_S:
+                continue
+            hit = random.Random(number).sample(ids, round(slowness.share * len(ids)))
+            for id in hit:
+                self._speeds[id] = 1 / slowness.times if slowness.times else 0.0
+
+    def _work(self) -> bool:
+        """Let all groups work for one step; tell whether any ended."""
+        ended = [group for group in self._groups if self._advance(group)]
+        self._groups = [group for group in self._groups if group not in ended]
+        return bool(ended)
+
+    def _advance(self, group: Group) -> bool:
+        speed = min(self._speeds[run.worker] for run in group.members.values())
+        group.ran_ms += STEP_MS
+        group.still_ms = 0.0 if speed else group.still_ms + STEP_MS
+        if group.stops_at_ms is not None:
+            if self._now_ms >= group.stops_at_ms:
+                self._end(group, c.RunEnd.STOPPED)
+                return True
+            return False
+        if group.still_ms > HUNG_MS:
+            self._stop(group)
+            return False
+        if group.restore_ms > 0:
+            group.restore_ms -= STEP_MS
+            return False
+        group.done_ms += STEP_MS * speed / group.far_factor
+        if group.fails_at_ms is not None and group.done_ms >= group.fails_at_ms:
+            self._failed[group.job.id] = self._failed.get(group.job.id, 0) + 1
+            self._end(group, c.RunEnd.FAILED)
+            return True
+        if group.done_ms >= group.work_ms:
+            self._end(group, c.RunEnd.DONE)
+            return True
+        return False
+
+    def _end(self, group: Group, how: c.RunEnd) -> None:
+        checkpoint = str(round(group.saved_ms)) if group.saved_ms else ""
+        ends = tuple(
+            c.RunEnded(group.job.id, name, run, how, checkpoint)
+            for name, run in group.members.items()
+        )
+        if how is not c.RunEnd.DONE:
+            lost_ms = group.ran_ms if not checkpoint else 0.0
+            gpus = group.job.spec.steps[0].need.gpu * len(group.members)
+            self._wasted_gpu_s += lost_ms * gpus / MS_PER_S
+        self._do(c.EndRuns(ends, self._now_ms))
+
+    def _stop(self, group: Group) -> None:
+        if group.stops_at_ms is None:
+            self._stops += 1
+            group.stops_at_ms = self._now_ms + self._rng.randint(*STOP_MS)
+
+    def _plan(self) -> None:
+        stopping: set[RunKey] = {
+            (group.job.id, name)
+            for group in self._groups
+            if group.stops_at_ms is not None
+            for name in group.members
+        }
+        health = {id: WorkerHealth() for id in self._racks}
+        fleet = Fleet.of(self._ledger, health, stopping)
+        plan = self._policy.plan(self._ledger, fleet, self._now_ms)
+        for stop in plan.stops:
+            for group in self._groups:
+                if group.job.id == stop.key[0] and stop.key[1] in group.members:
+                    self._stop(group)
+        self._start(plan)
+
+    def _start(self, plan: Plan) -> None:
+        if not plan.starts:
+            return
+        self._do(c.StartRuns(tuple(plan.starts), self._now_ms))
+        together: dict[tuple[str, str], list[c.RunStart]] = {}
+        for start in plan.starts:
+            is_gang = self._jobs[start.job].kind.is_gang
+            part = gang_of(start.subtask) if is_gang else start.subtask
+            together.setdefault((start.job, part), []).append(start)
+        for starts in together.values():
+            self._groups.append(self._group(starts))
+
+    def _group(self, starts: Sequence[c.RunStart]) -> Group:
+        job = self._jobs[starts[0].job]
+        step = job.spec.steps[0]
+        self._first_starts_ms.setdefault(job.id, self._now_ms)
+        racks = {self._racks[start.run.worker] for start in starts}
+        is_far = step.same_rack and len(racks) > 1
+        self._far_starts += is_far
+        work_ms = job.work_ms[int(starts[0].subtask.rpartition(".")[2])]
+        failed = self._failed.get(job.id, 0)
+        fails_at = job.fails_at[failed] * work_ms if failed < len(job.fails_at) else None
+        done_ms = float(starts[0].checkpoint or 0)
+        return Group(
+            job,
+            {start.subtask: start.run for start in starts},
+            work_ms,
+            done_ms,
+            fails_at,
+            FAR_FACTOR if is_far else 1,
+            restore_ms=RESTORE_MS if done_ms else 0.0,
+        )
