Leave the loop time between two syncs

Change: after a sync the next one waits three times as long as it took, at most 50 ms, so that commands share syncs; an idle loop syncs at once as before.

--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -33,6 +33,10 @@
 MS_PER_S = 1000
 MIN_DELAY_MS = 1
 UNKNOWN_AFTER_MS = 1000
+SYNC_REST = 3
+"""How many times the length of a sync the loop is left to other work before the next one."""
+LONGEST_REST_MS = 50
+"""A slow disk must not add more than this to what it takes itself."""
 Listener = Callable[[bool, int], None]
 
 
@@ -66,6 +70,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_ms = 0
         self._write_id = 0
+        self._synced_id = 0
+        self._is_sync_due = False
+        self._rests_until_ms = 0
         self._is_closed = False
         self._stepped = asyncio.Event()
         transport.register(group, self._receive)
@@ -111,14 +118,12 @@
         events, self._inbox = self._inbox, []
         if self._is_closed:
             return
-        unsynced = self._write_id
         try:
             self._take(events)
         except Exception as exc:
             self._leave(f"{type(exc).__name__}: {exc}")
             raise
-        if self._write_id != unsynced:
-            self._loop.call_soon(self._sync)
+        self._arm_sync()
         self._arm_timer()
         self._stepped.set()
 
@@ -180,11 +185,31 @@
                     if member.address:
                         self._transport.set_address(member.id.host, member.address)
 
+    def _arm_sync(self) -> None:
+        if self._write_id == self._synced_id or self._is_sync_due:
+            return
+        self._is_sync_due = True
+        rest_ms = self._rests_until_ms - self._clock.now_ms()
+        if rest_ms <= 0:
+            self._loop.call_soon(self._sync)
+        else:
+            self._loop.call_later(rest_ms / MS_PER_S, self._sync)
+
     def _sync(self) -> None:
+        """Sync what was written since the last time, and leave the loop to others for a while.
+
+        A sync holds the loop. What comes meanwhile shares the next one, so that many small
+        commands cost few syncs.
+        """
+        self._is_sync_due = False
         if self._is_closed or self.failure is not None:
             return
+        began_ms = self._clock.now_ms()
         with SYNC_SECONDS.time():
             written = self._storage.sync()
+        self._synced_id = self._write_id
+        now_ms = self._clock.now_ms()
+        self._rests_until_ms = now_ms + min(LONGEST_REST_MS, SYNC_REST * (now_ms - began_ms))
         if self._check(written):
             self.put(m.Synced(self._write_id))
 
--- a/packages/agateferry-state/agateferry_state/replica/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/support.py
@@ -1,6 +1,7 @@
 """What several tests of this slice put behind or in front of a replica."""
 
 import errno
+import time
 
 from agateferry_state.journal import OsFiles
 
@@ -23,15 +24,17 @@
 
 
 class CountingFiles(OsFiles):
-    """Count syncs, and fail them on demand."""
+    """Count syncs, and make them slow or fail on demand."""
 
     def __init__(self):
         self.syncs = 0
+        self.sync_s = 0.0
         self.broken = False
         self.error = errno.EIO
 
     def sync(self, fd):
         self.syncs += 1
+        time.sleep(self.sync_s)
         if self.broken:
             raise OSError(self.error, "injected")
         super().sync(fd)
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -11,6 +11,7 @@
 from agateferry_core.support import free_port, run_async
 from agateferry_state.members import Member, MemberId
 from agateferry_state.replica import ProposeErrorKind
+from agateferry_state.replica.driver import SYNC_REST
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
 from agateferry_state.replica.tests.support import CountingFiles, ListMachine
 from agateferry_state.replica.transport import GrpcTransport, start_server
@@ -164,6 +165,31 @@
 
         run_async(main())
 
+    def test_syncs_leave_the_loop_time_for_others(self):
+        """Seen with 176 workers: a sync for each small command held the loop for half of its time
+        and calls were answered after their deadlines."""
+        sync_s, span_s = 0.01, 0.5
+        results = []
+
+        async def main():
+            (host,) = self.make_hosts([True])
+            async with self.formed([host]):
+                host.files.sync_s = sync_s
+                before = host.files.syncs
+                tasks = []
+                end_s = asyncio.get_running_loop().time() + span_s
+                while asyncio.get_running_loop().time() < end_s:
+                    tasks.append(asyncio.create_task(host.replica.propose(b"x")))
+                    await asyncio.sleep(0.002)
+                syncs = host.files.syncs - before
+                results.extend(await asyncio.gather(*tasks))
+                await host.stop()
+            return syncs
+
+        syncs = run_async(main())
+        self.assertTrue(all(result.is_ok() for result in results))
+        self.assertTrue(3 <= syncs <= span_s / (sync_s * (1 + SYNC_REST)) + 2, syncs)
+
     def test_after_a_failed_sync_it_takes_no_part(self):
         async def main():
             (host,) = self.make_hosts([True])
