--- a/packages/agateferry-cli/agateferry_cli/main.py
+++ b/packages/agateferry-cli/agateferry_cli/main.py
@@ -11,6 +11,7 @@
 from agateferry_cli import __version__
 from agateferry_cli.client import ExitCode
 from agateferry_cli.verbs import cell, records, steering
+from agateferry_cli.verbs.analyze import analyze
 from agateferry_cli.verbs.cancel import cancel
 from agateferry_cli.verbs.check_config import check_config
 from agateferry_cli.verbs.explain import explain
@@ -20,6 +21,7 @@
 from agateferry_cli.verbs.status import status
 from agateferry_cli.verbs.submit import submit
 from agateferry_cli.verbs.teams import teams
+from agateferry_cli.verbs.trace import trace
 from agateferry_cli.verbs.watch import watch
 from agateferry_cli.verbs.workers import workers
 
@@ -48,6 +50,8 @@
     },
     "check-config": check_config,
     "replay": replay,
+    "trace": trace,
+    "analyze": analyze,
 }
 
 
--- /dev/null
+++ b/packages/agateferry-cli/agateferry_cli/verbs/trace.py
@@ -0,0 +1,45 @@
+"""`agateferry trace`: show what the logs of several processes tell of one job."""
+
+from pathlib import Path
+from typing import Any
+
+from agateferry_cli.client import ExitCode, Failure
+from agateferry_cli.output import Output
+from agateferry_cli.verbs.logs import read_logs
+
+COLUMNS = ("after ms", "source", "number", "event", "with")
+PLUMBING = ("timestamp", "number", "event", "level", "advice", "job", "id")
+
+
+def trace(job_id: str, *files: Path, json: bool = False) -> int:
+    """Show every log line about one job, in order, from the logs of all processes.
+
+    :param job_id: id of the job, as its caller chose it
+    :param files: logs of entries and hosts of the cell, each a file of JSON lines
+    :param json: print the lines as JSON
+    """
+    output = Output(json)
+    # Imported here because it would slow the start of every other verb.
+    from agateferry_jobs.history.lines import of_job
+
+    found = read_logs(files)
+    if found.is_error():
+        return output.failure(found.error)
+    lines = list(of_job(found.ok, job_id))
+    if not lines:
+        advice = "Name the logs of the host that led when the job came, and of the entries."
+        return output.failure(Failure(ExitCode.USAGE, f"no line is about {job_id}", advice))
+    if json:
+        output.json([{"source": line.source, **line.fields} for line in lines])
+        return ExitCode.OK
+    first_ms = lines[0].at_ms
+    rows = [
+        (line.at_ms - first_ms, line.source, line.number, line.fields["event"], _rest(line.fields))
+        for line in lines
+    ]
+    output.table(COLUMNS, rows, "")
+    return ExitCode.OK
+
+
+def _rest(fields: dict[str, Any]) -> str:
+    return " ".join(f"{name}={value}" for name, value in fields.items() if name not in PLUMBING)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/callers.py
@@ -9,6 +9,7 @@
 from agateferry_jobs.cell.proposing import Proposer, reply_for
 from agateferry_jobs.ledger import Job, Ledger
 from agateferry_jobs.ledger import commands as c
+from agateferry_jobs.ledger.specs import declared_ms
 from agateferry_jobs.manifest import Manifest, Queue
 
 NO_MANIFEST_RETRY_MS = 1_000
@@ -51,7 +52,15 @@
         if outcome.is_error():
             return reply_for(outcome.error)
         metrics.ACCEPTED.labels(str(queue.priority)).inc()
-        self._log.info(events.JOB_ACCEPTED, job=id, queue=queue.name, team=team, steps=_shape(ask))
+        self._log.info(
+            events.JOB_ACCEPTED,
+            job=id,
+            queue=queue.name,
+            team=team,
+            priority=queue.priority,
+            objective_ms=round(queue.stretch * declared_ms(ask.job) + queue.target_ms),
+            steps=_shape(ask),
+        )
         self._on_change()
         return m.Done()
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/roster.py
@@ -85,7 +85,11 @@
                 return reply_for(outcome.error)
             if outcome.ok:
                 self._log.info(
-                    events.WORKER_NOTED, worker=life.id, born=life.born, state=life.state
+                    events.WORKER_NOTED,
+                    worker=life.id,
+                    born=life.born,
+                    state=life.state,
+                    rack=life.rack,
                 )
                 await self._renew(life)
         self._sequences[key] = beat.sequence
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/history/tests/test_history.py
@@ -0,0 +1,84 @@
+import json
+from datetime import UTC, datetime
+
+import testtools
+
+from agateferry_jobs.cell import events
+from agateferry_jobs.history import Cause, collect, read_lines, split
+from agateferry_jobs.history.causes import late_seconds, thrown_away
+from agateferry_jobs.history.lines import of_job
+
+
+def text(at_ms, event, source="core-1", **fields):
+    timestamp = datetime.fromtimestamp(at_ms / 1000, UTC).isoformat()
+    return f"{source} " + json.dumps(
+        {"number": event.number, "event": event.text, "timestamp": timestamp, **fields}
+    )
+
+
+def run(at_ms, event, number=1, subtask="0.0.0", **fields):
+    return text(at_ms, event, job="j", subtask=subtask, run=number, **fields)
+
+
+ACCEPTED = text(
+    0, events.JOB_ACCEPTED, job="j", queue="q", objective_ms=3000, steps=["1x5c6m8gG@~900"]
+)
+ONCE_STOPPED = [
+    ACCEPTED,
+    run(1000, events.RUN_STARTED, worker="w1"),
+    run(1800, events.RUN_STOPPING, reason="room", for_job="u", for_rank=1),
+    run(2000, events.RUN_ENDED, how="stopped"),
+    run(4000, events.RUN_STARTED, 2, worker="w2"),
+    run(6000, events.RUN_ENDED, 2, how="done"),
+    text(6000, events.JOB_ENDED, job="j", state="completed"),
+]
+
+
+class LineTests(testtools.TestCase):
+    def test_lines_of_several_processes_are_put_in_order_and_other_text_is_passed_over(self):
+        texts = [ONCE_STOPPED[1], "Traceback", "{no json", '{"number": 1}', ACCEPTED]
+        lines = read_lines(texts)
+        self.assertEqual([0, 1000], [line.at_ms for line in lines])
+        self.assertEqual("core-1", lines[0].source)
+
+    def test_a_job_is_named_by_its_own_lines_and_by_those_that_made_room_for_it(self):
+        lines = read_lines([*ONCE_STOPPED, text(5, events.JOB_ACCEPTED, job="other")])
+        self.assertEqual(7, len(list(of_job(lines, "j"))))
+        self.assertEqual(1, len(list(of_job(lines, "u"))))
+
+
+class CauseTests(testtools.TestCase):
+    def jobs(self, texts):
+        return collect(read_lines(texts))
+
+    def test_the_time_of_a_job_is_split_by_cause(self):
+        job = self.jobs(ONCE_STOPPED)["j"]
+        expected = [
+            Cause("waited to start", 1000),
+            Cause("lost: stopped, room for rank 1", 1000),
+            Cause("waited to start again", 2000),
+            Cause("worked", 2000),
+        ]
+        self.assertEqual(expected, split(job, 9000))
+
+    def test_the_subtask_that_ends_last_counts(self):
+        texts = [
+            ACCEPTED,
+            run(0, events.RUN_STARTED, subtask="0.0.0"),
+            run(500, events.RUN_ENDED, subtask="0.0.0", how="done"),
+            run(200, events.RUN_STARTED, subtask="0.0.1"),
+        ]
+        causes = split(self.jobs(texts)["j"], 9000)
+        self.assertEqual([Cause("waited to start", 200), Cause("no end was seen", 8800)], causes)
+
+    def test_a_job_that_never_started_is_told(self):
+        self.assertEqual([Cause("never started", 9000)], split(self.jobs([ACCEPTED])["j"], 9000))
+
+    def test_only_late_jobs_count_in_the_table(self):
+        jobs = self.jobs(ONCE_STOPPED).values()
+        self.assertEqual(2, late_seconds(jobs, 9000)[("q", "worked")])
+        self.assertEqual({}, late_seconds(self.jobs([ACCEPTED]).values(), 3000))
+
+    def test_lost_runs_count_by_their_accelerators(self):
+        wasted = thrown_away(self.jobs(ONCE_STOPPED).values())
+        self.assertEqual({("q", "lost: stopped, room for rank 1"): 8}, wasted)
