Wait for the room that becomes free soonest, and for a rack as long as it helps

A gang that keeps room kept it where runs had begun last, since the cost was the work lost, and moved on with each new run. Urgent gangs beyond their team's reserve went across racks after 4 s at three times the room and were late all the same. Change: a gang that waits counts on the runs that end soonest, of any rank; a gang goes across racks only once nothing can be reached any more, or when its start is promised.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
@@ -10,14 +10,14 @@
 
 from agateferry_jobs.ledger.specs import Amount
 from agateferry_jobs.planning.fleet import Occupant, Seat
-from agateferry_jobs.planning.losses import Losses
+from agateferry_jobs.planning.losses import Cost
 from agateferry_jobs.planning.ranks import BORROWED_RANK, LOWEST_RANK, RESERVED_RANK
 
 if TYPE_CHECKING:
     from agateferry_jobs.planning.planner import Wave
 
 FAR_PATIENCE = 2.0
-"""Work that is three times as slow away from its rack waits for it up to twice its own length."""
+"""A subtask that is three times as slow away from its data waits up to twice its own length."""
 ALOOF_SHARE = 0.2
 """The least urgent work uses any room once it has waited for this share of its slack."""
 HEADROOM_SHARE = 0.12
@@ -25,29 +25,34 @@
 RESERVED_PATIENCE_MS = 1_800
 """What promised work waits for its rack: the platform owes its start 2.9 s after the hand-in at the
 earliest, and a stop that makes room elsewhere takes up to 0.9 s of that."""
-BORROWED_PATIENCE_MS = 4_000
-"""What other urgent work waits for its rack; away from it, it would be late in any case."""
+
 Room = list[tuple[Seat, list[Occupant]]]
 
 
 class Chooser:
     """Choose among the workers of one service for the subtasks of one wave."""
 
-    def __init__(
-        self, seats: Sequence[Seat], wave: Wave, ranks: Mapping[str, int], losses: Losses
-    ) -> None:
+    def __init__(self, seats: Sequence[Seat], wave: Wave, ranks: Mapping[str, int]) -> None:
         self._wave = wave
         self._step = wave.step
         self._able = [s for s in seats if s.is_staying and s.can_hold(wave.step)]
         self._seats = [s for s in self._able if s.takes_work]
         self._ranks = ranks
-        self._losses = losses
+        self._is_patient = wave.waited_ms < self._patience_ms()
+
+    def _patience_ms(self) -> float:
+        """Return how long the wave may wait for its rack before it starts away from it.
+
+        A gang across racks takes the room of three, so it waits for as long as it can reach
+        anything, unless its start is promised.
+        """
+        wave = self._wave
         patience_ms = FAR_PATIENCE * wave.length_ms
+        if wave.step.is_gang:
+            patience_ms = wave.hopeless_after_ms
         if wave.rank == RESERVED_RANK:
             patience_ms = min(patience_ms, RESERVED_PATIENCE_MS)
-        elif wave.rank == BORROWED_RANK:
-            patience_ms = min(patience_ms, BORROWED_PATIENCE_MS)
-        self._is_patient = wave.waited_ms < patience_ms
+        return patience_ms
 
     def single(self) -> Seat | None:
         """Return the worker for one subtask, or None where it should wait."""
@@ -89,22 +94,23 @@
             return self._fill(self._seats, count)
         return None
 
-    def room_for(self, count: int) -> Room:
-        """Return workers that hold `count` more subtasks once the named runs have ended.
+    def room_for(self, count: int, cost: Cost) -> Room:
+        """Return the workers that hold `count` more subtasks at the least cost.
 
-        Returns nothing where runs of lower ranks do not hold enough room.
+        Each place comes with the runs that must have ended before. Returns nothing where the runs
+        that the cost counts do not hold enough room.
         """
         best: tuple[float, Room] | None = None
         groups = self._groups(self._seats)
         if not self._is_patient:
             groups = [*groups, self._seats]
         for group in groups:
-            room = self._room_in(group, count)
+            room = self._room_in(group, count, cost)
             if room is None:
                 continue
-            loss = sum(self._losses.total(victims) for _, victims in room)
-            if best is None or loss < best[0]:
-                best = (loss, room)
+            sum_of_costs = sum(cost.total(runs) for _, runs in room)
+            if best is None or sum_of_costs < best[0]:
+                best = (sum_of_costs, room)
         return best[1] if best is not None else []
 
     def _groups(self, seats: list[Seat]) -> list[list[Seat]]:
@@ -137,48 +143,45 @@
             places = min(places, self._step.max_per_worker - there)
         return max(0, places)
 
-    def _room_in(self, group: Sequence[Seat], count: int) -> Room | None:
-        """Return the cheapest room; on one worker a later place rests on the victims before it."""
+    def _room_in(self, group: Sequence[Seat], count: int, cost: Cost) -> Room | None:
+        """Return the cheapest room; on one worker a later place rests on the runs before it."""
         heap: list[tuple[float, int, Room]] = []
+
+        def push(number: int, places: Room) -> None:
+            if places:
+                heapq.heappush(heap, (cost.total(places[0][1]), number, places))
+
         for number, seat in enumerate(group):
-            self._push(heap, number, self._room_on(seat))
+            push(number, self._room_on(seat, cost))
         room: Room = []
         while heap and len(room) < count:
             _, number, places = heapq.heappop(heap)
             room.append(places[0])
-            self._push(heap, number, places[1:])
+            push(number, places[1:])
         return room if len(room) == count else None
 
-    def _push(self, heap: list[tuple[float, int, Room]], number: int, places: Room) -> None:
-        """Put what is left of a worker's places into the heap, by the loss of the next one."""
-        if places:
-            heapq.heappush(heap, (self._losses.total(places[0][1]), number, places))
-
-    def _room_on(self, seat: Seat) -> Room:
-        """Return one entry for each subtask that fits here, with the runs that it displaces."""
-        lower = [o for o in seat.occupants if self._gives_way(o)]
-        lower.sort(key=self._losses.of)
+    def _room_on(self, seat: Seat, cost: Cost) -> Room:
+        """Return one entry for each subtask that fits here, with the runs that must have ended."""
+        rank = self._wave.rank
+        holders = [o for o in seat.occupants if not o.is_stopping and cost.counts(o, rank)]
+        holders.sort(key=cost.of)
         future = seat.future
         room: Room = []
         slots = seat.free_slots + sum(1 for o in seat.occupants if o.is_stopping)
-        victims: list[Occupant] = []
+        ended: list[Occupant] = []
         limit = self._places(seat, seat.life.capacity)
         while len(room) < limit:
             if slots > 0 and self._step.need.fits(future):
-                room.append((seat, victims))
-                future, slots, victims = future.minus(self._step.need), slots - 1, []
-            elif lower:
-                victim = lower.pop(0)
-                victims = [*victims, victim]
-                future, slots = future.plus(victim.step.need), slots + 1
+                room.append((seat, ended))
+                future, slots, ended = future.minus(self._step.need), slots - 1, []
+            elif holders:
+                holder = holders.pop(0)
+                ended = [*ended, holder]
+                future, slots = future.plus(holder.step.need), slots + 1
             else:
                 break
         return room
 
-    def _gives_way(self, occupant: Occupant) -> bool:
-        rank = self._ranks.get(occupant.job.id, LOWEST_RANK)
-        return rank > self._wave.rank and not occupant.is_stopping
-
     def _is_below_limit(self, seat: Seat) -> bool:
         limit = self._step.max_per_worker
         return not limit or seat.count_of(self._wave.job, self._wave.gang) < limit
--- a/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
@@ -1,9 +1,11 @@
-"""What is lost with a run that is taken back."""
+"""What it costs to get the room that a run holds: to take it back, or to wait for its end."""
 
 from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 from agateferry_jobs.planning.fleet import Occupant, RunKey
 from agateferry_jobs.planning.ranks import LOWEST_RANK
+from agateferry_jobs.planning.timing import Timing
 
 RANK_WEIGHT = 3
 """How much more the loss of a run counts for each rank that it is nearer to the first."""
@@ -15,8 +17,44 @@
 MS_PER_S = 1000
 
 
+class Cost(Protocol):
+    """What the room of runs costs; lower is better."""
+
+    def of(self, occupant: Occupant) -> float:
+        """Return the cost of the room of one run."""
+
+    def total(self, occupants: Iterable[Occupant]) -> float:
+        """Return the cost of the room of several runs."""
+
+    def counts(self, occupant: Occupant, rank: int) -> bool:
+        """Tell whether a job of this rank may count on the room of a run."""
+
+
+class Waits:
+    """Wait until runs end by themselves; the cost is the time until the last one has, in ms."""
+
+    def __init__(self, timing: Timing, now_ms: int) -> None:
+        self._timing = timing
+        self._now_ms = now_ms
+
+    def of(self, occupant: Occupant) -> float:
+        """Return how long a run still takes; one that is over its time may end at any moment."""
+        job = occupant.job
+        step = int(occupant.subtask.split(".")[1])
+        ran_ms = self._now_ms - job.subtasks[occupant.subtask].started_ms
+        return max(0, self._timing.length_ms(job, step) - ran_ms)
+
+    def total(self, occupants: Iterable[Occupant]) -> float:
+        """Return when the last of several runs ends."""
+        return max((self.of(occupant) for occupant in occupants), default=0)
+
+    def counts(self, occupant: Occupant, rank: int) -> bool:
+        """Tell that any run can be waited for, but for those that last."""
+        return not occupant.step.lasts
+
+
 class Losses:
-    """Work out the loss of each run once for one plan."""
+    """Take runs back; the cost is the work that is lost, which is worked out once for a plan."""
 
     def __init__(self, ranks: Mapping[str, int], now_ms: int) -> None:
         self._ranks = ranks
@@ -35,6 +73,10 @@
         """Return the loss of several runs."""
         return sum(self.of(victim) for victim in victims)
 
+    def counts(self, occupant: Occupant, rank: int) -> bool:
+        """Tell whether a run ranks below a job that wants its room."""
+        return self._ranks.get(occupant.job.id, LOWEST_RANK) > rank
+
     def _work_out(self, victim: Occupant) -> float:
         job, step = victim.job, victim.step
         members = step.count if step.is_gang else 1
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -15,7 +15,7 @@
 from agateferry_jobs.ledger.state import gang_of
 from agateferry_jobs.planning.choice import Chooser
 from agateferry_jobs.planning.fleet import Fleet, Occupant, RunKey, Seat
-from agateferry_jobs.planning.losses import Losses
+from agateferry_jobs.planning.losses import Losses, Waits
 from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
 from agateferry_jobs.planning.timing import Lateness, Timing, open_occurrence
 
@@ -62,6 +62,8 @@
     rank: int
     length_ms: int
     waited_ms: int
+    hopeless_after_ms: float
+    """The wait after which the job can reach nothing any more."""
     waited_share: float
     """The wait as a share of the job's slack."""
 
@@ -77,6 +79,7 @@
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger)
         self._losses = Losses(self._ranks, now_ms)
+        self._waits = Waits(self._timing, now_ms)
 
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
@@ -133,11 +136,12 @@
             rank=self._ranks[job.id],
             length_ms=self._timing.length_ms(job, number),
             waited_ms=waited,
+            hopeless_after_ms=self._timing.hopeless_after_ms(job),
             waited_share=waited / max(1.0, self._timing.slack_ms(job)),
         )
 
     def _place(self, wave: Wave) -> None:
-        chooser = Chooser(self._seats_for(wave.job), wave, self._ranks, self._losses)
+        chooser = Chooser(self._seats_for(wave.job), wave, self._ranks)
         if wave.step.is_gang:
             seats = chooser.whole()
             if seats is None:
@@ -178,10 +182,11 @@
         urgency = self._urgency(wave)
         if urgency is Urgency.WAITS:
             return
-        for seat, victims in chooser.room_for(len(names)):
-            if urgency is Urgency.TAKES_BACK:
-                for victim in victims:
-                    self._stop(victim, wave)
+        takes_back = urgency is Urgency.TAKES_BACK
+        for seat, runs in chooser.room_for(len(names), self._losses if takes_back else self._waits):
+            if takes_back:
+                for run in runs:
+                    self._stop(run, wave)
             seat.promise(wave.step.need)
 
     def _urgency(self, wave: Wave) -> Urgency:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -57,13 +57,16 @@
             done_ms = longest_ms(job.spec.steps, done)
         return max(0, now_ms - since_ms - done_ms)
 
+    def hopeless_after_ms(self, job: Job) -> float:
+        """Return the wait after which a job reaches nothing any more, not even late."""
+        slack = self.slack_ms(job)
+        return slack + (LATE_FACTOR - 1) * (slack + self.chain_ms(job))
+
     def lateness(self, job: Job, waited_ms: int) -> Lateness:
         """Return what a job that has not started can still reach after a wait."""
-        slack = self.slack_ms(job)
-        if waited_ms <= slack:
+        if waited_ms <= self.slack_ms(job):
             return Lateness.IN_TIME
-        objective = slack + self.chain_ms(job)
-        is_late = waited_ms <= slack + (LATE_FACTOR - 1) * objective
+        is_late = waited_ms <= self.hopeless_after_ms(job)
         return Lateness.LATE if is_late else Lateness.HOPELESS
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -69,11 +69,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Outage:
-    """A span in which a share of the workers cannot be reached; what they run goes on."""
+    """A span in which a share of the workers cannot be reached; what they run goes on.
+
+    With `rack` it hits the workers of that rack, counted from 0, and `share` says nothing.
+    """
 
     at_s: float
     for_s: float
-    share: float
+    share: float = 0.0
+    rack: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -237,7 +241,13 @@
     slowness=(Slowness(8.0, 8.0, 0.2, 7.0), Slowness(18.0, 6.0, 0.1, 0.0)),
 )
 
-HEAVY = replace(SURGE, slowness=(Slowness(5.2, 4.5, 0.08, 0.0),), outages=(Outage(4.7, 6.0, 0.25),))
+HEAVY = replace(
+    SURGE,
+    kinds=tuple(replace(kind, per_s=kind.per_s * 1.5) for kind in CALM.kinds),
+    length_s=44.0,
+    slowness=(Slowness(5.2, 4.5, 0.08, 0.0),),
+    outages=(Outage(4.7, 6.0, share=0.25), Outage(33.0, 6.4, rack=0)),
+)
 GROWN = Load(
     (
         replace(URGENT, per_s=5.5, width=5.0),
