Check runs and leases against workers that do orders late, twice and out of order

Change: a loop in virtual time, and thirty seeds of a leader with three model workers that lose, delay and repeat orders, are cut off and born again, under leaders that change; on every step nothing runs twice, holds more than fits or starts after its stored end, and all jobs end. Three planted faults (a lease taken for over, an unfenced order, room that does not count) are found.

--- a/packages/agateferry-core/agateferry_core/support/__init__.py
+++ b/packages/agateferry-core/agateferry_core/support/__init__.py
@@ -1,5 +1,11 @@
 """Helpers for the tests of every package."""
 
-from agateferry_core.support.support import free_port, run_async, wait_until
+from agateferry_core.support.support import (
+    VirtualLoop,
+    free_port,
+    run_async,
+    run_virtual,
+    wait_until,
+)
 
-__all__ = ["free_port", "run_async", "wait_until"]
+__all__ = ["VirtualLoop", "free_port", "run_async", "run_virtual", "wait_until"]
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_bookkeeping.py
@@ -0,0 +1,242 @@
+"""Runs and leases against workers that lose orders, carry them out late, twice and out of order.
+
+Everything runs in virtual time from a seed. After each step the promises are checked on what the
+workers really run, and planted faults show that the checks find what they are for.
+"""
+
+import asyncio
+import random
+from unittest import mock
+
+import testtools
+
+from agateferry_core.support import run_virtual
+from agateferry_jobs.calls import messages as m
+from agateferry_jobs.cell.leader import Leader
+from agateferry_jobs.ledger import Ledger
+from agateferry_jobs.ledger.specs import Amount, JobSpec, StepSpec
+from agateferry_jobs.planning.fleet import Seat
+from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
+from agateferry_jobs.support.making import ROOM
+from agateferry_jobs.workers.lease import Lease
+from agateferry_jobs.workers.session import Phase, WorkerSession
+
+SEEDS = range(1, 31)
+STEPS = 120
+TICK_S = 0.02
+BEAT_TICKS = 75
+PROGRESS = 0.1
+SETTLE_S = 90
+HALF = Amount(cpu=1000, mem_mb=100, gpu=4)
+SINGLE = JobSpec("payload", (StepSpec(2, HALF),))
+GANG = JobSpec("payload", (StepSpec(3, HALF, is_gang=True),))
+LEASE_MS = 3000
+
+
+class Broken(Exception):
+    """A promise was broken."""
+
+
+class World:
+    """Three workers, one leader, and a seed that decides what happens to them."""
+
+    def __init__(self, loop, seed):
+        self.clock = loop
+        self.rng = random.Random(seed)
+        self.lives = {f"w{number}": worker(f"w{number}") for number in range(3)}
+        self.ports = {id: ModelWorker(loop) for id in self.lives}
+        self.orders = []
+        self.started = set()
+        self.ids = [f"{number:016x}" for number in range(8)]
+        self.ledger = Ledger()
+        self.replica = MemoryReplica(self.ledger)
+        self.leader = Leader(self.replica, self.ledger, loop, self.port_to, LEASE_MS)
+
+    def port_to(self, life):
+        port = self.ports[life.id]
+        if port.born != life.born:
+            port = ModelWorker(self.clock, life.born)
+            port.is_other = True
+        return port
+
+    async def play(self):
+        self.replica.lead()
+        await self.leader.handle(m.Install(manifest()))
+        ticking = asyncio.create_task(self.tick_for_ever())
+        try:
+            for step in range(STEPS):
+                await asyncio.sleep(self.rng.uniform(0.02, 0.15))
+                if step % 12 == 0:
+                    await self.submit(self.ids[step // 12 % len(self.ids)])
+                await self.rng.choice(self.troubles())()
+                if ticking.done():
+                    break
+            if not ticking.done():
+                await self.settle()
+        finally:
+            is_broken = ticking.done()
+            ticking.cancel()
+            await self.leader.close()
+        if is_broken:
+            ticking.result()
+
+    def troubles(self):
+        return (
+            *[self.end_a_run] * 4,
+            *[self.carry_out_late] * 2,
+            self.lose_orders,
+            self.repeat_an_order,
+            self.cut,
+            self.heal,
+            self.be_born_again,
+            self.change_leader,
+        )
+
+    async def submit(self, id):
+        place = m.Place("host", f"/jobs/{id}", "key")
+        await self.leader.handle(m.Submit(place, self.rng.choice((SINGLE, GANG))))
+
+    def any_port(self):
+        return self.ports[self.rng.choice(sorted(self.ports))]
+
+    async def end_a_run(self):
+        port = self.any_port()
+        if port.running:
+            how = self.rng.choice(("done", "done", "failed"))
+            port.end(self.rng.choice(sorted(port.running)), how)
+
+    async def lose_orders(self):
+        self.any_port().loses_orders = self.rng.randint(1, 3)
+
+    async def carry_out_late(self):
+        port = self.any_port()
+        if port.late:
+            order = port.late.pop(self.rng.randrange(len(port.late)))
+            self.orders.append((port, order))
+            port.carry_out(order)
+
+    async def repeat_an_order(self):
+        if self.orders:
+            port, order = self.rng.choice(self.orders)
+            if port in self.ports.values():
+                port.carry_out(order)
+
+    async def cut(self):
+        self.any_port().is_cut = True
+
+    async def heal(self):
+        for port in self.ports.values():
+            port.is_cut = False
+
+    async def be_born_again(self):
+        id = self.rng.choice(sorted(self.ports))
+        old = self.ports[id]
+        old.is_other = True
+        old.running.clear()
+        self.lives[id] = worker(id, born=old.born + 1)
+        self.ports[id] = ModelWorker(self.clock, old.born + 1)
+        await self.leader.handle(m.Beat(self.lives[id], 1))
+
+    async def change_leader(self):
+        self.replica.lead(False)
+        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
+        self.replica.lead()
+
+    async def settle(self):
+        """Let all troubles end; every job must come to its end then."""
+        await self.heal()
+        for port in self.ports.values():
+            port.loses_orders = 0
+        end_s = self.clock.time() + SETTLE_S
+        while not all(job.is_over for job in self.ledger.jobs.values()):
+            if self.clock.time() > end_s:
+                raise Broken("a job did not come to its end")
+            await asyncio.sleep(0.2)
+            await self.end_a_run()
+
+    async def tick_for_ever(self):
+        for tick in range(1_000_000):
+            for port in self.ports.values():
+                port.lapse()
+                port.percent = (port.percent + PROGRESS) % 99
+            self.check()
+            if tick % BEAT_TICKS == 0:
+                await self.beat()
+            await asyncio.sleep(TICK_S)
+
+    async def beat(self):
+        for id, port in self.ports.items():
+            if not port.is_cut and self.replica.is_leader:
+                await self.leader.handle(m.Beat(self.lives[id], self.clock.now_ms()))
+
+    def check(self):
+        self.check_once()
+        self.check_room()
+        self.check_done()
+
+    def check_once(self):
+        held = [key for port in self.ports.values() for key in port.running]
+        for key in held:
+            if held.count(key) > 1:
+                raise Broken(f"{key} runs twice")
+
+    def check_room(self):
+        for port in self.ports.values():
+            if len(port.running) * HALF.gpu > ROOM.gpu:
+                raise Broken(f"more than fits: {sorted(port.running)}")
+
+    def check_done(self):
+        """Nothing starts after its end as done was stored."""
+        now = {(id(port), key, run) for port in self.ports.values() for key, run in port.starts}
+        for _, (job, subtask), _ in now - self.started:
+            held = self.ledger.jobs.get(job)
+            known = held.subtasks.get(subtask) if held is not None else None
+            if known is not None and known.is_done:
+                raise Broken(f"{job}.{subtask} started after it was done")
+        self.started = now
+
+
+def play(seed):
+    run_virtual(lambda loop: World(loop, seed).play())
+
+
+def first_broken(seeds=SEEDS):
+    """Return the first seed at which a promise breaks, or None."""
+    for seed in seeds:
+        try:
+            play(seed)
+        except Broken:
+            return seed
+    return None
+
+
+class PromiseTests(testtools.TestCase):
+    def test_promises_hold_whatever_becomes_of_orders(self):
+        for seed in SEEDS:
+            try:
+                play(seed)
+            except Broken as exc:
+                raise AssertionError(f"seed {seed}: {exc}") from exc
+
+
+class PlantedFaultTests(testtools.TestCase):
+    def assert_found(self, target, name, fault):
+        with mock.patch.object(target, name, fault):
+            self.assertIsNotNone(first_broken(), "the planted fault was not found")
+
+    def test_a_lease_that_is_taken_for_over_too_soon(self):
+        self.assert_found(Lease, "is_over", lambda lease, now_ms: True)
+
+    def test_an_order_without_an_answer_that_is_not_fenced_off(self):
+        def doubt(session, tracked):
+            tracked.phase = Phase.UNCERTAIN
+            tracked.known_at = session._look
+            session._wake.set()
+
+        self.assert_found(WorkerSession, "_doubt", doubt)
+
+    def test_room_of_runs_that_are_being_stopped_or_started_does_not_count(self):
+        def take(seat, job, subtask):
+            seat.free_slots -= 1
+
+        self.assert_found(Seat, "take", take)
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -76,6 +76,12 @@
         self.starts.append((order.key, order.run))
         return Confirmed(now_ms)
 
+    def lapse(self) -> None:
+        """Kill everything once the lease is over."""
+        if self.clock.now_ms() > self.deadline_ms:
+            for key in list(self.running):
+                self.end(key, "lapsed")
+
     async def stop(self, order: StopOrder, timeout_ms: int) -> Answer:
         """Take a stop."""
         if self.is_cut:
