--- a/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/choice.py
@@ -152,7 +152,7 @@
                 heapq.heappush(heap, (cost.total(places[0][1]), number, places))
 
         for number, seat in enumerate(group):
-            push(number, self._room_on(seat, cost))
+            push(number, self._room_on(seat, count, cost))
         room: Room = []
         while heap and len(room) < count:
             _, number, places = heapq.heappop(heap)
@@ -160,8 +160,8 @@
             push(number, places[1:])
         return room if len(room) == count else None
 
-    def _room_on(self, seat: Seat, cost: Cost) -> Room:
-        """Return one entry for each subtask that fits here, with the runs that must have ended."""
+    def _room_on(self, seat: Seat, count: int, cost: Cost) -> Room:
+        """Return up to `count` places here, each with the runs that must have ended before."""
         rank = self._wave.rank
         holders = [o for o in seat.occupants if not o.is_stopping and cost.counts(o, rank)]
         holders.sort(key=cost.of)
@@ -169,7 +169,7 @@
         room: Room = []
         slots = seat.free_slots + sum(1 for o in seat.occupants if o.is_stopping)
         ended: list[Occupant] = []
-        limit = self._places(seat, seat.life.capacity)
+        limit = min(count, self._places(seat, seat.life.capacity))
         while len(room) < limit:
             if slots > 0 and self._step.need.fits(future):
                 room.append((seat, ended))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
@@ -1,7 +1,6 @@
 """What it costs to get the room that a run holds: to take it back, or to wait for its end."""
 
-from collections.abc import Iterable, Mapping
-from typing import Protocol
+from collections.abc import Mapping, Sequence
 
 from agateferry_jobs.planning.fleet import Occupant, RunKey
 from agateferry_jobs.planning.ranks import LOWEST_RANK
@@ -17,70 +16,72 @@
 MS_PER_S = 1000
 
 
-class Cost(Protocol):
-    """What the room of runs costs; lower is better."""
+class Cost:
+    """What the room of runs costs; lower is better. Each run is worked out once for a plan."""
+
+    def __init__(self, now_ms: int) -> None:
+        self._now_ms = now_ms
+        self._known: dict[RunKey, float] = {}
 
     def of(self, occupant: Occupant) -> float:
         """Return the cost of the room of one run."""
+        key = (occupant.job.id, occupant.subtask)
+        cost = self._known.get(key)
+        if cost is None:
+            cost = self._known[key] = self._work_out(occupant)
+        return cost
 
-    def total(self, occupants: Iterable[Occupant]) -> float:
+    def total(self, occupants: Sequence[Occupant]) -> float:
         """Return the cost of the room of several runs."""
+        return sum(map(self.of, occupants))
 
     def counts(self, occupant: Occupant, rank: int) -> bool:
         """Tell whether a job of this rank may count on the room of a run."""
+        raise NotImplementedError
 
+    def _work_out(self, occupant: Occupant) -> float:
+        raise NotImplementedError
 
-class Waits:
+
+class Waits(Cost):
     """Wait until runs end by themselves; the cost is the time until the last one has, in ms."""
 
     def __init__(self, timing: Timing, now_ms: int) -> None:
+        super().__init__(now_ms)
         self._timing = timing
-        self._now_ms = now_ms
-
-    def of(self, occupant: Occupant) -> float:
-        """Return how long a run still takes; one that is over its time may end at any moment."""
-        job = occupant.job
-        step = int(occupant.subtask.split(".")[1])
-        ran_ms = self._now_ms - job.subtasks[occupant.subtask].started_ms
-        return max(0, self._timing.length_ms(job, step) - ran_ms)
 
-    def total(self, occupants: Iterable[Occupant]) -> float:
+    def total(self, occupants: Sequence[Occupant]) -> float:
         """Return when the last of several runs ends."""
-        return max((self.of(occupant) for occupant in occupants), default=0)
+        return max(map(self.of, occupants), default=0)
 
     def counts(self, occupant: Occupant, rank: int) -> bool:
         """Tell that any run can be waited for, but for those that last."""
         return not occupant.step.lasts
 
+    def _work_out(self, occupant: Occupant) -> float:
+        """Return how long a run still takes; one that is over its time may end at any moment."""
+        job = occupant.job
+        step = int(occupant.subtask.split(".")[1])
+        ran_ms = self._now_ms - job.subtasks[occupant.subtask].started_ms
+        return max(0, self._timing.length_ms(job, step) - ran_ms)
 
-class Losses:
-    """Take runs back; the cost is the work that is lost, which is worked out once for a plan."""
+
+class Losses(Cost):
+    """Take runs back; the cost is the work that is lost, in core seconds."""
 
     def __init__(self, ranks: Mapping[str, int], now_ms: int) -> None:
+        super().__init__(now_ms)
         self._ranks = ranks
-        self._now_ms = now_ms
-        self._known: dict[RunKey, float] = {}
-
-    def of(self, victim: Occupant) -> float:
-        """Return the work, in core seconds, that is lost with a run and the rest of its gang."""
-        key = (victim.job.id, victim.subtask)
-        loss = self._known.get(key)
-        if loss is None:
-            loss = self._known[key] = self._work_out(victim)
-        return loss
-
-    def total(self, victims: Iterable[Occupant]) -> float:
-        """Return the loss of several runs."""
-        return sum(self.of(victim) for victim in victims)
 
     def counts(self, occupant: Occupant, rank: int) -> bool:
         """Tell whether a run ranks below a job that wants its room."""
         return self._ranks.get(occupant.job.id, LOWEST_RANK) > rank
 
-    def _work_out(self, victim: Occupant) -> float:
-        job, step = victim.job, victim.step
+    def _work_out(self, occupant: Occupant) -> float:
+        """Return the work that is lost with a run and the rest of its gang."""
+        job, step = occupant.job, occupant.step
         members = step.count if step.is_gang else 1
-        lost_s = max(0, self._now_ms - job.subtasks[victim.subtask].started_ms) / MS_PER_S
+        lost_s = max(0, self._now_ms - job.subtasks[occupant.subtask].started_ms) / MS_PER_S
         if step.saves_checkpoints:
             lost_s = min(lost_s, RESTORE_S)
         cores = step.need.gpu * GPU_CORES + step.need.cpu / CORE
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -18,14 +18,22 @@
 
 
 class Timing:
-    """Work out the slack and the waits of jobs from the lengths that the ledger has learned."""
+    """Work out the slack and the waits of jobs from the lengths that the ledger has learned.
+
+    One is made for each plan, since lengths change with each run that ends.
+    """
 
     def __init__(self, ledger: Ledger) -> None:
         self._ledger = ledger
+        self._lengths: dict[tuple[str, int], int] = {}
 
     def length_ms(self, job: Job, step: int) -> int:
         """Return how long a subtask of a step is expected to run."""
-        return self._ledger.expected_ms(job.queue, job.spec.steps[step].estimated_ms)
+        key = (job.queue, job.spec.steps[step].estimated_ms)
+        length_ms = self._lengths.get(key)
+        if length_ms is None:
+            length_ms = self._lengths[key] = self._ledger.expected_ms(*key)
+        return length_ms
 
     def _lengths_ms(self, job: Job) -> list[int]:
         return [self.length_ms(job, step) for step in range(len(job.spec.steps))]
