--- a/packages/agateferry-core/agateferry_core/clock/clock.py
+++ b/packages/agateferry-core/agateferry_core/clock/clock.py
@@ -8,6 +8,7 @@
 import time
 from typing import Protocol
 
+MS_PER_S = 1000
 MONOTONIC = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -10,7 +10,7 @@
 import grpc
 import msgspec
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_core.tasks import is_cancelled_itself
 from agateferry_jobs import metrics
@@ -19,7 +19,6 @@
 from agateferry_jobs.rpc import leader_pb2 as pb
 from agateferry_jobs.rpc import leader_pb2_grpc as rpc
 
-MS_PER_S = 1000
 TRY_MS = 700
 """A leader answers in a few ms where disks do; silence beyond this is a fault."""
 PAUSE_MS = 60
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -6,7 +6,7 @@
 
 from expression import Result
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages as m
@@ -22,7 +22,6 @@
 from agateferry_jobs.workers.session import Phase, PortFactory, Tracked
 from agateferry_state.replica.protocols import Replica
 
-MS_PER_S = 1000
 TICK_MS = 250
 """How often what depends on time alone is looked at."""
 PLAN_REST = 4
--- a/packages/agateferry-jobs/agateferry_jobs/entry/watch.py
+++ b/packages/agateferry-jobs/agateferry_jobs/entry/watch.py
@@ -2,13 +2,12 @@
 
 import asyncio
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs.calls import LeaderClient
 from agateferry_jobs.calls import messages as m
 from agateferry_jobs.daemon import events
 
-MS_PER_S = 1000
 PING_MS = 500
 """How often an idle entry asks for the leader."""
 STALE_MS = 1_600
--- a/packages/agateferry-jobs/agateferry_jobs/history/causes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/causes.py
@@ -4,10 +4,9 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.history.jobs import JobHistory, RunHistory
 
-MS_PER_S = 1000
-
 
 @dataclass(frozen=True, slots=True)
 class Cause:
--- a/packages/agateferry-jobs/agateferry_jobs/history/lines.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/lines.py
@@ -6,7 +6,7 @@
 from datetime import datetime
 from typing import Any
 
-MS_PER_S = 1000
+from agateferry_core.clock import MS_PER_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.planning.fleet import Occupant, RunKey
 from agateferry_jobs.planning.ranks import LOWEST_RANK
 from agateferry_jobs.planning.timing import Timing
@@ -13,7 +14,6 @@
 GPU_CORES = 8
 """What one accelerator counts for in cores when lost work is weighed, as the platform prices it."""
 CORE = 1000
-MS_PER_S = 1000
 
 
 class Cost:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -9,9 +9,9 @@
 import random
 from dataclasses import dataclass, replace
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger.specs import Amount, JobSpec, StepSpec
 
-MS_PER_S = 1000
 WORKER_ROOM = Amount(cpu=64_000, mem_mb=262_000, gpu=8)
 """What every simulated worker has."""
 LONGEST_SHARE = 6
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from statistics import mean
 
-from agateferry_jobs.simulation.loads import MS_PER_S, JobKind, SimulatedJob
+from agateferry_core.clock import MS_PER_S
+from agateferry_jobs.simulation.loads import JobKind, SimulatedJob
 from agateferry_jobs.simulation.world import Day, Outcome
 
 LATE_FACTOR = 3
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger import Ledger, WorkerLife
 from agateferry_jobs.ledger import commands as c
 from agateferry_jobs.ledger.state import Run, gang_of
@@ -11,7 +12,6 @@
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.simulation.loads import (
-    MS_PER_S,
     WORKER_ROOM,
     Load,
     Outage,
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -12,7 +12,7 @@
 from enum import Enum, auto
 from typing import Protocol
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import Run, WorkerLife
@@ -33,7 +33,6 @@
     WorkerPort,
 )
 
-MS_PER_S = 1000
 ORDER_TIMEOUT_MS = 500
 """A worker answers an order in a few ms; what takes longer is asked again on a new connection."""
 START_TRIES = 2
--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -10,7 +10,7 @@
 import zlib
 from collections.abc import Callable
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_state.events import (
     INVARIANT_BROKEN,
@@ -30,7 +30,6 @@
 from agateferry_state.replication import messages as m
 from agateferry_state.replication.messages import Greeting
 
-MS_PER_S = 1000
 MIN_DELAY_MS = 1
 UNKNOWN_AFTER_MS = 1000
 SYNC_REST = 3
--- a/packages/agateferry-state/agateferry_state/replica/link.py
+++ b/packages/agateferry-state/agateferry_state/replica/link.py
@@ -15,6 +15,7 @@
 
 from grpc import aio
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_core.logs import EventLogger
 from agateferry_state.events import PEER_CONNECTED, PEER_CONNECTION_LOST
 from agateferry_state.replica.codec import encode_envelope
@@ -26,7 +27,6 @@
 MAX_BATCH_BYTES = 1024 * 1024
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 SERVER_KEEPALIVE_MS = 30_000
-MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
