--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(SPACE),:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/agateferry-$(p)))
 export PATH := $(abspath $(BIN)):$(PATH)
 
-.PHONY: setup demo test lint format measure bench budget capacity soak generate
+.PHONY: setup demo test lint format measure simulate bench budget capacity soak generate
 
 setup: $(VENV)/.ready
 
@@ -43,6 +43,10 @@
 measure: setup
 	$(BIN)/python -m agateferry_scheduling.measure
 
+simulate: setup
+	$(BIN)/python -m agateferry_jobs.simulation --load surge
+	$(BIN)/python -m agateferry_jobs.simulation --load heavy
+
 bench: setup
 	$(BIN)/python -m agateferry_state.replica.bench
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger import Ledger, WorkerLife
@@ -28,8 +28,10 @@
 """How long a day goes on after its last job came."""
 STOP_MS = (100, 900)
 """The least and the most that a stop takes."""
-SAVE_EVERY_MS = 1_000
 RESTORE_MS = 600
+"""What a start from a checkpoint takes before it works on."""
+CALL_TIMEOUT_MS = 3_000
+"""A bound of callers' calls that the manifest needs; nobody calls in a simulation."""
 FAR_FACTOR = 3
 """How many times as long a gang takes that asked for one rack and is on several."""
 OUTAGE_DRAW = 1_000
@@ -52,7 +54,6 @@
     ran_ms: float = 0.0
     still_ms: float = 0.0
     stops_at_ms: int | None = None
-    stopping: set[str] = field(default_factory=set)
 
     @property
     def saved_ms(self) -> float:
@@ -64,7 +65,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """What became of one job, and the accelerator-seconds that were thrown away for it."""
+    """What became of one job; None where it did not end as done."""
 
     job: SimulatedJob
     ended_ms: int | None
@@ -131,28 +132,7 @@
         self._ledger.apply(1, c.encode(command))
 
     def _open(self) -> None:
-        queues = tuple(
-            Queue(
-                kind.name,
-                "host",
-                f"/{kind.name}/",
-                "pool",
-                3_000,
-                kind.target_ms,
-                kind.priority,
-                kind.attempts,
-                kind.stretch,
-            )
-            for kind in self._load.kinds
-        )
-        reserved = self._load.reserved_share * self._load.workers * WORKER_ROOM.gpu
-        teams = tuple(
-            Team(
-                f"team-{number}", (f"key-{number}",), reserved_gpus=int(reserved / self._load.teams)
-            )
-            for number in range(self._load.teams)
-        )
-        self._do(c.PutManifest(Manifest(1, queues, (Service("pool"),), teams)))
+        self._do(c.PutManifest(_manifest(self._load)))
         for number in range(self._load.workers):
             id = f"w{number:03d}"
             rack = f"r{number // self._load.workers_per_rack}"
@@ -309,3 +289,27 @@
             FAR_FACTOR if is_far else 1,
             restore_ms=RESTORE_MS if done_ms else 0.0,
         )
+
+
+def _manifest(load: Load) -> Manifest:
+    """Return a manifest with a queue for each kind of job, and teams with equal reserves."""
+    queues = tuple(
+        Queue(
+            name=kind.name,
+            host="host",
+            prefix=f"/{kind.name}/",
+            service="pool",
+            timeout_ms=CALL_TIMEOUT_MS,
+            target_ms=kind.target_ms,
+            priority=kind.priority,
+            attempts=kind.attempts,
+            stretch=kind.stretch,
+        )
+        for kind in load.kinds
+    )
+    reserved = int(load.reserved_share * load.workers * WORKER_ROOM.gpu / load.teams)
+    teams = tuple(
+        Team(f"team-{number}", (f"key-{number}",), reserved_gpus=reserved)
+        for number in range(load.teams)
+    )
+    return Manifest(1, queues, (Service("pool"),), teams)
