Take part again once a full disk has room

Change: the host of a cell opens its folder again every second after such a failure, with an empty ledger that the log fills, and never as a first host. Shown by: a test with two full disks of three, red without the change.

--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -1,22 +1,25 @@
 """A host of the cell: its share of the replicated log, and the leader's work when it leads."""
 
+import asyncio
 import random
 from dataclasses import replace
 
 import grpc
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs.calls import LeaderClient
 from agateferry_jobs.calls import messages as m
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.servicer import LeaderServicer
+from agateferry_jobs.daemon import events
 from agateferry_jobs.ledger import Ledger
 from agateferry_jobs.rpc import leader_pb2_grpc as rpc
 from agateferry_jobs.settings import HostSettings
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.link import server_options
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
+from agateferry_state.replica.protocols import ProposeErrorKind
 from agateferry_state.replica.transport import GrpcTransport
 from agateferry_state.replication import Settings
 
@@ -35,6 +38,8 @@
 """How long a worker runs on unseen: longer than a cut of 6 s, so that its work outlives one."""
 DISCOVERY_TRY_MS = 1_000
 """How long a host that joins a running cell asks one round of its seeds for the others."""
+REVIVE_MS = 1_000
+"""How often a host whose disk refused a write tries to take part again."""
 RPC_GRACE_S = 1.0
 """How long calls in flight may take once the host has handed its leadership on."""
 
@@ -55,13 +60,11 @@
         self._server: grpc.aio.Server | None = None
         self._replica: NodeReplica | None = None
         self._leader: Leader | None = None
+        self._reviver: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Join the cell, or form it where this is the first start of all."""
-        replica = self._make_replica(await self._find_hosts())
-        self._replica = replica
-        lease_ms = min(LEASE_MS, self.cfg.bounds.max_lease_ms)
-        self._leader = Leader(replica, self.ledger, self._clock, self._make_port, lease_ms)
+        replica = self._join(await self._find_hosts(), self.cfg.may_bootstrap)
         server = grpc.aio.server(options=server_options())
         self._transport.add_to(server)
         rpc.add_LeaderServicer_to_server(LeaderServicer(self.answer), server)
@@ -70,9 +73,12 @@
         await server.start()
         self._transport.open_datagrams(self.cfg.internal_address)
         await replica.start()
+        self._reviver = asyncio.create_task(self._revive_for_ever())
 
     async def stop(self) -> None:
         """Hand leadership on and give up the network and the disk."""
+        if self._reviver is not None:
+            self._reviver.cancel()
         if self._replica is not None:
             await self._replica.stop()
         if self._leader is not None:
@@ -110,10 +116,36 @@
         await self.client.ask(m.Ping(), DISCOVERY_TRY_MS)
         return self.client.hosts
 
-    def _make_replica(self, hosts: tuple[str, ...]) -> NodeReplica:
+    def _join(self, hosts: tuple[str, ...], may_bootstrap: bool) -> NodeReplica:
+        """Make this host's part of the cell, with an empty ledger that the log fills."""
+        self.ledger = Ledger()
+        replica = self._make_replica(hosts, may_bootstrap)
+        self._replica = replica
+        lease_ms = min(LEASE_MS, self.cfg.bounds.max_lease_ms)
+        self._leader = Leader(replica, self.ledger, self._clock, self._make_port, lease_ms)
+        return replica
+
+    async def _revive_for_ever(self) -> None:
+        """Take part again after the disk refused a write, as if this process had started anew."""
+        while True:
+            await asyncio.sleep(REVIVE_MS / MS_PER_S)
+            failure = self._replica.failure if self._replica is not None else None
+            if failure is not None and failure.kind is ProposeErrorKind.STORAGE_FAILED:
+                self._log.warning(events.REVIVING, detail=failure.detail)
+                await self._revive()
+
+    async def _revive(self) -> None:
+        if self._leader is not None:
+            await self._leader.close()
+        if self._replica is not None:
+            await self._replica.stop()
+        replica = self._join(self.cfg.seeds, may_bootstrap=False)
+        await replica.start()
+
+    def _make_replica(self, hosts: tuple[str, ...], may_bootstrap: bool) -> NodeReplica:
         port = self.cfg.internal_port
         peers = tuple(Peer(host, f"{host}:{port}") for host in hosts)
-        settings = replace(TIMES, may_bootstrap=self.cfg.may_bootstrap)
+        settings = replace(TIMES, may_bootstrap=may_bootstrap)
         cfg = NodeConfig(
             GROUP, self.cfg.ip, peers, self.cfg.folder, settings, self.cfg.internal_address
         )
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_cell.py
@@ -16,6 +16,7 @@
 from agateferry_jobs.settings import HostSettings
 from agateferry_jobs.support import ModelWorker, manifest
 from agateferry_jobs.support.making import NEED
+from agateferry_state.journal import JournalError, JournalErrorKind
 
 IPS = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 LATE_IP = "127.0.0.4"
@@ -132,6 +133,27 @@
         self.check(scenario)
 
 
+class FullDiskTests(CellCase):
+    def fill(self, host):
+        """Have the disk of a host refuse what comes next."""
+        host._replica._driver._fail(JournalError(JournalErrorKind.DISK_FULL, "injected"))
+
+    def test_hosts_take_part_again_once_their_disks_have_room(self):
+        """Seen on a day with two full disks: both hosts took no part for the rest of the day, the
+        cell had no majority, and jobs were lost."""
+
+        async def scenario():
+            self.assertEqual(m.Done(), await self.client.ask(submit("a"), ASK_MS))
+            for ip in IPS[:2]:
+                self.fill(self.hosts[ip])
+            self.assertEqual(m.Done(), await self.client.ask(submit("b"), ASK_MS))
+            for host in self.hosts.values():
+                await self.until(lambda host=host: {"a", "b"} <= {*host.ledger.jobs}, "both jobs")
+                self.assertIsNone(host._replica.failure)
+
+        self.check(scenario)
+
+
 class ReplaceTests(CellCase):
     def test_an_empty_host_at_a_new_address_takes_the_place_of_one_that_is_gone(self):
         async def scenario():
