--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -143,8 +143,7 @@
         self.assertEqual({"a1", "b1"}, set(self.placed().values()))
 
     def test_a_rack_with_a_silent_worker_is_waited_for(self):
-        """Seen on a heavy day: with a quarter of the workers cut off for 6 s no rack could hold
-        gangs of four whole workers, and they started across racks at once, three times as slow."""
+        """A worker that is cut off is back soon; across racks a gang is three times as slow."""
         self.add(worker("a1", rack="a"), worker("b1", rack="b"))
         self.add(worker("b2", rack="b"), answers=False)
         step = StepSpec(2, WHOLE, is_gang=True, same_rack=True, estimated_ms=9000)
