Call what stands already: step numbers, the leader's times, the late factor

The step in a subtask's name was cut out in four places; the simulation kept copies of the leader's tick and of its time for hung runs, and of the factor up to which a late job earns, which would have gone out of step unseen; a job's end or the end of the logs was worked out twice; first starts were kept and never read. Change: step_number beside gang_of, JobHistory.last_ms, imports in place of copies, the unread field gone.

--- a/packages/agateferry-jobs/agateferry_jobs/history/causes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/causes.py
@@ -21,7 +21,7 @@
 
     A job that has not ended is followed up to `until_ms`, the end of the logs.
     """
-    end_ms = job.ended_ms if job.ended_ms is not None else until_ms
+    end_ms = job.last_ms(until_ms)
     runs = _last_runs(job)
     if not runs:
         return [Cause("never started", end_ms - job.accepted_ms)]
@@ -83,5 +83,4 @@
 
 
 def _is_late(job: JobHistory, until_ms: int) -> bool:
-    end_ms = job.ended_ms if job.ended_ms is not None else until_ms
-    return job.state == "failed" or end_ms - job.accepted_ms > job.objective_ms
+    return job.state == "failed" or job.last_ms(until_ms) - job.accepted_ms > job.objective_ms
--- a/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
@@ -6,6 +6,7 @@
 
 from agateferry_jobs.cell import events
 from agateferry_jobs.history.lines import Line
+from agateferry_jobs.ledger.state import step_number
 
 _GPUS = re.compile(r"(\d+)g")
 
@@ -36,9 +37,13 @@
     ended_ms: int | None = None
     state: str = ""
 
+    def last_ms(self, until_ms: int) -> int:
+        """Return when the job ended, or `until_ms` where no line tells of an end."""
+        return self.ended_ms if self.ended_ms is not None else until_ms
+
     def gpus_of(self, subtask: str) -> int:
         """Return the accelerators of a subtask `K.STEP.INDEX`."""
-        step = int(subtask.split(".")[1])
+        step = step_number(subtask)
         return self.gpus[step] if step < len(self.gpus) else 0
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -109,11 +109,11 @@
 
     def step_of(self, name: str) -> StepSpec:
         """Return the step that a subtask belongs to."""
-        return self.spec.steps[int(name.split(".")[1])]
+        return self.spec.steps[step_number(name)]
 
     def members(self, gang: str) -> list[str]:
         """Return the names of the subtasks of one step of one occurrence."""
-        step = self.spec.steps[int(gang.split(".")[1])]
+        step = self.spec.steps[step_number(gang)]
         return [f"{gang}.{index}" for index in range(step.count)]
 
     def is_gang_broken(self, name: str) -> bool:
@@ -130,6 +130,11 @@
         return all(self.subtasks[name].is_done for name in self.members(f"{occurrence}.{step}"))
 
 
+def step_number(name: str) -> int:
+    """Return STEP for a subtask's name `K.STEP.INDEX`, or for a gang's `K.STEP`."""
+    return int(name.split(".")[1])
+
+
 def gang_of(name: str) -> str:
     """Return `K.STEP` for a subtask's name `K.STEP.INDEX`."""
     return name.rpartition(".")[0]
--- a/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/losses.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping, Sequence
 
 from agateferry_core.clock import MS_PER_S
+from agateferry_jobs.ledger.state import step_number
 from agateferry_jobs.planning.fleet import Occupant, RunKey
 from agateferry_jobs.planning.ranks import LOWEST_RANK
 from agateferry_jobs.planning.timing import Timing
@@ -61,9 +62,9 @@
     def _work_out(self, occupant: Occupant) -> float:
         """Return how long a run still takes; one that is over its time may end at any moment."""
         job = occupant.job
-        step = int(occupant.subtask.split(".")[1])
+        length_ms = self._timing.length_ms(job, step_number(occupant.subtask))
         ran_ms = self._now_ms - job.subtasks[occupant.subtask].started_ms
-        return max(0, self._timing.length_ms(job, step) - ran_ms)
+        return max(0, length_ms - ran_ms)
 
 
 class Losses(Cost):
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -5,11 +5,10 @@
 from statistics import mean
 
 from agateferry_core.clock import MS_PER_S
+from agateferry_jobs.planning.timing import LATE_FACTOR
 from agateferry_jobs.simulation.loads import JobKind, SimulatedJob
 from agateferry_jobs.simulation.world import Day, Outcome
 
-LATE_FACTOR = 3
-"""Up to three times its objective a job earns its late worth, as the platform's rules say."""
 LARGEST_SHARE = 0.1
 """The largest jobs of a kind count as a kind of their own."""
 WINDOW_S = 6
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
@@ -10,7 +10,7 @@
 
 
 def summary(*outcomes):
-    return summarize(Day([Outcome(*each) for each in outcomes], {}, 0.0, 0, 0))
+    return summarize(Day([Outcome(*each) for each in outcomes], 0.0, 0, 0))
 
 
 class EarnedTests(testtools.TestCase):
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/world.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from agateferry_core.clock import MS_PER_S
+from agateferry_jobs.cell.leader import HUNG_MS, TICK_MS
 from agateferry_jobs.ledger import Ledger, WorkerLife
 from agateferry_jobs.ledger import commands as c
 from agateferry_jobs.ledger.state import Run, gang_of
@@ -22,8 +23,6 @@
 
 STEP_MS = 50
 """How much time passes between two looks at the world."""
-PLAN_EVERY_MS = 250
-"""How often the policy is asked where nothing changed; the leader's own tick."""
 AFTER_S = 25
 """How long a day goes on after its last job came."""
 STOP_MS = (100, 900)
@@ -36,8 +35,6 @@
 """How many times as long a gang takes that asked for one rack and is on several."""
 OUTAGE_DRAW = 1_000
 """Where the draws of outages begin, so that they hit other workers than slowness does."""
-HUNG_MS = 4_000
-"""After what time without progress the leader stops a run."""
 
 
 @dataclass(slots=True)
@@ -76,7 +73,6 @@
     """What a day came to; times in ms from its start."""
 
     outcomes: list[Outcome]
-    first_starts_ms: dict[str, int]
     wasted_gpu_s: float
     stops: int
     far_starts: int
@@ -94,7 +90,6 @@
         self._ledger = Ledger()
         self._groups: list[Group] = []
         self._failed: dict[str, int] = {}
-        self._first_starts_ms: dict[str, int] = {}
         self._wasted_gpu_s = 0.0
         self._stops = 0
         self._far_starts = 0
@@ -113,12 +108,11 @@
             is_changed |= self._set_reach()
             self._set_speeds()
             is_changed |= self._work()
-            if is_changed or self._now_ms % PLAN_EVERY_MS == 0:
+            if is_changed or self._now_ms % TICK_MS == 0:
                 self._plan()
                 is_changed = False
         return Day(
             [Outcome(job, self._ended_ms(job)) for job in self._jobs.values()],
-            self._first_starts_ms,
             self._wasted_gpu_s,
             self._stops,
             self._far_starts,
@@ -272,7 +266,6 @@
     def _group(self, starts: Sequence[c.RunStart]) -> Group:
         job = self._jobs[starts[0].job]
         step = job.spec.steps[0]
-        self._first_starts_ms.setdefault(job.id, self._now_ms)
         racks = {self._racks[start.run.worker] for start in starts}
         is_far = step.same_rack and len(racks) > 1
         self._far_starts += is_far
