Handle a job without a record as not idempotent at the entry

Cause: CallersApp._owning_zone took a job whose record the host has no copy of for idempotent, so a request with a key stayed in the zone that received it. A host that was ready for 0.35 s after a restart accepted the resend of a request whose first attempt had run in the zone of its key.

Ruled out: the ledgers of both zones, each of which knew its own request only, as it should. Weighed: a host that is not ready before its copy of the records is in force would keep callers out of a whole zone that is cut off from the records plane; 503 'not run' refuses what the zone of the key can decide. The zone of the key is right in all cases and refuses an unknown job by itself.

Other places where a missing record means a default, read for this: admission refuses an unknown team or job; a placement on a worker that is not registered has an empty incarnation, which the worker refuses; a reply that a lease is unknown after a start that may have arrived leaves the attempt as 'may have run'; a request codec without the field decodes as not idempotent; the leader of the job ledger refuses calls without a manifest. Not mended: a copy of a record that is older than the operator's change from idempotent to not, for the seconds until that change is in force everywhere.

Change: no record means not idempotent, so the request goes to the zone of its key.

--- a/packages/agateferry-service/agateferry_service/entry/app.py
+++ b/packages/agateferry-service/agateferry_service/entry/app.py
@@ -100,8 +100,14 @@
         return self._response(reply, is_new=False)
 
     def _owning_zone(self, body: SubmitBody, key: str) -> str:
+        """Return the zone whose cell owns a submission.
+
+        A job that this host has no record of counts as not idempotent: a host that has just
+        restarted may not have its copy of the records yet, and a resend must reach the zone of its
+        key all the same.
+        """
         job = self._catalog.job(body.job)
-        idempotent = job.idempotent if job is not None else True
+        idempotent = job is not None and job.idempotent
         return home_zone(body.zone, body.team, key, idempotent, self._zone, self._zones.names)
 
     async def _submit_to(
