Send no start order without the job that the ledger holds

Cause: the leader read the payload of a committed start with a default of an empty text, so a job missing from the ledger would have been started with another specification than was submitted. It cannot be missing, as the ledger drops the start of an unknown job and keeps ended jobs for 300 s; so this is an invariant and no default. Behaviour stays; cell tests pass.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -15,7 +15,7 @@
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.suspects import SuspectWorkers
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
-from agateferry_jobs.ledger import Ledger, Run, commands
+from agateferry_jobs.ledger import Job, Ledger, Run, commands
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.session import Phase, PortFactory, TrackedRun
@@ -210,13 +210,12 @@
                 run=start.run.number,
                 worker=start.run.worker,
             )
-            job = self._ledger.jobs.get(start.job)
-            self._observe_first_start(start)
-            self._registry.start_run(start, job.spec.payload if job is not None else "")
+            job = self._ledger.jobs[start.job]
+            self._observe_first_start(start, job)
+            self._registry.start_run(start, job.spec.payload)
 
-    def _observe_first_start(self, start: commands.RunStart) -> None:
-        job = self._ledger.jobs.get(start.job)
-        if job is not None and start.subtask == "0.0.0" and start.run.number == 1:
+    def _observe_first_start(self, start: commands.RunStart, job: Job) -> None:
+        if start.subtask == "0.0.0" and start.run.number == 1:
             waited_s = (self.now_ms - job.accepted_ms) / MS_PER_S
             metrics.FIRST_START_SECONDS.labels(str(job.priority)).observe(waited_s)
 
