Let a restarted replica know the addresses of all members in its log

Cause: a driver passed members' addresses to the transport only when the members changed. A host that restarted knew the hosts of its settings alone; votes for members that joined later were dropped as 'address-unknown' until those greeted, which voters do after 5 s without a leader.

Change: the driver sets the addresses of the members that the recovered log names when it starts.

--- a/packages/agateferry-state/agateferry_state/replica/driver.py
+++ b/packages/agateferry-state/agateferry_state/replica/driver.py
@@ -20,7 +20,7 @@
     STORAGE_FAILED,
 )
 from agateferry_state.journal import JournalError
-from agateferry_state.members import MemberId
+from agateferry_state.members import MemberId, Members
 from agateferry_state.replica.codec import Envelope
 from agateferry_state.replica.metrics import STORAGE_FAILURES, SYNC_SECONDS
 from agateferry_state.replica.proposals import PendingProposals
@@ -78,6 +78,7 @@
         self._next_sync_ms = 0
         self._is_closed = False
         self._stepped = asyncio.Event()
+        self._set_addresses(core.members)
         transport.register(group, self._receive)
         self.put(messages.Tick())
 
@@ -184,9 +185,13 @@
                 self._on_leader_change(leader, term)
             case messages.MembersChanged(members):
                 self._log.info(MEMBERS_CHANGED, members=[str(each.id) for each in members.all])
-                for member in members.all:
-                    if member.address:
-                        self._transport.set_address(member.id.host, member.address)
+                self._set_addresses(members)
+
+    def _set_addresses(self, members: Members) -> None:
+        """Pass the members' addresses to the transport."""
+        for member in members.all:
+            if member.address:
+                self._transport.set_address(member.id.host, member.address)
 
     def _schedule_sync(self) -> None:
         if self._write_id == self._synced_id or self._is_sync_due:
--- a/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
@@ -1,6 +1,6 @@
 """Run one member of a group as a process: `member_process.py NAME FOLDER NAME=ADDRESS...`.
 
-It reads the commands `propose TEXT`, `read` and `status` from standard input, one a line, and
+A host that the addresses of the others do not name joins their group. The process reads the commands `propose TEXT`, `read` and `status` from standard input, one a line, and
 prints one line of JSON for each.
 """
 
@@ -12,6 +12,7 @@
 
 from agateferry_core.clock import SystemClock
 from agateferry_state.replica import GrpcTransport, NodeConfig, NodeReplica, Peer, start_server
+from agateferry_state.replication import Settings
 
 
 class TextMachine:
@@ -47,7 +48,7 @@
     own = next(peer for peer in peers if peer.name == name)
     transport, machine = GrpcTransport({}, rng), TextMachine()
     server = (await start_server(own.address, transport)).ok
-    cfg = NodeConfig("cell", name, peers, Path(folder))
+    cfg = NodeConfig("cell", name, peers, Path(folder), Settings(replaces_hosts=True))
     node = NodeReplica(cfg, machine, transport, SystemClock(), rng)
     await node.start()
     reader = asyncio.StreamReader()
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_process.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 import pytest
@@ -11,6 +12,11 @@
 
 from agateferry_core.support import free_port, wait_until
 
+MAX_ELECTION_S = 4.0
+"""The start of the processes, one election timeout, and a second one if the votes are split.
+
+A voter that heard from no leader greets the others only after 5 s.
+"""
 MEMBER = Path(__file__).with_name("member_process.py")
 
 
@@ -52,21 +58,26 @@
         return self._process.returncode
 
 
-@pytest.mark.process
-class ProcessTests(testtools.TestCase):
+class ProcessCase(testtools.TestCase):
+    """Run members of a group as processes; tests put them into `members`."""
+
     def setUp(self):
         super().setUp()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        addresses = [f"{name}=127.0.0.1:{free_port()}" for name in "abc"]
+        self.folder = Path(folder.name)
         self.members = []
-        for name in "abc":
-            member = Process(name, Path(folder.name) / name, addresses)
-            member.start()
-            self.addCleanup(member.kill)
-            self.members.append(member)
+
+    def start_member(self, name, addresses):
+        member = Process(name, self.folder / name, addresses)
+        member.start()
+        self.addCleanup(member.kill)
+        self.members.append(member)
+
+    def wait_for_voters(self, count):
         wait_until(
-            lambda: any(m.call("status")["voters"] == 3 for m in self.members), "three voters"
+            lambda: any(m.call("status")["voters"] == count for m in self.members),
+            f"{count} voters",
         )
 
     def leader(self, members):
@@ -87,6 +98,19 @@
                 self.assertIn("index", answer)
                 return leader
 
+    def all_hold(self, texts):
+        return all(member.call("status")["texts"] == texts for member in self.members)
+
+
+@pytest.mark.process
+class ProcessTests(ProcessCase):
+    def setUp(self):
+        super().setUp()
+        addresses = [f"{name}=127.0.0.1:{free_port()}" for name in "abc"]
+        for name in "abc":
+            self.start_member(name, addresses)
+        self.wait_for_voters(3)
+
     def test_kill_9_of_the_leader_loses_no_acknowledged_command(self):
         accepted = []
         for turn in range(2):
@@ -99,9 +123,6 @@
             leader.start()
             wait_until(lambda: self.all_hold(accepted), "all hold the accepted commands")
 
-    def all_hold(self, texts):
-        return all(member.call("status")["texts"] == texts for member in self.members)
-
     def test_a_paused_leader_serves_no_stale_reads(self):
         leader = self.propose("before", self.members)
         others = [member for member in self.members if member is not leader]
@@ -117,3 +138,26 @@
         self.assertEqual(0, leader.stop())
         others = [member for member in self.members if member is not leader]
         self.propose("after", others)
+
+
+@pytest.mark.process
+class RestartOfAllTests(ProcessCase):
+    """All processes are killed at once; all members but one joined after the group was formed."""
+
+    def setUp(self):
+        super().setUp()
+        addresses = {name: f"{name}=127.0.0.1:{free_port()}" for name in "abc"}
+        for count, name in enumerate("abc", start=1):
+            self.start_member(name, sorted({addresses["a"], addresses[name]}))
+            self.wait_for_voters(count)
+
+    def test_members_that_the_settings_do_not_name_take_part_in_the_first_election(self):
+        """Hosts once forgot the addresses of members that joined later, until these greeted."""
+        self.propose("kept", self.members)
+        for member in self.members:
+            member.kill()
+        for member in self.members:
+            member.start()
+        started_s = time.monotonic()
+        self.assertEqual(["kept"], self.leader(self.members).call("read")["texts"])
+        self.assertLess(time.monotonic() - started_s, MAX_ELECTION_S)
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_faults.py
@@ -1,7 +1,7 @@
 import testtools
 
 from agateferry_state.members import MemberId
-from agateferry_state.replication import messages
+from agateferry_state.replication import Settings, messages
 from agateferry_state.replication.lease import Lease
 from agateferry_state.replication.tests import faults
 from agateferry_state.replication.tests.support import SEEDS, Cluster, History, ViolationError
@@ -60,6 +60,28 @@
         run_seeds(lambda c: [faults.jump_clock])
 
 
+class RestartOfAllTests(testtools.TestCase):
+    """All members of a group restart at the same moment."""
+
+    def election_ms(self, seed):
+        cluster = Cluster(seed, disks=(True,) * 8)
+        cluster.run_until(10_000)
+        for name in cluster.hosts:
+            cluster.kill(name)
+        for name in cluster.hosts:
+            cluster.start(name)
+        started_ms = cluster.now
+        while cluster.leader() is None:
+            cluster.run_until(cluster.now + 10)
+        return cluster.now - started_ms
+
+    def test_eight_members_elect_a_leader_within_one_election_timeout_and_two_retries(self):
+        settings = Settings()
+        bound_ms = settings.election_timeout_max_ms + 2 * settings.election_retry_max_ms
+        times_ms = {seed: self.election_ms(seed) for seed in range(SEEDS // 5)}
+        self.assertEqual({}, {seed: ms for seed, ms in times_ms.items() if ms > bound_ms})
+
+
 class PlantedFaultTests(testtools.TestCase):
     """The checker must find faults that are planted on purpose."""
 
