--- a/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
@@ -1,7 +1,8 @@
 """Run one member of a group as a process: `member_process.py NAME FOLDER NAME=ADDRESS...`.
 
-A host that the addresses of the others do not name joins their group. The process reads the commands `propose TEXT`, `read` and `status` from standard input, one a line, and
-prints one line of JSON for each.
+A host that the addresses of the others do not name joins their group. The process reads the
+commands `propose TEXT`, `read` and `status` from standard input, one a line, and prints one line of
+JSON for each.
 """
 
 import asyncio
