Let a new leader hear from its workers before it plans

Cause: a new leader planned as soon as the first worker had answered its first poll, with that worker's listed ends not yet committed and all other workers unusable.

Ruled out: an outdated ledger (the replica had applied the log before it led).

Change: a worker counts as answering once the ends in its first answer are committed; a new leader plans once each worker has answered or failed to, and after 300 ms at the latest, so that a worker that is cut off doesn't hold up urgent work.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -23,6 +23,11 @@
 
 TICK_MS = 250
 """Interval of checks that depend on time alone: expired leases, hung runs, scheduled starts."""
+TAKEOVER_WAIT_MS = 300
+"""How long a new leader waits for the first answers of all workers before it plans.
+
+Workers answer within a few ms; one that is cut off must not delay urgent work for longer.
+"""
 PLAN_PAUSE_FACTOR = 4
 """The pause after each plan, as a multiple of its duration; other work runs meanwhile."""
 NO_PROGRESS_TIMEOUT_MS = 4_000
@@ -47,6 +52,8 @@
         self._issued_tokens = 0
         self._tasks: set[asyncio.Task[Any]] = set()
         self._ticker: asyncio.Task[None] | None = None
+        self._has_taken_over = False
+        self._leading_since_ms = 0
         self._is_planning = False
         self._is_plan_due = False
         self._has_planning_task = False
@@ -126,10 +133,20 @@
     def request_planning(self) -> None:
         """Make a new plan soon; requests made meanwhile share one plan."""
         self._is_plan_due = True
-        if not self._has_planning_task and self._ticker is not None:
+        if not self._has_planning_task and self._ticker is not None and self._may_plan():
             self._has_planning_task = True
             self.spawn(self._plan_while_due())
 
+    def _may_plan(self) -> bool:
+        """Return whether enough workers have told this leader what ended before it took over.
+
+        A plan made on the first answers would preempt runs for room that others have free.
+        """
+        if not self._has_taken_over:
+            waited_ms = self._clock.now_ms() - self._leading_since_ms
+            self._has_taken_over = self._registry.knows_all() or waited_ms >= TAKEOVER_WAIT_MS
+        return self._has_taken_over
+
     def _on_leadership(self, is_leader: bool, term: int) -> None:
         if not is_leader:
             self._log.info(events.NOT_LEADING, term=term)
@@ -138,7 +155,9 @@
             return
         self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
         self._issued_tokens = 0
-        self._wall_offset_ms = self._clock.wall_ms() - self._clock.now_ms()
+        self._has_taken_over = False
+        self._leading_since_ms = self._clock.now_ms()
+        self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
         self._registry.open_sessions()
         self._ticker = asyncio.get_running_loop().create_task(self._tick())
         self.request_planning()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
@@ -6,11 +6,17 @@
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import run_async
 from agateferry_jobs.calls import messages
-from agateferry_jobs.cell.leader import NO_PROGRESS_TIMEOUT_MS, PLAN_PAUSE_FACTOR, Leader
+from agateferry_jobs.cell.leader import (
+    NO_PROGRESS_TIMEOUT_MS,
+    PLAN_PAUSE_FACTOR,
+    TAKEOVER_WAIT_MS,
+    TICK_MS,
+    Leader,
+)
 from agateferry_jobs.ledger import JobState, Ledger, WorkerState, commands
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
-from agateferry_jobs.support.builders import SUBTASK_RESOURCES
+from agateferry_jobs.support.builders import SUBTASK_RESOURCES, job_command
 from agateferry_state.replica.protocols import ProposeErrorKind
 
 WHOLE_WORKER = Resources(cpu=1000, mem_mb=100, gpu=8)
@@ -22,6 +28,16 @@
     return messages.CallTarget(host, f"/jobs/{path}", key)
 
 
+class SlowWorker(ModelWorker):
+    """A worker whose answers to polls take `poll_delay_s` longer."""
+
+    poll_delay_s = 0.0
+
+    async def poll(self, order, timeout_ms):
+        await asyncio.sleep(self.poll_delay_s)
+        return await super().poll(order, timeout_ms)
+
+
 class LeaderCase(testtools.TestCase):
     def check(self, scenario, lease_ms=8000):
         async def main():
@@ -132,6 +148,72 @@
         self.check(scenario)
 
 
+class TakeoverTests(LeaderCase):
+    """A new leader plans for an urgent job; what ended meanwhile is listed by the workers only."""
+
+    def apply(self, command):
+        self.ledger.apply(1, commands.encode(command))
+
+    async def run_on_two_workers(self):
+        """Start a run that takes all of w2, and then one on w1, which has less work to lose."""
+        self.ports["w2"] = SlowWorker(self.clock)
+        for id in ("w2", "w1"):
+            await self.heartbeat(worker(id))
+            self.apply(job_command(f"on-{id}", StepSpec(1, WHOLE_WORKER), priority=2))
+            self.leader.request_planning()
+            await self.running_on(id)
+            await asyncio.sleep(0.1)
+
+    async def take_over(self):
+        """Lead again in a new term, with an urgent job that needs a whole worker."""
+        self.replica.lead(False)
+        await asyncio.sleep(0.05)
+        self.ports["w2"].end(("on-w2", "0.0.0"), "done")
+        self.apply(job_command("urgent", StepSpec(1, WHOLE_WORKER), priority=0))
+        self.replica.lead()
+
+    def test_nothing_is_preempted_for_what_a_worker_that_answers_later_has_free(self):
+        """The first plan was once made when the first worker answered, and stopped its runs."""
+
+        async def scenario():
+            await self.run_on_two_workers()
+            self.ports["w2"].poll_delay_s = 0.1
+            await self.take_over()
+            await self.until(lambda: ("urgent", "0.0.0") in self.ports["w2"].running, "on w2")
+            self.assertEqual({("on-w1", "0.0.0"): 1}, self.ports["w1"].running)
+
+        self.check(scenario)
+
+    def test_nothing_is_preempted_while_an_end_that_a_worker_listed_is_committed(self):
+        """A worker once counted as full until the commit of the ends in its first answer."""
+
+        async def scenario():
+            await self.run_on_two_workers()
+            propose = self.replica.propose
+
+            async def propose_slowly(command):
+                await asyncio.sleep(0.1)
+                return await propose(command)
+
+            self.replica.propose = propose_slowly
+            await self.take_over()
+            await self.until(lambda: ("urgent", "0.0.0") in self.ports["w2"].running, "on w2")
+            self.assertEqual({("on-w1", "0.0.0"): 1}, self.ports["w1"].running)
+
+        self.check(scenario)
+
+    def test_a_worker_that_does_not_answer_delays_the_first_plan_for_a_limited_time(self):
+        async def scenario():
+            await self.run_on_two_workers()
+            self.ports["w2"].poll_delay_s = 60
+            await self.take_over()
+            began_ms = self.clock.now_ms()
+            await self.until(lambda: ("urgent", "0.0.0") in self.ports["w1"].running, "on w1")
+            self.assertLess(self.clock.now_ms() - began_ms, 2 * TAKEOVER_WAIT_MS + TICK_MS)
+
+        self.check(scenario)
+
+
 class RunTests(LeaderCase):
     def test_no_start_order_is_sent_before_its_command_is_committed(self):
         async def scenario():
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -143,6 +143,10 @@
             if tracked.is_stopping
         }
 
+    def knows_all(self) -> bool:
+        """Return whether each worker has answered a poll of this leader, or failed to."""
+        return all(session.is_known for session in self.sessions.values())
+
     def health(self, is_suspect: Callable[[str, int], bool]) -> dict[str, WorkerHealth]:
         """Return each worker's health for the planner, by worker id."""
         return {
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -131,6 +131,11 @@
         answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
         return WorkerHealth(answers, is_suspect, tuple(self.unexpected_runs))
 
+    @property
+    def is_known(self) -> bool:
+        """Return whether the worker has answered a poll, or failed to."""
+        return self._has_answered or self._is_failing
+
     def adopt(self, key: RunKey, run: Run) -> None:
         """Track a run whose start order may have been sent, unless it is tracked already."""
         tracked = self.runs.get(key)
@@ -263,13 +268,15 @@
             return True
         self._last_worker_clock_ms = lists.clock_ms
         self._mark_answering(lists.clock_ms)
-        if not self._has_answered:
-            self._has_answered = True
-            self._listener.request_planning()
         ends = self._listed_ends(lists)
         self._update_running(lists)
         ends += self._inferred_ends(lists, poll_number)
-        return await self._commit_ends(lists, ends)
+        if not await self._commit_ends(lists, ends):
+            return False
+        if not self._has_answered:
+            self._has_answered = True
+            self._listener.request_planning()
+        return True
 
     async def _commit_ends(self, lists: RunLists, ends: list[RunEnded]) -> bool:
         if ends and not await self._listener.commit_run_ends(tuple(ends)):
