Gather the parts of the planner's policy in one value of named options

Each part that the policy believes in is now a field of PolicyOptions, whose defaults are the constants of before.

--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -0,0 +1,39 @@
+"""The parts of the planner's policy that can be set or switched off, one by one.
+
+A simulation compares a policy without one of its parts with the whole policy:
+
+    Planner(ledger, fleet, now_ms, replace(DEFAULT_OPTIONS, borrowed_work_preempts=False))
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyOptions:
+    """The options of one policy; shares are of 1, and a slack is a job's, see `Timing.slack_ms`."""
+
+    learns_durations: bool = True
+    """Whether declared durations are corrected by those of past runs."""
+    orders_by_lateness: bool = True
+    """Whether jobs that can still be in time go before late ones of their rank."""
+    orders_by_slack: bool = True
+    """Whether jobs of equal lateness are ordered by the slack that is left, or by acceptance."""
+    headroom_share: float = 0.12
+    """The share of workers that the least urgent work leaves empty for gangs that arrive later."""
+    share_workers_after: float = 0.2
+    """The share of its slack after which the least urgent work may use any worker."""
+    reserve_after: float = 0.05
+    """The share of its slack after which a waiting gang reserves resources that become free."""
+    preempt_after: float = 0.7
+    """The share of its slack after which a waiting gang preempts runs of lower rank."""
+    borrowed_work_preempts: bool = True
+    """Whether urgent work beyond its team's guarantee preempts runs of lower rank."""
+    waits_for_rack: bool = True
+    """Whether a gang that prefers one rack waits for one, instead of starting across racks."""
+    waits_for_data_rack: bool = True
+    """Whether a subtask waits for the rack that holds its data."""
+    values_checkpoints: bool = True
+    """Whether a run with a checkpoint counts as cheaper to preempt."""
+
+
+DEFAULT_OPTIONS = PolicyOptions()
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -15,16 +15,12 @@
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.ledger.state import gang_of
 from agateferry_jobs.planning.fleet import AllocatedRun, Fleet, RunKey, WorkerAllocation
+from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
 from agateferry_jobs.planning.preemption_cost import PreemptionCost, WaitCost
 from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
 from agateferry_jobs.planning.timing import Lateness, Timing, first_unfinished_occurrence
 from agateferry_jobs.planning.worker_selection import WorkerSelector
 
-RESERVE_AFTER_SLACK_SHARE = 0.05
-"""The share of its slack after which a waiting gang reserves resources that become free."""
-PREEMPT_AFTER_SLACK_SHARE = 0.7
-"""The share of its slack after which a waiting gang preempts runs of lower rank."""
-
 
 class PreemptionPolicy(Enum):
     """What ready subtasks that cannot start may do to other work."""
@@ -72,14 +68,21 @@
 class Planner:
     """Make one plan from the ledger and the fleet at one moment."""
 
-    def __init__(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> None:
+    def __init__(
+        self,
+        ledger: Ledger,
+        fleet: Fleet,
+        now_ms: int,
+        options: PolicyOptions = DEFAULT_OPTIONS,
+    ) -> None:
         self._ledger = ledger
         self._fleet = fleet
         self._now_ms = now_ms
+        self._options = options
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
-        self._timing = Timing(ledger)
-        self._preemption_cost = PreemptionCost(self._ranks, now_ms)
+        self._timing = Timing(ledger, options.learns_durations)
+        self._preemption_cost = PreemptionCost(self._ranks, now_ms, options.values_checkpoints)
         self._wait_cost = WaitCost(self._timing, now_ms)
 
     def plan(self) -> Plan:
@@ -104,8 +107,10 @@
         if rank <= BORROWED_RANK:
             return (rank, 0, job.accepted_ms, job.id)
         waited = self._timing.waited_ms(job, first_unfinished_occurrence(job), self._now_ms)
+        lateness = self._timing.lateness(job, waited) if self._options.orders_by_lateness else 0
         remaining_slack_ms = self._timing.slack_ms(job) - waited
-        return (rank, self._timing.lateness(job, waited), remaining_slack_ms, job.id)
+        order = remaining_slack_ms if self._options.orders_by_slack else job.accepted_ms
+        return (rank, lateness, order, job.id)
 
     def _ready_subtasks(self, job: Job) -> Iterator[ReadySubtasks]:
         for occurrence in range(job.spec.occurrences):
@@ -144,7 +149,7 @@
         )
 
     def _place(self, ready: ReadySubtasks) -> None:
-        selector = WorkerSelector(self._workers_for(ready.job), ready, self._ranks)
+        selector = WorkerSelector(self._workers_for(ready.job), ready, self._ranks, self._options)
         if ready.step.is_gang:
             workers = selector.select_for_gang()
             if workers is None:
@@ -201,16 +206,17 @@
     def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
         """Return what ready subtasks that cannot start may do to other work."""
         if ready.rank <= BORROWED_RANK:
-            return PreemptionPolicy.PREEMPT
+            may_preempt = ready.rank < BORROWED_RANK or self._options.borrowed_work_preempts
+            return PreemptionPolicy.PREEMPT if may_preempt else PreemptionPolicy.RESERVE
         if not ready.step.is_gang:
             return PreemptionPolicy.WAIT
         if self._timing.lateness(ready.job, ready.waited_ms) is not Lateness.IN_TIME:
             return PreemptionPolicy.WAIT
-        if ready.waited_slack_share > PREEMPT_AFTER_SLACK_SHARE:
+        if ready.waited_slack_share > self._options.preempt_after:
             return PreemptionPolicy.PREEMPT
         return (
             PreemptionPolicy.RESERVE
-            if ready.waited_slack_share > RESERVE_AFTER_SLACK_SHARE
+            if ready.waited_slack_share > self._options.reserve_after
             else PreemptionPolicy.WAIT
         )
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -73,9 +73,12 @@
 class PreemptionCost(CapacityCost):
     """Preempt runs; the cost is the lost work in core-seconds, weighted by rank."""
 
-    def __init__(self, ranks: Mapping[str, int], now_ms: int) -> None:
+    def __init__(
+        self, ranks: Mapping[str, int], now_ms: int, values_checkpoints: bool = True
+    ) -> None:
         super().__init__(now_ms)
         self._ranks = ranks
+        self._values_checkpoints = values_checkpoints
 
     def is_candidate(self, allocated_run: AllocatedRun, rank: int) -> bool:
         """Return whether a run ranks below the job that needs its resources."""
@@ -89,7 +92,7 @@
         job, step = allocated_run.job, allocated_run.step
         members = step.count if step.is_gang else 1
         lost_s = max(0, self._now_ms - job.subtasks[allocated_run.subtask].started_ms) / MS_PER_S
-        if step.saves_checkpoints:
+        if step.saves_checkpoints and self._values_checkpoints:
             lost_s = min(lost_s, CHECKPOINT_LOSS_S)
         cores = step.need.gpu * CORES_PER_GPU + step.need.cpu / MILLICORES_PER_CORE
         ranks_above_lowest = LOWEST_RANK - self._ranks.get(job.id, LOWEST_RANK)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -26,13 +26,17 @@
     Each plan uses a new instance, since expected durations change with each run that ends.
     """
 
-    def __init__(self, ledger: Ledger) -> None:
+    def __init__(self, ledger: Ledger, learns_durations: bool = True) -> None:
         self._ledger = ledger
+        self._learns_durations = learns_durations
         self._durations: dict[tuple[str, int], int] = {}
 
     def expected_duration_ms(self, job: Job, step: int) -> int:
         """Return how long a subtask of the step with this number is expected to run."""
-        key = (job.queue, job.spec.steps[step].estimated_ms)
+        declared_ms = job.spec.steps[step].estimated_ms
+        if not self._learns_durations:
+            return declared_ms
+        key = (job.queue, declared_ms)
         duration_ms = self._durations.get(key)
         if duration_ms is None:
             duration_ms = self._durations[key] = self._ledger.expected_duration_ms(*key)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -10,6 +10,7 @@
 
 from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.planning.fleet import AllocatedRun, WorkerAllocation
+from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.preemption_cost import CapacityCost
 from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, LOWEST_RANK
 
@@ -21,10 +22,6 @@
 
 On another rack it takes three times as long, so it may wait for twice its duration.
 """
-SHARE_WORKERS_AFTER_SLACK_SHARE = 0.2
-"""The share of its slack after which the least urgent work may use any worker."""
-HEADROOM_SHARE = 0.12
-"""The share of workers that the least urgent work leaves empty for gangs that arrive later."""
 GUARANTEED_RACK_WAIT_MS = 1_800
 """How long work within its team's guarantee waits at most for a rack.
 
@@ -40,9 +37,14 @@
     """Select among the workers of one service for the ready subtasks of one step."""
 
     def __init__(
-        self, workers: Sequence[WorkerAllocation], ready: ReadySubtasks, ranks: Mapping[str, int]
+        self,
+        workers: Sequence[WorkerAllocation],
+        ready: ReadySubtasks,
+        ranks: Mapping[str, int],
+        options: PolicyOptions,
     ) -> None:
         self._ready = ready
+        self._options = options
         self._step = ready.step
         self._feasible_workers = [
             worker for worker in workers if worker.is_ready and worker.can_ever_run(ready.step)
@@ -58,9 +60,13 @@
         waits for one rack until its job is hopeless, unless it is within its team's guarantee.
         """
         ready = self._ready
+        is_waiting = self._options.waits_for_data_rack
         max_wait_ms = DATA_RACK_WAIT_FACTOR * ready.expected_duration_ms
         if ready.step.is_gang:
+            is_waiting = self._options.waits_for_rack
             max_wait_ms = ready.hopeless_after_ms
+        if not is_waiting:
+            return 0.0
         if ready.rank == GUARANTEED_RANK:
             max_wait_ms = min(max_wait_ms, GUARANTEED_RACK_WAIT_MS)
         return max_wait_ms
@@ -86,10 +92,13 @@
         workers empty, until it has waited for a part of its slack.
         """
         is_least_urgent = self._ready.rank > BORROWED_RANK + 1
-        if not is_least_urgent or self._ready.waited_slack_share > SHARE_WORKERS_AFTER_SLACK_SHARE:
+        if (
+            not is_least_urgent
+            or self._ready.waited_slack_share > self._options.share_workers_after
+        ):
             return self._usable_workers
         empty = [worker for worker in self._usable_workers if not worker.runs]
-        headroom = math.ceil(len(self._usable_workers) * HEADROOM_SHARE)
+        headroom = math.ceil(len(self._usable_workers) * self._options.headroom_share)
         peers_only = [
             worker
             for worker in self._usable_workers
