Simulate a customer whose worst seconds count most, with absent leaders and refused starts

Faults moved to a module of their own. ABLATIONS names the policy without one of its parts each. Not calibrated yet.

--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -13,7 +13,7 @@
 def simulate(*, load: str = "surge", policy: str = "", seeds: int = 10) -> None:
     """Simulate a load under one policy, or under each of them.
 
-    :param load: the name of a load: calm, surge, slow, heavy or grown
+    :param load: the name of a load, such as surge or straps
     :param policy: the name of a policy; without it all are simulated
     :param seeds: how many days are simulated; the seeds are 1 to this number
     """
@@ -25,7 +25,8 @@
 def simulate_day(load: str, policy: str, seed: int) -> Summary:
     """Return the summary of one simulated day."""
     jobs = draw_jobs(LOADS[load], seed)
-    return summarize(DaySimulation(LOADS[load], jobs, POLICIES[policy], seed).run())
+    day = DaySimulation(LOADS[load], jobs, POLICIES[policy], seed).run()
+    return summarize(day, LOADS[load].goal)
 
 
 def describe(days: list[Summary]) -> str:
@@ -42,6 +43,7 @@
         f"day={mean(day.day_share for day in days):.3f} "
         f"worst_kind={mean(day.worst_kind for day in days):.3f} "
         f"worst_windows={mean(day.worst_windows for day in days):.3f} "
+        f"waste_price={mean(day.waste_price for day in days):.3f} "
         f"wasted_gpu_s={mean(day.wasted_gpu_s for day in days):.0f} "
         f"stops={mean(day.stops for day in days):.1f} "
         f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds}"
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -11,29 +11,23 @@
 from agateferry_jobs.manifest import Manifest, Queue, Service, Team
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
-from agateferry_jobs.simulation.loads import (
-    WORKER_CAPACITY,
-    Load,
-    Outage,
-    SimulatedJob,
-    Slowness,
-)
+from agateferry_jobs.simulation.faults import FaultSchedule
+from agateferry_jobs.simulation.loads import Load, SimulatedJob
 from agateferry_jobs.simulation.policies import Policy
 
 TIME_STEP_MS = 50
 """The step of virtual time in which the simulation advances."""
 TAIL_S = 25
 """How long the simulation goes on after the last arrivals, so that late jobs can end."""
-STOP_DURATION_RANGE_MS = (100, 900)
-"""The least and the longest time from the order to stop a run to its end."""
-RESTORE_MS = 600
-"""How long a run that starts from a checkpoint restores it before it makes progress."""
+REFUSAL_DELAY_RANGE_MS = (500, 1_200)
+"""After how long the leader knows that a start without an answer will not be carried out."""
 CALL_TIMEOUT_MS = 3_000
 """The time limit of callers' calls, which the manifest requires; a simulation has no calls."""
 CROSS_RACK_SLOWDOWN = 3
 """How many times as long a gang takes that needs one rack but spans several."""
-OUTAGE_SEED_OFFSET = 1_000
-"""Added to the seeds of outages, so that they affect other workers than slowness does."""
+MILLICORES_PER_CORE = 1000
+CORES_PER_GPU = 8
+"""The cores that one accelerator counts as in lost work, as in the platform's prices."""
 
 
 @dataclass(slots=True)
@@ -53,6 +47,8 @@
     ran_ms: float = 0.0
     stalled_ms: float = 0.0
     stops_at_ms: int | None = None
+    refused_at_ms: int | None = None
+    """When the leader learns that the start was never carried out; None for one that was."""
 
     @property
     def saved_ms(self) -> float:
@@ -72,12 +68,17 @@
 
 @dataclass(slots=True)
 class DayResult:
-    """The result of a simulated day; `wasted_gpu_s` is lost work in accelerator-seconds."""
+    """The result of a simulated day.
+
+    `wasted_gpu_s` is lost work in accelerator-seconds. `wasted_core_s` is the same in core-seconds,
+    in which an accelerator counts as `CORES_PER_GPU` cores.
+    """
 
     outcomes: list[JobOutcome]
     wasted_gpu_s: float
     stops: int
     cross_rack_starts: int
+    wasted_core_s: float = 0.0
 
 
 class DaySimulation:
@@ -92,13 +93,21 @@
         self._ledger = Ledger()
         self._groups: list[RunningGroup] = []
         self._failed: dict[str, int] = {}
+        self._unreported: list[tuple[RunningGroup, commands.RunOutcome]] = []
+        """Groups that ended while there was no leader."""
         self._wasted_gpu_s = 0.0
+        self._wasted_core_s = 0.0
         self._stops = 0
         self._cross_rack_starts = 0
         self._now_ms = 0
         self._speeds: dict[str, float] = {}
         self._unreachable: set[str] = set()
-        self._racks: dict[str, str] = {}
+        self._has_leader = True
+        self._racks = {
+            f"w{number:03d}": f"r{number // load.workers_per_rack}"
+            for number in range(load.workers)
+        }
+        self._faults = FaultSchedule(self._racks, load.slowness, load.outages, load.absences)
 
     def run(self) -> DayResult:
         """Simulate the day and return its result."""
@@ -106,11 +115,11 @@
         end_ms = round((self._load.duration_s + TAIL_S) * MS_PER_S)
         is_changed = True
         for self._now_ms in range(0, end_ms, TIME_STEP_MS):
+            is_changed |= self._update_faults()
             is_changed |= self._submit_due_jobs()
-            is_changed |= self._update_unreachable()
-            self._update_speeds()
             is_changed |= self._advance_all()
-            if is_changed or self._now_ms % TICK_MS == 0:
+            if self._has_leader and (is_changed or self._now_ms % TICK_MS == 0):
+                self._report_ends()
                 self._plan()
                 is_changed = False
         return DayResult(
@@ -118,6 +127,7 @@
             self._wasted_gpu_s,
             self._stops,
             self._cross_rack_starts,
+            self._wasted_core_s,
         )
 
     def _ended_ms(self, job: SimulatedJob) -> int | None:
@@ -129,17 +139,16 @@
 
     def _set_up(self) -> None:
         self._apply(commands.PutManifest(_manifest(self._load)))
-        for number in range(self._load.workers):
-            id = f"w{number:03d}"
-            rack = f"r{number // self._load.workers_per_rack}"
-            self._racks[id] = rack
-            labels = ("kind", rack)
+        for id, rack in self._racks.items():
+            capacity, labels = self._load.capacity, ("kind", rack)
             incarnation = WorkerIncarnation(
-                id, 1, "pool", id, "zone", WORKER_CAPACITY, labels, WORKER_CAPACITY.gpu
+                id, 1, "pool", id, "zone", capacity, labels, capacity.gpu
             )
             self._apply(commands.NoteWorker(incarnation))
 
     def _submit_due_jobs(self) -> bool:
+        if not self._has_leader:
+            return False
         due = [job for job in self._future_jobs if job.arrival_ms <= self._now_ms]
         self._future_jobs = self._future_jobs[len(due) :]
         for job in due:
@@ -158,34 +167,13 @@
             )
         return bool(due)
 
-    def _update_speeds(self) -> None:
-        """Set the current speed of each worker; 1 is full speed."""
-        self._speeds = dict.fromkeys(self._racks, 1.0)
-        for number, slowness in enumerate(self._load.slowness):
-            for id in self._affected_workers(slowness, number):
-                self._speeds[id] = 1 / slowness.slowdown if slowness.slowdown else 0.0
-
-    def _update_unreachable(self) -> bool:
-        """Update which workers are unreachable; return whether that changed."""
-        before = self._unreachable
-        self._unreachable = set()
-        for number, outage in enumerate(self._load.outages):
-            affected = self._affected_workers(outage, OUTAGE_SEED_OFFSET + number)
-            if outage.rack is not None and self._is_active(outage):
-                affected = {id for id, rack in self._racks.items() if rack == f"r{outage.rack}"}
-            self._unreachable |= affected
-        return before != self._unreachable
-
-    def _affected_workers(self, fault: Slowness | Outage, seed: int) -> set[str]:
-        """Return the workers that a fault affects now; each fault draws its own by its seed."""
-        if not self._is_active(fault):
-            return set()
-        ids = sorted(self._racks)
-        return set(random.Random(seed).sample(ids, round(fault.share * len(ids))))
-
-    def _is_active(self, fault: Slowness | Outage) -> bool:
-        start_ms = fault.start_s * MS_PER_S
-        return start_ms <= self._now_ms < start_ms + fault.duration_s * MS_PER_S
+    def _update_faults(self) -> bool:
+        """Update what the faults of this moment affect; return whether the leader may notice."""
+        before = (self._unreachable, self._has_leader)
+        self._speeds = self._faults.speeds(self._now_ms)
+        self._unreachable = self._faults.unreachable(self._now_ms)
+        self._has_leader = self._faults.has_leader(self._now_ms)
+        return before != (self._unreachable, self._has_leader)
 
     def _advance_all(self) -> bool:
         """Advance all running groups by one time step; return whether any ended."""
@@ -197,6 +185,10 @@
         workers = {run.worker for run in group.members.values()}
         speed = min(self._speeds[worker] for worker in workers)
         is_unreachable = bool(workers & self._unreachable)
+        if group.refused_at_ms is not None:
+            if self._now_ms >= group.refused_at_ms:
+                self._end(group, commands.RunOutcome.REFUSED)
+            return self._now_ms >= group.refused_at_ms
         group.ran_ms += TIME_STEP_MS
         group.stalled_ms = 0.0 if speed else group.stalled_ms + TIME_STEP_MS
         if group.stops_at_ms is not None:
@@ -204,7 +196,8 @@
                 self._end(group, commands.RunOutcome.STOPPED)
                 return True
             return False
-        if group.stalled_ms > NO_PROGRESS_TIMEOUT_MS and not is_unreachable:
+        is_seen = self._has_leader and not is_unreachable
+        if group.stalled_ms > NO_PROGRESS_TIMEOUT_MS and is_seen:
             self._stop(group)
             return False
         if group.restore_ms > 0:
@@ -223,21 +216,33 @@
         return False
 
     def _end(self, group: RunningGroup, outcome: commands.RunOutcome) -> None:
+        """Count the work that is lost by an end, and record the end with the next plan."""
+        if outcome not in (commands.RunOutcome.DONE, commands.RunOutcome.REFUSED):
+            need = group.job.spec.steps[0].need
+            lost_s = (group.ran_ms if not group.saved_ms else 0.0) * len(group.members) / MS_PER_S
+            self._wasted_gpu_s += lost_s * need.gpu
+            cores = need.cpu / MILLICORES_PER_CORE + need.gpu * CORES_PER_GPU
+            self._wasted_core_s += lost_s * cores
+        self._unreported.append((group, outcome))
+
+    def _report_ends(self) -> None:
+        """Record in the ledger the ends that workers have listed."""
+        for group, outcome in self._unreported:
+            self._report_end(group, outcome)
+        self._unreported = []
+
+    def _report_end(self, group: RunningGroup, outcome: commands.RunOutcome) -> None:
         checkpoint = str(round(group.saved_ms)) if group.saved_ms else ""
         ends = tuple(
             commands.RunEnded(group.job.id, name, run, outcome, checkpoint)
             for name, run in group.members.items()
         )
-        if outcome is not commands.RunOutcome.DONE:
-            lost_ms = group.ran_ms if not checkpoint else 0.0
-            gpus = group.job.spec.steps[0].need.gpu * len(group.members)
-            self._wasted_gpu_s += lost_ms * gpus / MS_PER_S
         self._apply(commands.EndRuns(ends, self._now_ms))
 
     def _stop(self, group: RunningGroup) -> None:
         if group.stops_at_ms is None:
             self._stops += 1
-            group.stops_at_ms = self._now_ms + self._rng.randint(*STOP_DURATION_RANGE_MS)
+            group.stops_at_ms = self._now_ms + self._rng.randint(*self._load.stop_duration_ms)
 
     def _plan(self) -> None:
         stopping: set[RunKey] = {
@@ -284,9 +289,16 @@
             done_ms,
             fails_at,
             CROSS_RACK_SLOWDOWN if spans_racks else 1,
-            restore_ms=RESTORE_MS if done_ms else 0.0,
+            restore_ms=self._load.restore_ms if done_ms else 0.0,
+            refused_at_ms=self._refused_at_ms(),
         )
 
+    def _refused_at_ms(self) -> int | None:
+        share = self._load.refused_start_share
+        if not share or self._rng.random() >= share:
+            return None
+        return self._now_ms + self._rng.randint(*REFUSAL_DELAY_RANGE_MS)
+
 
 def _manifest(load: Load) -> Manifest:
     """Return a manifest with a queue for each kind of job, and teams with equal guarantees."""
@@ -304,7 +316,7 @@
         )
         for kind in load.kinds
     )
-    guaranteed = int(load.guaranteed_share * load.workers * WORKER_CAPACITY.gpu / load.teams)
+    guaranteed = int(load.guaranteed_share * load.workers * load.capacity.gpu / load.teams)
     teams = tuple(
         Team(f"team-{number}", (f"key-{number}",), reserved_gpus=guaranteed)
         for number in range(load.teams)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -11,9 +11,10 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
+from agateferry_jobs.simulation.faults import LeaderAbsence, Outage, Slowness
 
 WORKER_CAPACITY = Resources(cpu=64_000, mem_mb=262_000, gpu=8)
-"""The capacity of every simulated worker."""
+"""The capacity of a simulated worker where the load states no other."""
 MAX_WIDTH_FACTOR = 6
 """The largest width as a multiple of its kind's mean, so that one job does not dominate a day."""
 
@@ -60,42 +61,52 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Slowness:
-    """A period in which a share of the workers is `slowdown` times as slow; 0 is a standstill."""
+class Goal:
+    """How the parts of a day's score are weighted.
 
-    start_s: float
-    duration_s: float
-    share: float
-    slowdown: float
+    `windows` counts the two worst windows of arrival, each of `window_s` seconds; `zone` and `team`
+    the worst-served zone and team. `waste_price` is taken off for each core-second of lost work, as
+    a share of the worth of all jobs.
+    """
 
+    day: float = 0.5
+    windows: float = 0.25
+    kind: float = 0.25
+    zone: float = 0.0
+    team: float = 0.0
+    window_s: int = 6
+    waste_price: float = 0.0
 
-@dataclass(frozen=True, slots=True)
-class Outage:
-    """A period in which a share of the workers is unreachable; their runs go on.
 
-    With `rack` it affects the workers of that rack, counted from 0, and `share` is ignored.
-    """
-
-    start_s: float
-    duration_s: float
-    share: float = 0.0
-    rack: int | None = None
+DEFAULT_GOAL = Goal()
 
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """A simulated day: its workers, its kinds of jobs, and its surges and faults."""
+    """A simulated day: its workers, its kinds of jobs, its surges and faults, and its goal."""
 
     kinds: tuple[JobKind, ...]
     workers: int = 24
     workers_per_rack: int = 8
+    capacity: Resources = WORKER_CAPACITY
+    """The capacity of every worker."""
     teams: int = 4
+    zones: int = 3
+    """The number of availability zones from which jobs are submitted."""
     guaranteed_share: float = 0.62
     """The share of all accelerators that is guaranteed to teams, in equal parts."""
     duration_s: float = 36.0
     surges: tuple[Surge, ...] = ()
     slowness: tuple[Slowness, ...] = ()
     outages: tuple[Outage, ...] = ()
+    absences: tuple[LeaderAbsence, ...] = ()
+    refused_start_share: float = 0.0
+    """The share of start orders that get no answer; the run is known as refused later."""
+    stop_duration_ms: tuple[int, int] = (100, 900)
+    """The least and the longest time from the order to stop a run to its end."""
+    restore_ms: int = 600
+    """How long a run that starts from a checkpoint restores it before it makes progress."""
+    goal: Goal = DEFAULT_GOAL
 
     def kind_named(self, name: str) -> JobKind:
         """Return the kind with this name, which must exist."""
@@ -115,15 +126,19 @@
     """How long each subtask of the only step really takes on a worker without a fault."""
     fails_at: tuple[float, ...]
     """The share of its work at which each failing run fails; the runs after these succeed."""
+    zone: int = 0
+    """The number of the availability zone from which it is submitted."""
 
 
 def draw_jobs(load: Load, seed: int) -> list[SimulatedJob]:
     """Return the jobs of a day in the order of their arrival."""
     rng = random.Random(seed)
+    zone_rng = random.Random(seed)
     jobs: list[SimulatedJob] = []
     for kind in load.kinds:
         for arrival_ms in _arrivals_ms(load, kind, rng):
-            jobs.append(_job(load, kind, arrival_ms, rng))
+            job = _job(load, kind, arrival_ms, rng)
+            jobs.append(replace(job, zone=zone_rng.randrange(load.zones)))
     return sorted(jobs, key=lambda job: (job.arrival_ms, job.id))
 
 
@@ -172,7 +187,7 @@
     count = max(1, round(min(width, MAX_WIDTH_FACTOR * kind.width)))
     if not kind.is_gang:
         return count
-    capacity = WORKER_CAPACITY
+    capacity = load.capacity
     per_worker = min(
         capacity.cpu // need.cpu, capacity.mem_mb // need.mem_mb, capacity.gpu // need.gpu
     )
@@ -264,4 +279,65 @@
     surges=(Surge("urgent", 4.0, 6.0, 2.0),),
 )
 
-LOADS = {"calm": CALM, "surge": SURGE, "slow": SLOW, "heavy": HEAVY, "grown": GROWN}
+STRAPS = Load(
+    (
+        replace(
+            URGENT,
+            per_s=1.25,
+            cpu=15_000,
+            mem_mb=44_000,
+            estimate_error=0.2,
+        ),
+        replace(
+            GANGS,
+            per_s=0.41,
+            cpu=52_000,
+            mem_mb=270_000,
+            attempts=3,
+            late_worth=0.3,
+            estimate_error=0.5,
+        ),
+        replace(
+            BATCH,
+            per_s=0.38,
+            width=18.0,
+            cpu=11_000,
+            mem_mb=33_000,
+            attempts=3,
+            late_worth=0.1,
+        ),
+    ),
+    workers_per_rack=6,
+    capacity=Resources(cpu=128_000, mem_mb=524_288, gpu=8),
+    zones=4,
+    duration_s=46.0,
+    stop_duration_ms=(100, 250),
+    restore_ms=250,
+    goal=Goal(0.28, 0.4, 0.12, 0.2, 0.16, window_s=2, waste_price=0.0012),
+)
+"""A customer whose worst seconds count most, and whose gangs take half of a worker's memory."""
+STRAPS_SURGE = replace(
+    STRAPS,
+    surges=(Surge("urgent", 0.7, 6.0, 2.3), Surge("batch", 24.0, 4.0, 2.6)),
+    absences=(LeaderAbsence(9.1, 0.9), LeaderAbsence(36.0, 1.3)),
+    refused_start_share=0.02,
+)
+STRAPS_CUTS = replace(
+    STRAPS,
+    surges=(Surge("urgent", 0.7, 6.0, 2.3),),
+    slowness=(Slowness(13.0, 6.0, 0.09, 0.0), Slowness(20.0, 7.0, 0.17, 6.5)),
+    outages=(Outage(6.0, 5.5, share=0.17), Outage(33.5, 5.8, rack=2)),
+    absences=(LeaderAbsence(36.0, 1.3),),
+    refused_start_share=0.02,
+)
+
+LOADS = {
+    "calm": CALM,
+    "surge": SURGE,
+    "slow": SLOW,
+    "heavy": HEAVY,
+    "grown": GROWN,
+    "straps": STRAPS,
+    "straps-surge": STRAPS_SURGE,
+    "straps-cuts": STRAPS_CUTS,
+}
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -1,10 +1,13 @@
 """The scheduling policies that a day can be simulated with."""
 
-from typing import Protocol
+import math
+from dataclasses import replace
+from typing import Any, Protocol
 
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerAllocation
+from agateferry_jobs.planning.options import DEFAULT_OPTIONS
 
 
 class Policy(Protocol):
@@ -15,11 +18,14 @@
 
 
 class LeaderPolicy:
-    """Plan as the leader of a cell does."""
+    """Plan as the leader of a cell does, with some options of its policy changed."""
+
+    def __init__(self, **options: Any) -> None:
+        self._options = replace(DEFAULT_OPTIONS, **options)
 
     def plan(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> Plan:
         """Return the leader's plan."""
-        return Planner(ledger, fleet, now_ms).plan()
+        return Planner(ledger, fleet, now_ms, self._options).plan()
 
 
 class FirstFit:
@@ -68,3 +74,17 @@
 
 
 POLICIES: dict[str, Policy] = {"leader": LeaderPolicy(), "first-fit": FirstFit()}
+ABLATIONS: dict[str, Policy] = {
+    "declared-durations": LeaderPolicy(learns_durations=False),
+    "no-order-by-lateness": LeaderPolicy(orders_by_lateness=False),
+    "no-order-by-slack": LeaderPolicy(orders_by_slack=False),
+    "no-headroom": LeaderPolicy(headroom_share=0.0),
+    "no-separation": LeaderPolicy(headroom_share=0.0, share_workers_after=-1.0),
+    "no-reservation": LeaderPolicy(reserve_after=math.inf),
+    "no-gang-preemption": LeaderPolicy(preempt_after=math.inf),
+    "no-borrowed-preemption": LeaderPolicy(borrowed_work_preempts=False),
+    "no-rack-wait": LeaderPolicy(waits_for_rack=False),
+    "no-data-rack-wait": LeaderPolicy(waits_for_data_rack=False),
+    "no-checkpoint-value": LeaderPolicy(values_checkpoints=False),
+}
+"""The leader's policy without one of its parts each."""
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -1,32 +1,34 @@
 """The score of a simulated day: the worth that its jobs earned, by kind, by size and by time."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from statistics import mean
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.planning.timing import LATE_FACTOR
 from agateferry_jobs.simulation.day_simulation import DayResult, JobOutcome
-from agateferry_jobs.simulation.loads import JobKind, SimulatedJob
+from agateferry_jobs.simulation.loads import DEFAULT_GOAL, Goal, JobKind, SimulatedJob
 
 LARGEST_SHARE = 0.1
 """The share of the jobs of a kind, its largest ones, that also counts as a kind of its own."""
-WINDOW_S = 6
-"""The duration of the windows of arrival, of which the worst ones count separately."""
 WORST_WINDOWS = 2
-WEIGHT_DAY = 0.5
-WEIGHT_WINDOWS = 0.25
-WEIGHT_KIND = 0.25
-"""The weights of the parts of the score; close to those that the deployments' pages state."""
+"""How many windows of arrival count separately, the worst ones."""
 
 
 @dataclass(frozen=True, slots=True)
 class Summary:
-    """The earned share of all worth: of the day, the worst kind and the worst windows."""
+    """The earned share of all worth: of the day, and of the worst parts of it.
 
+    `waste_price` is the price of lost work as a share of all worth.
+    """
+
+    goal: Goal
     day_share: float
     worst_kind: float
     worst_windows: float
+    worst_zone: float
+    worst_team: float
+    waste_price: float
     by_kind: dict[str, float]
     wasted_gpu_s: float
     stops: int
@@ -34,23 +36,31 @@
 
     @property
     def score(self) -> float:
-        """Return the weighted sum of the parts."""
+        """Return the weighted sum of the parts, less the price of lost work."""
+        goal = self.goal
         return (
-            WEIGHT_DAY * self.day_share
-            + WEIGHT_WINDOWS * self.worst_windows
-            + WEIGHT_KIND * self.worst_kind
+            goal.day * self.day_share
+            + goal.windows * self.worst_windows
+            + goal.kind * self.worst_kind
+            + goal.zone * self.worst_zone
+            + goal.team * self.worst_team
+            - self.waste_price
         )
 
 
-def summarize(day: DayResult) -> Summary:
-    """Return the summary of a day."""
-    kinds = _by_kind(day.outcomes)
-    windows = sorted(_share(each) for each in _by_window(day.outcomes))
-    shares = {name: _share(outcomes) for name, outcomes in kinds.items()}
+def summarize(day: DayResult, goal: Goal = DEFAULT_GOAL) -> Summary:
+    """Return the summary of a day for the goal of its load."""
+    shares = {name: _share(outcomes) for name, outcomes in _by_kind(day.outcomes).items()}
+    windows = sorted(_shares_by(day.outcomes, lambda job: _window(job, goal)))
+    worth = sum(_worth(outcome.job) for outcome in day.outcomes)
     return Summary(
+        goal,
         _share(day.outcomes),
         min(shares.values(), default=1.0),
         mean(windows[:WORST_WINDOWS] or [1.0]),
+        min(_shares_by(day.outcomes, lambda job: job.zone), default=1.0),
+        min(_shares_by(day.outcomes, lambda job: job.team), default=1.0),
+        goal.waste_price * day.wasted_core_s / worth if worth else 0.0,
         shares,
         day.wasted_gpu_s,
         day.stops,
@@ -69,23 +79,34 @@
     return kinds
 
 
-def _by_window(outcomes: Iterable[JobOutcome]) -> list[list[JobOutcome]]:
-    windows: dict[int, list[JobOutcome]] = {}
+def _window(job: SimulatedJob, goal: Goal) -> int:
+    return job.arrival_ms // (goal.window_s * MS_PER_S)
+
+
+def _shares_by(
+    outcomes: Iterable[JobOutcome], key: Callable[[SimulatedJob], int | str]
+) -> list[float]:
+    """Return the earned share of each group of jobs with the same key."""
+    groups: dict[int | str, list[JobOutcome]] = {}
     for outcome in outcomes:
-        windows.setdefault(outcome.job.arrival_ms // (WINDOW_S * MS_PER_S), []).append(outcome)
-    return list(windows.values())
+        groups.setdefault(key(outcome.job), []).append(outcome)
+    return [_share(group) for group in groups.values()]
 
 
 def _share(outcomes: Sequence[JobOutcome]) -> float:
     """Return earned worth over total worth; a larger job counts more, up to four times."""
     total = earned = 0.0
     for outcome in outcomes:
-        weight = outcome.job.kind.worth * _size_weight(outcome.job)
-        total += weight
-        earned += weight * _earned_share(outcome)
+        worth = _worth(outcome.job)
+        total += worth
+        earned += worth * _earned_share(outcome)
     return earned / total if total else 1.0
 
 
+def _worth(job: SimulatedJob) -> float:
+    return job.kind.worth * _size_weight(job)
+
+
 def _earned_share(outcome: JobOutcome) -> float:
     """Return the share of its worth that a job earned: all in time, less if late, or none."""
     job, kind = outcome.job, outcome.job.kind
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
@@ -6,7 +6,8 @@
 from agateferry_jobs.planning import Plan
 from agateferry_jobs.planning.planner import Stop
 from agateferry_jobs.simulation.day_simulation import TIME_STEP_MS, DaySimulation
-from agateferry_jobs.simulation.loads import BATCH, CALM, GANGS, SimulatedJob, Slowness
+from agateferry_jobs.simulation.faults import LeaderAbsence, Slowness
+from agateferry_jobs.simulation.loads import BATCH, CALM, GANGS, SimulatedJob
 from agateferry_jobs.simulation.policies import FirstFit, LeaderPolicy
 
 LOAD = replace(CALM, workers=2, duration_s=1.0)
@@ -68,6 +69,30 @@
         self.assertTrue(6_000 < ended(job(), load=hung)["j"] < 9_000)
 
 
+class LeaderAbsenceTests(testtools.TestCase):
+    def test_runs_go_on_and_their_ends_are_known_once_there_is_a_leader_again(self):
+        load = replace(LOAD, workers=1, absences=(LeaderAbsence(1.0, 4.0),))
+        self.assertAlmostEqual(5_000, ended(job(), load=load)["j"], delta=2 * TIME_STEP_MS)
+
+    def test_a_job_that_comes_meanwhile_is_accepted_by_the_next_leader(self):
+        load = replace(LOAD, workers=1, absences=(LeaderAbsence(1.0, 4.0),))
+        late = replace(job(), arrival_ms=2_000)
+        self.assertAlmostEqual(7_000, ended(late, load=load)["j"], delta=2 * TIME_STEP_MS)
+
+
+class RefusedStartTests(testtools.TestCase):
+    def test_a_refused_start_is_repeated_until_one_is_carried_out(self):
+        """Each refusal is known within 1.2 s and 50 ms later at most; no work is lost."""
+        load = replace(LOAD, workers=1, refused_start_share=0.5)
+        ends_ms = set()
+        for seed in range(8):
+            day = DaySimulation(load, [job()], LeaderPolicy(), seed).run()
+            ends_ms.add(day.outcomes[0].ended_ms)
+            self.assertEqual(0.0, day.wasted_core_s)
+        self.assertEqual(2_000, min(ends_ms))
+        self.assertTrue(any(2_500 <= ended_ms <= 3_300 for ended_ms in ends_ms), ends_ms)
+
+
 class FirstFitTests(testtools.TestCase):
     def test_jobs_start_in_the_order_of_acceptance(self):
         load = replace(LOAD, workers=1)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_loads.py
@@ -7,7 +7,6 @@
     GANGS,
     LOADS,
     SURGE,
-    WORKER_CAPACITY,
     draw_jobs,
 )
 
@@ -43,7 +42,7 @@
         for name, load in LOADS.items():
             for job in draw_jobs(load, 5):
                 step = job.spec.steps[0]
-                self.assertTrue(step.need.fits(WORKER_CAPACITY), name)
+                self.assertTrue(step.need.fits(load.capacity), name)
                 if step.is_gang:
-                    per_worker = WORKER_CAPACITY.gpu // step.need.gpu
+                    per_worker = load.capacity.gpu // step.need.gpu
                     self.assertLessEqual(step.count, load.workers_per_rack // 2 * per_worker)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
@@ -3,7 +3,7 @@
 import testtools
 
 from agateferry_jobs.simulation.day_simulation import DayResult, DaySimulation, JobOutcome
-from agateferry_jobs.simulation.loads import BATCH, CALM, SURGE, URGENT, draw_jobs
+from agateferry_jobs.simulation.loads import BATCH, CALM, SURGE, URGENT, Goal, draw_jobs
 from agateferry_jobs.simulation.policies import FirstFit, LeaderPolicy
 from agateferry_jobs.simulation.report import summarize
 from agateferry_jobs.simulation.tests.test_day_simulation import job
@@ -32,6 +32,21 @@
         self.assertEqual(0.5, summary(*arrivals).worst_windows)
 
 
+class GoalTests(testtools.TestCase):
+    def test_the_worst_zone_and_team_and_lost_work_count_as_the_goal_says(self):
+        outcomes = [
+            JobOutcome(replace(job("a"), zone=0, team="team-0"), 2_000),
+            JobOutcome(replace(job("b"), zone=1, team="team-1"), None),
+        ]
+        day = DayResult(outcomes, 0.0, 0, 0, wasted_core_s=10.0)
+        goal = Goal(day=0.0, windows=0.0, kind=0.0, zone=0.5, team=0.5)
+        self.assertEqual((0.0, 0.0), (summarize(day, goal).worst_zone, summarize(day).worst_team))
+        served = DayResult(outcomes[:1], 0.0, 0, 0, wasted_core_s=10.0)
+        priced = summarize(served, replace(goal, waste_price=0.01))
+        self.assertAlmostEqual(1.0 - priced.waste_price, priced.score)
+        self.assertTrue(priced.waste_price > 0)
+
+
 class HeavyLoadTests(testtools.TestCase):
     """The mean score over several seeds of days with a heavy load.
 
