--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -18,7 +18,8 @@
 from agateferry_jobs.ledger import Job, Ledger, Run, commands
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.planning.fleet import RunKey
-from agateferry_jobs.workers.session import Phase, PortFactory, TrackedRun
+from agateferry_jobs.workers.session import PortFactory
+from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 from agateferry_state.replica.protocols import Replica
 
 TICK_MS = 250
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
@@ -19,7 +19,8 @@
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import WORKER_CAPACITY
 from agateferry_jobs.workers.lease import Lease
-from agateferry_jobs.workers.session import Phase, WorkerSession
+from agateferry_jobs.workers.session import WorkerSession
+from agateferry_jobs.workers.tracked_run import Phase
 
 SEEDS = range(1, 41)
 STEPS = 120
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -283,14 +283,14 @@
     (
         replace(
             URGENT,
-            per_s=1.25,
+            per_s=1.7,
             cpu=15_000,
             mem_mb=44_000,
             estimate_error=0.2,
         ),
         replace(
             GANGS,
-            per_s=0.41,
+            per_s=0.56,
             cpu=52_000,
             mem_mb=270_000,
             attempts=3,
@@ -299,7 +299,7 @@
         ),
         replace(
             BATCH,
-            per_s=0.38,
+            per_s=0.52,
             width=18.0,
             cpu=11_000,
             mem_mb=33_000,
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -9,8 +9,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum, auto
 from typing import Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
@@ -33,6 +31,7 @@
     StopOrder,
     WorkerPort,
 )
+from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
 ORDER_TIMEOUT_MS = 500
 """Workers answer an order in a few ms; after this it is sent again on a new connection."""
@@ -49,29 +48,6 @@
 """A worker that is silent for three heartbeat intervals gets no new runs."""
 
 
-class Phase(Enum):
-    """What the session knows of a run's start."""
-
-    ORDERED = auto()
-    CONFIRMED = auto()
-    UNCERTAIN = auto()
-
-
-@dataclass(slots=True)
-class TrackedRun:
-    """A run that the ledger places on this worker."""
-
-    run: Run
-    phase: Phase
-    phase_since_poll: int
-    """The number of the last poll sent before the phase was reached."""
-    is_stopping: bool = False
-    stop_sent_ms: int | None = None
-    percent: float = -1.0
-    last_progress_ms: int = 0
-    checkpoint: str = ""
-
-
 class SessionListener(Protocol):
     """What a session needs from the leader, and what it reports to it."""
 
@@ -127,9 +103,15 @@
 
     def health(self, is_suspect: bool) -> WorkerHealth:
         """Return the worker's health for the planner."""
-        silent_ms = self._clock.now_ms() - self.last_contact_ms
+        now_ms = self._clock.now_ms()
+        silent_ms = now_ms - self.last_contact_ms
         answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
-        return WorkerHealth(answers, is_suspect, tuple(self.unexpected_runs))
+        remaining_ms = {
+            key: remaining
+            for key, tracked in self.runs.items()
+            if (remaining := tracked.remaining_ms(now_ms)) is not None
+        }
+        return WorkerHealth(answers, is_suspect, tuple(self.unexpected_runs), remaining_ms)
 
     @property
     def is_known(self) -> bool:
@@ -308,9 +290,7 @@
                 self.unexpected_runs[each.key] = each.run
                 self._spawn(self._send_stop(each.key, each.run, None))
                 continue
-            if each.percent != tracked.percent:
-                tracked.percent = each.percent
-                tracked.last_progress_ms = now_ms
+            tracked.record_progress(each.percent, now_ms)
             tracked.checkpoint = each.checkpoint or tracked.checkpoint
             if tracked.phase is Phase.UNCERTAIN:
                 tracked.phase = Phase.CONFIRMED
