--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -25,18 +25,18 @@
 
 REPLICATION_GROUP = "cell"
 REPLICATION_SETTINGS = Settings(
-    heartbeat_ms=200,
-    election_timeout_min_ms=600,
-    election_timeout_max_ms=1100,
-    election_retry_min_ms=150,
-    election_retry_max_ms=400,
-    lease_ms=520,
+    heartbeat_ms=100,
+    election_timeout_min_ms=400,
+    election_timeout_max_ms=750,
+    election_retry_min_ms=100,
+    election_retry_max_ms=300,
+    lease_ms=340,
     replaces_hosts=True,
 )
-"""The timing of the replicated log; the shortest election timeout is three heartbeats.
+"""The timing of the replicated log; the shortest election timeout is four heartbeats.
 
-Three suffice for the delay of 0.5 ms between zones and for a slow disk that blocks the event loop
-for 0.2 s.
+Four suffice for the delay of some ms between zones and for a slow disk that blocks the event loop
+for 0.2 s. Urgent jobs have a slack of about 1.5 s, which an election must not use up.
 """
 WORKER_LEASE_MS = 8_000
 """How long a worker keeps its runs without contact.
