--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -104,8 +104,10 @@
 
     def __init__(self, workers: Iterable[WorkerAllocation]) -> None:
         self.by_service: dict[str, list[WorkerAllocation]] = defaultdict(list)
+        self._by_id: dict[str, WorkerAllocation] = {}
         for worker in workers:
             self.by_service[worker.incarnation.service].append(worker)
+            self._by_id[worker.incarnation.id] = worker
 
     @classmethod
     def from_ledger(
@@ -134,6 +136,19 @@
             _allocate_unexpected_runs(worker, ledger)
         return cls(workers.values())
 
+    def mark_stopping(self, job: Job, subtask: str) -> Run | None:
+        """Mark a job's active run as stopping; return it, or None if there is none to stop."""
+        run = job.subtasks[subtask].active
+        worker = self._by_id.get(run.worker) if run is not None else None
+        if worker is None:
+            return None
+        for allocated_run in worker.runs:
+            is_it = allocated_run.job is job and allocated_run.subtask == subtask
+            if is_it and not allocated_run.is_stopping:
+                worker.mark_stopping(allocated_run)
+                return run
+        return None
+
 
 def _allocate_run(
     workers: Mapping[str, WorkerAllocation], job: Job, name: str, run: Run, is_stopping: bool
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -252,12 +252,7 @@
         names = [victim.subtask]
         if job.step_of(victim.subtask).is_gang:
             names = job.members(gang_of(victim.subtask))
-        for workers in self._fleet.by_service.values():
-            for worker in workers:
-                for other in worker.runs:
-                    if other.job is job and other.subtask in names and not other.is_stopping:
-                        worker.mark_stopping(other)
-                        run = job.subtasks[other.subtask].active
-                        if run is not None:
-                            key = (job.id, other.subtask)
-                            self._plan.stops.append(Stop(key, run, ready.job.id, ready.rank))
+        for name in names:
+            run = self._fleet.mark_stopping(job, name)
+            if run is not None:
+                self._plan.stops.append(Stop((job.id, name), run, ready.job.id, ready.rank))
