Let analyze tell which groups of jobs lose most, and who preempts whom

Asked by the issue on the new customer: benefit lost by queue, team, window and size class, each with the main cause; and whose runs were stopped for whom, how often of one job, and how much of it has to be redone (the leader now logs with an end whether a checkpoint is saved).

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -291,6 +291,7 @@
             run=run.number,
             worker=run.worker,
             how=end.outcome,
+            saved=bool(end.checkpoint),
         )
         metrics.RUNS_ENDED.labels(end.outcome.value).inc()
         if end.outcome is commands.RunOutcome.DONE:
--- a/packages/agateferry-jobs/agateferry_jobs/history/causes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/causes.py
@@ -46,6 +46,16 @@
     return [run for _, run in sorted(job.runs[subtask].items())]
 
 
+def main_cause(job: JobHistory, until_ms: int) -> str:
+    """Return what took most of a job's time, apart from the work that its end needed."""
+    causes = [cause for cause in split_by_cause(job, until_ms) if cause.name != "worked"]
+    longest = max(causes, key=lambda cause: cause.duration_ms, default=None)
+    took_ms = job.end_ms(until_ms) - job.accepted_ms
+    if longest is None or took_ms - longest.duration_ms > job.objective_ms:
+        return "worked for longer than its objective"
+    return longest.name
+
+
 def _last_end_ms(runs: Iterable[RunHistory]) -> float:
     return max(run.ended_ms if run.ended_ms is not None else float("inf") for run in runs)
 
@@ -65,7 +75,7 @@
     """
     seconds: Counter[tuple[str, str]] = Counter()
     for job in jobs:
-        if job.state == "cancelled" or not _is_late(job, until_ms):
+        if job.state == "cancelled" or job.is_in_time(until_ms):
             continue
         for cause in split_by_cause(job, until_ms):
             seconds[(job.queue, cause.name)] += round(cause.duration_ms / MS_PER_S)
@@ -75,19 +85,16 @@
 def lost_accelerator_seconds(jobs: Iterable[JobHistory]) -> Counter[tuple[str, str]]:
     """Return the accelerator-seconds of runs with another outcome than done, by queue and cause."""
     seconds: Counter[tuple[str, str]] = Counter()
-    for job, subtask, run in _all_runs(jobs):
+    for job, subtask, run in all_runs(jobs):
         if run.outcome != "done" and run.ended_ms is not None:
             duration_s = (run.ended_ms - run.placed_ms) / MS_PER_S
             seconds[(job.queue, _cause_name(run))] += round(duration_s * job.gpus_of(subtask))
     return seconds
 
 
-def _all_runs(jobs: Iterable[JobHistory]) -> Iterator[tuple[JobHistory, str, RunHistory]]:
+def all_runs(jobs: Iterable[JobHistory]) -> Iterator[tuple[JobHistory, str, RunHistory]]:
+    """Return each run with its job and the name of its subtask."""
     for job in jobs:
         for subtask, runs in job.runs.items():
             for run in runs.values():
                 yield job, subtask, run
-
-
-def _is_late(job: JobHistory, until_ms: int) -> bool:
-    return job.state == "failed" or job.end_ms(until_ms) - job.accepted_ms > job.objective_ms
--- a/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
@@ -4,11 +4,16 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.cell import events
 from agateferry_jobs.history.lines import LogLine
 from agateferry_jobs.ledger.state import step_number
 
-_GPU_COUNT = re.compile(r"(\d+)g")
+_STEP_SUMMARY = re.compile(r"(\d+)x(\d+)c\d+m(\d+)g.*~(\d+)")
+"""The count, thousandths of a core, accelerators and declared ms in a step of a job accepted."""
+CORES_PER_GPU = 8
+"""The cores that one accelerator counts as in the work of a job."""
+MILLICORES_PER_CORE = 1000
 
 
 @dataclass(slots=True)
@@ -24,6 +29,10 @@
     outcome: str = ""
     stop_reason: str = ""
     """Why the run was stopped; after a preemption, with the rank of the job that preempted it."""
+    stopped_for: str = ""
+    """The id of the job that preempted the run; empty if none did."""
+    has_checkpoint: bool = False
+    """Whether the next run can start from a checkpoint of this one."""
 
 
 @dataclass(slots=True)
@@ -40,6 +49,9 @@
     objective_ms: int
     gpus: tuple[int, ...]
     """The number of accelerators of one subtask, for each step."""
+    team: str = ""
+    declared_core_s: float = 0.0
+    """The work that the caller declared, in core-seconds; an accelerator counts as 8 cores."""
     runs: dict[str, dict[int, RunHistory]] = field(default_factory=dict)
     ended_ms: int | None = None
     state: str = ""
@@ -48,6 +60,11 @@
         """Return when the job ended, or `until_ms` if the logs do not contain its end."""
         return self.ended_ms if self.ended_ms is not None else until_ms
 
+    def is_in_time(self, until_ms: int) -> bool:
+        """Return whether the job completed within its objective."""
+        took_ms = self.end_ms(until_ms) - self.accepted_ms
+        return self.state != "failed" and took_ms <= self.objective_ms
+
     def gpus_of(self, subtask: str) -> int:
         """Return the number of accelerators of a subtask, named `OCCURRENCE.STEP.INDEX`."""
         step = step_number(subtask)
@@ -68,14 +85,29 @@
 
 def _accept(jobs: dict[str, JobHistory], line: LogLine) -> None:
     fields = line.fields
-    shapes = [str(shape) for shape in fields.get("steps", ())]
-    gpus = tuple(int(found[1]) if (found := _GPU_COUNT.search(shape)) else 0 for shape in shapes)
+    steps = [_parse_step(str(summary)) for summary in fields.get("steps", ())]
     job = JobHistory(
-        fields["job"], fields.get("queue", ""), line.at_ms, fields.get("objective_ms", 0), gpus
+        fields["job"],
+        fields.get("queue", ""),
+        line.at_ms,
+        fields.get("objective_ms", 0),
+        tuple(gpus for gpus, _ in steps),
+        fields.get("team", ""),
+        sum(core_s for _, core_s in steps),
     )
     jobs.setdefault(job.id, job)
 
 
+def _parse_step(summary: str) -> tuple[int, float]:
+    """Return the accelerators of a subtask and the declared core-seconds of a step."""
+    found = _STEP_SUMMARY.search(summary)
+    if found is None:
+        return 0, 0.0
+    count, millicores, gpus, declared_ms = (int(text) for text in found.groups())
+    cores = millicores / MILLICORES_PER_CORE + gpus * CORES_PER_GPU
+    return gpus, count * cores * declared_ms / MS_PER_S
+
+
 def _update_job(job: JobHistory, line: LogLine) -> None:
     fields = line.fields
     if line.number == events.JOB_ENDED.number:
@@ -95,6 +127,8 @@
     fields = line.fields
     if line.number == events.RUN_ENDED.number:
         run.ended_ms, run.outcome = line.at_ms, str(fields.get("how", ""))
+        run.has_checkpoint = bool(fields.get("saved", False))
     else:
+        run.stopped_for = str(fields.get("for_job", ""))
         rank = fields.get("for_rank")
         run.stop_reason = f"{fields.get('reason', '')}{'' if rank is None else f' for rank {rank}'}"
--- a/packages/agateferry-jobs/agateferry_jobs/history/tests/test_history.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/tests/test_history.py
@@ -7,6 +7,13 @@
 from agateferry_jobs.history import Cause, collect_jobs, read_lines, split_by_cause
 from agateferry_jobs.history.causes import late_seconds, lost_accelerator_seconds
 from agateferry_jobs.history.lines import lines_about_job
+from agateferry_jobs.history.losses import (
+    Preemptions,
+    losses_by,
+    preemptions,
+    size_key,
+    window_key,
+)
 
 
 def text(at_ms, event, source="core-1", **fields):
@@ -84,3 +91,73 @@
     def test_lost_runs_count_in_proportion_to_their_accelerators(self):
         wasted = lost_accelerator_seconds(self.jobs(ONCE_STOPPED).values())
         self.assertEqual({("q", "lost: stopped, room for rank 1"): 8}, wasted)
+
+
+class LossTests(testtools.TestCase):
+    """One queue with four jobs of team a, and one of team b that is twice as large and late."""
+
+    def setUp(self):
+        super().setUp()
+        texts = [
+            text(
+                at_ms,
+                events.JOB_ACCEPTED,
+                job=id,
+                queue="q",
+                team=team,
+                objective_ms=3000,
+                steps=[f"{count}x8000c6m1g@~1000"],
+            )
+            for id, at_ms, team, count in (
+                ("a1", 0, "a", 1),
+                ("a2", 100, "a", 1),
+                ("a3", 2100, "a", 1),
+                ("a4", 4100, "a", 1),
+                ("b1", 2200, "b", 2),
+            )
+        ]
+        texts += [text(2500, events.JOB_ENDED, job=id, state="completed") for id in ("a1", "a2")]
+        texts += [text(5000, events.JOB_ENDED, job=id, state="completed") for id in ("a3", "a4")]
+        texts += [
+            text(2300, events.RUN_STARTED, job="b1", subtask="0.0.0", run=1, worker="w"),
+            text(
+                7900,
+                events.RUN_STOPPING,
+                job="b1",
+                subtask="0.0.0",
+                run=1,
+                reason="room",
+                for_job="a3",
+                for_rank=1,
+            ),
+            text(8300, events.RUN_ENDED, job="b1", subtask="0.0.0", run=1, how="stopped"),
+            text(9000, events.JOB_ENDED, job="b1", state="completed"),
+        ]
+        self.jobs = list(collect_jobs(read_lines(texts)).values())
+
+    def losses(self, key):
+        return {loss.name: loss for loss in losses_by(self.jobs, key, 9000)}
+
+    def test_a_job_counts_by_its_declared_work(self):
+        """The mean is 19.2 core-seconds; jobs of 16 and 32 count as 0.883 and 1.467."""
+        loss = self.losses(lambda job: job.queue)["q"]
+        self.assertEqual((5, 1), (loss.jobs, loss.late))
+        self.assertAlmostEqual(1.467 / (4 * 0.883 + 1.467), loss.lost_share, places=3)
+
+    def test_groups_are_teams_windows_and_sizes(self):
+        teams = self.losses(lambda job: job.team)
+        self.assertEqual((0.0, 1.0), (teams["a"].lost_share, teams["b"].lost_share))
+        self.assertEqual("lost: stopped, room for rank 1", teams["b"].main_cause)
+        windows = self.losses(window_key(self.jobs))
+        self.assertEqual({"0 to 2 s": 2, "2 to 4 s": 2, "4 to 6 s": 1}, counts(windows))
+        sizes = self.losses(size_key(self.jobs))
+        self.assertEqual({"q, largest": 1, "q, large": 1, "q, other": 3}, counts(sizes))
+        self.assertEqual(1.0, sizes["q, largest"].lost_share)
+
+    def test_preempted_runs_are_counted_by_both_queues(self):
+        expected = Preemptions("q", "q", 1, 1, 1, lost_s=6, redone_s=6)
+        self.assertEqual([expected], preemptions(self.jobs))
+
+
+def counts(losses):
+    return {name: loss.jobs for name, loss in losses.items()}
