--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -45,6 +45,10 @@
     """Whether a subtask waits for the rack that holds its data."""
     values_checkpoints: bool = True
     """Whether a run with a checkpoint counts as cheaper to preempt."""
+    checkpoint_loss_s: float = 1.5
+    """The most work that a preempted run with a checkpoint counts as losing."""
+    stop_loss_s: float = 1.5
+    """What every preempted run counts as losing, besides its work: the stop and the restore."""
 
 
 DEFAULT_OPTIONS = PolicyOptions()
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -82,7 +82,7 @@
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
-        self._preemption_cost = PreemptionCost(self._ranks, now_ms, options.values_checkpoints)
+        self._preemption_cost = PreemptionCost(self._ranks, now_ms, options)
         self._wait_cost = WaitCost(self._timing, now_ms)
 
     def plan(self) -> Plan:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -5,13 +5,12 @@
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger.state import step_number
 from agateferry_jobs.planning.fleet import AllocatedRun, RunKey
+from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import LOWEST_RANK
 from agateferry_jobs.planning.timing import Timing
 
 RANK_WEIGHT = 3
 """The factor by which lost work counts more for each rank nearer to the first."""
-CHECKPOINT_LOSS_S = 1.5
-"""What a preempted run loses even with a checkpoint: the newest second of work and the restore."""
 CORES_PER_GPU = 8
 """The cores that one accelerator counts as in lost work, as in the platform's prices."""
 MILLICORES_PER_CORE = 1000
@@ -78,27 +77,23 @@
 class PreemptionCost(CapacityCost):
     """Preempt runs; the cost is the lost work in core-seconds, weighted by rank."""
 
-    def __init__(
-        self, ranks: Mapping[str, int], now_ms: int, values_checkpoints: bool = True
-    ) -> None:
+    def __init__(self, ranks: Mapping[str, int], now_ms: int, options: PolicyOptions) -> None:
         super().__init__(now_ms)
         self._ranks = ranks
-        self._values_checkpoints = values_checkpoints
+        self._options = options
 
     def is_candidate(self, allocated_run: AllocatedRun, rank: int) -> bool:
         """Return whether a run ranks below the job that needs its resources."""
         return self._ranks.get(allocated_run.job.id, LOWEST_RANK) > rank
 
     def _compute(self, allocated_run: AllocatedRun) -> float:
-        """Return the weighted work that is lost with a run and the rest of its gang.
-
-        `CHECKPOINT_LOSS_S` is added for every run, with or without checkpoints.
-        """
+        """Return the weighted work that is lost with a run and the rest of its gang."""
+        options = self._options
         job, step = allocated_run.job, allocated_run.step
         members = step.count if step.is_gang else 1
         lost_s = max(0, self._now_ms - job.subtasks[allocated_run.subtask].started_ms) / MS_PER_S
-        if step.saves_checkpoints and self._values_checkpoints:
-            lost_s = min(lost_s, CHECKPOINT_LOSS_S)
+        if step.saves_checkpoints and options.values_checkpoints:
+            lost_s = min(lost_s, options.checkpoint_loss_s)
         cores = step.need.gpu * CORES_PER_GPU + step.need.cpu / MILLICORES_PER_CORE
         ranks_above_lowest = LOWEST_RANK - self._ranks.get(job.id, LOWEST_RANK)
-        return members * cores * (lost_s + CHECKPOINT_LOSS_S) * RANK_WEIGHT**ranks_above_lowest
+        return members * cores * (lost_s + options.stop_loss_s) * RANK_WEIGHT**ranks_above_lowest
