--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -20,8 +20,6 @@
     is_suspect: bool = False
     unexpected_runs: tuple[RunKey, ...] = ()
     """Runs that the worker reports but the ledger does not place there; they use resources too."""
-    remaining_ms: Mapping[RunKey, float] = field(default_factory=dict)
-    """In how many ms runs will end at the pace of the progress that the worker reported."""
 
 
 @dataclass(slots=True)
@@ -32,8 +30,6 @@
     subtask: str
     step: StepSpec
     is_stopping: bool
-    remaining_ms: float | None = None
-    """In how many ms it will end by its own progress; None while that is not known."""
 
 
 @dataclass(slots=True)
@@ -78,8 +74,7 @@
     def allocate(self, job: Job, subtask: str) -> None:
         """Allocate resources to a run that is here or is about to start."""
         step = job.step_of(subtask)
-        remaining_ms = self.health.remaining_ms.get((job.id, subtask))
-        self.runs.append(AllocatedRun(job, subtask, step, False, remaining_ms))
+        self.runs.append(AllocatedRun(job, subtask, step, is_stopping=False))
         self.free = self.free.minus(step.need)
         self.free_after_stops = self.free_after_stops.minus(step.need)
         self.free_slots -= 1
--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -28,17 +28,6 @@
     """The share of its slack after which a waiting gang preempts runs of lower rank."""
     borrowed_work_preempts: bool = True
     """Whether urgent work beyond its team's guarantee preempts runs of lower rank."""
-    late_borrowed_work_preempts: bool = True
-    """Whether urgent work beyond the guarantee still preempts once its job is late."""
-    waits_for_ends_share: float = 0.0
-    """The share of its remaining slack that urgent work beyond the guarantee waits for room.
-
-    It preempts only if runs that end by themselves free no room within that time.
-    """
-    orders_urgent_by_lateness: bool = False
-    """Whether urgent jobs that can still be in time go before late ones of their rank."""
-    stop_count_factor: float = 0.0
-    """By how much each earlier stop of a job raises the cost of its runs, as a factor."""
     waits_for_rack: bool = True
     """Whether a gang that prefers one rack waits for one, instead of starting across racks."""
     waits_for_data_rack: bool = True
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -105,11 +105,7 @@
         """
         rank = self._ranks[job.id]
         if rank <= BORROWED_RANK:
-            lateness = 0
-            if self._options.orders_urgent_by_lateness:
-                waited = self._timing.waited_ms(job, first_unfinished_occurrence(job), self._now_ms)
-                lateness = self._timing.lateness(job, waited)
-            return (rank, lateness, job.accepted_ms, job.id)
+            return (rank, 0, job.accepted_ms, job.id)
         waited = self._timing.waited_ms(job, first_unfinished_occurrence(job), self._now_ms)
         lateness = self._timing.lateness(job, waited) if self._options.orders_by_lateness else 0
         remaining_slack_ms = self._timing.slack_ms(job) - waited
@@ -198,8 +194,6 @@
         policy = self._preemption_policy(ready)
         if policy is PreemptionPolicy.WAIT:
             return
-        if policy is PreemptionPolicy.PREEMPT and self._frees_room_in_time(ready, selector, names):
-            policy = PreemptionPolicy.RESERVE
         preempts = policy is PreemptionPolicy.PREEMPT
         for worker, runs in selector.future_placements(
             len(names), self._preemption_cost if preempts else self._wait_cost
@@ -212,7 +206,7 @@
     def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
         """Return what ready subtasks that cannot start may do to other work."""
         if ready.rank <= BORROWED_RANK:
-            may_preempt = ready.rank < BORROWED_RANK or self._may_borrowed_work_preempt(ready)
+            may_preempt = ready.rank < BORROWED_RANK or self._options.borrowed_work_preempts
             return PreemptionPolicy.PREEMPT if may_preempt else PreemptionPolicy.RESERVE
         if not ready.step.is_gang:
             return PreemptionPolicy.WAIT
@@ -226,26 +220,6 @@
             else PreemptionPolicy.WAIT
         )
 
-    def _may_borrowed_work_preempt(self, ready: ReadySubtasks) -> bool:
-        if not self._options.borrowed_work_preempts:
-            return False
-        is_in_time = self._timing.lateness(ready.job, ready.waited_ms) is Lateness.IN_TIME
-        return is_in_time or self._options.late_borrowed_work_preempts
-
-    def _frees_room_in_time(
-        self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]
-    ) -> bool:
-        """Return whether runs that end by themselves free room soon enough for urgent work."""
-        share = self._options.waits_for_ends_share
-        if not share or ready.rank != BORROWED_RANK:
-            return False
-        remaining_slack_ms = self._timing.slack_ms(ready.job) - ready.waited_ms
-        placements = selector.future_placements(len(names), self._wait_cost)
-        if not placements:
-            return False
-        wait_ms = max(self._wait_cost.of_runs(runs) for _, runs in placements)
-        return wait_ms <= share * remaining_slack_ms
-
     def _preempt(self, victim: AllocatedRun, ready: ReadySubtasks) -> None:
         """Stop a run, together with the other members if it belongs to a gang."""
         job = victim.job
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -62,12 +62,7 @@
         return not allocated_run.step.is_long_running
 
     def _compute(self, allocated_run: AllocatedRun) -> float:
-        """Return the remaining ms of a run by its progress, else by its expected duration.
-
-        A run that already takes longer than expected counts as ending now.
-        """
-        if allocated_run.remaining_ms is not None:
-            return allocated_run.remaining_ms
+        """Return the expected remaining ms of a run, or 0 if it already runs for longer."""
         job = allocated_run.job
         expected_ms = self._timing.expected_duration_ms(job, step_number(allocated_run.subtask))
         ran_ms = self._now_ms - job.subtasks[allocated_run.subtask].started_ms
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -251,7 +251,7 @@
             if group.stops_at_ms is not None
             for name in group.members
         }
-        health = self._health()
+        health = {id: WorkerHealth(answers=id not in self._unreachable) for id in self._racks}
         fleet = Fleet.from_ledger(self._ledger, health, stopping)
         plan = self._policy.plan(self._ledger, fleet, self._now_ms)
         for stop in plan.stops:
@@ -260,20 +260,6 @@
                     self._stop(group)
         self._start(plan)
 
-    def _health(self) -> dict[str, WorkerHealth]:
-        """Return the health of each worker, with the remaining time of runs that make progress."""
-        remaining_ms: dict[str, dict[RunKey, float]] = {id: {} for id in self._racks}
-        for group in self._groups:
-            for name, run in group.members.items():
-                if group.done_ms and self._speeds[run.worker]:
-                    left_ms = (group.work_ms - group.done_ms) * group.slowdown
-                    key = (group.job.id, name)
-                    remaining_ms[run.worker][key] = left_ms / self._speeds[run.worker]
-        return {
-            id: WorkerHealth(id not in self._unreachable, remaining_ms=remaining_ms[id])
-            for id in self._racks
-        }
-
     def _start(self, plan: Plan) -> None:
         if not plan.starts:
             return
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -110,15 +110,9 @@
 
     def health(self, is_suspect: bool) -> WorkerHealth:
         """Return the worker's health for the planner."""
-        now_ms = self._clock.now_ms()
-        silent_ms = now_ms - self.last_contact_ms
+        silent_ms = self._clock.now_ms() - self.last_contact_ms
         answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
-        remaining_ms = {
-            key: remaining
-            for key, tracked in self.runs.items()
-            if (remaining := tracked.remaining_ms(now_ms)) is not None
-        }
-        return WorkerHealth(answers, is_suspect, tuple(self.unexpected_runs), remaining_ms)
+        return WorkerHealth(answers, is_suspect, tuple(self.unexpected_runs))
 
     @property
     def is_known(self) -> bool:
