--- a/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
@@ -7,13 +7,11 @@
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.cell import events
 from agateferry_jobs.history.lines import LogLine
+from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.ledger.state import step_number
 
 _STEP_SUMMARY = re.compile(r"(\d+)x(\d+)c\d+m(\d+)g.*~(\d+)")
 """The count, thousandths of a core, accelerators and declared ms in a step of a job accepted."""
-CORES_PER_GPU = 8
-"""The cores that one accelerator counts as in the work of a job."""
-MILLICORES_PER_CORE = 1000
 
 
 @dataclass(slots=True)
@@ -104,7 +102,7 @@
     if found is None:
         return 0, 0.0
     count, millicores, gpus, declared_ms = (int(text) for text in found.groups())
-    cores = millicores / MILLICORES_PER_CORE + gpus * CORES_PER_GPU
+    cores = Resources(cpu=millicores, gpu=gpus).weighted_cores
     return gpus, count * cores * declared_ms / MS_PER_S
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
@@ -4,6 +4,10 @@
 
 from msgspec import Struct, field
 
+CORES_PER_GPU = 8
+"""The cores that one accelerator counts as, as in the platform's prices."""
+MILLICORES_PER_CORE = 1000
+
 
 class Resources(Struct, frozen=True):
     """Resources of a subtask or a worker: `cpu` in thousandths of a core, accelerators as `gpu`."""
@@ -12,6 +16,11 @@
     mem_mb: int = 0
     gpu: int = 0
 
+    @property
+    def weighted_cores(self) -> float:
+        """Return the cores, with each accelerator counted as `CORES_PER_GPU` cores."""
+        return self.cpu / MILLICORES_PER_CORE + self.gpu * CORES_PER_GPU
+
     def fits(self, free: "Resources") -> bool:
         """Return whether these resources fit into `free`."""
         return self.cpu <= free.cpu and self.mem_mb <= free.mem_mb and self.gpu <= free.gpu
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -11,9 +11,6 @@
 
 RANK_WEIGHT = 3
 """The factor by which lost work counts more for each rank nearer to the first."""
-CORES_PER_GPU = 8
-"""The cores that one accelerator counts as in lost work, as in the platform's prices."""
-MILLICORES_PER_CORE = 1000
 
 
 class CapacityCost:
@@ -89,6 +86,6 @@
         lost_s = max(0, self._now_ms - job.subtasks[allocated_run.subtask].started_ms) / MS_PER_S
         if step.saves_checkpoints and options.values_checkpoints:
             lost_s = min(lost_s, options.checkpoint_loss_s)
-        cores = step.need.gpu * CORES_PER_GPU + step.need.cpu / MILLICORES_PER_CORE
         ranks_above_lowest = LOWEST_RANK - self._ranks.get(job.id, LOWEST_RANK)
-        return members * cores * (lost_s + options.stop_loss_s) * RANK_WEIGHT**ranks_above_lowest
+        lost_core_s = members * step.need.weighted_cores * (lost_s + options.stop_loss_s)
+        return lost_core_s * RANK_WEIGHT**ranks_above_lowest
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -5,7 +5,8 @@
 import defopt
 
 from agateferry_jobs.simulation.day_simulation import DaySimulation
-from agateferry_jobs.simulation.loads import LOADS, draw_jobs
+from agateferry_jobs.simulation.drawing import draw_jobs
+from agateferry_jobs.simulation.loads import LOADS
 from agateferry_jobs.simulation.policies import POLICIES
 from agateferry_jobs.simulation.report import Summary, summarize
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -5,15 +5,17 @@
 from dataclasses import dataclass
 
 from agateferry_core.clock import MS_PER_S
-from agateferry_jobs.cell.leader import NO_PROGRESS_TIMEOUT_MS, TICK_MS
+from agateferry_jobs.cell.leader import TICK_MS
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, commands
-from agateferry_jobs.ledger.state import Run, gang_of
+from agateferry_jobs.ledger.state import gang_of
 from agateferry_jobs.manifest import Manifest, Queue, Service, Team
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import FaultSchedule
-from agateferry_jobs.simulation.loads import Load, SimulatedJob
+from agateferry_jobs.simulation.loads import Load
 from agateferry_jobs.simulation.policies import Policy
+from agateferry_jobs.simulation.running_group import RunningGroup
 
 TIME_STEP_MS = 50
 """The step of virtual time in which the simulation advances."""
@@ -25,37 +27,6 @@
 """The time limit of callers' calls, which the manifest requires; a simulation has no calls."""
 CROSS_RACK_SLOWDOWN = 3
 """How many times as long a gang takes that needs one rack but spans several."""
-MILLICORES_PER_CORE = 1000
-CORES_PER_GPU = 8
-"""The cores that one accelerator counts as in lost work, as in the platform's prices."""
-
-
-@dataclass(slots=True)
-class RunningGroup:
-    """A running subtask, or the members of a gang that run together, by subtask name.
-
-    `work_ms` and `done_ms` are at full speed; `slowdown` applies to a gang that spans racks.
-    """
-
-    job: SimulatedJob
-    members: dict[str, Run]
-    work_ms: float
-    done_ms: float
-    fails_at_ms: float | None
-    slowdown: int
-    restore_ms: float = 0.0
-    ran_ms: float = 0.0
-    stalled_ms: float = 0.0
-    stops_at_ms: int | None = None
-    refused_at_ms: int | None = None
-    """When the leader learns that the start was never carried out; None for one that was."""
-
-    @property
-    def saved_ms(self) -> float:
-        """Return the work that a checkpoint saves if the run is stopped now."""
-        if not self.job.spec.steps[0].saves_checkpoints:
-            return 0.0
-        return self.done_ms
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +42,7 @@
     """The result of a simulated day.
 
     `wasted_gpu_s` is lost work in accelerator-seconds. `wasted_core_s` is the same in core-seconds,
-    in which an accelerator counts as `CORES_PER_GPU` cores.
+    in which an accelerator counts as several, see `Resources.weighted_cores`.
     """
 
     outcomes: list[JobOutcome]
@@ -182,38 +153,19 @@
         return bool(ended)
 
     def _advance(self, group: RunningGroup) -> bool:
+        """Advance a group by one time step; return whether it ended."""
         workers = {run.worker for run in group.members.values()}
-        speed = min(self._speeds[worker] for worker in workers)
         is_unreachable = bool(workers & self._unreachable)
-        if group.refused_at_ms is not None:
-            if self._now_ms >= group.refused_at_ms:
-                self._end(group, commands.RunOutcome.REFUSED)
-            return self._now_ms >= group.refused_at_ms
-        group.ran_ms += TIME_STEP_MS
-        group.stalled_ms = 0.0 if speed else group.stalled_ms + TIME_STEP_MS
-        if group.stops_at_ms is not None:
-            if not is_unreachable and self._now_ms >= group.stops_at_ms:
-                self._end(group, commands.RunOutcome.STOPPED)
-                return True
-            return False
-        is_seen = self._has_leader and not is_unreachable
-        if group.stalled_ms > NO_PROGRESS_TIMEOUT_MS and is_seen:
+        group.advance(TIME_STEP_MS, min(self._speeds[worker] for worker in workers))
+        if group.is_hung and self._has_leader and not is_unreachable:
             self._stop(group)
+        outcome = group.outcome(self._now_ms)
+        if outcome is None or (is_unreachable and outcome is not commands.RunOutcome.REFUSED):
             return False
-        if group.restore_ms > 0:
-            group.restore_ms -= TIME_STEP_MS
-            return False
-        group.done_ms += TIME_STEP_MS * speed / group.slowdown
-        if is_unreachable:
-            return False
-        if group.fails_at_ms is not None and group.done_ms >= group.fails_at_ms:
+        if outcome is commands.RunOutcome.FAILED:
             self._failed[group.job.id] = self._failed.get(group.job.id, 0) + 1
-            self._end(group, commands.RunOutcome.FAILED)
-            return True
-        if group.done_ms >= group.work_ms:
-            self._end(group, commands.RunOutcome.DONE)
-            return True
-        return False
+        self._end(group, outcome)
+        return True
 
     def _end(self, group: RunningGroup, outcome: commands.RunOutcome) -> None:
         """Count the work that is lost by an end, and record the end with the next plan."""
@@ -221,8 +173,7 @@
             need = group.job.spec.steps[0].need
             lost_s = (group.ran_ms if not group.saved_ms else 0.0) * len(group.members) / MS_PER_S
             self._wasted_gpu_s += lost_s * need.gpu
-            cores = need.cpu / MILLICORES_PER_CORE + need.gpu * CORES_PER_GPU
-            self._wasted_core_s += lost_s * cores
+            self._wasted_core_s += lost_s * need.weighted_cores
         self._unreported.append((group, outcome))
 
     def _report_ends(self) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -7,7 +7,8 @@
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.planning.timing import LATE_FACTOR
 from agateferry_jobs.simulation.day_simulation import DayResult, JobOutcome
-from agateferry_jobs.simulation.loads import DEFAULT_GOAL, Goal, JobKind, SimulatedJob
+from agateferry_jobs.simulation.drawing import SimulatedJob
+from agateferry_jobs.simulation.loads import DEFAULT_GOAL, Goal, JobKind
 
 LARGEST_SHARE = 0.1
 """The share of the jobs of a kind, its largest ones, that also counts as a kind of its own."""
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
@@ -6,8 +6,9 @@
 from agateferry_jobs.planning import Plan
 from agateferry_jobs.planning.planner import Stop
 from agateferry_jobs.simulation.day_simulation import TIME_STEP_MS, DaySimulation
+from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import LeaderAbsence, Slowness
-from agateferry_jobs.simulation.loads import BATCH, CALM, GANGS, SimulatedJob
+from agateferry_jobs.simulation.loads import BATCH, CALM, GANGS
 from agateferry_jobs.simulation.policies import FirstFit, LeaderPolicy
 
 LOAD = replace(CALM, workers=2, duration_s=1.0)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_loads.py
@@ -2,13 +2,8 @@
 
 import testtools
 
-from agateferry_jobs.simulation.loads import (
-    CALM,
-    GANGS,
-    LOADS,
-    SURGE,
-    draw_jobs,
-)
+from agateferry_jobs.simulation.drawing import draw_jobs
+from agateferry_jobs.simulation.loads import CALM, GANGS, LOADS, SURGE
 
 
 class DrawJobsTests(testtools.TestCase):
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
@@ -3,7 +3,8 @@
 import testtools
 
 from agateferry_jobs.simulation.day_simulation import DayResult, DaySimulation, JobOutcome
-from agateferry_jobs.simulation.loads import BATCH, CALM, SURGE, URGENT, Goal, draw_jobs
+from agateferry_jobs.simulation.drawing import draw_jobs
+from agateferry_jobs.simulation.loads import BATCH, CALM, SURGE, URGENT, Goal
 from agateferry_jobs.simulation.policies import FirstFit, LeaderPolicy
 from agateferry_jobs.simulation.report import summarize
 from agateferry_jobs.simulation.tests.test_day_simulation import job
