--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 simulate: setup
 	$(BIN)/python -m agateferry_jobs.simulation --load surge
 	$(BIN)/python -m agateferry_jobs.simulation --load heavy
+	$(BIN)/python -m agateferry_jobs.simulation --load straps-surge
 
 bench: setup
 	$(BIN)/python -m agateferry_state.replica.bench
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -184,7 +184,9 @@
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
                 continue
             was_failing = self._is_failing
-            if not await self._poll_once() and (was_failing or not self._is_failing):
+            succeeded = await self._poll_once()
+            has_just_failed = self._is_failing and not was_failing
+            if not succeeded and not has_just_failed:
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
     def _needs_poll(self) -> bool:
