--- a/packages/agateferry-jobs/agateferry_jobs/cell/takeover_bench.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/takeover_bench.py
@@ -1,4 +1,4 @@
-"""Measure how long a new leader needs before its first plan, by workers and active subtasks.
+"""Measure how long a new leader needs before its first plan, by workers and subtasks.
 
     python -m agateferry_jobs.cell.takeover_bench
 
--- a/packages/agateferry-jobs/agateferry_jobs/history/causes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/causes.py
@@ -86,12 +86,17 @@
     """Return the accelerator-seconds of runs with another outcome than done, by queue and cause."""
     seconds: Counter[tuple[str, str]] = Counter()
     for job, subtask, run in all_runs(jobs):
-        if run.outcome != "done" and run.ended_ms is not None:
-            duration_s = (run.ended_ms - run.placed_ms) / MS_PER_S
-            seconds[(job.queue, _cause_name(run))] += round(duration_s * job.gpus_of(subtask))
+        if run.is_lost:
+            seconds[(job.queue, _cause_name(run))] += round(accelerator_seconds(job, subtask, run))
     return seconds
 
 
+def accelerator_seconds(job: JobHistory, subtask: str, run: RunHistory) -> float:
+    """Return the accelerator-seconds of a run; 0 if the logs do not contain its end."""
+    ended_ms = run.ended_ms if run.ended_ms is not None else run.placed_ms
+    return (ended_ms - run.placed_ms) / MS_PER_S * job.gpus_of(subtask)
+
+
 def all_runs(jobs: Iterable[JobHistory]) -> Iterator[tuple[JobHistory, str, RunHistory]]:
     """Return each run with its job and the name of its subtask."""
     for job in jobs:
--- a/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
@@ -32,6 +32,11 @@
     has_checkpoint: bool = False
     """Whether the next run can start from a checkpoint of this one."""
 
+    @property
+    def is_lost(self) -> bool:
+        """Return whether it is known to have ended other than as done."""
+        return self.ended_ms is not None and self.outcome != "done"
+
 
 @dataclass(slots=True)
 class JobHistory:
--- a/packages/agateferry-jobs/agateferry_jobs/history/losses.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/losses.py
@@ -6,16 +6,14 @@
 from statistics import mean
 
 from agateferry_core.clock import MS_PER_S
-from agateferry_jobs.history.causes import all_runs, main_cause
+from agateferry_jobs.history.causes import accelerator_seconds, all_runs, main_cause
 from agateferry_jobs.history.jobs import JobHistory
+from agateferry_jobs.size_weight import size_weight
 
 WINDOW_S = 2
 """The duration of the windows of acceptance."""
 LARGEST_SHARE, LARGE_SHARE = 0.1, 0.3
 """The largest tenth of a queue's jobs is one size class, and the fifth below it another."""
-MAX_SIZE_WEIGHT = 4.0
-BASE_SIZE_WEIGHT = 0.3
-"""A job counts as 0.3 and 0.7 times its work by the mean of its queue, 4 at most."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,11 +53,8 @@
     """
     counted = [job for job in jobs if job.state != "cancelled"]
     weights = _size_weights(counted)
-    groups: dict[str, list[JobHistory]] = {}
-    for job in counted:
-        groups.setdefault(key(job), []).append(job)
     losses = []
-    for name, members in groups.items():
+    for name, members in _grouped(counted, key).items():
         late = [job for job in members if not job.is_in_time(until_ms)]
         causes = Counter(main_cause(job, until_ms) for job in late)
         total = sum(weights[job.id] for job in members)
@@ -83,7 +78,7 @@
 def size_key(jobs: Sequence[JobHistory]) -> Callable[[JobHistory], str]:
     """Return the key of size classes: each queue's largest tenth, the fifth below, the rest."""
     classes: dict[str, str] = {}
-    for members in _by_queue(jobs).values():
+    for members in _grouped(jobs, _queue).values():
         members.sort(key=lambda job: -job.declared_core_s)
         for position, job in enumerate(members):
             share = position / len(members)
@@ -97,11 +92,11 @@
     by_id = {job.id: job for job in jobs}
     rows: dict[tuple[str, str], list[tuple[str, float, bool]]] = {}
     for job, subtask, run in all_runs(by_id.values()):
-        if not run.stopped_for or run.ended_ms is None or run.outcome == "done":
+        if not run.stopped_for or not run.is_lost:
             continue
         preempting = by_id.get(run.stopped_for)
         pair = (job.queue, preempting.queue if preempting is not None else "")
-        lost_s = (run.ended_ms - run.placed_ms) / MS_PER_S * job.gpus_of(subtask)
+        lost_s = accelerator_seconds(job, subtask, run)
         rows.setdefault(pair, []).append((job.id, lost_s, run.has_checkpoint))
     found = [_preemptions(pair, runs) for pair, runs in rows.items()]
     return sorted(found, key=lambda each: -each.lost_s)
@@ -119,18 +114,23 @@
     )
 
 
-def _by_queue(jobs: Iterable[JobHistory]) -> dict[str, list[JobHistory]]:
-    queues: dict[str, list[JobHistory]] = {}
+def _grouped(
+    jobs: Iterable[JobHistory], key: Callable[[JobHistory], str]
+) -> dict[str, list[JobHistory]]:
+    groups: dict[str, list[JobHistory]] = {}
     for job in jobs:
-        queues.setdefault(job.queue, []).append(job)
-    return queues
+        groups.setdefault(key(job), []).append(job)
+    return groups
+
+
+def _queue(job: JobHistory) -> str:
+    return job.queue
 
 
 def _size_weights(jobs: Iterable[JobHistory]) -> dict[str, float]:
     weights: dict[str, float] = {}
-    for members in _by_queue(jobs).values():
+    for members in _grouped(jobs, _queue).values():
         mean_core_s = mean(job.declared_core_s for job in members) or 1.0
         for job in members:
-            size = (1 - BASE_SIZE_WEIGHT) * job.declared_core_s / mean_core_s
-            weights[job.id] = min(MAX_SIZE_WEIGHT, BASE_SIZE_WEIGHT + size)
+            weights[job.id] = size_weight(job.declared_core_s, mean_core_s)
     return weights
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -7,7 +7,7 @@
 from agateferry_jobs.simulation.day_simulation import DaySimulation
 from agateferry_jobs.simulation.drawing import draw_jobs
 from agateferry_jobs.simulation.loads import LOADS
-from agateferry_jobs.simulation.policies import POLICIES
+from agateferry_jobs.simulation.policies import ABLATIONS, POLICIES
 from agateferry_jobs.simulation.report import Summary, summarize
 
 
@@ -15,7 +15,7 @@
     """Simulate a load under one policy, or under each of them.
 
     :param load: the name of a load, such as surge or straps
-    :param policy: the name of a policy; without it all are simulated
+    :param policy: the name of a policy or of an ablation; without it all policies are simulated
     :param seeds: how many days are simulated; the seeds are 1 to this number
     """
     for name in [policy] if policy else POLICIES:
@@ -26,7 +26,7 @@
 def simulate_day(load: str, policy: str, seed: int) -> Summary:
     """Return the summary of one simulated day."""
     jobs = draw_jobs(LOADS[load], seed)
-    day = DaySimulation(LOADS[load], jobs, POLICIES[policy], seed).run()
+    day = DaySimulation(LOADS[load], jobs, (POLICIES | ABLATIONS)[policy], seed).run()
     return summarize(day, LOADS[load].goal)
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -65,7 +65,7 @@
         self._groups: list[RunningGroup] = []
         self._failed: dict[str, int] = {}
         self._unreported: list[tuple[RunningGroup, commands.RunOutcome]] = []
-        """Groups that ended while there was no leader."""
+        """Groups that ended since the last plan; without a leader there is none."""
         self._wasted_gpu_s = 0.0
         self._wasted_core_s = 0.0
         self._stops = 0
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
@@ -1,6 +1,6 @@
 """The jobs of a simulated day, drawn from a seed; the same seed always gives the same jobs.
 
-jobs = draw_jobs(LOADS["surge"], seed=1)
+For example `jobs = draw_jobs(LOADS["surge"], seed=1)`.
 """
 
 import random
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -9,6 +9,7 @@
 from agateferry_jobs.simulation.day_simulation import DayResult, JobOutcome
 from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.loads import DEFAULT_GOAL, Goal, JobKind
+from agateferry_jobs.size_weight import size_weight
 
 LARGEST_SHARE = 0.1
 """The share of the jobs of a kind, its largest ones, that also counts as a kind of its own."""
@@ -126,7 +127,7 @@
 
 
 def _size_weight(job: SimulatedJob) -> float:
-    return min(4.0, 0.3 + 0.7 * gpu_seconds(job) / _mean_gpu_seconds(job.kind))
+    return size_weight(gpu_seconds(job), _mean_gpu_seconds(job.kind))
 
 
 def _mean_gpu_seconds(kind: JobKind) -> float:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
@@ -9,7 +9,7 @@
 from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import LeaderAbsence, Slowness
 from agateferry_jobs.simulation.loads import BATCH, CALM, GANGS
-from agateferry_jobs.simulation.policies import FirstFit, LeaderPolicy
+from agateferry_jobs.simulation.policies import ABLATIONS, FirstFit, LeaderPolicy
 
 LOAD = replace(CALM, workers=2, duration_s=1.0)
 WHOLE_WORKER = Resources(cpu=8_000, mem_mb=16_000, gpu=8)
@@ -94,6 +94,12 @@
         self.assertTrue(any(2_500 <= ended_ms <= 3_300 for ended_ms in ends_ms), ends_ms)
 
 
+class AblationTests(testtools.TestCase):
+    def test_each_policy_without_a_part_completes_a_job(self):
+        for name, policy in ABLATIONS.items():
+            self.assertAlmostEqual(2_000, ended(job(), policy=policy)["j"], delta=100, msg=name)
+
+
 class FirstFitTests(testtools.TestCase):
     def test_jobs_start_in_the_order_of_acceptance(self):
         load = replace(LOAD, workers=1)
--- a/packages/agateferry-standins/agateferry_standins/callers/tally.py
+++ b/packages/agateferry-standins/agateferry_standins/callers/tally.py
@@ -110,6 +110,13 @@
             self.partial_gangs + other.partial_gangs,
         )
 
+    def __str__(self) -> str:
+        """Return the counts as they stand in the last line of a program's output."""
+        return (
+            f"accepted={self.accepted} answered={self.answered} lost={self.lost} "
+            f"duplicated={self.duplicated} wrong={self.wrong} partial_gangs={self.partial_gangs}"
+        )
+
     @property
     def is_clean(self) -> bool:
         """Return whether every accepted request got its own answer and the error counts are 0."""
--- a/packages/agateferry-standins/agateferry_standins/deployment/ports.py
+++ b/packages/agateferry-standins/agateferry_standins/deployment/ports.py
@@ -31,14 +31,14 @@
         self.release = weakref.finalize(self, _close_all, locks)
         first, end = PORT_RANGE
         for block in PORT_RANDOM.sample(range(first, end, BLOCK_SIZE), (end - first) // BLOCK_SIZE):
-            if len(self.numbers) == count:
-                return
             lock = _lock(block)
             if lock is None:
                 continue
             locks.append(lock)
             free = [port for port in range(block, block + BLOCK_SIZE) if is_free(LOOPBACK_IP, port)]
             self.numbers += free[: count - len(self.numbers)]
+            if len(self.numbers) == count:
+                return
         raise OSError(f"fewer than {count} ports of {first} to {end} are free")
 
 
--- a/packages/agateferry-standins/agateferry_standins/restarts.py
+++ b/packages/agateferry-standins/agateferry_standins/restarts.py
@@ -3,8 +3,8 @@
 For example `python -m agateferry_standins.restarts --plays 40`. Callers resend some requests that
 are not idempotent, also through the host that has just become ready again. Every second play kills
 the daemons, the others stop them gracefully. The last line is
-`restarts: plays=N accepted=N lost=N duplicated=N wrong=N partial_gangs=N`; the exit code is 0 only
-if no play lost, duplicated or mixed up a request.
+`restarts: plays=N accepted=N answered=N lost=N duplicated=N wrong=N partial_gangs=N`; the exit code
+is 0 only if no play lost, duplicated or mixed up a request.
 """
 
 import asyncio
@@ -37,10 +37,7 @@
     """
     log_warnings_only()
     total = reduce(add, (_play(play_seed) for play_seed in range(seed, seed + plays)))
-    print(
-        f"restarts: plays={plays} accepted={total.accepted} lost={total.lost} "
-        f"duplicated={total.duplicated} wrong={total.wrong} partial_gangs={total.partial_gangs}"
-    )
+    print(f"restarts: plays={plays} {total}")
     return 0 if total.is_clean else EXIT_GUARANTEE_VIOLATED
 
 
--- a/packages/agateferry-standins/agateferry_standins/soak.py
+++ b/packages/agateferry-standins/agateferry_standins/soak.py
@@ -80,11 +80,7 @@
             return EXIT_NOT_STARTED
     report_run("soak", tally, log)
     summary = RunSummary.from_tally(tally, log)
-    print(
-        f"soak: accepted={summary.accepted} answered={summary.answered} lost={summary.lost} "
-        f"duplicated={summary.duplicated} wrong={summary.wrong} "
-        f"partial_gangs={summary.partial_gangs}"
-    )
+    print(f"soak: {summary}")
     return 0 if summary.is_clean else EXIT_GUARANTEE_VIOLATED
 
 
