Let an idle HTTP server sleep until a request arrives

Cause: each uvicorn server wakes up ten times a second to look for a request to stop and to format the Date header once a second. An entry has three servers, so 97 entries wake up 2,900 times a second for nothing; the platform charges each wake-up.

Change: the embedded server waits for an event; the Date header is formatted when a request arrives, once a second at most.

Measured: the test that counts timers of an idle server failed before (5 in 0.5 s).

--- a/packages/agateferry-service/agateferry_service/http/server.py
+++ b/packages/agateferry-service/agateferry_service/http/server.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Iterator
+from email.utils import formatdate
 
 import uvicorn
 from starlette.types import ASGIApp
@@ -14,6 +16,22 @@
 BACKLOG = 512
 
 
+class DateHeader:
+    """The Date header of responses, formatted again only when the second has changed."""
+
+    def __init__(self) -> None:
+        self._second = -1
+        self._header = (b"date", b"")
+
+    def current(self) -> tuple[bytes, bytes]:
+        """Return the header's name and value now."""
+        second = int(time.time())
+        if second != self._second:
+            self._second = second
+            self._header = (b"date", formatdate(second, usegmt=True).encode())
+        return self._header
+
+
 class BoundedHeadProtocol(H11Protocol):
     """Close a connection if the client does not send a request's head within `head_s` seconds.
 
@@ -22,6 +40,7 @@
     """
 
     head_s = 5.0
+    date_header = DateHeader()
     _head_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
@@ -31,6 +50,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Process data; a complete head stops the timeout, and the next head starts it."""
+        self.server_state.default_headers = [self.date_header.current()]
         super().data_received(data)
         if self.cycle is not None and not self.cycle.response_complete:
             self._cancel_head_timer()
@@ -56,14 +76,31 @@
     return type("BoundedHead", (BoundedHeadProtocol,), {"head_s": head_ms / 1000})
 
 
-class UvicornServerWithoutSignals(uvicorn.Server):
-    """A uvicorn server that installs no signal handlers, because the daemon has its own."""
+class EmbeddedServer(uvicorn.Server):
+    """A uvicorn server inside a daemon: it has no signal handlers and never wakes up while idle.
+
+    uvicorn's own loop wakes up ten times a second to look for a request to stop and to format the
+    Date header, which `BoundedHeadProtocol` sets when a request arrives.
+    """
+
+    def __init__(self, cfg: uvicorn.Config) -> None:
+        super().__init__(cfg)
+        self._stopping = asyncio.Event()
 
     @contextlib.contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Leave the signal handlers as they are."""
         yield
 
+    async def main_loop(self) -> None:
+        """Serve until `begin_shutdown`."""
+        await self._stopping.wait()
+
+    def begin_shutdown(self) -> None:
+        """Accept no new connections and finish the requests in flight."""
+        self.should_exit = True
+        self._stopping.set()
+
 
 class HttpServer:
     """Serve one application until stopped; a stop lets requests in flight finish."""
@@ -85,7 +122,7 @@
             timeout_keep_alive=30,
             server_header=False,
         )
-        self._server = UvicornServerWithoutSignals(cfg)
+        self._server = EmbeddedServer(cfg)
         self._task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -100,7 +137,7 @@
 
     async def stop(self, drain_ms: int) -> None:
         """Accept no new connections; let requests in flight finish for up to `drain_ms`."""
-        self._server.should_exit = True
+        self._server.begin_shutdown()
         if self._task is None:
             return
         done, _ = await asyncio.wait({self._task}, timeout=drain_ms / 1000)
--- /dev/null
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_server.py
@@ -0,0 +1,71 @@
+import asyncio
+import socket
+from unittest import mock
+
+import aiohttp
+import testtools
+
+from agateferry_service.http.server import HttpServer
+from agateferry_service.settings import Address
+
+DRAIN_MS = 1_000
+
+
+async def respond(scope, receive, send):
+    await send({"type": "http.response.start", "status": 200, "headers": []})
+    await send({"type": "http.response.body", "body": b"served"})
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class HttpServerTests(testtools.TestCase):
+    def serve(self, scenario):
+        async def run():
+            port = free_port()
+            server = HttpServer("test", respond, Address("127.0.0.1", port), 10, 1_000)
+            await server.start()
+            try:
+                return await scenario(server, port)
+            finally:
+                await server.stop(DRAIN_MS)
+
+        return asyncio.run(asyncio.wait_for(run(), 20))
+
+    def test_a_response_has_the_date_of_its_request(self):
+        async def scenario(server, port):
+            async with aiohttp.ClientSession() as client:
+                dates = []
+                for now_s in (1_700_000_000, 1_700_000_000, 1_700_000_061):
+                    with mock.patch("agateferry_service.http.server.time.time", lambda: now_s):
+                        async with client.get(f"http://127.0.0.1:{port}/") as response:
+                            dates.append(response.headers["Date"])
+                return dates
+
+        first, second, later = self.serve(scenario)
+        self.assertEqual("Tue, 14 Nov 2023 22:13:20 GMT", first)
+        self.assertEqual(first, second)
+        self.assertEqual("Tue, 14 Nov 2023 22:14:21 GMT", later)
+
+    def test_an_idle_server_sets_no_timers(self):
+        """A hundred idle servers on one machine must not use it up with wake-ups."""
+
+        async def scenario(server, port):
+            await asyncio.sleep(0.05)
+            loop = asyncio.get_running_loop()
+            with mock.patch.object(loop, "call_at", wraps=loop.call_at) as call_at:
+                await asyncio.sleep(0.5)
+            return call_at.call_count
+
+        self.assertLessEqual(self.serve(scenario), 1)
+
+    def test_a_stopped_server_accepts_no_connections(self):
+        async def scenario(server, port):
+            await server.stop(DRAIN_MS)
+            connecting = asyncio.open_connection("127.0.0.1", port)
+            return await asyncio.gather(connecting, return_exceptions=True)
+
+        self.assertIsInstance(self.serve(scenario)[0], ConnectionRefusedError)
