--- a/packages/agateferry-service/agateferry_service/http/bodies.py
+++ b/packages/agateferry-service/agateferry_service/http/bodies.py
@@ -9,6 +9,7 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 
+from agateferry_service.http.collecting import collect_body
 from agateferry_service.http.problems import problem
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
@@ -60,14 +61,10 @@
 
 
 async def _collect(req: Request, max_bytes: int) -> Result[bytes, Response]:
-    data = bytearray()
-    async for chunk in req.stream():
-        data += chunk
-        if len(data) > max_bytes:
-            return Error(
-                problem(413, "body-too-large", f"the body is limited to {max_bytes} bytes")
-            )
-    return Ok(bytes(data))
+    data = await collect_body(req, max_bytes)
+    if data is None:
+        return Error(problem(413, "body-too-large", f"the body is limited to {max_bytes} bytes"))
+    return Ok(data)
 
 
 def _invalid(exc: ValidationError) -> Response:
--- a/packages/agateferry-service/agateferry_service/http/server.py
+++ b/packages/agateferry-service/agateferry_service/http/server.py
@@ -11,7 +11,7 @@
 from starlette.types import ASGIApp
 from uvicorn.protocols.http.h11_impl import H11Protocol
 
-from agateferry_service.settings import Address
+from agateferry_service.address import Address
 
 BACKLOG = 512
 
--- a/packages/agateferry-service/agateferry_service/http/tests/test_server.py
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_server.py
@@ -5,8 +5,8 @@
 import aiohttp
 import testtools
 
+from agateferry_service.address import Address
 from agateferry_service.http.server import HttpServer
-from agateferry_service.settings import Address
 
 DRAIN_MS = 1_000
 
@@ -40,7 +40,8 @@
             async with aiohttp.ClientSession() as client:
                 dates = []
                 for now_s in (1_700_000_000, 1_700_000_000, 1_700_000_061):
-                    with mock.patch("agateferry_service.http.server.time.time", lambda: now_s):
+                    clock = mock.Mock(return_value=now_s)
+                    with mock.patch("agateferry_service.http.server.time.time", clock):
                         async with client.get(f"http://127.0.0.1:{port}/") as response:
                             dates.append(response.headers["Date"])
                 return dates
--- a/packages/agateferry-service/agateferry_service/settings/__init__.py
+++ b/packages/agateferry-service/agateferry_service/settings/__init__.py
@@ -1,9 +1,9 @@
 """The settings file of agateferryd."""
 
+from agateferry_service.address import Address
 from agateferry_service.settings.problems import Problem, SettingsError
 from agateferry_service.settings.reader import load_settings
 from agateferry_service.settings.settings import (
-    Address,
     HostSettings,
     LimitSettings,
     ListenSettings,
--- a/packages/agateferry-service/agateferry_service/settings/models.py
+++ b/packages/agateferry-service/agateferry_service/settings/models.py
@@ -10,7 +10,7 @@
 
 from pydantic import AfterValidator, BaseModel, ConfigDict, Field, StringConstraints, create_model
 
-from agateferry_service.settings.settings import Address
+from agateferry_service.address import Address
 from agateferry_service.settings.table import NAME_PATTERN, SECTIONS, SETTINGS, Setting, ValueType
 
 MAX_PORT = 65_535
--- a/packages/agateferry-service/agateferry_service/settings/settings.py
+++ b/packages/agateferry-service/agateferry_service/settings/settings.py
@@ -7,17 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """An IP address and a port, written `ip:port`, with an IPv6 address in brackets."""
-
-    ip: str
-    port: int
-
-    def __str__(self) -> str:
-        """Return the address as `ip:port`."""
-        return f"[{self.ip}]:{self.port}" if ":" in self.ip else f"{self.ip}:{self.port}"
+from agateferry_service.address import Address
 
 
 @dataclass(frozen=True, slots=True)
