Ping the leader by datagrams, and keep periodic work alive after an unexpected error

Cause: an idle entry pinged its leader twice a second by gRPC, 2 to 3 ms of processor time each, and gRPC's threads made 140 futex calls a second for it; for the leader 97 entries are 190 calls a second.

Change: a ping is one datagram each way; its answer counts from when the ping was sent. Pings no longer test the calls' connection, so the first call on one without a reply for 2 s gets 350 ms instead of 700.

Found while looking for failures that end a process's work unseen: an exception in the leader's tick, in a worker's polling loop, in the monitor of an entry, or in the search for storage failures ended it for good, and one in a start order left its run without an outcome. Each goes on now, and the error is logged; a start whose order failed so is resolved by the next poll. Two tests of the session failed first, the others hold the loops.

--- a/packages/agateferry-core/agateferry_core/tasks.py
+++ b/packages/agateferry-core/agateferry_core/tasks.py
@@ -1,6 +1,9 @@
 """Helpers for asyncio tasks."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+
+from agateferry_core.clock import MS_PER_S
 
 
 def is_current_task_cancelled() -> bool:
@@ -10,3 +13,19 @@
     """
     task = asyncio.current_task()
     return task is not None and task.cancelling() > 0
+
+
+async def repeat(
+    step: Callable[[], Awaitable[None]], interval_ms: int, on_error: Callable[[Exception], None]
+) -> None:
+    """Run `step` with pauses of `interval_ms` until cancelled.
+
+    An exception is passed to `on_error`, and the next step follows as usual: a process goes on with
+    its periodic work whatever one message made of it.
+    """
+    while True:
+        try:
+            await step()
+        except Exception as exc:
+            on_error(exc)
+        await asyncio.sleep(interval_ms / MS_PER_S)
--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -20,6 +20,9 @@
 
 ATTEMPT_TIMEOUT_MS = 700
 """A leader replies in a few ms when its disk is fast; no reply within this time is a fault."""
+UNPROVEN_ATTEMPT_TIMEOUT_MS = 350
+"""The same for a connection on which no reply came for `PROVEN_MS`: it may be silent for good."""
+PROVEN_MS = 2_000
 RETRY_DELAY_MS = 60
 """The pause between two attempts while no leader is known."""
 CHANNEL_CLOSE_DELAY_MS = 2 * ATTEMPT_TIMEOUT_MS
@@ -50,6 +53,8 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._closing_tasks: set[asyncio.Task[None]] = set()
         self._failing_hosts: set[str] = set()
+        self._proven_ms: dict[str, int] = {}
+        """By host, when a call last got a reply."""
         self._log = EventLogger()
         self.last_reply_ms: int | None = None
         """When the leader last replied, by the monotonic clock that includes suspended time."""
@@ -59,12 +64,27 @@
         """Return the known hosts of the cell."""
         return tuple(self._hosts)
 
+    @property
+    def leader(self) -> str | None:
+        """Return the host that is believed to lead, if any."""
+        return self._leader
+
     def add_hosts(self, hosts: Iterable[str]) -> None:
         """Append hosts of the cell to the known ones, the newest last."""
         for host in hosts:
             if host not in self._hosts:
                 self._hosts.append(host)
 
+    def record_pong(self, host: str, envelope: messages.ReplyEnvelope, sent_ms: int) -> None:
+        """Record a host's answer to a ping that was sent at `sent_ms`."""
+        self._prepend_hosts(envelope.hosts)
+        match envelope.reply:
+            case messages.Done():
+                self._leader = host
+                self.last_reply_ms = max(self.last_reply_ms or 0, sent_ms)
+            case messages.NotLeader(leader) if host == self._leader:
+                self._leader = leader
+
     async def call(self, call: messages.Call, timeout_ms: int) -> messages.Reply:
         """Retry until the leader replies or `timeout_ms` is over.
 
@@ -78,7 +98,7 @@
                 break
             host = self._choose_host()
             reply = (
-                await self._attempt(host, call, min(ATTEMPT_TIMEOUT_MS, left_ms))
+                await self._attempt(host, call, min(self._attempt_timeout_ms(host), left_ms))
                 if host
                 else messages.NotLeader()
             )
@@ -107,6 +127,12 @@
             await channel.close(grace=None)
         self._channels.clear()
 
+    def _attempt_timeout_ms(self, host: str) -> int:
+        proven_ms = self._proven_ms.get(host)
+        if proven_ms is not None and self._clock.now_ms() - proven_ms < PROVEN_MS:
+            return ATTEMPT_TIMEOUT_MS
+        return UNPROVEN_ATTEMPT_TIMEOUT_MS
+
     def _choose_host(self) -> str | None:
         if self._leader is not None:
             return self._leader
@@ -143,6 +169,7 @@
             self._log.warning(events.REPLY_UNREADABLE, host=host, detail=str(exc))
             return messages.OutcomeUnknown("unreadable")
         self._failing_hosts.discard(host)
+        self._proven_ms[host] = self._clock.now_ms()
         self._prepend_hosts(envelope.hosts)
         return envelope.reply
 
--- a/packages/agateferry-jobs/agateferry_jobs/calls/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/events.py
@@ -10,3 +10,8 @@
 REPLY_UNREADABLE = Event(
     7202, "reply of another host not understood", "Run the same release on all hosts."
 )
+PINGS_UNAVAILABLE = Event(
+    7203,
+    "the port for pings cannot be opened",
+    "Free the port and restart; until then entries ping by calls, which cost more.",
+)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -8,6 +8,7 @@
 
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
+from agateferry_core.tasks import repeat
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
@@ -160,7 +161,8 @@
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
         self._registry.open_sessions()
-        self._ticker = asyncio.get_running_loop().create_task(self._tick())
+        ticking = repeat(self._tick, TICK_MS, self._log_failure)
+        self._ticker = asyncio.get_running_loop().create_task(ticking)
         self.request_planning()
 
     def _stop(self) -> None:
@@ -176,18 +178,19 @@
 
     def _on_task_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            self._log.error(events.TASK_FAILED, detail=repr(task.exception()))
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            self._log_failure(exc)
+
+    def _log_failure(self, exc: BaseException) -> None:
+        self._log.error(events.TASK_FAILED, detail=repr(exc))
 
     async def _tick(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_MS / MS_PER_S)
-            if not self._replica.is_leader:
-                continue
-            if not self._is_planning:
-                await self._registry.end_lost_runs()
-            self._stop_hung_runs()
-            self.request_planning()
+        if not self._replica.is_leader:
+            return
+        if not self._is_planning:
+            await self._registry.end_lost_runs()
+        self._stop_hung_runs()
+        self.request_planning()
 
     async def _plan_while_due(self) -> None:
         """Plan until no request is left, with pauses, so that many changes share one plan."""
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -6,9 +6,11 @@
 
 import grpc
 
-from agateferry_core.clock import MS_PER_S, Clock
+from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
+from agateferry_core.tasks import repeat
 from agateferry_jobs.calls import LeaderClient, messages
+from agateferry_jobs.calls.pings import PingResponder, ping_port
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.servicer import LeaderServicer
 from agateferry_jobs.daemon import events
@@ -64,6 +66,7 @@
         self._make_port = make_port
         self._log = EventLogger(node=cfg.node)
         self._transport = GrpcTransport({}, self._rng, clock=clock)
+        self._ping_responder = PingResponder(self.answer_ping)
         self._server: grpc.aio.Server | None = None
         self._replica: NodeReplica | None = None
         self._leader: Leader | None = None
@@ -81,8 +84,10 @@
         self._server = server
         await server.start()
         self._transport.open_datagrams(self.cfg.internal_address)
+        await self._ping_responder.open(self.cfg.ip, ping_port(self.cfg.internal_port))
         await replica.start()
-        self._recovery_task = asyncio.create_task(self._recover_from_storage_failures())
+        recovery = repeat(self._recover_storage, RECOVERY_INTERVAL_MS, self._log_failure)
+        self._recovery_task = asyncio.create_task(recovery)
 
     async def stop(self) -> None:
         """Transfer the leadership, then close the network and the disk."""
@@ -92,6 +97,7 @@
             await self._replica.stop()
         if self._leader is not None:
             await self._leader.close()
+        self._ping_responder.close()
         if self._server is not None:
             await self._server.stop(RPC_GRACE_S)
         await self._transport.close()
@@ -101,8 +107,18 @@
         """Answer a call if this host leads; the answer also names the voters of the cell."""
         if self._leader is None or self._replica is None:
             return messages.ReplyEnvelope(messages.NotLeader())
-        reply = await self._leader.handle(call)
-        hosts = tuple(member.id.host for member in self._replica.members.voters)
+        return self._envelope(self._replica, await self._leader.handle(call))
+
+    def answer_ping(self) -> messages.ReplyEnvelope:
+        """Answer a ping: `Done` if this host leads, else the name of the leader if it is known."""
+        if self._replica is None:
+            return messages.ReplyEnvelope(messages.NotLeader())
+        if not self._replica.is_leader:
+            return self._envelope(self._replica, messages.NotLeader(self._replica.leader))
+        return self._envelope(self._replica, messages.Done())
+
+    def _envelope(self, replica: NodeReplica, reply: messages.Reply) -> messages.ReplyEnvelope:
+        hosts = tuple(member.id.host for member in replica.members.voters)
         return messages.ReplyEnvelope(reply, hosts)
 
     async def call(self, call: messages.Call, timeout_ms: int) -> messages.Reply:
@@ -139,17 +155,18 @@
         self._leader = Leader(replica, self.ledger, self._clock, self._make_port, lease_ms)
         return replica
 
-    async def _recover_from_storage_failures(self) -> None:
-        """Restart the replica after a storage failure, as a restart of the process would.
+    async def _recover_storage(self) -> None:
+        """Restart the replica if its storage failed, as a restart of the process would.
 
         A replica that failed to write takes no further part in the cell.
         """
-        while True:
-            await asyncio.sleep(RECOVERY_INTERVAL_MS / MS_PER_S)
-            failure = self._replica.failure if self._replica is not None else None
-            if failure is not None and failure.kind is ProposeErrorKind.STORAGE_FAILED:
-                self._log.warning(events.REPLICA_RESTARTING, detail=failure.detail)
-                await self._restart_replica()
+        failure = self._replica.failure if self._replica is not None else None
+        if failure is not None and failure.kind is ProposeErrorKind.STORAGE_FAILED:
+            self._log.warning(events.REPLICA_RESTARTING, detail=failure.detail)
+            await self._restart_replica()
+
+    def _log_failure(self, exc: Exception) -> None:
+        self._log.error(events.TASK_FAILED, detail=repr(exc))
 
     async def _restart_replica(self) -> None:
         if self._leader is not None:
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_cell.py
@@ -67,6 +67,7 @@
         if driver._timer is not None:
             driver._timer.cancel()
         await host._leader.close()
+        host._ping_responder.close()
         await host._transport.close()
         await host._server.stop(None)
         await host.client.close()
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -33,3 +33,6 @@
     ["reason"],
 )
 POLLS = Counter("agateferry_jobs_looks", "Polls of workers, by outcome.", ["outcome"])
+PONGS_DROPPED = Counter(
+    "agateferry_jobs_pongs_dropped", "Answers to pings that were dropped, by reason.", ["reason"]
+)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/events.py
@@ -17,3 +17,8 @@
 STOP_UNCERTAIN = Event(
     7112, "stop without a clear answer", "Nothing to do; it is sent again while the run is listed."
 )
+SESSION_FAILED = Event(
+    7113,
+    "unexpected error in a worker's session",
+    "Report the detail as a bug; the session goes on and learns its runs from the next poll.",
+)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -172,7 +172,12 @@
     def _spawn(self, coro: "asyncio.Future[None] | object") -> None:
         task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coro)  # type: ignore
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: "asyncio.Task[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            self._log.error(events.SESSION_FAILED, detail=repr(exc))
 
     async def _poll_forever(self) -> None:
         while True:
@@ -184,7 +189,11 @@
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
                 continue
             was_failing = self._is_failing
-            succeeded = await self._poll_once()
+            try:
+                succeeded = await self._poll_once()
+            except Exception as exc:
+                self._log.error(events.SESSION_FAILED, detail=repr(exc))
+                succeeded = False
             has_just_failed = self._is_failing and not was_failing
             if not succeeded and not has_just_failed:
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
@@ -321,6 +330,17 @@
         return ends
 
     async def _send_start(self, start: RunStart, payload: str, tracked: TrackedRun) -> None:
+        """Send a start order until its outcome is known; a poll tells the outcome of any other."""
+        try:
+            is_known = await self._try_start(start, payload, tracked)
+        except Exception as exc:
+            self._log.error(events.SESSION_FAILED, detail=repr(exc))
+            is_known = False
+        if not is_known:
+            self._mark_uncertain(tracked)
+
+    async def _try_start(self, start: RunStart, payload: str, tracked: TrackedRun) -> bool:
+        """Send a start order, twice at most; return whether its outcome is known and recorded."""
         key = (start.job, start.subtask)
         token = self._token
         for attempt in range(START_ATTEMPTS):
@@ -335,26 +355,27 @@
                     tracked.phase = Phase.CONFIRMED
                     tracked.phase_since_poll = self._poll_number
                     self._wake.set()
-                    return
+                    return True
                 case Rejected(reason) if attempt == 0:
                     metrics.STARTS_UNCLEAR.labels(reason).inc()
                     self._log.warning(
                         events.START_REJECTED, job=key[0], subtask=key[1], reason=reason
                     )
-                    await self._end_as_refused(key, tracked)
-                    return
+                    return await self._end_as_refused(key, tracked)
                 case _:
                     metrics.STARTS_UNCLEAR.labels(answer.label).inc()
                     self._log.warning(
                         events.START_UNCERTAIN, job=key[0], subtask=key[1], detail=str(answer)
                     )
-        self._mark_uncertain(tracked)
+        return False
 
-    async def _end_as_refused(self, key: RunKey, tracked: TrackedRun) -> None:
-        if await self._listener.commit_run_ends((_run_ended(key, tracked, RunOutcome.REFUSED),)):
-            self.forget(key, tracked.run)
-        else:
-            self._mark_uncertain(tracked)
+    async def _end_as_refused(self, key: RunKey, tracked: TrackedRun) -> bool:
+        if not await self._listener.commit_run_ends(
+            (_run_ended(key, tracked, RunOutcome.REFUSED),)
+        ):
+            return False
+        self.forget(key, tracked.run)
+        return True
 
     def _mark_uncertain(self, tracked: TrackedRun) -> None:
         """Let the next poll show whether a run began; its new token blocks late start orders."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -49,9 +49,11 @@
 
 
 class SessionCase(testtools.TestCase):
+    make_worker = ModelWorker
+
     async def begin(self, earlier_leases_until_ms=0):
         self.clock = SystemClock()
-        self.worker = ModelWorker(self.clock)
+        self.worker = self.make_worker(self.clock)
         self.listener = Listener()
         lease = Lease(8000, earlier_leases_until_ms)
         self.session = WorkerSession(worker("w1"), self.worker, self.listener, self.clock, lease)
@@ -192,3 +194,51 @@
             self.assertLess(self.elapsed_s(began_s), URGENT_SLACK_S / 2)
 
         self.check(scenario)
+
+
+class FailingPort(ModelWorker):
+    """A worker on whose next answers the port raises an error that nobody expected."""
+
+    polls_to_fail = 0
+    starts_to_fail = 0
+
+    async def poll(self, order, timeout_ms):
+        if self.polls_to_fail:
+            self.polls_to_fail -= 1
+            raise RuntimeError("poll")
+        return await super().poll(order, timeout_ms)
+
+    async def start(self, order, timeout_ms):
+        answer = await super().start(order, timeout_ms)
+        if self.starts_to_fail:
+            self.starts_to_fail -= 1
+            raise RuntimeError("start")
+        return answer
+
+
+class UnexpectedErrorTests(SessionCase):
+    """An unexpected error must not end the polls of a worker or leave a run without an outcome."""
+
+    make_worker = FailingPort
+
+    def test_polls_go_on_after_an_unexpected_error(self):
+        async def scenario():
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.worker.polls_to_fail = 2
+            await self.until(lambda: not self.worker.polls_to_fail, "polls fail")
+            self.worker.end(KEY, "done")
+            await self.until(lambda: self.outcomes() == [RunOutcome.DONE], "done")
+
+        self.check(scenario)
+
+    def test_a_start_that_ran_before_an_unexpected_error_is_found(self):
+        async def scenario():
+            self.worker.starts_to_fail = 1
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.worker.end(KEY, "done")
+            await self.until(lambda: self.outcomes() == [RunOutcome.DONE], "done")
+            self.assertEqual([(KEY, 1)], self.worker.starts)
+
+        self.check(scenario)
