Make each search for workers once a plan, and split the planner's modules by duty

Change: workers that may run a shape are found once a plan, also by rack; placements on a worker are kept until something on it changes; a search without a result is not made again while it would fail (FailedSearches says when); what runs hold is added up once for each worker; a manifest is searched through indexes, and critical paths are computed once a plan. ReadySubtasks stands below both modules that imported each other, future placements have a module of their own.

--- a/packages/agateferry-jobs/agateferry_jobs/manifest/manifest.py
+++ b/packages/agateferry-jobs/agateferry_jobs/manifest/manifest.py
@@ -1,5 +1,7 @@
 """The manifest in force, independent of the format in which operators send it."""
 
+from functools import cached_property
+
 from msgspec import Struct
 
 
@@ -41,8 +43,11 @@
     reserved_gpus: int = 0
 
 
-class Manifest(Struct, frozen=True):
-    """One version of the manifest; `source` holds the exact bytes that the operator sent."""
+class Manifest(Struct, frozen=True, dict=True):
+    """One version of the manifest; `source` holds the exact bytes that the operator sent.
+
+    A manifest can have thousands of queues, so it is searched through indexes.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
@@ -52,17 +57,37 @@
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue of this host with the longest matching path prefix."""
-        matching = [q for q in self.queues if q.host == host and path.startswith(q.prefix)]
+        matching = [q for q in self._queues_by_host.get(host, ()) if path.startswith(q.prefix)]
         return max(matching, key=lambda q: len(q.prefix), default=None)
 
     def queue_named(self, name: str) -> Queue | None:
         """Return the queue with this name."""
-        return next((q for q in self.queues if q.name == name), None)
+        return self._queues_by_name.get(name)
 
     def team_of(self, key: str) -> Team | None:
         """Return the team that an API key belongs to."""
-        return next((t for t in self.teams if key in t.keys), None)
+        return self._teams_by_key.get(key)
 
     def team_named(self, name: str) -> Team | None:
         """Return the team with this name."""
-        return next((t for t in self.teams if t.name == name), None)
+        return self._teams_by_name.get(name)
+
+    @cached_property
+    def _queues_by_host(self) -> dict[str, list[Queue]]:
+        by_host: dict[str, list[Queue]] = {}
+        for queue in self.queues:
+            by_host.setdefault(queue.host, []).append(queue)
+        return by_host
+
+    @cached_property
+    def _queues_by_name(self) -> dict[str, Queue]:
+        """The first queue of each name."""
+        return {queue.name: queue for queue in reversed(self.queues)}
+
+    @cached_property
+    def _teams_by_key(self) -> dict[str, Team]:
+        return {key: team for team in reversed(self.teams) for key in team.keys}
+
+    @cached_property
+    def _teams_by_name(self) -> dict[str, Team]:
+        return {team.name: team for team in reversed(self.teams)}
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -1,7 +1,7 @@
 """The workers as the planner sees them: what is free now and once all stopping runs have ended."""
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from agateferry_jobs.ledger import Job, Ledger, Run, WorkerIncarnation, WorkerState
@@ -10,6 +10,8 @@
 
 RunKey = tuple[str, str]
 """A job's id and a subtask's name."""
+MANY = 2**31
+"""More subtasks than any worker holds, for a resource that a subtask does not need."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,8 @@
     free_after_stops: Resources
     free_slots: int
     runs: list[AllocatedRun] = field(default_factory=list)
+    version: int = 0
+    """Grows with each change of the runs or of what is free."""
 
     @property
     def is_ready(self) -> bool:
@@ -53,9 +57,9 @@
         return self.incarnation.state is WorkerState.READY
 
     @property
-    def accepts_runs(self) -> bool:
-        """Return whether new runs may go to this worker now."""
-        return self.is_ready and self.health.answers
+    def slots_after_stops(self) -> int:
+        """Return the free slots once all stopping runs have ended."""
+        return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
 
     def can_ever_run(self, step: StepSpec) -> bool:
         """Return whether a subtask of this step would fit here if the worker were empty."""
@@ -71,21 +75,42 @@
         """Return how many subtasks of one step and occurrence run here, named `OCCURRENCE.STEP`."""
         return sum(1 for run in self.runs if run.job is job and gang_of(run.subtask) == gang)
 
+    def max_subtasks(self, step: StepSpec, available: Resources, job: Job, gang: str) -> int:
+        """Return how many subtasks of a step fit into `available`; slots are not counted."""
+        need = step.need
+        fitting = self.incarnation.slots
+        if need.cpu or need.mem_mb or need.gpu:
+            fitting = min(
+                available.cpu // need.cpu if need.cpu else MANY,
+                available.mem_mb // need.mem_mb if need.mem_mb else MANY,
+                available.gpu // need.gpu if need.gpu else MANY,
+            )
+        if step.max_per_worker:
+            fitting = min(fitting, step.max_per_worker - self.count_subtasks(job, gang))
+        return max(0, fitting)
+
     def allocate(self, job: Job, subtask: str) -> None:
-        """Allocate resources to a run that is here or is about to start."""
-        step = job.step_of(subtask)
-        self.runs.append(AllocatedRun(job, subtask, step, is_stopping=False))
-        self.free = self.free.minus(step.need)
-        self.free_after_stops = self.free_after_stops.minus(step.need)
-        self.free_slots -= 1
+        """Allocate resources to a run that is about to start."""
+        self.add_runs([AllocatedRun(job, subtask, job.step_of(subtask), is_stopping=False)])
+
+    def add_runs(self, runs: Sequence[AllocatedRun]) -> None:
+        """Allocate resources to runs; those of stopping ones count as free after stops."""
+        self.runs += runs
+        kept = [run for run in runs if not run.is_stopping]
+        self.free = self.free.minus(total_need(runs))
+        self.free_after_stops = self.free_after_stops.minus(total_need(kept))
+        self.free_slots -= len(runs)
+        self.version += 1
 
     def mark_stopping(self, allocated_run: AllocatedRun) -> None:
         """Record that a run is being stopped; its resources are free once it has ended."""
         allocated_run.is_stopping = True
+        self.version += 1
         self.free_after_stops = self.free_after_stops.plus(allocated_run.step.need)
 
     def reserve(self, need: Resources) -> None:
         """Reserve resources for a waiting job, so that jobs planned after it do not get them."""
+        self.version += 1
         self.free_after_stops = self.free_after_stops.minus(need)
         self.free = Resources(
             min(self.free.cpu, self.free_after_stops.cpu),
@@ -94,6 +119,25 @@
         )
 
 
+CandidateKey = tuple[str, Resources, str]
+"""A service, what a subtask needs, and the label that its worker must have."""
+
+
+class CandidateWorkers:
+    """The workers that may run subtasks of one shape.
+
+    `feasible` ones could if they were empty and answered; `usable` ones answer too. Both are also
+    grouped by rack.
+    """
+
+    def __init__(self, key: CandidateKey, feasible: list[WorkerAllocation]) -> None:
+        self.key = key
+        self.feasible = feasible
+        self.usable = [worker for worker in feasible if worker.health.answers]
+        self.feasible_racks = _by_rack(feasible)
+        self.usable_racks = _by_rack(self.usable)
+
+
 class Fleet:
     """All workers of all services at one moment."""
 
@@ -103,6 +147,7 @@
         for worker in workers:
             self.by_service[worker.incarnation.service].append(worker)
             self._by_id[worker.incarnation.id] = worker
+        self._candidates: dict[CandidateKey, CandidateWorkers] = {}
 
     @classmethod
     def from_ledger(
@@ -123,14 +168,20 @@
             )
             for incarnation in ledger.workers.values()
         }
-        for job in ledger.jobs.values():
-            for name, subtask in job.subtasks.items():
-                if subtask.active is not None:
-                    _allocate_run(workers, job, name, subtask.active, (job.id, name) in stopping)
-        for worker in workers.values():
-            _allocate_unexpected_runs(worker, ledger)
+        for id, runs in _runs_by_worker(ledger, workers, stopping).items():
+            workers[id].add_runs(runs)
         return cls(workers.values())
 
+    def candidates(self, service: str, step: StepSpec) -> CandidateWorkers:
+        """Return the workers of a service that may run a step's subtasks."""
+        key = (service, step.need, step.required_label)
+        found = self._candidates.get(key)
+        if found is None:
+            workers = self.by_service.get(service, [])
+            feasible = [each for each in workers if each.is_ready and each.can_ever_run(step)]
+            found = self._candidates[key] = CandidateWorkers(key, feasible)
+        return found
+
     def mark_stopping(self, job: Job, subtask: str) -> Run | None:
         """Mark a job's active run as stopping; return it, or None if there is none to stop."""
         run = job.subtasks[subtask].active
@@ -145,20 +196,40 @@
         return None
 
 
-def _allocate_run(
-    workers: Mapping[str, WorkerAllocation], job: Job, name: str, run: Run, is_stopping: bool
-) -> None:
-    worker = workers.get(run.worker)
-    if worker is None or worker.incarnation.born != run.born:
-        return
-    worker.allocate(job, name)
-    if is_stopping or job.is_over or job.subtasks[name].is_done:
-        worker.mark_stopping(worker.runs[-1])
-
-
-def _allocate_unexpected_runs(worker: WorkerAllocation, ledger: Ledger) -> None:
-    for job_id, name in worker.health.unexpected_runs:
-        job = ledger.jobs.get(job_id)
-        if job is not None:
-            worker.allocate(job, name)
-            worker.mark_stopping(worker.runs[-1])
+def total_need(runs: Sequence[AllocatedRun]) -> Resources:
+    """Return what several runs need together."""
+    return Resources(
+        sum(run.step.need.cpu for run in runs),
+        sum(run.step.need.mem_mb for run in runs),
+        sum(run.step.need.gpu for run in runs),
+    )
+
+
+def _runs_by_worker(
+    ledger: Ledger, workers: Mapping[str, WorkerAllocation], stopping: Collection[RunKey]
+) -> dict[str, list[AllocatedRun]]:
+    """Return the runs that the ledger places on each worker, then the unexpected ones."""
+    runs: dict[str, list[AllocatedRun]] = defaultdict(list)
+    for job in ledger.jobs.values():
+        is_over = job.is_over
+        for name, subtask in job.subtasks.items():
+            active = subtask.active
+            worker = workers.get(active.worker) if active is not None else None
+            if active is None or worker is None or worker.incarnation.born != active.born:
+                continue
+            is_stopping = is_over or subtask.is_done or (job.id, name) in stopping
+            runs[active.worker].append(AllocatedRun(job, name, job.step_of(name), is_stopping))
+    for id, worker in workers.items():
+        for job_id, name in worker.health.unexpected_runs:
+            unexpected = ledger.jobs.get(job_id)
+            if unexpected is not None:
+                step = unexpected.step_of(name)
+                runs[id].append(AllocatedRun(unexpected, name, step, is_stopping=True))
+    return runs
+
+
+def _by_rack(workers: Sequence[WorkerAllocation]) -> list[list[WorkerAllocation]]:
+    racks: dict[str, list[WorkerAllocation]] = defaultdict(list)
+    for worker in workers:
+        racks[worker.incarnation.rack].append(worker)
+    return list(racks.values())
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -14,10 +14,13 @@
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.ledger.state import gang_of
+from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fleet import AllocatedRun, Fleet, RunKey, WorkerAllocation
+from agateferry_jobs.planning.future_capacity import FutureCapacity
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
 from agateferry_jobs.planning.preemption_cost import PreemptionCost, WaitCost
 from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
+from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.timing import Lateness, Timing, first_unfinished_occurrence
 from agateferry_jobs.planning.worker_selection import WorkerSelector
 
@@ -48,23 +51,6 @@
     stops: list[Stop] = field(default_factory=list)
 
 
-@dataclass(frozen=True, slots=True)
-class ReadySubtasks:
-    """Subtasks of one step of one occurrence that may start now; `gang` is `OCCURRENCE.STEP`."""
-
-    job: Job
-    gang: str
-    step: StepSpec
-    names: tuple[str, ...]
-    rank: int
-    expected_duration_ms: int
-    waited_ms: int
-    hopeless_after_ms: float
-    """The wait after which the job is hopeless, so that it would not even end late."""
-    waited_slack_share: float
-    """The wait as a share of the job's slack; it is above 1 for a job that is late."""
-
-
 class Planner:
     """Make one plan from the ledger and the fleet at one moment."""
 
@@ -82,8 +68,9 @@
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
-        self._preemption_cost = PreemptionCost(self._ranks, now_ms, options)
-        self._wait_cost = WaitCost(self._timing, now_ms)
+        self._preemptible = FutureCapacity(PreemptionCost(self._ranks, now_ms, options))
+        self._ending = FutureCapacity(WaitCost(self._timing, now_ms))
+        self._failures = FailedSearches()
 
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
@@ -149,26 +136,26 @@
         )
 
     def _place(self, ready: ReadySubtasks) -> None:
-        selector = WorkerSelector(self._workers_for(ready.job), ready, self._ranks, self._options)
+        candidates = self._fleet.candidates(self._service_of(ready.job), ready.step)
+        selector = WorkerSelector(candidates, ready, self._ranks, self._options)
         if ready.step.is_gang:
-            workers = selector.select_for_gang()
+            workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
             if workers is None:
                 self._reserve_or_preempt(ready, selector, ready.names)
                 return
             self._start(ready, ready.names, workers)
             return
         for position, name in enumerate(ready.names):
-            worker = selector.select_for_subtask()
+            worker = self._failures.search(selector.subtask_key(), selector.select_for_subtask)
             if worker is None:
                 self._reserve_or_preempt(ready, selector, ready.names[position:])
                 return
             self._start(ready, (name,), (worker,))
 
-    def _workers_for(self, job: Job) -> list[WorkerAllocation]:
+    def _service_of(self, job: Job) -> str:
         manifest = self._ledger.manifest
         queue = manifest.queue_named(job.queue) if manifest is not None else None
-        service = queue.service if queue is not None else job.service
-        return self._fleet.by_service.get(service, [])
+        return queue.service if queue is not None else job.service
 
     def _start(
         self, ready: ReadySubtasks, names: Sequence[str], workers: Sequence[WorkerAllocation]
@@ -178,6 +165,7 @@
         checkpoint = self._checkpoint(ready, names)
         for name, worker in zip(names, workers, strict=True):
             worker.allocate(job, name)
+            self._failures.record_change()
             run = Run(number, worker.incarnation.id, worker.incarnation.born)
             self._plan.starts.append(RunStart(job.id, name, run, checkpoint))
 
@@ -195,13 +183,17 @@
         if policy is PreemptionPolicy.WAIT:
             return
         preempts = policy is PreemptionPolicy.PREEMPT
-        for worker, runs in selector.future_placements(
-            len(names), self._preemption_cost if preempts else self._wait_cost
-        ):
+        capacity = self._preemptible if preempts else self._ending
+        placements = self._failures.search(
+            selector.future_key(len(names), preempts),
+            lambda: capacity.cheapest(selector.groups_for_future(), ready, len(names)),
+        )
+        for worker, runs in placements or ():
             if preempts:
                 for victim in runs:
                     self._preempt(victim, ready)
             worker.reserve(ready.step.need)
+            self._failures.record_change()
 
     def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
         """Return what ready subtasks that cannot start may do to other work."""
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
@@ -0,0 +1,23 @@
+"""The subtasks of one step that may start now, with what decides where and when they start."""
+
+from dataclasses import dataclass
+
+from agateferry_jobs.ledger import Job
+from agateferry_jobs.ledger.specs import StepSpec
+
+
+@dataclass(frozen=True, slots=True)
+class ReadySubtasks:
+    """Subtasks of one step of one occurrence that may start now; `gang` is `OCCURRENCE.STEP`."""
+
+    job: Job
+    gang: str
+    step: StepSpec
+    names: tuple[str, ...]
+    rank: int
+    expected_duration_ms: int
+    waited_ms: int
+    hopeless_after_ms: float
+    """The wait after which the job is hopeless, so that it would not even end late."""
+    waited_slack_share: float
+    """The wait as a share of the job's slack; it is above 1 for a job that is late."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -30,6 +30,7 @@
         self._ledger = ledger
         self._learns_durations = learns_durations
         self._durations: dict[tuple[str, int], int] = {}
+        self._critical_paths: dict[str, int] = {}
 
     def expected_duration_ms(self, job: Job, step: int) -> int:
         """Return how long a subtask of the step with this number is expected to run."""
@@ -47,7 +48,11 @@
 
     def critical_path_ms(self, job: Job) -> int:
         """Return the expected duration of the job's critical path through its steps."""
-        return critical_path_ms(job.spec.steps, self._expected_durations_ms(job))
+        path_ms = self._critical_paths.get(job.id)
+        if path_ms is None:
+            path_ms = critical_path_ms(job.spec.steps, self._expected_durations_ms(job))
+            self._critical_paths[job.id] = path_ms
+        return path_ms
 
     def slack_ms(self, job: Job) -> float:
         """Return how long a job may wait in total and still end within its objective."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -1,21 +1,14 @@
 """Select the workers that a step's ready subtasks go to."""
 
-from __future__ import annotations
-
-import heapq
 import math
-from collections import defaultdict
 from collections.abc import Mapping, Sequence
-from typing import TYPE_CHECKING
 
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.planning.fleet import AllocatedRun, WorkerAllocation
+from agateferry_jobs.planning.failed_searches import SearchKey
+from agateferry_jobs.planning.fleet import AllocatedRun, CandidateWorkers, WorkerAllocation
 from agateferry_jobs.planning.options import PolicyOptions
-from agateferry_jobs.planning.preemption_cost import CapacityCost
 from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, LOWEST_RANK
-
-if TYPE_CHECKING:
-    from agateferry_jobs.planning.planner import ReadySubtasks
+from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 
 DATA_RACK_WAIT_FACTOR = 2.0
 """A subtask waits for its data's rack for up to this many times its expected duration.
@@ -29,16 +22,13 @@
 rack takes up to 0.9 s of that.
 """
 
-FuturePlacements = list[tuple[WorkerAllocation, list[AllocatedRun]]]
-"""Workers for subtasks, each with the runs that must end before the subtask fits there."""
-
 
 class WorkerSelector:
-    """Select among the workers of one service for the ready subtasks of one step."""
+    """Select among the candidate workers for the ready subtasks of one step."""
 
     def __init__(
         self,
-        workers: Sequence[WorkerAllocation],
+        candidates: CandidateWorkers,
         ready: ReadySubtasks,
         ranks: Mapping[str, int],
         options: PolicyOptions,
@@ -46,10 +36,7 @@
         self._ready = ready
         self._options = options
         self._step = ready.step
-        self._feasible_workers = [
-            worker for worker in workers if worker.is_ready and worker.can_ever_run(ready.step)
-        ]
-        self._usable_workers = [worker for worker in self._feasible_workers if worker.accepts_runs]
+        self._candidates = candidates
         self._ranks = ranks
         self._waits_for_rack = ready.waited_ms < self._max_rack_wait_ms()
 
@@ -71,6 +58,31 @@
             max_wait_ms = min(max_wait_ms, GUARANTEED_RACK_WAIT_MS)
         return max_wait_ms
 
+    def subtask_key(self) -> SearchKey | None:
+        """Return what `select_for_subtask` depends on; None where it depends on the job too."""
+        if self._step.max_per_worker:
+            return None
+        peers = self._ready.rank if self._shares_only_with_peers else None
+        inputs = (self._candidates.key, self._step.data_rack, self._waits_for_rack, peers)
+        return SearchKey(inputs, is_final=peers is None)
+
+    def gang_key(self) -> SearchKey | None:
+        """Return what `select_for_gang` depends on; None where it depends on the job too."""
+        if self._step.max_per_worker:
+            return None
+        count = len(self._ready.names)
+        inputs = (self._candidates.key, count, self._step.same_rack, self._waits_for_rack)
+        return SearchKey(inputs, is_final=True)
+
+    def future_key(self, count: int, preempts: bool) -> SearchKey | None:
+        """Return what a search for `count` future placements depends on, as the others do."""
+        if self._step.max_per_worker:
+            return None
+        rank = self._ready.rank if preempts else None
+        is_in_rack = self._step.same_rack and self._step.is_gang
+        inputs = (self._candidates.key, count, rank, is_in_rack, self._waits_for_rack)
+        return SearchKey(inputs, is_final=False)
+
     def select_for_subtask(self) -> WorkerAllocation | None:
         """Return the worker for one subtask, or None if it should wait."""
         fitting = [worker for worker in self._eligible_workers() if worker.fits_now(self._step)]
@@ -79,7 +91,7 @@
         if (
             not in_data_rack
             and self._waits_for_rack
-            and any(self._is_in_data_rack(worker) for worker in self._feasible_workers)
+            and any(self._is_in_data_rack(worker) for worker in self._candidates.feasible)
         ):
             return None
         return min(in_data_rack or fitting, key=self._sort_key, default=None)
@@ -91,66 +103,57 @@
         preempted. So the least urgent work shares workers only with its peers and leaves some
         workers empty, until it has waited for a part of its slack.
         """
-        is_least_urgent = self._ready.rank > BORROWED_RANK + 1
-        if (
-            not is_least_urgent
-            or self._ready.waited_slack_share > self._options.share_workers_after
-        ):
-            return self._usable_workers
-        empty = [worker for worker in self._usable_workers if not worker.runs]
-        headroom = math.ceil(len(self._usable_workers) * self._options.headroom_share)
+        usable = self._candidates.usable
+        if not self._shares_only_with_peers:
+            return usable
+        empty = [worker for worker in usable if not worker.runs]
+        headroom = math.ceil(len(usable) * self._options.headroom_share)
         peers_only = [
-            worker
-            for worker in self._usable_workers
-            if worker.runs and all(map(self._is_peer, worker.runs))
+            worker for worker in usable if worker.runs and all(map(self._is_peer, worker.runs))
         ]
         return peers_only + empty if len(empty) > headroom else peers_only
 
+    @property
+    def _shares_only_with_peers(self) -> bool:
+        is_least_urgent = self._ready.rank > BORROWED_RANK + 1
+        has_waited = self._ready.waited_slack_share > self._options.share_workers_after
+        return is_least_urgent and not has_waited
+
     def _is_peer(self, allocated_run: AllocatedRun) -> bool:
         return self._ranks.get(allocated_run.job.id, LOWEST_RANK) >= self._ready.rank
 
     def select_for_gang(self) -> tuple[WorkerAllocation, ...] | None:
         """Return a worker for each member of the gang, or None if it should wait."""
         count = len(self._ready.names)
-        groups = self._groups(self._usable_workers)
+        groups = self._usable_groups()
         found = [workers for group in groups if (workers := self._pack(group, count)) is not None]
         if found:
             return min(
                 found,
                 key=lambda workers: sum(self._sort_key(worker)[1] for worker in distinct(workers)),
             )
-        racks = self._groups(self._feasible_workers)
+        racks = (
+            self._candidates.feasible_racks if self._is_rack_gang else [self._candidates.feasible]
+        )
         is_rack_possible = any(self._fits_when_empty(rack, count) for rack in racks)
         if self._step.same_rack and (not self._waits_for_rack or not is_rack_possible):
-            return self._pack(self._usable_workers, count)
+            return self._pack(self._candidates.usable, count)
         return None
 
-    def future_placements(self, count: int, cost: CapacityCost) -> FuturePlacements:
-        """Return the cheapest `count` placements that become possible once some runs have ended.
+    def groups_for_future(self) -> list[list[WorkerAllocation]]:
+        """Return the sets of workers of which one is to hold the subtasks later."""
+        groups = self._usable_groups()
+        return groups if self._waits_for_rack else [*groups, self._candidates.usable]
 
-        Returns nothing if the runs that `cost` admits do not free enough resources.
-        """
-        best: tuple[float, FuturePlacements] | None = None
-        groups = self._groups(self._usable_workers)
-        if not self._waits_for_rack:
-            groups = [*groups, self._usable_workers]
-        for group in groups:
-            placements = self._cheapest_in(group, count, cost)
-            if placements is None:
-                continue
-            total_cost = sum(cost.of_runs(runs) for _, runs in placements)
-            if best is None or total_cost < best[0]:
-                best = (total_cost, placements)
-        return best[1] if best is not None else []
+    @property
+    def _is_rack_gang(self) -> bool:
+        return self._step.same_rack and self._step.is_gang
 
-    def _groups(self, workers: list[WorkerAllocation]) -> list[list[WorkerAllocation]]:
+    def _usable_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers that may hold one gang: each rack, or all of them together."""
-        if not (self._step.same_rack and self._step.is_gang):
-            return [workers]
-        racks: dict[str, list[WorkerAllocation]] = defaultdict(list)
-        for worker in workers:
-            racks[worker.incarnation.rack].append(worker)
-        return list(racks.values())
+        if self._is_rack_gang:
+            return self._candidates.usable_racks
+        return [self._candidates.usable]
 
     def _pack(
         self, group: Sequence[WorkerAllocation], count: int
@@ -175,73 +178,7 @@
         )
 
     def _max_subtasks(self, worker: WorkerAllocation, available: Resources) -> int:
-        """Return how many subtasks fit into these resources of a worker."""
-        need = self._step.need
-        pairs = (
-            (available.cpu, need.cpu),
-            (available.mem_mb, need.mem_mb),
-            (available.gpu, need.gpu),
-        )
-        fitting = min(
-            (have // want for have, want in pairs if want > 0), default=worker.incarnation.slots
-        )
-        if self._step.max_per_worker:
-            already_placed = worker.count_subtasks(self._ready.job, self._ready.gang)
-            fitting = min(fitting, self._step.max_per_worker - already_placed)
-        return max(0, fitting)
-
-    def _cheapest_in(
-        self, group: Sequence[WorkerAllocation], count: int, cost: CapacityCost
-    ) -> FuturePlacements | None:
-        """Return the cheapest placements in a group, or None if there are fewer than `count`.
-
-        The placements on one worker are taken in their order, since each one counts on the ends
-        that those before it wait for.
-        """
-        heap: list[tuple[float, int, FuturePlacements]] = []
-
-        def push(number: int, remaining: FuturePlacements) -> None:
-            if remaining:
-                heapq.heappush(heap, (cost.of_runs(remaining[0][1]), number, remaining))
-
-        for number, worker in enumerate(group):
-            push(number, self._placements_on(worker, count, cost))
-        placements: FuturePlacements = []
-        while heap and len(placements) < count:
-            _, number, remaining = heapq.heappop(heap)
-            placements.append(remaining[0])
-            push(number, remaining[1:])
-        return placements if len(placements) == count else None
-
-    def _placements_on(
-        self, worker: WorkerAllocation, count: int, cost: CapacityCost
-    ) -> FuturePlacements:
-        """Return up to `count` placements here, each with the further runs that must end for it."""
-        rank = self._ready.rank
-        candidates = [
-            run for run in worker.runs if not run.is_stopping and cost.is_candidate(run, rank)
-        ]
-        candidates.sort(key=cost.of_run)
-        free_after_stops = worker.free_after_stops
-        placements: FuturePlacements = []
-        slots = worker.free_slots + sum(1 for run in worker.runs if run.is_stopping)
-        ended: list[AllocatedRun] = []
-        limit = min(count, self._max_subtasks(worker, worker.incarnation.capacity))
-        while len(placements) < limit:
-            if slots > 0 and self._step.need.fits(free_after_stops):
-                placements.append((worker, ended))
-                free_after_stops, slots, ended = (
-                    free_after_stops.minus(self._step.need),
-                    slots - 1,
-                    [],
-                )
-            elif candidates:
-                candidate = candidates.pop(0)
-                ended = [*ended, candidate]
-                free_after_stops, slots = free_after_stops.plus(candidate.step.need), slots + 1
-            else:
-                break
-        return placements
+        return worker.max_subtasks(self._step, available, self._ready.job, self._ready.gang)
 
     def _is_below_worker_limit(self, worker: WorkerAllocation) -> bool:
         limit = self._step.max_per_worker
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -192,6 +192,24 @@
     surges=(Surge("urgent", 4.0, 6.0, 2.0),),
 )
 
+LARGE = Load(
+    (
+        replace(URGENT, per_s=10.3, width=5.3),
+        replace(GANGS, per_s=2.6, width=13.0),
+        replace(BATCH, per_s=2.0, width=38.0, work_ms=9_500),
+    ),
+    workers=270,
+    workers_per_rack=20,
+    teams=24,
+    zones=5,
+    duration_s=41.0,
+    stop_duration_ms=(100, 200),
+    surges=(Surge("urgent", 4.0, 6.0, 2.0), Surge("batch", 20.0, 4.0, 2.6)),
+    outages=(Outage(26.0, 5.5, share=0.17),),
+    goal=Goal(0.48, 0.2, 0.12, 0.2, 0.16, window_s=2, waste_price=0.0001),
+)
+"""Hundreds of workers and many teams, at one and a half times the load that fills them."""
+
 STRAPS = Load(
     (
         replace(
@@ -250,6 +268,7 @@
     "slow": SLOW,
     "heavy": HEAVY,
     "grown": GROWN,
+    "large": LARGE,
     "straps": STRAPS,
     "straps-surge": STRAPS_SURGE,
     "straps-cuts": STRAPS_CUTS,
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -58,7 +58,8 @@
     placed: list[tuple[str, WorkerAllocation]] = []
     for name in waiting:
         step = job.step_of(name)
-        worker = next((each for each in workers if each.accepts_runs and each.fits_now(step)), None)
+        answering = (worker for worker in workers if worker.is_ready and worker.health.answers)
+        worker = next((worker for worker in answering if worker.fits_now(step)), None)
         if worker is None:
             break
         worker.allocate(job, name)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/running_group.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/running_group.py
@@ -8,7 +8,7 @@
 from agateferry_jobs.simulation.drawing import SimulatedJob
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class RunningGroup:
     """A running subtask, or the members of a gang that run together, by subtask name.
 
