Keep a worker in use whose row cannot be read or whose old deregistration arrives late

Looked for among the failures of similar systems; each could happen here: - One row of a worker's lists that could not be read made the whole answer count as none, so the worker seemed silent, its lease ran out and its running work started again elsewhere.

--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
@@ -0,0 +1,45 @@
+import asyncio
+
+from agateferry_jobs.calls import messages
+from agateferry_jobs.cell.tests.test_leader import ID, JOB, LeaderCase, target
+from agateferry_jobs.ledger import WorkerState
+from agateferry_jobs.support import worker
+
+
+class DeregistrationTests(LeaderCase):
+    """A call to deregister may arrive late or twice, after the worker has started again."""
+
+    async def start_job_on(self, incarnation):
+        await self.heartbeat(incarnation)
+        await self.call(messages.Submit(target(), JOB))
+        await self.running_on(incarnation.id)
+
+    def test_a_late_call_of_an_earlier_incarnation_leaves_the_new_one_in_use(self):
+        async def scenario():
+            await self.start_job_on(worker("w1", born=2))
+            self.assertEqual(messages.Done(), await self.call(messages.Deregister("w1")))
+            await asyncio.sleep(1.5)
+            self.assertEqual(2, self.ledger.workers["w1"].born)
+            self.assertIsNotNone(self.ledger.jobs[ID].subtasks["0.0.0"].active)
+            self.assertEqual(1, len(self.ports["w1"].starts))
+
+        self.check(scenario)
+
+    def test_a_worker_that_leaves_without_having_drained_is_removed_once_it_is_silent(self):
+        async def scenario():
+            await self.start_job_on(worker("w1"))
+            await self.call(messages.Deregister("w1"))
+            self.ports["w1"].is_unreachable = True
+            await self.until(lambda: "w1" not in self.ledger.workers, "removed")
+            self.assertIsNone(self.ledger.jobs[ID].subtasks["0.0.0"].active)
+
+        self.check(scenario)
+
+    def test_a_draining_worker_is_removed_at_once(self):
+        async def scenario():
+            await self.start_job_on(worker("w1"))
+            await self.heartbeat(worker("w1", state=WorkerState.DRAINING), sequence=2)
+            await self.call(messages.Deregister("w1"))
+            self.assertEqual({}, self.ledger.workers)
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -1,5 +1,6 @@
 """The workers that the leader knows, with one session for the current incarnation of each."""
 
+import asyncio
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
@@ -20,6 +21,8 @@
     WorkerSession,
 )
 
+SHUTDOWN_MS = 1_000
+"""How long a worker that says that it leaves may take until it no longer answers."""
 MAX_IDLE_POLLS_PER_S = 60
 """How many polls a second the leader sends at most to workers where no run ends."""
 
@@ -115,9 +118,19 @@
         return messages.Done()
 
     async def on_deregister(self, worker: str) -> messages.Reply:
-        """Remove a worker that shuts down and end its runs as lost."""
+        """Remove a worker that shuts down and end its runs as lost.
+
+        The call doesn't name the incarnation. One that arrives late, after the worker has started
+        again, must not remove the new incarnation, which does not drain: that is removed only if it
+        does not answer a moment later.
+        """
         incarnation = self._ledger.workers.get(worker)
-        if incarnation is not None and not await self._deregister(incarnation):
+        if incarnation is None:
+            return messages.Done()
+        if incarnation.state is WorkerState.READY and worker in self.sessions:
+            self._hooks.spawn(self._deregister_unless_present(self.sessions[worker]))
+            return messages.Done()
+        if not await self._deregister(incarnation):
             return messages.OutcomeUnknown("not stored")
         return messages.Done()
 
@@ -224,6 +237,12 @@
                 await self._deregister(other)
         self._open_session(incarnation, earlier_leases_until_ms=0)
 
+    async def _deregister_unless_present(self, session: WorkerSession) -> None:
+        await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
+        is_current = self.sessions.get(session.incarnation.id) is session
+        if is_current and not await session.is_present():
+            await self._deregister(session.incarnation)
+
     async def _deregister(self, incarnation: WorkerIncarnation) -> bool:
         gone = WorkerIncarnation(
             incarnation.id,
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -36,3 +36,6 @@
 PONGS_DROPPED = Counter(
     "agateferry_jobs_pongs_dropped", "Answers to pings that were dropped, by reason.", ["reason"]
 )
+ROWS_UNREADABLE = Counter(
+    "agateferry_jobs_rows_unreadable", "Rows in workers' lists of runs that could not be read."
+)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/port.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/port.py
@@ -79,7 +79,8 @@
 class RunLists:
     """The running and ended runs of a worker, in answer to a poll.
 
-    `born` names the worker's incarnation, None where the answer has none.
+    `born` names the worker's incarnation, None where the answer has none. Where `is_complete` is
+    False, some rows could not be read, so a run may go on although it is not listed.
     """
 
     label: ClassVar[str] = "Listed"
@@ -88,6 +89,7 @@
     born: int | None
     running: tuple[RunningRun, ...]
     finished: tuple[FinishedRun, ...]
+    is_complete: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -148,6 +148,12 @@
         """Record that a heartbeat of the worker arrived."""
         self.last_contact_ms = self._clock.now_ms()
 
+    async def is_present(self) -> bool:
+        """Ask the worker now, once, whether this incarnation is still there."""
+        order = PollOrder(None, self._token, self._acknowledged_cursor, wait_ms=0)
+        answer = await self._port.poll(order, ORDER_TIMEOUT_MS)
+        return isinstance(answer, RunLists) and answer.born in (None, self.incarnation.born)
+
     def is_lease_expired(self) -> bool:
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
         return self._lease.is_expired(self._clock.now_ms())
@@ -265,7 +271,8 @@
         self._mark_answering(lists.clock_ms)
         ends = self._listed_ends(lists)
         self._update_running(lists)
-        ends += self._inferred_ends(lists, poll_number)
+        if lists.is_complete:
+            ends += self._inferred_ends(lists, poll_number)
         if not await self._commit_ends(lists, ends):
             return False
         if not self._has_answered:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 
 import testtools
 
@@ -242,3 +243,29 @@
             self.assertEqual([(KEY, 1)], self.worker.starts)
 
         self.check(scenario)
+
+
+class IncompleteListsTests(SessionCase):
+    """A run whose row cannot be read may go on, so it must not start elsewhere."""
+
+    class HidingWorker(ModelWorker):
+        hides = False
+
+        async def poll(self, order, timeout_ms):
+            lists = await super().poll(order, timeout_ms)
+            return replace(lists, running=(), is_complete=False) if self.hides else lists
+
+    make_worker = HidingWorker
+
+    def test_a_run_that_is_missing_from_incomplete_lists_is_not_lost(self):
+        async def scenario():
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.worker.hides = True
+            await asyncio.sleep(3 * MIN_POLL_WAIT_MS / 1000)
+            self.assertEqual([], self.outcomes())
+            self.worker.hides = False
+            self.worker.end(KEY, "done")
+            await self.until(lambda: self.outcomes() == [RunOutcome.DONE], "done")
+
+        self.check(scenario)
