Don't take workers for silent where the leader itself was held up

Cause: looked for among the failures of similar systems. While a long plan or a slow disk holds the leader's loop, the answers of polls wait in their sockets; when it runs again, the timeouts fire in the same turn as the reads, and every poll in flight counts as unanswered: at 270 workers the next plan sees nearly none that answers, and each of them gets new connections.

--- a/Makefile
+++ b/Makefile
@@ -52,6 +52,7 @@
 	$(BIN)/python -m agateferry_state.replica.bench
 
 budget: setup
+	$(BIN)/python tools/role_budget.py
 	$(BIN)/python -m agateferry_standins.budget
 
 capacity: setup
--- a/packages/agateferry-jobs/agateferry_jobs/workers/port.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/port.py
@@ -115,11 +115,16 @@
 
 @dataclass(frozen=True, slots=True)
 class NoAnswer:
-    """No readable answer came; the order may have been carried out, or may be later."""
+    """No readable answer came; the order may have been carried out, or may be later.
+
+    With `is_own_delay` this process did not run when the time was over, so that an answer may have
+    arrived in time: that tells nothing about the worker.
+    """
 
     label: ClassVar[str] = "NoAnswer"
 
     detail: str
+    is_own_delay: bool = False
 
 
 Answer = Confirmed | Rejected | IncarnationMismatch | NoAnswer
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -233,6 +233,8 @@
             case Rejected(reason="fence"):
                 self._token = self._listener.next_token()
                 return False
+            case NoAnswer(is_own_delay=True):
+                return True
             case _:
                 self._mark_failing(str(answer))
                 return False
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -9,6 +9,7 @@
 from agateferry_jobs.ledger.commands import RunOutcome
 from agateferry_jobs.support import ModelWorker, start_of, worker
 from agateferry_jobs.workers.lease import Lease
+from agateferry_jobs.workers.port import NoAnswer
 from agateferry_jobs.workers.session import MIN_POLL_WAIT_MS, WorkerSession
 
 KEY = ("j", "0.0.0")
@@ -269,3 +270,31 @@
             await self.until(lambda: self.outcomes() == [RunOutcome.DONE], "done")
 
         self.check(scenario)
+
+
+class OwnDelayTests(SessionCase):
+    """A leader that was held up itself must not take its worker for silent."""
+
+    class HeldUpPort(ModelWorker):
+        polls_held_up = 0
+
+        async def poll(self, order, timeout_ms):
+            if self.polls_held_up:
+                self.polls_held_up -= 1
+                return NoAnswer("held up", is_own_delay=True)
+            return await super().poll(order, timeout_ms)
+
+    make_worker = HeldUpPort
+
+    def test_a_poll_that_this_process_held_up_leaves_the_worker_answering(self):
+        async def scenario():
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.worker.polls_held_up = 3
+            while self.worker.polls_held_up:
+                self.assertTrue(self.session.health(False).answers)
+                await asyncio.sleep(0.001)
+            self.worker.end(KEY, "done")
+            await self.until(lambda: self.outcomes() == [RunOutcome.DONE], "done")
+
+        self.check(scenario)
