Act in a new term on nothing that was decided in an earlier one

Cause: looked for among the failures of similar systems. A leader that lost its leadership and led again while one of its tasks waited let that task go on: a start whose commit it had awaited was sent although the sessions of the new term had adopted that run and could settle it as refused and start it elsewhere; its planning task went on without waiting for the workers' first answers; and sessions were closed in a later turn, so those of the new term could be closed and the old ones left polling for good.

Change: a start is sent only in the term in which it was proposed, a planning task asks before each plan whether enough workers are known, and sessions are given up in the same turn.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -15,7 +15,7 @@
 from agateferry_jobs.cell.call_handler import CallHandler
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.suspects import SuspectWorkers
-from agateferry_jobs.cell.worker_registry import WorkerRegistry
+from agateferry_jobs.cell.worker_registry import WorkerRegistry, close_all
 from agateferry_jobs.ledger import Job, Ledger, Run, commands
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.planning.fleet import RunKey
@@ -89,7 +89,7 @@
     async def close(self) -> None:
         """Stop planning and close all worker sessions."""
         self._stop()
-        await self._registry.close_sessions()
+        await close_all(self._registry.detach_sessions())
 
     async def _dispatch(self, call: messages.Call) -> messages.Reply:
         match call:
@@ -153,7 +153,7 @@
         if not is_leader:
             self._log.info(events.NOT_LEADING, term=term)
             self._stop()
-            self.spawn(self._registry.close_sessions())
+            self.spawn(close_all(self._registry.detach_sessions()))
             return
         self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
         self._issued_tokens = 0
@@ -195,7 +195,7 @@
     async def _plan_while_due(self) -> None:
         """Plan until no request is left, with pauses, so that many changes share one plan."""
         try:
-            while self._is_plan_due and self._replica.is_leader:
+            while self._is_plan_due and self._replica.is_leader and self._may_plan():
                 self._is_plan_due = False
                 self._is_planning = True
                 began_ms = self._clock.now_ms()
@@ -220,10 +220,11 @@
             self._stop_run(stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank)
         if not plan.starts:
             return
+        term = self._replica.term
         result: Result[Any, Any] = await self._proposer.propose(
             commands.StartRuns(tuple(plan.starts), self.now_ms)
         )
-        if result.is_error() or not self._replica.is_leader:
+        if result.is_error() or not self._replica.is_leader or self._replica.term != term:
             return
         for start in result.ok:
             self._log.info(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -1,7 +1,7 @@
 """The workers that the leader knows, with one session for the current incarnation of each."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
@@ -81,11 +81,10 @@
         if lost:
             self._hooks.spawn(self._commit_lost_runs(lost))
 
-    async def close_sessions(self) -> None:
-        """Close all sessions."""
+    def detach_sessions(self) -> list[WorkerSession]:
+        """Give up all sessions, at once, and return them to be closed."""
         sessions, self.sessions = self.sessions, {}
-        for session in sessions.values():
-            await session.close()
+        return list(sessions.values())
 
     async def on_heartbeat(self, heartbeat: messages.Heartbeat) -> messages.Reply:
         """Register a worker, or record its new state; `Done` means that this is committed.
@@ -302,5 +301,11 @@
         return tuple(lost)
 
 
+async def close_all(sessions: Sequence[WorkerSession]) -> None:
+    """Close sessions, one after the other."""
+    for session in sessions:
+        await session.close()
+
+
 def _lost_run_end(key: RunKey, run: Run) -> commands.RunEnded:
     return commands.RunEnded(key[0], key[1], run, commands.RunOutcome.LOST)
