Let no row of a worker and no single job stop the planning of all

Cause: looked for among the failures of similar systems. A worker's row that names a known job and a subtask which that job does not have ("x", "0.9.0") raised in every plan as long as it was listed, so nothing at all started. Any unexpected error in one job had the same effect.

A row that cannot be read makes a worker's lists incomplete only where it names a subtask, so that a row of another writer cannot keep the outcome of a start unknown for good.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -39,3 +39,8 @@
     "Nothing to do if leadership changed; otherwise check the host's disk.",
 )
 TASK_FAILED = Event(7351, "background task failed", "Report the detail as a bug.")
+JOB_NOT_PLANNED = Event(
+    7352,
+    "unexpected error in planning a job",
+    "Report the detail as a bug; the other jobs are planned. Cancel the job if it may go.",
+)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -59,6 +59,7 @@
         self._is_planning = False
         self._is_plan_due = False
         self._has_planning_task = False
+        self._jobs_with_errors: set[str] = set()
         replica.on_leadership(self._on_leadership)
 
     @property
@@ -157,6 +158,7 @@
             return
         self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
         self._issued_tokens = 0
+        self._jobs_with_errors.clear()
         self._has_taken_over = False
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
@@ -216,6 +218,7 @@
         return Planner(self._ledger, fleet, self.now_ms).plan()
 
     async def _execute(self, plan: Plan) -> None:
+        self._log_errors(plan)
         for stop in plan.stops:
             self._stop_run(stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank)
         if not plan.starts:
@@ -238,6 +241,12 @@
             self._observe_first_start(start, job)
             self._registry.start_run(start, job.spec.payload)
 
+    def _log_errors(self, plan: Plan) -> None:
+        """Log each job that could not be planned, once for each leadership."""
+        for id in plan.errors.keys() - self._jobs_with_errors:
+            self._jobs_with_errors.add(id)
+            self._log.error(events.JOB_NOT_PLANNED, job=id, detail=plan.errors[id])
+
     def _observe_first_start(self, start: commands.RunStart, job: Job) -> None:
         if start.subtask == "0.0.0" and start.run.number == 1:
             waited_s = (self.now_ms - job.accepted_ms) / MS_PER_S
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -222,12 +222,20 @@
     for id, worker in workers.items():
         for job_id, name in worker.health.unexpected_runs:
             unexpected = ledger.jobs.get(job_id)
-            if unexpected is not None:
-                step = unexpected.step_of(name)
+            step = _step_if_any(unexpected, name) if unexpected is not None else None
+            if unexpected is not None and step is not None:
                 runs[id].append(AllocatedRun(unexpected, name, step, is_stopping=True))
     return runs
 
 
+def _step_if_any(job: Job, name: str) -> StepSpec | None:
+    """Return the step of a subtask that a worker names, None where the job has no such step."""
+    try:
+        return job.step_of(name)
+    except (ValueError, IndexError):
+        return None
+
+
 def _by_rack(workers: Sequence[WorkerAllocation]) -> list[list[WorkerAllocation]]:
     racks: dict[str, list[WorkerAllocation]] = defaultdict(list)
     for worker in workers:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -45,10 +45,12 @@
 
 @dataclass(slots=True)
 class Plan:
-    """The runs to start and the runs to stop."""
+    """The runs to start and to stop, and the jobs that could not be planned."""
 
     starts: list[RunStart] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    errors: dict[str, str] = field(default_factory=dict)
+    """By job id, the unexpected error for which a job was left out; the others are planned."""
 
 
 class Planner:
@@ -75,10 +77,16 @@
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
         for job in self._waiting_jobs():
-            for ready in self._ready_subtasks(job):
-                self._place(ready)
+            try:
+                self._plan_job(job)
+            except Exception as exc:
+                self._plan.errors[job.id] = repr(exc)
         return self._plan
 
+    def _plan_job(self, job: Job) -> None:
+        for ready in self._ready_subtasks(job):
+            self._place(ready)
+
     def _waiting_jobs(self) -> list[Job]:
         jobs = [job for job in self._ledger.jobs.values() if not job.is_over]
         return sorted(jobs, key=self._sort_key)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -1,3 +1,5 @@
+from unittest import mock
+
 import msgspec
 import testtools
 
@@ -366,3 +368,23 @@
             self.apply(commands.StartRuns(tuple(self.plan(at_ms).starts), at_ms))
         self.apply(job_command("urgent", StepSpec(1, Resources(gpu=4)), priority=0))
         self.assertEqual([("saves", "0.0.0")], [stop.key for stop in self.plan(9000).stops])
+
+
+class UnexpectedErrorTests(PlannerCase):
+    """An error that nobody expected in one job must not keep all others from starting."""
+
+    def test_the_other_jobs_are_planned(self):
+        self.add(worker("w1"))
+        for id in ("j", "k", "l"):
+            self.apply(job_command(id))
+        place = Planner._place
+
+        def fail_for_k(planner, ready):
+            if ready.job.id == "k":
+                raise RuntimeError("unexpected")
+            place(planner, ready)
+
+        with mock.patch.object(Planner, "_place", fail_for_k):
+            plan = self.plan()
+        self.assertEqual(["j", "l"], sorted(start.job for start in plan.starts))
+        self.assertEqual({"k": "RuntimeError('unexpected')"}, plan.errors)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/port.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/port.py
@@ -80,7 +80,7 @@
     """The running and ended runs of a worker, in answer to a poll.
 
     `born` names the worker's incarnation, None where the answer has none. Where `is_complete` is
-    False, some rows could not be read, so a run may go on although it is not listed.
+    False, a row that could not be read names a subtask, so its run may go on without being listed.
     """
 
     label: ClassVar[str] = "Listed"
