--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
@@ -31,7 +31,8 @@
             await self.call(messages.Deregister("w1"))
             self.ports["w1"].is_unreachable = True
             await self.until(lambda: "w1" not in self.ledger.workers, "removed")
-            self.assertIsNone(self.ledger.jobs[ID].subtasks["0.0.0"].active)
+            subtask = self.ledger.jobs[ID].subtasks["0.0.0"]
+            await self.until(lambda: subtask.active is None, "its run is ended as lost")
 
         self.check(scenario)
 
