--- a/packages/agateferry-cli/agateferry_cli/tests/test_pages.py
+++ b/packages/agateferry-cli/agateferry_cli/tests/test_pages.py
@@ -22,6 +22,12 @@
     return (ROOT / name).read_text(encoding="utf-8")
 
 
+def package_folder(name):
+    """Return the folder of a package; the translation for the users' platform has its own."""
+    parent = "platform" if name == "platform" else f"packages/agateferry-{name}"
+    return ROOT / parent / f"agateferry_{name}"
+
+
 def load_tool(name):
     spec = importlib.util.spec_from_file_location(f"tool_{name}", ROOT / "tools" / f"{name}.py")
     module = importlib.util.module_from_spec(spec)
@@ -83,8 +89,7 @@
         names = TEST_ID.findall(page("docs/PROOFS.md"))
         self.assertNotEqual([], names)
         for package, path, subject, test in names:
-            file = ROOT / "packages" / f"agateferry-{package}" / f"agateferry_{package}" / path
-            text = file.read_text(encoding="utf-8")
+            text = (package_folder(package) / path).read_text(encoding="utf-8")
             self.assertIn(f"class {subject}(", text, path)
             if test:
                 self.assertRegex(text, rf"def {test}\(", f"{path}::{subject}")
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
@@ -1,3 +1,4 @@
+import msgspec
 import testtools
 
 from agateferry_jobs.ledger import JobState, Ledger, Run, WorkerState, commands
@@ -160,3 +161,69 @@
         copy = Ledger()
         copy.restore(self.ledger.snapshot())
         self.assertEqual(self.ledger.state, copy.state)
+
+
+class RestoredTests(LedgerCase):
+    """What left, was withdrawn or ended before a restart must not be in use again after it.
+
+    A host restarts from the log or from a snapshot; late messages of before arrive afterwards.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.history = []
+        self.record(commands.PutManifest(manifest(1)))
+        self.record(commands.NoteWorker(worker("w1")))
+        self.record(commands.NoteWorker(worker("w2", state=WorkerState.DRAINING)))
+        for id in ("done", "cancelled"):
+            self.record(job_command(id))
+        self.record(commands.StartRuns((start_of("done", "0.0.0"),)))
+        end = commands.RunEnded("done", "0.0.0", Run(1, "w1", 1), commands.RunOutcome.DONE)
+        self.record(commands.EndRuns((end,), 0))
+        self.record(commands.CancelJob("cancelled", 0))
+        self.record(commands.NoteWorker(worker("w1", state=WorkerState.GONE)))
+        without_keys = msgspec.structs.replace(manifest(2), teams=())
+        self.record(commands.PutManifest(without_keys))
+
+    def record(self, command):
+        self.history.append(commands.encode(command))
+        self.apply(command)
+
+    def restored(self):
+        """Return the ledger of a host that read a snapshot, and of one that replayed the log."""
+        copy, replayed = Ledger(), Ledger()
+        copy.restore(self.ledger.snapshot())
+        for index, command in enumerate(self.history, start=1):
+            replayed.apply(index, command)
+        return copy, replayed
+
+    def find_revivals(self, ledger):
+        """Apply late messages of before the restart and return what they brought back."""
+        for command in (
+            commands.PutManifest(manifest(1)),
+            commands.NoteWorker(worker("w1")),
+            commands.NoteWorker(worker("w2")),
+            commands.StartRuns((start_of("done", "0.0.0", 2), start_of("cancelled", "0.0.0"))),
+        ):
+            ledger.apply(99, commands.encode(command))
+        is_revived = {
+            "key": ledger.manifest.team_of("key") is not None,
+            "worker that left": "w1" in ledger.workers,
+            "draining worker": ledger.workers["w2"].state is WorkerState.READY,
+            "job that ended": any(job.subtasks for job in ledger.jobs.values()),
+        }
+        return {what for what, revived in is_revived.items() if revived}
+
+    def test_nothing_is_in_use_again(self):
+        for ledger in self.restored():
+            self.assertEqual(set(), self.find_revivals(ledger))
+
+    def test_planted_faults_are_found(self):
+        for field, empty, expected in (
+            ("gone", {}, {"worker that left"}),
+            ("manifest", None, {"key"}),
+            ("workers", {}, {"draining worker"}),
+        ):
+            copy, _ = self.restored()
+            setattr(copy.state, field, empty)
+            self.assertEqual(expected, self.find_revivals(copy))
