Tell in metrics and logs how long plans and other work hold the leader's loop

Asked by the issue on hundreds of machines: histograms of the time of each plan and of how late the loop of a cell host wakes a task, and a log line for a plan of 100 ms or more with its size; the pause after a plan bounds how often that is. Names of subtasks are parsed once a process.

--- a/packages/agateferry-core/agateferry_core/tasks.py
+++ b/packages/agateferry-core/agateferry_core/tasks.py
@@ -29,3 +29,15 @@
         except Exception as exc:
             on_error(exc)
         await asyncio.sleep(interval_ms / MS_PER_S)
+
+
+async def observe_loop_delay(observe: Callable[[float], None], interval_ms: int) -> None:
+    """Report each `interval_ms` by how many seconds the event loop wakes a task too late.
+
+    That is how long other work holds the loop, so that calls, polls and heartbeats wait for it.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        due_s = loop.time() + interval_ms / MS_PER_S
+        await asyncio.sleep(interval_ms / MS_PER_S)
+        observe(max(0.0, loop.time() - due_s))
--- a/packages/agateferry-core/agateferry_core/tests/test_tasks.py
+++ b/packages/agateferry-core/agateferry_core/tests/test_tasks.py
@@ -3,7 +3,7 @@
 import testtools
 
 from agateferry_core.support import VirtualLoop
-from agateferry_core.tasks import repeat
+from agateferry_core.tasks import observe_loop_delay, repeat
 
 
 class RepeatTests(testtools.TestCase):
@@ -27,3 +27,20 @@
         loop.run_until_complete(main())
         self.assertEqual([0, 100, 200, 300], times)
         self.assertEqual(["second"], [str(error) for error in errors])
+
+
+class LoopDelayTests(testtools.TestCase):
+    def test_reports_how_long_other_work_holds_the_loop(self):
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+        delays = []
+
+        async def main():
+            task = asyncio.create_task(observe_loop_delay(delays.append, 100))
+            await asyncio.sleep(0.15)
+            loop.elapsed_s += 0.25
+            await asyncio.sleep(0.1)
+            task.cancel()
+
+        loop.run_until_complete(main())
+        self.assertEqual([0.0, 0.2], [round(delay, 3) for delay in delays[:2]])
--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -44,3 +44,8 @@
     "unexpected error in planning a job",
     "Report the detail as a bug; the other jobs are planned. Cancel the job if it may go.",
 )
+PLAN_SLOW = Event(
+    7353,
+    "plan took long",
+    "Compare the numbers of open jobs and workers with docs/CAPACITY.md; calls wait for a plan.",
+)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -32,6 +32,8 @@
 """
 PLAN_PAUSE_FACTOR = 4
 """The pause after each plan, as a multiple of its duration; other work runs meanwhile."""
+SLOW_PLAN_MS = 100
+"""A plan that takes this long is logged; the pause after it bounds how often that can be."""
 NO_PROGRESS_TIMEOUT_MS = 4_000
 """A run without progress for this long counts as hung; a slow one makes some in less time."""
 
@@ -203,6 +205,7 @@
                 began_ms = self._clock.now_ms()
                 plan = self._make_plan()
                 took_ms = self._clock.now_ms() - began_ms
+                self._observe_plan(plan, took_ms)
                 await self._execute(plan)
                 self._is_planning = False
                 await asyncio.sleep(PLAN_PAUSE_FACTOR * took_ms / MS_PER_S)
@@ -210,6 +213,18 @@
             self._is_planning = False
             self._has_planning_task = False
 
+    def _observe_plan(self, plan: Plan, took_ms: int) -> None:
+        metrics.PLAN_SECONDS.observe(took_ms / MS_PER_S)
+        if took_ms >= SLOW_PLAN_MS:
+            self._log.warning(
+                events.PLAN_SLOW,
+                took_ms=took_ms,
+                jobs=sum(not job.is_over for job in self._ledger.jobs.values()),
+                workers=len(self._ledger.workers),
+                starts=len(plan.starts),
+                stops=len(plan.stops),
+            )
+
     def _make_plan(self) -> Plan:
         self._stop_obsolete_runs()
         fleet = Fleet.from_ledger(
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -8,7 +8,8 @@
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
-from agateferry_core.tasks import repeat
+from agateferry_core.tasks import observe_loop_delay, repeat
+from agateferry_jobs import metrics
 from agateferry_jobs.calls import LeaderClient, messages
 from agateferry_jobs.calls.pings import PingResponder, ping_port
 from agateferry_jobs.cell.leader import Leader
@@ -49,6 +50,7 @@
 """How long a host that joins a running cell tries its seeds to learn the current hosts."""
 RECOVERY_INTERVAL_MS = 1_000
 """How often a host checks for a storage failure, and restarts its replica after one."""
+LOOP_DELAY_INTERVAL_MS = 250
 RPC_GRACE_S = 1.0
 """How long calls in flight may take after the host has transferred its leadership."""
 
@@ -71,6 +73,7 @@
         self._replica: NodeReplica | None = None
         self._leader: Leader | None = None
         self._recovery_task: asyncio.Task[None] | None = None
+        self._loop_delay_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Join the cell, or form it if its settings allow that and it does not exist yet."""
@@ -88,11 +91,14 @@
         await replica.start()
         recovery = repeat(self._recover_storage, RECOVERY_INTERVAL_MS, self._log_failure)
         self._recovery_task = asyncio.create_task(recovery)
+        delays = observe_loop_delay(metrics.LOOP_DELAY_SECONDS.observe, LOOP_DELAY_INTERVAL_MS)
+        self._loop_delay_task = asyncio.create_task(delays)
 
     async def stop(self) -> None:
         """Transfer the leadership, then close the network and the disk."""
-        if self._recovery_task is not None:
-            self._recovery_task.cancel()
+        for task in (self._recovery_task, self._loop_delay_task):
+            if task is not None:
+                task.cancel()
         if self._replica is not None:
             await self._replica.stop()
         if self._leader is not None:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -1,6 +1,7 @@
 """The records that the ledger keeps; its snapshots contain all of them."""
 
 from enum import StrEnum
+from functools import lru_cache
 
 from msgspec import Struct, field
 
@@ -130,8 +131,12 @@
         return all(self.subtasks[name].is_done for name in self.members(f"{occurrence}.{step}"))
 
 
+@lru_cache(maxsize=65_536)
 def step_number(name: str) -> int:
-    """Return the step number in a subtask's or a gang's name."""
+    """Return the step number in a subtask's or a gang's name.
+
+    All jobs share the names of their subtasks, and each plan asks for the step of each run.
+    """
     return int(name.split(".")[1])
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -4,6 +4,7 @@
 
 START_BUCKETS_S = (0.02, 0.05, 0.1, 0.3, 1.0, 3.6, 10.0, 30.0)
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+LOOP_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
 
 REPLIES = Counter(
     "agateferry_jobs_replies", "Replies of the leader, by kind of call and reply.", ["ask", "reply"]
@@ -39,3 +40,13 @@
 ROWS_UNREADABLE = Counter(
     "agateferry_jobs_rows_unreadable", "Rows in workers' lists of runs that could not be read."
 )
+PLAN_SECONDS = Histogram(
+    "agateferry_jobs_plan_seconds",
+    "Time that a plan holds the leader's event loop.",
+    buckets=LOOP_BUCKETS_S,
+)
+LOOP_DELAY_SECONDS = Histogram(
+    "agateferry_jobs_loop_delay_seconds",
+    "How late the event loop of a host of the cell wakes a task, sampled four times a second.",
+    buckets=LOOP_BUCKETS_S,
+)
