--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -13,6 +13,7 @@
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.call_handler import CallHandler
+from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.suspects import SuspectWorkers
 from agateferry_jobs.cell.worker_registry import WorkerRegistry, close_all
@@ -20,7 +21,6 @@
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.session import PortFactory
-from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 from agateferry_state.replica.protocols import Replica
 
 TICK_MS = 250
@@ -30,12 +30,6 @@
 
 Workers answer within a few ms; one that is cut off must not delay urgent work for longer.
 """
-PLAN_PAUSE_FACTOR = 4
-"""The pause after each plan, as a multiple of its duration; other work runs meanwhile."""
-SLOW_PLAN_MS = 100
-"""A plan that takes this long is logged; the pause after it bounds how often that can be."""
-NO_PROGRESS_TIMEOUT_MS = 4_000
-"""A run without progress for this long counts as hung; a slow one makes some in less time."""
 
 
 class Leader:
@@ -58,9 +52,9 @@
         self._ticker: asyncio.Task[None] | None = None
         self._has_taken_over = False
         self._leading_since_ms = 0
-        self._is_planning = False
-        self._is_plan_due = False
-        self._has_planning_task = False
+        self._plan_loop = PlanLoop(
+            clock, ledger, self, make=lambda: self._make_plan(), execute=self._execute
+        )
         self._jobs_with_errors: set[str] = set()
         replica.on_leadership(self._on_leadership)
 
@@ -137,16 +131,15 @@
 
     def request_planning(self) -> None:
         """Make a new plan soon; requests made meanwhile share one plan."""
-        self._is_plan_due = True
-        if not self._has_planning_task and self._ticker is not None and self._may_plan():
-            self._has_planning_task = True
-            self.spawn(self._plan_while_due())
+        self._plan_loop.request()
 
-    def _may_plan(self) -> bool:
-        """Return whether enough workers have told this leader what ended before it took over.
+    def may_plan(self) -> bool:
+        """Return whether this host leads and its workers have told what ended before it did.
 
         A plan made on the first answers would preempt runs for room that others have free.
         """
+        if self._ticker is None or not self._replica.is_leader:
+            return False
         if not self._has_taken_over:
             waited_ms = self._clock.now_ms() - self._leading_since_ms
             self._has_taken_over = self._registry.knows_all() or waited_ms >= TAKEOVER_WAIT_MS
@@ -191,40 +184,11 @@
     async def _tick(self) -> None:
         if not self._replica.is_leader:
             return
-        if not self._is_planning:
+        if not self._plan_loop.is_planning:
             await self._registry.end_lost_runs()
         self._stop_hung_runs()
         self.request_planning()
 
-    async def _plan_while_due(self) -> None:
-        """Plan until no request is left, with pauses, so that many changes share one plan."""
-        try:
-            while self._is_plan_due and self._replica.is_leader and self._may_plan():
-                self._is_plan_due = False
-                self._is_planning = True
-                began_ms = self._clock.now_ms()
-                plan = self._make_plan()
-                took_ms = self._clock.now_ms() - began_ms
-                self._observe_plan(plan, took_ms)
-                await self._execute(plan)
-                self._is_planning = False
-                await asyncio.sleep(PLAN_PAUSE_FACTOR * took_ms / MS_PER_S)
-        finally:
-            self._is_planning = False
-            self._has_planning_task = False
-
-    def _observe_plan(self, plan: Plan, took_ms: int) -> None:
-        metrics.PLAN_SECONDS.observe(took_ms / MS_PER_S)
-        if took_ms >= SLOW_PLAN_MS:
-            self._log.warning(
-                events.PLAN_SLOW,
-                took_ms=took_ms,
-                jobs=sum(not job.is_over for job in self._ledger.jobs.values()),
-                workers=len(self._ledger.workers),
-                starts=len(plan.starts),
-                stops=len(plan.stops),
-            )
-
     def _make_plan(self) -> Plan:
         self._stop_obsolete_runs()
         fleet = Fleet.from_ledger(
@@ -284,7 +248,7 @@
             if not session.health(False).answers:
                 continue
             for key, tracked in list(session.runs.items()):
-                if not _is_hung(tracked, now_ms) or self._is_long_running(key):
+                if not tracked.is_hung(now_ms) or self._is_long_running(key):
                     continue
                 run = tracked.run
                 if self._suspects.record_failure(run.worker, run.born, key[0], now_ms, weight=2):
@@ -335,12 +299,3 @@
         if job is not None and job.is_over and job.ended_ms == at_ms:
             metrics.ENDED.labels(job.state.value).inc()
             self._log.info(events.JOB_ENDED, job=job.id, state=job.state)
-
-
-def _is_hung(tracked: TrackedRun, now_ms: int) -> bool:
-    is_at_work = tracked.phase is Phase.CONFIRMED and not tracked.is_stopping
-    return (
-        is_at_work
-        and tracked.percent < 100
-        and now_ms - tracked.last_progress_ms > NO_PROGRESS_TIMEOUT_MS
-    )
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/plan_loop.py
@@ -0,0 +1,90 @@
+"""When the leader plans: changes share a plan, and a pause follows each one."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Protocol
+
+from agateferry_core.clock import MS_PER_S, Clock
+from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
+from agateferry_jobs.cell import events
+from agateferry_jobs.ledger import Ledger
+from agateferry_jobs.planning import Plan
+
+PLAN_PAUSE_FACTOR = 4
+"""The pause after each plan, as a multiple of its duration; other work runs meanwhile."""
+SLOW_PLAN_MS = 100
+"""A plan that takes this long is logged; the pause after it bounds how often that can be."""
+
+
+class PlanningHooks(Protocol):
+    """What the loop needs from the leader."""
+
+    def may_plan(self) -> bool:
+        """Return whether this host leads and knows enough about its workers to plan."""
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        """Run a background task; an exception in it is logged."""
+
+
+class PlanLoop:
+    """Make and execute plans while they are requested."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        ledger: Ledger,
+        hooks: PlanningHooks,
+        make: Callable[[], Plan],
+        execute: Callable[[Plan], Awaitable[None]],
+    ) -> None:
+        self.is_planning = False
+        """Whether a plan is being made or executed."""
+        self._clock = clock
+        self._ledger = ledger
+        self._hooks = hooks
+        self._make = make
+        self._execute = execute
+        self._is_due = False
+        self._has_task = False
+        self._log = EventLogger()
+
+    def request(self) -> None:
+        """Make a new plan soon; requests made meanwhile share one plan."""
+        self._is_due = True
+        if not self._has_task and self._hooks.may_plan():
+            self._has_task = True
+            self._hooks.spawn(self._plan_while_due())
+
+    async def _plan_while_due(self) -> None:
+        try:
+            while self._is_due and self._hooks.may_plan():
+                self._is_due = False
+                self.is_planning = True
+                took_ms = await self._plan_once()
+                self.is_planning = False
+                await asyncio.sleep(PLAN_PAUSE_FACTOR * took_ms / MS_PER_S)
+        finally:
+            self.is_planning = False
+            self._has_task = False
+
+    async def _plan_once(self) -> int:
+        """Make and execute a plan; return how many ms it took to make it."""
+        began_ms = self._clock.now_ms()
+        plan = self._make()
+        took_ms = self._clock.now_ms() - began_ms
+        self._observe(plan, took_ms)
+        await self._execute(plan)
+        return took_ms
+
+    def _observe(self, plan: Plan, took_ms: int) -> None:
+        metrics.PLAN_SECONDS.observe(took_ms / MS_PER_S)
+        if took_ms >= SLOW_PLAN_MS:
+            self._log.warning(
+                events.PLAN_SLOW,
+                took_ms=took_ms,
+                jobs=sum(not job.is_over for job in self._ledger.jobs.values()),
+                workers=len(self._ledger.workers),
+                starts=len(plan.starts),
+                stops=len(plan.stops),
+            )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
@@ -6,17 +6,13 @@
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import run_async
 from agateferry_jobs.calls import messages
-from agateferry_jobs.cell.leader import (
-    NO_PROGRESS_TIMEOUT_MS,
-    PLAN_PAUSE_FACTOR,
-    TAKEOVER_WAIT_MS,
-    TICK_MS,
-    Leader,
-)
+from agateferry_jobs.cell.leader import TAKEOVER_WAIT_MS, TICK_MS, Leader
+from agateferry_jobs.cell.plan_loop import PLAN_PAUSE_FACTOR
 from agateferry_jobs.ledger import JobState, Ledger, WorkerState, commands
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES, job_command
+from agateferry_jobs.workers.tracked_run import NO_PROGRESS_TIMEOUT_MS
 from agateferry_state.replica.protocols import ProposeErrorKind
 
 WHOLE_WORKER = Resources(cpu=1000, mem_mb=100, gpu=8)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_plan_metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_plan_metrics.py
@@ -4,7 +4,7 @@
 from structlog.testing import capture_logs
 
 from agateferry_jobs.cell import events
-from agateferry_jobs.cell.leader import SLOW_PLAN_MS
+from agateferry_jobs.cell.plan_loop import SLOW_PLAN_MS
 from agateferry_jobs.cell.tests.test_leader import LeaderCase
 from agateferry_jobs.support import worker
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/running_group.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/running_group.py
@@ -2,10 +2,10 @@
 
 from dataclasses import dataclass
 
-from agateferry_jobs.cell.leader import NO_PROGRESS_TIMEOUT_MS
 from agateferry_jobs.ledger.commands import RunOutcome
 from agateferry_jobs.ledger.state import Run
 from agateferry_jobs.simulation.drawing import SimulatedJob
+from agateferry_jobs.workers.tracked_run import NO_PROGRESS_TIMEOUT_MS
 
 
 @dataclass(slots=True, eq=False)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
@@ -5,6 +5,9 @@
 
 from agateferry_jobs.ledger import Run
 
+NO_PROGRESS_TIMEOUT_MS = 4_000
+"""A run without progress for this long counts as hung; a slow one makes some in less time."""
+
 
 class Phase(Enum):
     """What the session knows of a run's start."""
@@ -28,6 +31,12 @@
     last_progress_ms: int = 0
     checkpoint: str = ""
 
+    def is_hung(self, now_ms: int) -> bool:
+        """Return whether the run works but has made no progress for too long."""
+        is_at_work = self.phase is Phase.CONFIRMED and not self.is_stopping
+        silent_ms = now_ms - self.last_progress_ms
+        return is_at_work and self.percent < 100 and silent_ms > NO_PROGRESS_TIMEOUT_MS
+
     def record_progress(self, percent: float, now_ms: int) -> None:
         """Record the progress that the worker listed, from 0 to 100."""
         if percent != self.percent:
