--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
@@ -0,0 +1,48 @@
+"""What a worker's lists of runs tell about how runs ended."""
+
+from collections.abc import Mapping
+
+from agateferry_jobs.ledger import Run, WorkerIncarnation
+from agateferry_jobs.ledger.commands import RunEnded, RunOutcome
+from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.workers.port import FinishedRun, RunLists
+from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
+
+
+def run_ended(key: RunKey, tracked: TrackedRun, outcome: RunOutcome) -> RunEnded:
+    """Return the end of a tracked run, with the newest checkpoint that its worker listed."""
+    return RunEnded(key[0], key[1], tracked.run, outcome, tracked.checkpoint)
+
+
+def listed_ends(lists: RunLists, after: int, incarnation: WorkerIncarnation) -> list[RunEnded]:
+    """Return the ends that the worker lists with numbers above `after`."""
+    return [_listed_end(each, incarnation) for each in lists.finished if each.number > after]
+
+
+def _listed_end(finished: FinishedRun, incarnation: WorkerIncarnation) -> RunEnded:
+    run = Run(finished.run, incarnation.id, incarnation.born)
+    job, subtask = finished.key
+    return RunEnded(job, subtask, run, RunOutcome(finished.outcome), finished.checkpoint)
+
+
+def inferred_ends(
+    lists: RunLists, runs: Mapping[RunKey, TrackedRun], poll_number: int
+) -> list[RunEnded]:
+    """Return ends for runs missing from lists that would contain them had they begun.
+
+    Only polls sent after a run reached its phase count. A run whose start is uncertain was refused;
+    a confirmed one is lost. Incomplete lists tell nothing about what is missing.
+    """
+    if not lists.is_complete:
+        return []
+    listed = {(each.key, each.run) for each in lists.running}
+    listed |= {(each.key, each.run) for each in lists.finished}
+    ends = []
+    for key, tracked in runs.items():
+        if (key, tracked.run.number) in listed or tracked.phase_since_poll >= poll_number:
+            continue
+        if tracked.phase is Phase.UNCERTAIN:
+            ends.append(run_ended(key, tracked, RunOutcome.REFUSED))
+        elif tracked.phase is Phase.CONFIRMED:
+            ends.append(run_ended(key, tracked, RunOutcome.LOST))
+    return ends
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -21,7 +21,6 @@
 from agateferry_jobs.workers.lease import Lease
 from agateferry_jobs.workers.port import (
     Confirmed,
-    FinishedRun,
     IncarnationMismatch,
     NoAnswer,
     PollOrder,
@@ -31,6 +30,7 @@
     StopOrder,
     WorkerPort,
 )
+from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
 ORDER_TIMEOUT_MS = 300
@@ -160,7 +160,7 @@
 
     def ends_as_lost(self) -> tuple[RunEnded, ...]:
         """Return ends, as lost, of all tracked runs, once the worker can no longer report them."""
-        return tuple(_run_ended(key, t, RunOutcome.LOST) for key, t in self.runs.items())
+        return tuple(run_ended(key, t, RunOutcome.LOST) for key, t in self.runs.items())
 
     def forget(self, key: RunKey, run: Run) -> None:
         """Stop tracking a run whose end is committed."""
@@ -271,10 +271,9 @@
             return True
         self._last_worker_clock_ms = lists.clock_ms
         self._mark_answering(lists.clock_ms)
-        ends = self._listed_ends(lists)
+        ends = listed_ends(lists, self._committed_cursor, self.incarnation)
         self._update_running(lists)
-        if lists.is_complete:
-            ends += self._inferred_ends(lists, poll_number)
+        ends += inferred_ends(lists, self.runs, poll_number)
         if not await self._commit_ends(lists, ends):
             return False
         if not self._has_answered:
@@ -291,18 +290,6 @@
         self._committed_cursor = max(self._committed_cursor, newest)
         return True
 
-    def _listed_ends(self, lists: RunLists) -> list[RunEnded]:
-        ends = []
-        for finished in lists.finished:
-            if finished.number > self._committed_cursor:
-                ends.append(self._listed_end(finished))
-        return ends
-
-    def _listed_end(self, finished: FinishedRun) -> RunEnded:
-        run = Run(finished.run, self.incarnation.id, self.incarnation.born)
-        job, subtask = finished.key
-        return RunEnded(job, subtask, run, RunOutcome(finished.outcome), finished.checkpoint)
-
     def _update_running(self, lists: RunLists) -> None:
         self.unexpected_runs.clear()
         now_ms = self._clock.now_ms()
@@ -320,24 +307,6 @@
             if tracked.is_stopping and _is_stop_due(tracked.stop_sent_ms, now_ms):
                 self._spawn(self._send_stop(each.key, each.run, tracked))
 
-    def _inferred_ends(self, lists: RunLists, poll_number: int) -> list[RunEnded]:
-        """Return ends for runs missing from lists that would contain them had they begun.
-
-        Only polls sent after a run reached its phase count. A run whose start is uncertain was
-        refused; a confirmed one is lost.
-        """
-        listed = {(each.key, each.run) for each in lists.running}
-        listed |= {(each.key, each.run) for each in lists.finished}
-        ends = []
-        for key, tracked in self.runs.items():
-            if (key, tracked.run.number) in listed or tracked.phase_since_poll >= poll_number:
-                continue
-            if tracked.phase is Phase.UNCERTAIN:
-                ends.append(_run_ended(key, tracked, RunOutcome.REFUSED))
-            elif tracked.phase is Phase.CONFIRMED:
-                ends.append(_run_ended(key, tracked, RunOutcome.LOST))
-        return ends
-
     async def _send_start(self, start: RunStart, payload: str, tracked: TrackedRun) -> None:
         """Send a start order until its outcome is known; a poll tells the outcome of any other."""
         try:
@@ -379,9 +348,7 @@
         return False
 
     async def _end_as_refused(self, key: RunKey, tracked: TrackedRun) -> bool:
-        if not await self._listener.commit_run_ends(
-            (_run_ended(key, tracked, RunOutcome.REFUSED),)
-        ):
+        if not await self._listener.commit_run_ends((run_ended(key, tracked, RunOutcome.REFUSED),)):
             return False
         self.forget(key, tracked.run)
         return True
@@ -408,8 +375,4 @@
     return sent_ms is None or now_ms - sent_ms >= STOP_RESEND_MS
 
 
-def _run_ended(key: RunKey, tracked: TrackedRun, outcome: RunOutcome) -> RunEnded:
-    return RunEnded(key[0], key[1], tracked.run, outcome, tracked.checkpoint)
-
-
 PortFactory = Callable[[WorkerIncarnation], WorkerPort]
