Give only a call's first attempt the short time on an unproven connection

Every attempt on a connection without a recent reply got 350 ms, so a leader that needs 350 to 700 ms, as after a takeover, never answered in time, and each attempt opened a new connection: the overload would have kept itself up.

Change: from the second attempt of a call on, the leader has the full 700 ms again.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -21,7 +21,10 @@
 ATTEMPT_TIMEOUT_MS = 700
 """A leader replies in a few ms when its disk is fast; no reply within this time is a fault."""
 UNPROVEN_ATTEMPT_TIMEOUT_MS = 350
-"""The same for a connection on which no reply came for `PROVEN_MS`: it may be silent for good."""
+"""The same for a call's first attempt where no reply came from that host for `PROVEN_MS`.
+
+Its connection may be silent for good.
+"""
 PROVEN_MS = 2_000
 RETRY_DELAY_MS = 60
 """The pause between two attempts while no leader is known."""
@@ -92,16 +95,19 @@
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
         may_have_had_effect = False
+        is_first_attempt = True
         while True:
             left_ms = deadline_ms - self._clock.now_ms()
             if left_ms <= 0:
                 break
             host = self._choose_host()
+            attempt_ms = self._attempt_timeout_ms(host, is_first_attempt)
             reply = (
-                await self._attempt(host, call, min(self._attempt_timeout_ms(host), left_ms))
+                await self._attempt(host, call, min(attempt_ms, left_ms))
                 if host
                 else messages.NotLeader()
             )
+            is_first_attempt = False
             match reply:
                 case messages.NotLeader(leader):
                     metrics.CALL_RETRIES.labels("not-leader").inc()
@@ -127,11 +133,11 @@
             await channel.close(grace=None)
         self._channels.clear()
 
-    def _attempt_timeout_ms(self, host: str) -> int:
-        proven_ms = self._proven_ms.get(host)
-        if proven_ms is not None and self._clock.now_ms() - proven_ms < PROVEN_MS:
-            return ATTEMPT_TIMEOUT_MS
-        return UNPROVEN_ATTEMPT_TIMEOUT_MS
+    def _attempt_timeout_ms(self, host: str | None, is_first: bool) -> int:
+        """Return the time for an attempt; a slow leader has the full time from the second on."""
+        proven_ms = self._proven_ms.get(host or "")
+        is_proven = proven_ms is not None and self._clock.now_ms() - proven_ms < PROVEN_MS
+        return UNPROVEN_ATTEMPT_TIMEOUT_MS if is_first and not is_proven else ATTEMPT_TIMEOUT_MS
 
     def _choose_host(self) -> str | None:
         if self._leader is not None:
