Restart a replica after any failure, not only after one of its storage

Cause: looked for among the failures of similar systems. An exception in one step of a replica takes it out of service, as it should, but its process lives on: nothing restarted it, so the host was out of the cell for good, and two such errors left a cell of three without a majority.

Change: the host restarts its replica from its own disk after any failure, within a second, as it did after a failure to write. An error that comes back at each replay is logged each time (7407).

Measured: a test that raises in one step of two of three hosts failed first (the next submission had no leader); with the change all three hold both jobs.

--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -21,7 +21,6 @@
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.link import server_options
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
-from agateferry_state.replica.protocols import ProposeErrorKind
 from agateferry_state.replica.storage import has_stored_state
 from agateferry_state.replica.transport import GrpcTransport
 from agateferry_state.replication import Settings
@@ -49,7 +48,7 @@
 DISCOVERY_TIMEOUT_MS = 1_000
 """How long a host that joins a running cell tries its seeds to learn the current hosts."""
 RECOVERY_INTERVAL_MS = 1_000
-"""How often a host checks for a storage failure, and restarts its replica after one."""
+"""How often a host checks whether its replica has failed, and restarts it after that."""
 LOOP_DELAY_INTERVAL_MS = 250
 RPC_GRACE_S = 1.0
 """How long calls in flight may take after the host has transferred its leadership."""
@@ -89,7 +88,7 @@
         self._transport.open_datagrams(self.cfg.internal_address)
         await self._ping_responder.open(self.cfg.ip, ping_port(self.cfg.internal_port))
         await replica.start()
-        recovery = repeat(self._recover_storage, RECOVERY_INTERVAL_MS, self._log_failure)
+        recovery = repeat(self._recover_replica, RECOVERY_INTERVAL_MS, self._log_failure)
         self._recovery_task = asyncio.create_task(recovery)
         delays = observe_loop_delay(metrics.LOOP_DELAY_SECONDS.observe, LOOP_DELAY_INTERVAL_MS)
         self._loop_delay_task = asyncio.create_task(delays)
@@ -161,13 +160,14 @@
         self._leader = Leader(replica, self.ledger, self._clock, self._make_port, lease_ms)
         return replica
 
-    async def _recover_storage(self) -> None:
-        """Restart the replica if its storage failed, as a restart of the process would.
+    async def _recover_replica(self) -> None:
+        """Restart the replica if it failed, as a restart of the process would.
 
-        A replica that failed to write takes no further part in the cell.
+        A replica that failed to write, or met an error that nobody expected, takes no further part
+        in the cell.
         """
         failure = self._replica.failure if self._replica is not None else None
-        if failure is not None and failure.kind is ProposeErrorKind.STORAGE_FAILED:
+        if failure is not None:
             self._log.warning(events.REPLICA_RESTARTING, detail=failure.detail)
             await self._restart_replica()
 
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/events.py
@@ -24,8 +24,8 @@
 )
 REPLICA_RESTARTING = Event(
     7407,
-    "replica restarts after a storage failure",
-    "Check that the disk has free space and works.",
+    "replica restarts after a failure",
+    "Check that the disk has free space and works; report any other detail as a bug.",
 )
 LEADER_LOST = Event(
     7410,
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_cell.py
@@ -182,6 +182,36 @@
         self.run_scenario(scenario)
 
 
+class UnexpectedErrorTests(CellCase):
+    """An error that nobody expected in one step must not take a host out of the cell for good."""
+
+    def raise_in_next_step(self, host):
+        driver = host._replica._driver
+        process = driver._process
+
+        def fail(events):
+            driver._process = process
+            raise RuntimeError("injected")
+
+        driver._process = fail
+
+    def test_replicas_recover_after_an_unexpected_error(self):
+        async def scenario():
+            self.assertEqual(messages.Done(), await self.client.call(submit("a"), CALL_TIMEOUT_MS))
+            for ip in IPS[:2]:
+                self.raise_in_next_step(self.hosts[ip])
+            await self.wait_until(
+                lambda: all(self.hosts[ip]._replica.failure for ip in IPS[:2]), "both failed"
+            )
+            self.assertEqual(messages.Done(), await self.client.call(submit("b"), CALL_TIMEOUT_MS))
+            for host in self.hosts.values():
+                await self.wait_until(
+                    lambda host=host: {"a", "b"} <= {*host.ledger.jobs}, "both jobs"
+                )
+
+        self.run_scenario(scenario)
+
+
 class ReplaceTests(CellCase):
     def test_an_empty_host_at_a_new_address_replaces_a_lost_host(self):
         async def scenario():
