--- a/packages/agateferry-state/agateferry_state/events.py
+++ b/packages/agateferry-state/agateferry_state/events.py
@@ -59,3 +59,8 @@
     "replica stopped by a broken invariant",
     "Keep the data folder and the log, report both, and restart the daemon.",
 )
+PEER_LINK_FAILED = Event(
+    2012,
+    "unexpected error in a connection to another host",
+    "Report the detail as a bug; the daemon reconnects by itself.",
+)
--- a/packages/agateferry-state/agateferry_state/replica/link.py
+++ b/packages/agateferry-state/agateferry_state/replica/link.py
@@ -17,7 +17,7 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_core.logs import EventLogger
-from agateferry_state.events import PEER_CONNECTED, PEER_CONNECTION_LOST
+from agateferry_state.events import PEER_CONNECTED, PEER_CONNECTION_LOST, PEER_LINK_FAILED
 from agateferry_state.replica.codec import encode_envelope
 from agateferry_state.replica.metrics import RECONNECTS, count_sent
 from agateferry_state.replica.outbox import Outbox
@@ -120,7 +120,11 @@
     async def _run(self) -> None:
         while True:
             await self.outbox.wait()
-            reason = await self._exchange()
+            try:
+                reason = await self._exchange()
+            except Exception as exc:
+                reason = "unexpected"
+                self._log.error(PEER_LINK_FAILED, detail=repr(exc))
             RECONNECTS.labels(reason).inc()
             if not self._is_connection_lost:
                 self._log.warning(PEER_CONNECTION_LOST, reason=reason)
