Name runs, placements and timeouts by what they are

In future capacity 'candidates' meant runs, and workers elsewhere; 'proven' and 'patience' needed an explanation.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/client.py
@@ -20,12 +20,12 @@
 
 ATTEMPT_TIMEOUT_MS = 700
 """A leader replies in a few ms when its disk is fast; no reply within this time is a fault."""
-UNPROVEN_ATTEMPT_TIMEOUT_MS = 350
-"""The same for a call's first attempt where no reply came from that host for `PROVEN_MS`.
+FIRST_ATTEMPT_TIMEOUT_MS = 350
+"""The same for a call's first attempt where no reply came from that host for `RECENT_REPLY_MS`.
 
 Its connection may be silent for good.
 """
-PROVEN_MS = 2_000
+RECENT_REPLY_MS = 2_000
 RETRY_DELAY_MS = 60
 """The pause between two attempts while no leader is known."""
 CHANNEL_CLOSE_DELAY_MS = 2 * ATTEMPT_TIMEOUT_MS
@@ -56,7 +56,7 @@
         self._channels: dict[str, grpc.aio.Channel] = {}
         self._closing_tasks: set[asyncio.Task[None]] = set()
         self._failing_hosts: set[str] = set()
-        self._proven_ms: dict[str, int] = {}
+        self._call_reply_ms: dict[str, int] = {}
         """By host, when a call last got a reply."""
         self._log = EventLogger()
         self.last_reply_ms: int | None = None
@@ -135,9 +135,12 @@
 
     def _attempt_timeout_ms(self, host: str | None, is_first: bool) -> int:
         """Return the time for an attempt; a slow leader has the full time from the second on."""
-        proven_ms = self._proven_ms.get(host or "")
-        is_proven = proven_ms is not None and self._clock.now_ms() - proven_ms < PROVEN_MS
-        return UNPROVEN_ATTEMPT_TIMEOUT_MS if is_first and not is_proven else ATTEMPT_TIMEOUT_MS
+        replied_ms = self._call_reply_ms.get(host or "")
+        now_ms = self._clock.now_ms()
+        has_replied_recently = replied_ms is not None and now_ms - replied_ms < RECENT_REPLY_MS
+        if is_first and not has_replied_recently:
+            return FIRST_ATTEMPT_TIMEOUT_MS
+        return ATTEMPT_TIMEOUT_MS
 
     def _choose_host(self) -> str | None:
         if self._leader is not None:
@@ -175,7 +178,7 @@
             self._log.warning(events.REPLY_UNREADABLE, host=host, detail=str(exc))
             return messages.OutcomeUnknown("unreadable")
         self._failing_hosts.discard(host)
-        self._proven_ms[host] = self._clock.now_ms()
+        self._call_reply_ms[host] = self._clock.now_ms()
         self._prepend_hosts(envelope.hosts)
         return envelope.reply
 
--- a/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_client.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_client.py
@@ -6,7 +6,7 @@
 from agateferry_core.clock import SystemClock
 from agateferry_core.support import free_port, run_async
 from agateferry_jobs.calls import LeaderClient, messages
-from agateferry_jobs.calls.client import ATTEMPT_TIMEOUT_MS, UNPROVEN_ATTEMPT_TIMEOUT_MS
+from agateferry_jobs.calls.client import ATTEMPT_TIMEOUT_MS, FIRST_ATTEMPT_TIMEOUT_MS
 from agateferry_jobs.cell.servicer import LeaderServicer
 from agateferry_jobs.rpc import leader_pb2_grpc as rpc
 
@@ -43,7 +43,7 @@
         return run_async(main(), 20)
 
     def test_a_leader_that_is_slow_to_answer_is_waited_for_from_the_second_attempt_on(self):
-        delay_s = (UNPROVEN_ATTEMPT_TIMEOUT_MS + ATTEMPT_TIMEOUT_MS) / 2 / 1000
+        delay_s = (FIRST_ATTEMPT_TIMEOUT_MS + ATTEMPT_TIMEOUT_MS) / 2 / 1000
         self.assertEqual(messages.Done(), self.call_leader(delay_s)[0])
 
     def test_a_first_attempt_without_an_answer_is_repeated_soon(self):
--- a/packages/agateferry-jobs/agateferry_jobs/entry/leader_monitor.py
+++ b/packages/agateferry-jobs/agateferry_jobs/entry/leader_monitor.py
@@ -9,7 +9,7 @@
 
 PING_INTERVAL_MS = 500
 """How often an entry without calls pings the leader."""
-PONG_PATIENCE_MS = 900
+PONG_TIMEOUT_MS = 900
 """After this long without a reply all hosts are pinged, and a call is made besides."""
 LEADER_SILENCE_MS = 1_600
 """Without a leader's reply for this long an entry reports not ready; an election takes less."""
@@ -57,7 +57,7 @@
     async def _ask_leader(self) -> None:
         silent_ms = self._silent_ms()
         leader = self._client.leader
-        if leader is not None and silent_ms is not None and silent_ms < PONG_PATIENCE_MS:
+        if leader is not None and silent_ms is not None and silent_ms < PONG_TIMEOUT_MS:
             self._pinger.send(leader)
             return
         for host in self._client.hosts:
--- a/packages/agateferry-jobs/agateferry_jobs/entry/tests/test_leader_monitor.py
+++ b/packages/agateferry-jobs/agateferry_jobs/entry/tests/test_leader_monitor.py
@@ -8,7 +8,7 @@
 from agateferry_jobs.entry.leader_monitor import (
     LEADER_SILENCE_MS,
     PING_INTERVAL_MS,
-    PONG_PATIENCE_MS,
+    PONG_TIMEOUT_MS,
     LeaderMonitor,
 )
 
@@ -104,9 +104,9 @@
             await asyncio.sleep(2)
             self.pinger.passes = self.client.replies = False
             self.pinger.sent.clear()
-            await asyncio.sleep((PING_INTERVAL_MS + PONG_PATIENCE_MS) / 1000)
+            await asyncio.sleep((PING_INTERVAL_MS + PONG_TIMEOUT_MS) / 1000)
             self.assertEqual(set(self.client.hosts), set(self.pinger.sent))
-            await asyncio.sleep((LEADER_SILENCE_MS - PONG_PATIENCE_MS) / 1000)
+            await asyncio.sleep((LEADER_SILENCE_MS - PONG_TIMEOUT_MS) / 1000)
             self.assertFalse(self.monitor.is_ready)
 
         self.run_scenario(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -10,7 +10,7 @@
 
 RunKey = tuple[str, str]
 """A job's id and a subtask's name."""
-MANY = 2**31
+UNLIMITED_SUBTASKS = 2**31
 """More subtasks than any worker holds, for a resource that a subtask does not need."""
 
 
@@ -81,9 +81,9 @@
         fitting = self.incarnation.slots
         if need.cpu or need.mem_mb or need.gpu:
             fitting = min(
-                available.cpu // need.cpu if need.cpu else MANY,
-                available.mem_mb // need.mem_mb if need.mem_mb else MANY,
-                available.gpu // need.gpu if need.gpu else MANY,
+                available.cpu // need.cpu if need.cpu else UNLIMITED_SUBTASKS,
+                available.mem_mb // need.mem_mb if need.mem_mb else UNLIMITED_SUBTASKS,
+                available.gpu // need.gpu if need.gpu else UNLIMITED_SUBTASKS,
             )
         if step.max_per_worker:
             fitting = min(fitting, step.max_per_worker - self.count_subtasks(job, gang))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
@@ -25,8 +25,8 @@
 
     def __init__(self, cost: CapacityCost) -> None:
         self._cost = cost
-        self._kept: dict[tuple[str, Resources, int], tuple[int, WorkerPlacements]] = {}
-        self._kept_candidates: dict[tuple[str, int], tuple[int, list[AllocatedRun]]] = {}
+        self._kept_placements: dict[tuple[str, Resources, int], tuple[int, WorkerPlacements]] = {}
+        self._kept_runs: dict[tuple[str, int], tuple[int, list[AllocatedRun]]] = {}
 
     def cheapest(
         self, groups: Sequence[Sequence[WorkerAllocation]], ready: ReadySubtasks, count: int
@@ -66,31 +66,31 @@
         if ready.step.max_per_worker:
             return self._find_placements_on(worker, ready)
         key = (worker.incarnation.id, ready.step.need, ready.rank)
-        kept = self._kept.get(key)
+        kept = self._kept_placements.get(key)
         if kept is not None and kept[0] == worker.version:
             return kept[1]
         placements = self._find_placements_on(worker, ready)
-        self._kept[key] = (worker.version, placements)
+        self._kept_placements[key] = (worker.version, placements)
         return placements
 
-    def _candidates(self, worker: WorkerAllocation, rank: int) -> list[AllocatedRun]:
+    def _ending_runs(self, worker: WorkerAllocation, rank: int) -> list[AllocatedRun]:
         """Return the runs whose ends the cost admits, the cheapest first."""
         key = (worker.incarnation.id, rank)
-        kept = self._kept_candidates.get(key)
+        kept = self._kept_runs.get(key)
         if kept is not None and kept[0] == worker.version:
             return kept[1]
-        candidates = [
+        runs = [
             run for run in worker.runs if not run.is_stopping and self._cost.is_candidate(run, rank)
         ]
-        candidates.sort(key=self._cost.of_run)
-        self._kept_candidates[key] = (worker.version, candidates)
-        return candidates
+        runs.sort(key=self._cost.of_run)
+        self._kept_runs[key] = (worker.version, runs)
+        return runs
 
     def _find_placements_on(
         self, worker: WorkerAllocation, ready: ReadySubtasks
     ) -> WorkerPlacements:
         cost, need = self._cost, ready.step.need
-        remaining = iter(self._candidates(worker, ready.rank))
+        remaining = iter(self._ending_runs(worker, ready.rank))
         free, slots = worker.free_after_stops, worker.slots_after_stops
         limit = worker.max_subtasks(ready.step, worker.incarnation.capacity, ready.job, ready.gang)
         placements: WorkerPlacements = []
@@ -100,9 +100,9 @@
                 placements.append((cost.of_runs(ended), ended))
                 free, slots, ended = free.minus(need), slots - 1, []
                 continue
-            candidate = next(remaining, None)
-            if candidate is None:
+            run = next(remaining, None)
+            if run is None:
                 break
-            ended = [*ended, candidate]
-            free, slots = free.plus(candidate.step.need), slots + 1
+            ended = [*ended, run]
+            free, slots = free.plus(run.step.need), slots + 1
         return placements
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -194,7 +194,7 @@
         capacity = self._preemptible if preempts else self._ending
         placements = self._failures.search(
             selector.future_key(len(names), preempts),
-            lambda: capacity.cheapest(selector.groups_for_future(), ready, len(names)),
+            lambda: capacity.cheapest(selector.future_groups(), ready, len(names)),
         )
         for worker, runs in placements or ():
             if preempts:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -140,7 +140,7 @@
             return self._pack(self._candidates.usable, count)
         return None
 
-    def groups_for_future(self) -> list[list[WorkerAllocation]]:
+    def future_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers of which one is to hold the subtasks later."""
         groups = self._usable_groups()
         return groups if self._waits_for_rack else [*groups, self._candidates.usable]
