Ask a worker that says it leaves three times before it counts as gone

One lost answer, or a poll that a newer token had overtaken, counted as absence, so a late call to deregister could still remove a live worker.

Change: an answer or a refusal shows that the worker is there; three polls without an answer that it is not.

--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -36,6 +36,8 @@
 ORDER_TIMEOUT_MS = 300
 """Workers answer an order in a few ms; after this it is sent again on a new connection."""
 START_ATTEMPTS = 2
+PRESENCE_ATTEMPTS = 3
+"""How many polls without an answer show that a worker that said it leaves has left."""
 MIN_POLL_WAIT_MS = 400
 MAX_POLL_WAIT_MS = 1000
 """The limits of how long a worker may delay the answer to a poll while no run ends.
@@ -149,10 +151,17 @@
         self.last_contact_ms = self._clock.now_ms()
 
     async def is_present(self) -> bool:
-        """Ask the worker now, once, whether this incarnation is still there."""
-        order = PollOrder(None, self._token, self._acknowledged_cursor, wait_ms=0)
-        answer = await self._port.poll(order, ORDER_TIMEOUT_MS)
-        return isinstance(answer, RunLists) and answer.born in (None, self.incarnation.born)
+        """Ask the worker now whether this incarnation is still there; one answer says so."""
+        for _ in range(PRESENCE_ATTEMPTS):
+            order = PollOrder(None, self._token, self._acknowledged_cursor, wait_ms=0)
+            match await self._port.poll(order, ORDER_TIMEOUT_MS):
+                case RunLists(born=born):
+                    return born in (None, self.incarnation.born)
+                case Rejected():
+                    return True
+                case IncarnationMismatch():
+                    return False
+        return False
 
     def is_lease_expired(self) -> bool:
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -298,3 +298,24 @@
             await self.until(lambda: self.outcomes() == [RunOutcome.DONE], "done")
 
         self.check(scenario)
+
+
+class PresenceTests(SessionCase):
+    """A worker that is there must not be taken for gone because one answer was lost."""
+
+    def is_present(self, prepare):
+        async def scenario():
+            prepare()
+            self.result = await self.session.is_present()
+
+        self.check(scenario)
+        return self.result
+
+    def test_a_worker_that_answers_or_refuses_is_present(self):
+        self.assertTrue(self.is_present(lambda: None))
+        self.assertTrue(self.is_present(lambda: setattr(self.worker, "polls_to_lose", 2)))
+        self.assertTrue(self.is_present(lambda: setattr(self.worker, "token", 10**9)))
+
+    def test_a_silent_worker_and_another_incarnation_are_not(self):
+        self.assertFalse(self.is_present(lambda: setattr(self.worker, "polls_to_lose", 9)))
+        self.assertFalse(self.is_present(lambda: setattr(self.worker, "is_replaced", True)))
