Share the endpoint of pings, and group workers by rack only for those who ask

Found on reading the change again: - the two ends of a ping kept their transport, closed it and opened their port in the same lines; a base class does it once; - each shape's workers were grouped by rack twice, although only gangs that prefer a rack look at racks; - the answer to a ping was written out for each case; - a test had a free_port and a run loop of its own beside those of agateferry_core.support.

Behaviour and assertions stay.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/pings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/pings.py
@@ -32,33 +32,46 @@
     return internal_port + 1
 
 
-class PingResponder(asyncio.DatagramProtocol):
+class DatagramEndpoint(asyncio.DatagramProtocol):
+    """A port for datagrams; where it cannot be opened, entries make calls instead."""
+
+    _transport: asyncio.DatagramTransport | None = None
+
+    async def open_port(self, ip: str, port: int) -> None:
+        """Bind a port, or log why that fails; port 0 is any free one."""
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, port))
+        except OSError as exc:
+            EventLogger().warning(events.PINGS_UNAVAILABLE, address=f"{ip}:{port}", detail=str(exc))
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, to send on it."""
+        self._transport = cast(asyncio.DatagramTransport, transport)
+
+    def close(self) -> None:
+        """Close the port."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+class PingResponder(DatagramEndpoint):
     """Answer pings on a host of the cell."""
 
     def __init__(self, answer: Callable[[], messages.ReplyEnvelope]) -> None:
         self._answer = answer
-        self._transport: asyncio.DatagramTransport | None = None
 
     async def open(self, ip: str, port: int) -> None:
-        """Bind the port; where it is in use, entries make calls instead."""
-        await _open_endpoint(self, ip, port)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport for the answers."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        """Bind the port that entries ping."""
+        await self.open_port(ip, port)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Answer a ping; ignore anything else."""
         if len(data) == NUMBER_BYTES and self._transport is not None:
             self._transport.sendto(data + messages.encode(self._answer()), addr)
 
-    def close(self) -> None:
-        """Close the port."""
-        if self._transport is not None:
-            self._transport.close()
-
 
-class Pinger(asyncio.DatagramProtocol):
+class Pinger(DatagramEndpoint):
     """Send pings from an entry and report the answers to those that still wait for one."""
 
     def __init__(self, ip: str, port: int, clock: Clock, on_pong: OnPong) -> None:
@@ -66,18 +79,13 @@
         self._port = port
         self._clock = clock
         self._on_pong = on_pong
-        self._transport: asyncio.DatagramTransport | None = None
         self._last_number = 0
         self._pending: dict[int, tuple[str, int]] = {}
         """By number, the host that a ping went to and when."""
 
     async def open(self) -> None:
-        """Open a socket on this host's address."""
-        await _open_endpoint(self, self._ip, 0)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Keep the transport for the pings."""
-        self._transport = cast(asyncio.DatagramTransport, transport)
+        """Open a port on this host's address."""
+        await self.open_port(self._ip, 0)
 
     def send(self, host: str) -> None:
         """Send a ping to a host of the cell."""
@@ -104,16 +112,3 @@
             metrics.PONGS_DROPPED.labels("malformed").inc()
             return
         self._on_pong(host, envelope, sent_ms)
-
-    def close(self) -> None:
-        """Close the socket."""
-        if self._transport is not None:
-            self._transport.close()
-
-
-async def _open_endpoint(protocol: asyncio.DatagramProtocol, ip: str, port: int) -> None:
-    loop = asyncio.get_running_loop()
-    try:
-        await loop.create_datagram_endpoint(lambda: protocol, local_addr=(ip, port))
-    except OSError as exc:
-        EventLogger().warning(events.PINGS_UNAVAILABLE, address=f"{ip}:{port}", detail=str(exc))
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -116,11 +116,11 @@
 
     def answer_ping(self) -> messages.ReplyEnvelope:
         """Answer a ping: `Done` if this host leads, else the name of the leader if it is known."""
-        if self._replica is None:
+        replica = self._replica
+        if replica is None:
             return messages.ReplyEnvelope(messages.NotLeader())
-        if not self._replica.is_leader:
-            return self._envelope(self._replica, messages.NotLeader(self._replica.leader))
-        return self._envelope(self._replica, messages.Done())
+        reply = messages.Done() if replica.is_leader else messages.NotLeader(replica.leader)
+        return self._envelope(replica, reply)
 
     def _envelope(self, replica: NodeReplica, reply: messages.Reply) -> messages.ReplyEnvelope:
         hosts = tuple(member.id.host for member in replica.members.voters)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -3,6 +3,7 @@
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from agateferry_jobs.ledger import Job, Ledger, Run, WorkerIncarnation, WorkerState
 from agateferry_jobs.ledger.specs import Resources, StepSpec
@@ -134,8 +135,16 @@
         self.key = key
         self.feasible = feasible
         self.usable = [worker for worker in feasible if worker.health.answers]
-        self.feasible_racks = _by_rack(feasible)
-        self.usable_racks = _by_rack(self.usable)
+
+    @cached_property
+    def feasible_racks(self) -> list[list[WorkerAllocation]]:
+        """Return the feasible workers of each rack; only gangs that prefer one rack ask for it."""
+        return _by_rack(self.feasible)
+
+    @cached_property
+    def usable_racks(self) -> list[list[WorkerAllocation]]:
+        """Return the usable workers of each rack."""
+        return _by_rack(self.usable)
 
 
 class Fleet:
--- a/packages/agateferry-service/agateferry_service/http/tests/test_server.py
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_server.py
@@ -1,10 +1,10 @@
 import asyncio
-import socket
 from unittest import mock
 
 import aiohttp
 import testtools
 
+from agateferry_core.support import free_port, run_async
 from agateferry_service.address import Address
 from agateferry_service.http.server import HttpServer
 
@@ -16,12 +16,6 @@
     await send({"type": "http.response.body", "body": b"served"})
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class HttpServerTests(testtools.TestCase):
     def serve(self, scenario):
         async def run():
@@ -33,7 +27,7 @@
             finally:
                 await server.stop(DRAIN_MS)
 
-        return asyncio.run(asyncio.wait_for(run(), 20))
+        return run_async(run(), 20)
 
     def test_a_response_has_the_date_of_its_request(self):
         async def scenario(server, port):
