Run background tasks and log their errors by one piece of code

Found on reading the change again: the leader and each worker's session started tasks, kept them and logged their exceptions in the same lines, and four classes had a method that logs an exception with one event. spawn stands beside repeat in agateferry_core.tasks, and an event logger gives the callback.

Behaviour and assertions stay.

--- a/packages/agateferry-core/agateferry_core/logs/logs.py
+++ b/packages/agateferry-core/agateferry_core/logs/logs.py
@@ -9,6 +9,7 @@
 
 import logging
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, TextIO, cast
 
@@ -54,6 +55,10 @@
         """Log an event that an operator must act on, with its advice."""
         self._log.error(event.text, number=event.number, advice=event.advice, **fields)
 
+    def on_exception(self, event: Event) -> Callable[[BaseException], None]:
+        """Return a callback that logs an exception as an error, with its text as the detail."""
+        return lambda exc: self.error(event, detail=repr(exc))
+
 
 def configure(
     level: str = "info", as_json: bool = True, file: TextIO | LineWriter | None = None
--- a/packages/agateferry-core/agateferry_core/tasks.py
+++ b/packages/agateferry-core/agateferry_core/tasks.py
@@ -1,7 +1,8 @@
 """Helpers for asyncio tasks."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 from agateferry_core.clock import MS_PER_S
 
@@ -15,6 +16,23 @@
     return task is not None and task.cancelling() > 0
 
 
+def spawn(
+    coro: Coroutine[Any, Any, Any],
+    running: set[asyncio.Task[Any]],
+    on_error: Callable[[BaseException], None],
+) -> None:
+    """Run a background task, kept in `running` until it ends; an exception goes to `on_error`."""
+
+    def on_done(task: asyncio.Task[Any]) -> None:
+        running.discard(task)
+        if not task.cancelled() and (exc := task.exception()) is not None:
+            on_error(exc)
+
+    task = asyncio.get_running_loop().create_task(coro)
+    running.add(task)
+    task.add_done_callback(on_done)
+
+
 async def repeat(
     step: Callable[[], Awaitable[None]], interval_ms: int, on_error: Callable[[Exception], None]
 ) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -8,7 +8,7 @@
 
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
-from agateferry_core.tasks import repeat
+from agateferry_core.tasks import repeat, spawn
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
@@ -42,6 +42,7 @@
         self._ledger = ledger
         self._clock = clock
         self._log = EventLogger()
+        self._log_failure = self._log.on_exception(events.TASK_FAILED)
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
         self._registry = WorkerRegistry(ledger, clock, make_port, lease_ms, self, self._proposer)
@@ -169,17 +170,7 @@
 
     def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         """Run a background task; an exception in it is logged."""
-        task = asyncio.get_running_loop().create_task(coro)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (exc := task.exception()) is not None:
-            self._log_failure(exc)
-
-    def _log_failure(self, exc: BaseException) -> None:
-        self._log.error(events.TASK_FAILED, detail=repr(exc))
+        spawn(coro, self._tasks, self._log_failure)
 
     async def _tick(self) -> None:
         if not self._replica.is_leader:
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -88,7 +88,8 @@
         self._transport.open_datagrams(self.cfg.internal_address)
         await self._ping_responder.open(self.cfg.ip, ping_port(self.cfg.internal_port))
         await replica.start()
-        recovery = repeat(self._recover_replica, RECOVERY_INTERVAL_MS, self._log_failure)
+        log_failure = self._log.on_exception(events.TASK_FAILED)
+        recovery = repeat(self._recover_replica, RECOVERY_INTERVAL_MS, log_failure)
         self._recovery_task = asyncio.create_task(recovery)
         delays = observe_loop_delay(metrics.LOOP_DELAY_SECONDS.observe, LOOP_DELAY_INTERVAL_MS)
         self._loop_delay_task = asyncio.create_task(delays)
@@ -171,9 +172,6 @@
             self._log.warning(events.REPLICA_RESTARTING, detail=failure.detail)
             await self._restart_replica()
 
-    def _log_failure(self, exc: Exception) -> None:
-        self._log.error(events.TASK_FAILED, detail=repr(exc))
-
     async def _restart_replica(self) -> None:
         if self._leader is not None:
             await self._leader.close()
--- a/packages/agateferry-jobs/agateferry_jobs/entry/leader_monitor.py
+++ b/packages/agateferry-jobs/agateferry_jobs/entry/leader_monitor.py
@@ -46,7 +46,11 @@
         """Monitor the leader until cancelled."""
         try:
             await self._pinger.open()
-            await repeat(self._check_leader, PING_INTERVAL_MS, self._on_error)
+            await repeat(
+                self._check_leader,
+                PING_INTERVAL_MS,
+                self._log.on_exception(events.TASK_FAILED),
+            )
         finally:
             self._pinger.close()
 
@@ -64,9 +68,6 @@
             self._pinger.send(host)
         await self._client.call(messages.Ping(), PING_TIMEOUT_MS)
 
-    def _on_error(self, exc: Exception) -> None:
-        self._log.error(events.TASK_FAILED, detail=repr(exc))
-
     def _silent_ms(self) -> int | None:
         """Return how long ago the leader replied; None before its first reply."""
         at_ms = self._client.last_reply_ms
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -8,11 +8,12 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from typing import Protocol
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
+from agateferry_core.tasks import spawn
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import RunEnded, RunOutcome, RunStart
@@ -107,6 +108,7 @@
         self._acknowledged_cursor = 0
         self._wake = asyncio.Event()
         self._log = EventLogger(worker=incarnation.id, born=incarnation.born)
+        self._log_failure = self._log.on_exception(events.SESSION_FAILED)
         self._tasks: set[asyncio.Task[None]] = set()
         self._spawn(self._poll_forever())
 
@@ -184,15 +186,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._port.close()
 
-    def _spawn(self, coro: "asyncio.Future[None] | object") -> None:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(coro)  # type: ignore
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: "asyncio.Task[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (exc := task.exception()) is not None:
-            self._log.error(events.SESSION_FAILED, detail=repr(exc))
+    def _spawn(self, coro: Coroutine[Any, Any, None]) -> None:
+        spawn(coro, self._tasks, self._log_failure)
 
     async def _poll_forever(self) -> None:
         while True:
@@ -207,7 +202,7 @@
             try:
                 succeeded = await self._poll_once()
             except Exception as exc:
-                self._log.error(events.SESSION_FAILED, detail=repr(exc))
+                self._log_failure(exc)
                 succeeded = False
             has_just_failed = self._is_failing and not was_failing
             if not succeeded and not has_just_failed:
@@ -321,7 +316,7 @@
         try:
             is_known = await self._try_start(start, payload, tracked)
         except Exception as exc:
-            self._log.error(events.SESSION_FAILED, detail=repr(exc))
+            self._log_failure(exc)
             is_known = False
         if not is_known:
             self._mark_uncertain(tracked)
