Say of each lost run whether its worker crashed, was silent, left, or no longer lists it

The end of a run now names its cause, in the log (7321, field loss), in the metric agateferry_jobs_runs_lost and in the stored command, as an optional field that a replica of an earlier build ignores. 7333 tells of a crashed worker and lists the subtasks that were there; 7331 says why a worker left, once and no longer twice.

A crash is concluded from another incarnation, under the same id or at the same address, of a worker that had not said that it leaves. No decision depends on it yet.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -30,6 +30,11 @@
     "worker excluded from new runs for a while",
     "See the worker's own log for why its runs fail or make no progress.",
 )
+WORKER_CRASHED = Event(
+    7333,
+    "worker crashed; another incarnation took its place",
+    "A job whose subtasks stand in several such lines may be the cause; see the worker's own log.",
+)
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -275,8 +275,11 @@
             worker=run.worker,
             how=end.outcome,
             saved=bool(end.checkpoint),
+            loss=end.loss,
         )
         metrics.RUNS_ENDED.labels(end.outcome.value).inc()
+        if end.loss is not None:
+            metrics.RUNS_LOST.labels(end.loss.value).inc()
         if end.outcome is commands.RunOutcome.DONE:
             self._suspects.record_success(run.worker, run.born)
         elif end.outcome is commands.RunOutcome.FAILED:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -10,6 +10,7 @@
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.ledger import Ledger, Run, WorkerIncarnation, WorkerState, commands
+from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.lease import Lease, max_local_ms
@@ -129,7 +130,7 @@
         if incarnation.state is WorkerState.READY and worker in self.sessions:
             self._hooks.spawn(self._deregister_unless_present(self.sessions[worker]))
             return messages.Done()
-        if not await self._deregister(incarnation):
+        if not await self._deregister(incarnation, LossCause.LEFT):
             return messages.OutcomeUnknown("not stored")
         return messages.Done()
 
@@ -185,7 +186,7 @@
         for session in list(self.sessions.values()):
             is_silent = not session.health(False).answers
             if session.runs and is_silent and session.is_lease_expired():
-                await self._commit_lost_runs(session.ends_as_lost())
+                await self._commit_lost_runs(session.ends_as_lost(LossCause.SILENT))
 
     def next_token(self) -> int:
         """Return a fencing token greater than all issued before."""
@@ -210,7 +211,7 @@
 
     def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
         """Remove a replaced incarnation; the new one registers by its own heartbeat."""
-        self._hooks.spawn(self._deregister(incarnation))
+        self._hooks.spawn(self._deregister(incarnation, _cause_of_replacement(incarnation)))
 
     def _is_outdated(self, incarnation: WorkerIncarnation) -> bool:
         """Return whether a newer incarnation is registered at the same address."""
@@ -230,19 +231,21 @@
             self.request_planning()
             return
         if session is not None:
-            await self._close_session(session)
+            cause = _cause_of_replacement(session.incarnation)
+            self._log_departure(session.incarnation, cause)
+            await self._close_session(session, cause)
         for other in list(self._ledger.workers.values()):
             if other.address == incarnation.address and other.born < incarnation.born:
-                await self._deregister(other)
+                await self._deregister(other, _cause_of_replacement(other))
         self._open_session(incarnation, earlier_leases_until_ms=0)
 
     async def _deregister_unless_present(self, session: WorkerSession) -> None:
         await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
         is_current = self.sessions.get(session.incarnation.id) is session
         if is_current and not await session.is_present():
-            await self._deregister(session.incarnation)
+            await self._deregister(session.incarnation, LossCause.LEFT)
 
-    async def _deregister(self, incarnation: WorkerIncarnation) -> bool:
+    async def _deregister(self, incarnation: WorkerIncarnation, cause: LossCause) -> bool:
         gone = WorkerIncarnation(
             incarnation.id,
             incarnation.born,
@@ -255,14 +258,26 @@
         result = await self._proposer.propose(commands.NoteWorker(gone))
         if result.is_error():
             return False
-        self._log.info(events.WORKER_LEFT, worker=incarnation.id, born=incarnation.born)
+        if result.ok:
+            self._log_departure(incarnation, cause)
         session = self.sessions.get(incarnation.id)
         if session is not None and session.incarnation.born == incarnation.born:
-            await self._close_session(session)
+            await self._close_session(session, cause)
         return True
 
-    async def _close_session(self, session: WorkerSession) -> None:
-        ends = session.ends_as_lost()
+    def _log_departure(self, incarnation: WorkerIncarnation, cause: LossCause) -> None:
+        """Log that an incarnation has ended, and why; after a crash with the runs that it had."""
+        about: dict[str, Any] = {"worker": incarnation.id, "born": incarnation.born}
+        if cause is not LossCause.CRASHED:
+            self._log.info(events.WORKER_LEFT, **about, reason=cause)
+            return
+        session = self.sessions.get(incarnation.id)
+        runs = session.runs if session is not None else {}
+        keys = sorted(".".join(key) for key in runs)
+        self._log.warning(events.WORKER_CRASHED, **about, rack=incarnation.rack, subtasks=keys)
+
+    async def _close_session(self, session: WorkerSession, cause: LossCause) -> None:
+        ends = session.ends_as_lost(cause)
         self.sessions.pop(session.incarnation.id, None)
         await session.close()
         await self._commit_lost_runs(ends)
@@ -308,4 +323,10 @@
 
 
 def _lost_run_end(key: RunKey, run: Run) -> commands.RunEnded:
-    return commands.RunEnded(key[0], key[1], run, commands.RunOutcome.LOST)
+    return commands.RunEnded(key[0], key[1], run, commands.RunOutcome.LOST, loss=LossCause.UNKNOWN)
+
+
+def _cause_of_replacement(incarnation: WorkerIncarnation) -> LossCause:
+    """Return how an incarnation ended whose place another one has taken."""
+    is_leaving = incarnation.state is not WorkerState.READY
+    return LossCause.LEFT if is_leaving else LossCause.CRASHED
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -27,6 +27,21 @@
     REFUSED = "refused"
 
 
+class LossCause(StrEnum):
+    """Why the end of a run is unknown, so that it counts as `RunOutcome.LOST`."""
+
+    CRASHED = "crashed"
+    """Another incarnation took the place of a worker that had not said that it leaves."""
+    SILENT = "silent"
+    """The worker did not answer until its lease expired: it crashed, or cannot be reached."""
+    LEFT = "left"
+    """The worker said that it leaves, and did."""
+    UNLISTED = "unlisted"
+    """The worker answers and does not list the run, which it had confirmed."""
+    UNKNOWN = "unknown"
+    """The worker had gone before this leader looked."""
+
+
 class RunStart(Struct, frozen=True):
     """The intent to start a subtask; it is stored before the order is sent to the worker."""
 
@@ -44,6 +59,8 @@
     run: Run
     outcome: RunOutcome = field(name="how")
     checkpoint: str = ""
+    loss: LossCause | None = None
+    """Why the run is lost; None for all other outcomes."""
 
 
 class PutManifest(Struct, frozen=True, tag="manifest"):
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -27,6 +27,9 @@
     buckets=START_BUCKETS_S,
 )
 RUNS_ENDED = Counter("agateferry_jobs_runs_ended", "Runs ended, by outcome.", ["how"])
+RUNS_LOST = Counter(
+    "agateferry_jobs_runs_lost", "Runs whose end is unknown, by what happened to it.", ["cause"]
+)
 RUNS_STOPPED = Counter("agateferry_jobs_runs_stopped", "Runs stopped, by reason.", ["reason"])
 STARTS_UNCLEAR = Counter(
     "agateferry_jobs_starts_unclear",
--- a/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 
 from agateferry_jobs.ledger import Run, WorkerIncarnation
-from agateferry_jobs.ledger.commands import RunEnded, RunOutcome
+from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.port import FinishedRun, RunLists
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
@@ -14,6 +14,11 @@
     return RunEnded(key[0], key[1], tracked.run, outcome, tracked.checkpoint)
 
 
+def run_lost(key: RunKey, tracked: TrackedRun, cause: LossCause) -> RunEnded:
+    """Return the end of a tracked run that its worker can no longer report."""
+    return RunEnded(key[0], key[1], tracked.run, RunOutcome.LOST, tracked.checkpoint, cause)
+
+
 def listed_ends(lists: RunLists, after: int, incarnation: WorkerIncarnation) -> list[RunEnded]:
     """Return the ends that the worker lists with numbers above `after`."""
     return [_listed_end(each, incarnation) for each in lists.finished if each.number > after]
@@ -44,5 +49,5 @@
         if tracked.phase is Phase.UNCERTAIN:
             ends.append(run_ended(key, tracked, RunOutcome.REFUSED))
         elif tracked.phase is Phase.CONFIRMED:
-            ends.append(run_ended(key, tracked, RunOutcome.LOST))
+            ends.append(run_lost(key, tracked, LossCause.UNLISTED))
     return ends
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -16,7 +16,7 @@
 from agateferry_core.tasks import spawn
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import Run, WorkerIncarnation
-from agateferry_jobs.ledger.commands import RunEnded, RunOutcome, RunStart
+from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome, RunStart
 from agateferry_jobs.planning.fleet import RunKey, WorkerHealth
 from agateferry_jobs.workers import events
 from agateferry_jobs.workers.lease import Lease
@@ -31,7 +31,7 @@
     StopOrder,
     WorkerPort,
 )
-from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended
+from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended, run_lost
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
 ORDER_TIMEOUT_MS = 300
@@ -169,9 +169,9 @@
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
         return self._lease.is_expired(self._clock.now_ms())
 
-    def ends_as_lost(self) -> tuple[RunEnded, ...]:
+    def ends_as_lost(self, cause: LossCause) -> tuple[RunEnded, ...]:
         """Return ends, as lost, of all tracked runs, once the worker can no longer report them."""
-        return tuple(run_ended(key, t, RunOutcome.LOST) for key, t in self.runs.items())
+        return tuple(run_lost(key, tracked, cause) for key, tracked in self.runs.items())
 
     def forget(self, key: RunKey, run: Run) -> None:
         """Stop tracking a run whose end is committed."""
