Give up a subtask under which workers crash, and count those crashes durably

Cause: only the outcome failed counted against a budget; a run that was lost with its worker was started again without limit, and what had happened was forgotten with it.

A run that had ended, one ordered after the crash, a worker that drains, deregisters or is silent count nothing; silence becomes a crash if a new incarnation shows within 30 s. A run that may not have begun, or had worked for a minute, is a possible cause only. The leader gives a job up after two crashes with no other cause in question, or two right after the start of which one is so; after four of any kind, so that the number of runs is bounded. Crashes of three workers or more at about the same time, a tenth of the service or half of a rack, that no suspected job explains accuse nobody; the leader waits a second for them to show. Others that were beside a guilty job are exonerated when it is given up.

The record of a run's end is unchanged unless the run was lost, which had broken (test_ends_of_runs_keep_their_bytes_in_the_log).

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -12,6 +12,11 @@
     7312, "job cancelled", "Nothing to do; 7322 follows for each run of the job that is active."
 )
 JOB_ENDED = Event(7313, "job ended", "If the state is failed, see why its runs ended in 7321.")
+JOB_GIVEN_UP = Event(
+    7314,
+    "job given up because workers crashed under one of its subtasks",
+    "See crashes, and 7333 of each worker for what else ran there; the caller should mend the job.",
+)
 RUN_STARTED = Event(7320, "run placed", "Nothing to do; 7321 says how the run ended.")
 RUN_ENDED = Event(7321, "run ended", "Unless how is done, see the worker's own log.")
 RUN_STOPPING = Event(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from expression import Result
+from msgspec import UNSET
 
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
@@ -13,6 +14,7 @@
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.call_handler import CallHandler
+from agateferry_jobs.cell.guilty_jobs import GuiltyJobs
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.suspects import SuspectWorkers
@@ -45,6 +47,7 @@
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
+        self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
         self._registry = WorkerRegistry(ledger, clock, make_port, lease_ms, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
         self._wall_offset_ms = 0
@@ -177,9 +180,16 @@
             return
         if not self._plan_loop.is_planning:
             await self._registry.end_lost_runs()
+        await self._give_up_guilty_jobs()
         self._stop_hung_runs()
         self.request_planning()
 
+    async def _give_up_guilty_jobs(self) -> None:
+        """Fail each job with a subtask that crashes its workers."""
+        at_ms = self.now_ms
+        for id in await self._guilty_jobs.give_up(at_ms):
+            self._log_job_end(id, at_ms)
+
     def _make_plan(self) -> Plan:
         self._stop_obsolete_runs()
         fleet = Fleet.from_ledger(
@@ -275,10 +285,10 @@
             worker=run.worker,
             how=end.outcome,
             saved=bool(end.checkpoint),
-            loss=end.loss,
+            **({"loss": end.loss} if end.loss is not UNSET else {}),
         )
         metrics.RUNS_ENDED.labels(end.outcome.value).inc()
-        if end.loss is not None:
+        if end.loss is not UNSET:
             metrics.RUNS_LOST.labels(end.loss.value).inc()
         if end.outcome is commands.RunOutcome.DONE:
             self._suspects.record_success(run.worker, run.born)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -4,10 +4,18 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, Protocol
 
+import msgspec
+
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
+from agateferry_jobs.cell.departures import (
+    cause_of_replacement,
+    crash_report,
+    gone,
+    lost_run_end,
+)
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.ledger import Ledger, Run, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import LossCause
@@ -31,6 +39,10 @@
 class LeaderHooks(Protocol):
     """What the worker registry needs from the leader."""
 
+    @property
+    def now_ms(self) -> int:
+        """Return wall-clock ms since the Unix epoch."""
+
     def next_token(self) -> int:
         """Return a fencing token greater than all issued before."""
 
@@ -99,7 +111,10 @@
             return messages.Done()
         known = self._ledger.workers.get(incarnation.id)
         if known != incarnation and not self._is_outdated(incarnation):
-            result = await self._proposer.propose(commands.NoteWorker(incarnation))
+            note = commands.NoteWorker(incarnation, self._hooks.now_ms)
+            if known is not None and self._has_crashed(known, incarnation):
+                note = self._with_crash(note, known)
+            result = await self._proposer.propose(note)
             if result.is_error():
                 return reply_for_error(result.error)
             if result.ok:
@@ -144,7 +159,7 @@
             session.start_run(start, payload)
         else:
             self._hooks.spawn(
-                self._commit_lost_runs((_lost_run_end((start.job, start.subtask), start.run),))
+                self._commit_lost_runs((lost_run_end((start.job, start.subtask), start.run),))
             )
 
     def stop_run(self, key: RunKey, run: Run) -> bool:
@@ -211,7 +226,7 @@
 
     def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
         """Remove a replaced incarnation; the new one registers by its own heartbeat."""
-        self._hooks.spawn(self._deregister(incarnation, _cause_of_replacement(incarnation)))
+        self._hooks.spawn(self._deregister(incarnation, cause_of_replacement(incarnation)))
 
     def _is_outdated(self, incarnation: WorkerIncarnation) -> bool:
         """Return whether a newer incarnation is registered at the same address."""
@@ -231,12 +246,12 @@
             self.request_planning()
             return
         if session is not None:
-            cause = _cause_of_replacement(session.incarnation)
+            cause = cause_of_replacement(session.incarnation)
             self._log_departure(session.incarnation, cause)
             await self._close_session(session, cause)
         for other in list(self._ledger.workers.values()):
             if other.address == incarnation.address and other.born < incarnation.born:
-                await self._deregister(other, _cause_of_replacement(other))
+                await self._deregister(other, cause_of_replacement(other))
         self._open_session(incarnation, earlier_leases_until_ms=0)
 
     async def _deregister_unless_present(self, session: WorkerSession) -> None:
@@ -246,16 +261,10 @@
             await self._deregister(session.incarnation, LossCause.LEFT)
 
     async def _deregister(self, incarnation: WorkerIncarnation, cause: LossCause) -> bool:
-        gone = WorkerIncarnation(
-            incarnation.id,
-            incarnation.born,
-            incarnation.service,
-            incarnation.address,
-            incarnation.zone,
-            incarnation.capacity,
-            state=WorkerState.GONE,
-        )
-        result = await self._proposer.propose(commands.NoteWorker(gone))
+        note = commands.NoteWorker(gone(incarnation), self._hooks.now_ms)
+        if cause is LossCause.CRASHED:
+            note = self._with_crash(note, incarnation)
+        result = await self._proposer.propose(note)
         if result.is_error():
             return False
         if result.ok:
@@ -265,6 +274,16 @@
             await self._close_session(session, cause)
         return True
 
+    def _has_crashed(self, known: WorkerIncarnation, new: WorkerIncarnation) -> bool:
+        return known.born < new.born and cause_of_replacement(known) is LossCause.CRASHED
+
+    def _with_crash(
+        self, note: commands.NoteWorker, crashed: WorkerIncarnation
+    ) -> commands.NoteWorker:
+        """Return a note that records the crash of an incarnation together with what it notes."""
+        report = crash_report(crashed, self.sessions.get(crashed.id), note.at_ms)
+        return msgspec.structs.replace(note, crash=report)
+
     def _log_departure(self, incarnation: WorkerIncarnation, cause: LossCause) -> None:
         """Log that an incarnation has ended, and why; after a crash with the runs that it had."""
         about: dict[str, Any] = {"worker": incarnation.id, "born": incarnation.born}
@@ -310,7 +329,7 @@
                     continue
                 session = self.sessions.get(run.worker)
                 if session is None or session.incarnation.born != run.born:
-                    lost.append(_lost_run_end((job.id, name), run))
+                    lost.append(lost_run_end((job.id, name), run))
                 else:
                     session.adopt((job.id, name), run)
         return tuple(lost)
@@ -320,13 +339,3 @@
     """Close sessions, one after the other."""
     for session in sessions:
         await session.close()
-
-
-def _lost_run_end(key: RunKey, run: Run) -> commands.RunEnded:
-    return commands.RunEnded(key[0], key[1], run, commands.RunOutcome.LOST, loss=LossCause.UNKNOWN)
-
-
-def _cause_of_replacement(incarnation: WorkerIncarnation) -> LossCause:
-    """Return how an incarnation ended whose place another one has taken."""
-    is_leaving = incarnation.state is not WorkerState.READY
-    return LossCause.LEFT if is_leaving else LossCause.CRASHED
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -3,7 +3,7 @@
 from enum import StrEnum
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 from agateferry_jobs.ledger.specs import JobSpec
 from agateferry_jobs.ledger.state import Run, WorkerIncarnation
@@ -42,6 +42,19 @@
     """The worker had gone before this leader looked."""
 
 
+class CrashReport(Struct, frozen=True):
+    """The crash of a worker's incarnation, which a new incarnation shows.
+
+    The worker has not answered since `since_ms`. `uncertain_runs` are those of its runs, as job and
+    subtask, that are not known to have begun.
+    """
+
+    worker: str
+    born: int
+    since_ms: int
+    uncertain_runs: tuple[tuple[str, str], ...] = ()
+
+
 class RunStart(Struct, frozen=True):
     """The intent to start a subtask; it is stored before the order is sent to the worker."""
 
@@ -59,8 +72,8 @@
     run: Run
     outcome: RunOutcome = field(name="how")
     checkpoint: str = ""
-    loss: LossCause | None = None
-    """Why the run is lost; None for all other outcomes."""
+    loss: LossCause | UnsetType = UNSET
+    """Why the run is lost; not stored with any other outcome."""
 
 
 class PutManifest(Struct, frozen=True, tag="manifest"):
@@ -90,9 +103,11 @@
 
 
 class NoteWorker(Struct, frozen=True, tag="worker"):
-    """Record a worker's incarnation, or its new state."""
+    """Record a worker's incarnation, or its new state, and the crash of the one before it."""
 
     worker: WorkerIncarnation
+    at_ms: int = 0
+    crash: CrashReport | None = None
 
 
 class StartRuns(Struct, frozen=True, tag="start"):
@@ -109,7 +124,16 @@
     at_ms: int
 
 
-Command = PutManifest | AcceptJob | CancelJob | NoteWorker | StartRuns | EndRuns
+class GiveUpJob(Struct, frozen=True, tag="give-up"):
+    """Fail a job because of one of its subtasks, under which too many workers have crashed."""
+
+    id: str
+    subtask: str
+    reason: str
+    at_ms: int
+
+
+Command = PutManifest | AcceptJob | CancelJob | NoteWorker | StartRuns | EndRuns | GiveUpJob
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Command)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
@@ -0,0 +1,192 @@
+"""Record under which runs workers crashed, and tell a wider failure from the fault of a job.
+
+All runs on a crashed worker are recorded alike, since any of them may be the cause. What tells them
+apart is whether other suspected jobs were there, and whether many workers crashed at about the same
+time for no known reason, as when a rack loses power.
+"""
+
+from bisect import bisect_left, bisect_right
+from collections import Counter
+from collections.abc import Collection, Iterator, Mapping, Sequence
+
+from agateferry_jobs.ledger.commands import CrashReport, LossCause, RunEnded
+from agateferry_jobs.ledger.state import (
+    CrashEvidence,
+    Job,
+    Run,
+    RunCrash,
+    WorkerCrash,
+    WorkerIncarnation,
+)
+
+CRASH_RETENTION_MS = 600_000
+"""How long a crash of a worker counts against what ran there."""
+MAX_CRASHES_KEPT = 300
+LONG_RUN_MS = 60_000
+"""A run that worked for this long before its worker crashed is hardly the cause."""
+SILENCE_RESOLUTION_MS = 30_000
+"""How long after its lease expired a new incarnation shows that a silent worker had crashed."""
+WIDE_FAILURE_WINDOW_MS = 1_500
+"""Workers that crash together, as when a rack loses power, are back within this time."""
+WIDE_FAILURE_MIN_WORKERS = 3
+WIDE_FAILURE_SHARE = 0.1
+"""The share of a service's workers whose crashes together are a wider failure."""
+WIDE_FAILURE_RACK_SHARE = 0.5
+"""The share of a rack's workers whose crashes together are a failure of the rack."""
+
+WorkerKey = tuple[str, int]
+"""The id and `born` of a worker's incarnation."""
+
+
+def record_crash(
+    jobs: Mapping[str, Job],
+    crashes: list[WorkerCrash],
+    wide: Collection[WorkerKey],
+    crashed: WorkerIncarnation,
+    report: CrashReport,
+    at_ms: int,
+) -> None:
+    """Record the crash of a worker against all runs that were on it."""
+    lost = list(_runs_on(jobs, report.worker, report.born))
+    suspects = _suspects_among(lost, wide)
+    for job, name, run in lost:
+        has_begun = (job.id, name) not in report.uncertain_runs
+        ran_ms = report.since_ms - job.subtasks[name].started_ms
+        if not has_begun and ran_ms < 0:
+            continue
+        is_sure = has_begun and ran_ms < LONG_RUN_MS
+        evidence = CrashEvidence.CRASHED if is_sure else CrashEvidence.POSSIBLE
+        is_alone = _is_alone(job, lost, suspects)
+        _add(job, name, RunCrash(run, evidence, at_ms, max(0, ran_ms), is_alone))
+    _confirm_silences(jobs, report, at_ms)
+    crashes.append(
+        WorkerCrash(crashed.id, crashed.born, crashed.service, crashed.rack, at_ms, bool(suspects))
+    )
+    crashes[:] = _recent(crashes, at_ms)
+
+
+def record_silences(
+    jobs: Mapping[str, Job], wide: Collection[WorkerKey], ends: Sequence[RunEnded], at_ms: int
+) -> None:
+    """Record runs whose worker's lease expired in silence, before their ends are applied."""
+    silent = {(e.run.worker, e.run.born) for e in ends if e.loss is LossCause.SILENT}
+    for worker, born in sorted(silent):
+        lost = list(_runs_on(jobs, worker, born))
+        suspects = _suspects_among(lost, wide)
+        for job, name, run in lost:
+            ran_ms = max(0, at_ms - job.subtasks[name].started_ms)
+            is_alone = _is_alone(job, lost, suspects)
+            _add(job, name, RunCrash(run, CrashEvidence.SILENT, at_ms, ran_ms, is_alone))
+
+
+def exonerate(jobs: Mapping[str, Job], crashes: Sequence[WorkerCrash], guilty: Job) -> None:
+    """Take crashes that a job caused off the records of the others that were there."""
+    caused = {
+        (crash.run.worker, crash.run.born) for each in guilty.crashes.values() for crash in each
+    }
+    for event in crashes:
+        event.is_explained |= (event.worker, event.born) in caused
+    for job in jobs.values():
+        if job.crashes and job is not guilty:
+            kept = {
+                name: tuple(c for c in each if (c.run.worker, c.run.born) not in caused)
+                for name, each in job.crashes.items()
+            }
+            job.crashes = {name: each for name, each in kept.items() if each}
+
+
+def wide_failures(
+    crashes: Sequence[WorkerCrash], workers: Mapping[str, WorkerIncarnation]
+) -> set[WorkerKey]:
+    """Return the crashed incarnations that went down with many others, whatever they ran.
+
+    `crashes` are in order of time. Those that a suspected job explains are no sign of a wider
+    failure, though one may take them along.
+    """
+    if len(crashes) < WIDE_FAILURE_MIN_WORKERS:
+        return set()
+    by_service = Counter(each.service for each in workers.values())
+    by_rack = Counter((each.service, each.rack) for each in workers.values())
+    times = [crash.at_ms for crash in crashes]
+    wide = set()
+    for crash in crashes:
+        first = bisect_left(times, crash.at_ms - WIDE_FAILURE_WINDOW_MS)
+        last = bisect_right(times, crash.at_ms + WIDE_FAILURE_WINDOW_MS)
+        together = [
+            each
+            for each in crashes[first:last]
+            if not each.is_explained and each.service == crash.service
+        ]
+        in_rack = sum(each.rack == crash.rack for each in together)
+        share = len(together) / max(1, by_service[crash.service])
+        rack_share = in_rack / max(1, by_rack[(crash.service, crash.rack)])
+        is_large = share >= WIDE_FAILURE_SHARE or rack_share >= WIDE_FAILURE_RACK_SHARE
+        if is_large and len(together) >= WIDE_FAILURE_MIN_WORKERS:
+            wide.add((crash.worker, crash.born))
+    return wide
+
+
+def _runs_on(jobs: Mapping[str, Job], worker: str, born: int) -> Iterator[tuple[Job, str, Run]]:
+    for job in jobs.values():
+        for name, subtask in job.subtasks.items():
+            run = subtask.active
+            if run is not None and run.worker == worker and run.born == born:
+                yield job, name, run
+
+
+def _suspects_among(lost: Sequence[tuple[Job, str, Run]], wide: Collection[WorkerKey]) -> set[str]:
+    """Return the ids of the jobs whose subtasks there had crashed workers before."""
+    return {job.id for job, name, _ in lost if sure_crashes(job, name, wide)}
+
+
+def sure_crashes(job: Job, name: str, wide: Collection[WorkerKey]) -> list[RunCrash]:
+    """Return the crashes under a subtask that no wider failure explains."""
+    return [
+        crash
+        for crash in job.crashes.get(name, ())
+        if crash.evidence is CrashEvidence.CRASHED
+        and (crash.run.worker, crash.run.born) not in wide
+    ]
+
+
+def _is_alone(job: Job, lost: Sequence[tuple[Job, str, Run]], suspects: Collection[str]) -> bool:
+    in_question = suspects or {other.id for other, _, _ in lost}
+    return in_question == {job.id}
+
+
+def _add(job: Job, name: str, crash: RunCrash) -> None:
+    """Add a crash to a subtask's record, once for each run."""
+    if job.step_of(name).is_long_running and crash.ran_ms >= LONG_RUN_MS:
+        job.crashes.pop(name, None)
+        return
+    known = job.crashes.get(name, ())
+    if all(each.run != crash.run for each in known):
+        job.crashes[name] = (*known, crash)
+
+
+def _confirm_silences(jobs: Mapping[str, Job], report: CrashReport, at_ms: int) -> None:
+    """Turn the silence of a worker into a crash, once a new incarnation shows it."""
+    for job in jobs.values():
+        for name, crashes in job.crashes.items():
+            if any(_is_confirmed(crash, report, at_ms) for crash in crashes):
+                job.crashes[name] = tuple(
+                    (
+                        RunCrash(c.run, CrashEvidence.CRASHED, at_ms, c.ran_ms, c.is_alone)
+                        if _is_confirmed(c, report, at_ms)
+                        else c
+                    )
+                    for c in crashes
+                )
+
+
+def _is_confirmed(crash: RunCrash, report: CrashReport, at_ms: int) -> bool:
+    is_same = (crash.run.worker, crash.run.born) == (report.worker, report.born)
+    is_recent = at_ms - crash.at_ms <= SILENCE_RESOLUTION_MS
+    return is_same and is_recent and crash.evidence is CrashEvidence.SILENT
+
+
+def _recent(crashes: Sequence[WorkerCrash], now_ms: int) -> list[WorkerCrash]:
+    """Return the crashes that are kept, in order of time."""
+    oldest_ms = now_ms - CRASH_RETENTION_MS
+    kept = [each for each in crashes if each.at_ms >= oldest_ms]
+    return sorted(kept, key=lambda each: each.at_ms)[-MAX_CRASHES_KEPT:]
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -11,12 +11,27 @@
 from msgspec import Struct, field
 
 from agateferry_jobs.ledger import commands
+from agateferry_jobs.ledger.commands import LossCause
+from agateferry_jobs.ledger.crashes import (
+    WorkerKey,
+    exonerate,
+    record_crash,
+    record_silences,
+    wide_failures,
+)
 from agateferry_jobs.ledger.durations import DurationEstimate
+from agateferry_jobs.ledger.job_ends import (
+    drop_inactive_subtasks,
+    fail,
+    mark_done,
+    update_job_end,
+)
 from agateferry_jobs.ledger.specs import JobSpec
 from agateferry_jobs.ledger.state import (
     Gang,
     Job,
     Subtask,
+    WorkerCrash,
     WorkerIncarnation,
     WorkerState,
     gang_of,
@@ -40,6 +55,8 @@
     """For each worker that left, `born` of its last incarnation; later updates are ignored."""
     durations: dict[str, DurationEstimate] = field(default_factory=dict, name="lengths")
     """Estimates of how long runs really take, by queue."""
+    crashes: list[WorkerCrash] = field(default_factory=list)
+    """The workers that crashed of late, in order of time."""
 
 
 class Ledger:
@@ -49,6 +66,7 @@
         self.state = State()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(State)
+        self._wide_failures: set[WorkerKey] | None = None
 
     @property
     def manifest(self) -> Manifest | None:
@@ -79,12 +97,16 @@
                 return self._accept(accepted)
             case commands.CancelJob(id, at_ms):
                 return self._cancel(id, at_ms)
-            case commands.NoteWorker(worker):
-                return self._record_worker(worker)
+            case commands.NoteWorker() as note:
+                return self._note_worker(note)
             case commands.StartRuns(starts, at_ms):
                 return tuple(start for start in starts if self._start(start, at_ms))
             case commands.EndRuns(ends, at_ms):
+                if any(end.loss is LossCause.SILENT for end in ends):
+                    record_silences(self.jobs, self.wide_failures(), ends, at_ms)
                 return tuple(end for end in ends if self._end(end, at_ms))
+            case commands.GiveUpJob() as given_up:
+                return self._give_up(given_up)
 
     def snapshot(self) -> bytes:
         """Encode the whole state."""
@@ -93,6 +115,7 @@
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot."""
         self.state = self._decoder.decode(data)
+        self._wide_failures = None
 
     def _put_manifest(self, manifest: Manifest) -> bool:
         current = self.state.manifest
@@ -131,7 +154,36 @@
         if not job.is_over:
             job.is_cancelled = True
             job.ended_ms = at_ms
-            _drop_inactive_subtasks(job)
+            drop_inactive_subtasks(job)
+        return True
+
+    def wide_failures(self) -> set[WorkerKey]:
+        """Return the crashed incarnations that went down with many others."""
+        if self._wide_failures is None:
+            self._wide_failures = wide_failures(self.state.crashes, self.workers)
+        return self._wide_failures
+
+    def _note_worker(self, note: commands.NoteWorker) -> bool:
+        self._wide_failures = None
+        crash = note.crash
+        crashed = self.workers.get(crash.worker) if crash is not None else None
+        if not self._record_worker(note.worker):
+            return False
+        if crash is not None and crashed is not None and crashed.born == crash.born:
+            record_crash(
+                self.jobs, self.state.crashes, self.wide_failures(), crashed, crash, note.at_ms
+            )
+            self._wide_failures = None
+        return True
+
+    def _give_up(self, command: commands.GiveUpJob) -> bool:
+        job = self.jobs.get(command.id)
+        if job is None or job.is_over:
+            return False
+        fail(job, command.reason, command.at_ms)
+        exonerate(self.jobs, self.state.crashes, job)
+        self._wide_failures = None
+        drop_inactive_subtasks(job)
         return True
 
     def _record_worker(self, worker: WorkerIncarnation) -> bool:
@@ -178,9 +230,9 @@
         if end.checkpoint and end.run.number == subtask.last_run:
             subtask.checkpoint = end.checkpoint
         self._record_outcome(job, subtask, end, was_active)
-        _update_job_end(job, at_ms)
+        update_job_end(job, at_ms)
         if job.is_over:
-            _drop_inactive_subtasks(job)
+            drop_inactive_subtasks(job)
         return was_active or end.outcome is commands.RunOutcome.DONE
 
     def _record_duration(
@@ -201,7 +253,7 @@
     ) -> None:
         step = job.step_of(end.subtask)
         if end.outcome is commands.RunOutcome.DONE and not step.is_long_running:
-            _mark_done(job, end)
+            mark_done(job, end)
         if end.outcome is commands.RunOutcome.FAILED and was_active:
             subtask.failures += 1
             gang = job.gangs[gang_of(end.subtask)]
@@ -215,42 +267,6 @@
     return known.state is WorkerState.DRAINING and update.state is WorkerState.READY
 
 
-def _mark_done(job: Job, end: commands.RunEnded) -> None:
-    """Mark a subtask as done, and with it all members of its gang."""
-    names = [end.subtask]
-    if job.step_of(end.subtask).is_gang:
-        names = job.members(gang_of(end.subtask))
-    for name in names:
-        if name in job.subtasks:
-            job.subtasks[name].is_done = True
-
-
-def _update_job_end(job: Job, at_ms: int) -> None:
-    """Mark a job as completed or failed if its subtasks say so."""
-    if job.is_over:
-        return
-    if all(subtask.is_done for subtask in job.subtasks.values()):
-        job.is_completed = True
-        job.ended_ms = at_ms
-        return
-    for name, subtask in job.subtasks.items():
-        step = job.step_of(name)
-        if subtask.is_done or step.is_long_running:
-            continue
-        failures = subtask.failures
-        if step.is_gang and subtask.last_run:
-            failures = job.gangs[gang_of(name)].failures
-        if failures >= job.attempts:
-            job.is_failed = True
-            job.ended_ms = at_ms
-            return
-
-
-def _drop_inactive_subtasks(job: Job) -> None:
-    """Remove the subtasks without an active run, whose state is no longer needed."""
-    job.subtasks = {name: s for name, s in job.subtasks.items() if s.active is not None}
-
-
 def _subtask_names(spec: JobSpec) -> list[str]:
     return [
         f"{occurrence}.{step}.{index}"
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -54,6 +54,42 @@
     born: int
 
 
+class CrashEvidence(StrEnum):
+    """How surely a worker crashed while a run worked on it."""
+
+    CRASHED = "crashed"
+    """The run had begun, and the worker crashed."""
+    POSSIBLE = "possible"
+    """The worker crashed; the run had perhaps not begun, or had worked well for long."""
+    SILENT = "silent"
+    """The worker's lease expired; whether it crashed may show later."""
+
+
+class RunCrash(Struct, frozen=True):
+    """What is known of the crash of a worker under a run.
+
+    `at_ms` is when it was learned, `ran_ms` how long the run had worked at most. `is_alone` says
+    that no other job on the worker came into question as its cause.
+    """
+
+    run: Run
+    evidence: CrashEvidence
+    at_ms: int
+    ran_ms: int
+    is_alone: bool
+
+
+class WorkerCrash(Struct):
+    """The crash of a worker; it is explained if a job that was suspected before ran there."""
+
+    worker: str
+    born: int
+    service: str
+    rack: str
+    at_ms: int
+    is_explained: bool
+
+
 class Subtask(Struct):
     """One subtask: its newest run number, its active run if it has one, and its progress."""
 
@@ -91,6 +127,10 @@
     is_failed: bool = False
     is_completed: bool = False
     ended_ms: int = 0
+    crashes: dict[str, tuple[RunCrash, ...]] = field(default_factory=dict)
+    """By subtask, the crashes of workers under it that may be its fault."""
+    failure: str = ""
+    """Why the job failed, for its caller."""
 
     @property
     def is_over(self) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -20,6 +20,9 @@
 REFUSALS = Counter("agateferry_jobs_refusals", "Calls refused without effect.", ["reason"])
 ACCEPTED = Counter("agateferry_jobs_accepted", "Jobs accepted and stored.", ["priority"])
 ENDED = Counter("agateferry_jobs_ended", "Jobs completed or failed.", ["state"])
+GIVEN_UP = Counter(
+    "agateferry_jobs_given_up", "Jobs failed because workers crashed under them.", ["priority"]
+)
 FIRST_START_SECONDS = Histogram(
     "agateferry_jobs_first_start_seconds",
     "Time from a job's acceptance to the placement of its first run.",
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
@@ -0,0 +1,96 @@
+"""Which subtasks are suspected of crashing their workers, and which are to be given up.
+
+All that ran on a crashed worker is suspected. A suspect is told from the innocent by running it
+where no other suspect runs: if its worker crashes again, no other cause is in question. Crashes of
+many workers at once accuse nobody.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from agateferry_jobs.ledger import Job, Ledger
+from agateferry_jobs.ledger.crashes import sure_crashes
+from agateferry_jobs.ledger.state import CrashEvidence, RunCrash
+
+CRASHES_ALONE_TO_GIVE_UP = 2
+"""How many crashes with no other cause in question prove that a subtask is the cause."""
+CRASHES_AT_START_TO_GIVE_UP = 2
+"""The same, counting crashes beside others too, where each came right after the start."""
+START_CRASH_MS = 1_000
+"""A crash within this time of the start is one at the start."""
+MAX_CRASHES = 4
+"""A subtask is given up after this many crashes of any kind, which bounds its runs."""
+SETTLE_MS = 1_000
+"""How long to wait for other crashes, which may show a wider failure, before giving a job up."""
+MIN_TRIAL_MS = 1_000
+MAX_TRIAL_MS = 4_000
+"""The limits of how long a suspect runs apart from others until it counts as safe."""
+
+
+@dataclass(frozen=True, slots=True)
+class GuiltySubtask:
+    """A subtask that is to be given up, with the crashes under it."""
+
+    job: Job
+    subtask: str
+    crashes: tuple[RunCrash, ...]
+
+    @property
+    def reason(self) -> str:
+        """Return why the job fails, for its caller."""
+        workers = ", ".join(crash.run.worker for crash in self.crashes)
+        return f"{len(self.crashes)} workers crashed under subtask {self.subtask}: {workers}"
+
+
+class CrashSuspects:
+    """The subtasks that are suspected of crashing workers, at one moment."""
+
+    def __init__(self, ledger: Ledger, now_ms: int) -> None:
+        self._now_ms = now_ms
+        self._wide = ledger.wide_failures()
+        self._jobs = [job for job in ledger.jobs.values() if job.crashes and not job.is_over]
+
+    def guilty(self) -> Iterator[GuiltySubtask]:
+        """Return a subtask of each job that is to be given up now."""
+        for job in self._jobs:
+            for name in job.crashes:
+                crashes = _known_crashes(job, name)
+                if self.is_guilty(job, name) and self._has_settled(crashes):
+                    yield GuiltySubtask(job, name, crashes)
+                    break
+
+    def is_guilty(self, job: Job, name: str) -> bool:
+        """Return whether the crashes under a subtask show that it causes them."""
+        if len(_known_crashes(job, name)) >= MAX_CRASHES:
+            return True
+        sure = sure_crashes(job, name, self._wide)
+        alone = sum(crash.is_alone for crash in sure)
+        at_start = sum(crash.ran_ms <= START_CRASH_MS for crash in sure)
+        is_typical = alone > 0 and at_start >= CRASHES_AT_START_TO_GIVE_UP
+        return alone >= CRASHES_ALONE_TO_GIVE_UP or is_typical
+
+    def is_suspect(self, job: Job, name: str) -> bool:
+        """Return whether a subtask is suspected of crashing its workers."""
+        return name in job.crashes and bool(sure_crashes(job, name, self._wide))
+
+    def is_on_trial(self, job: Job, name: str) -> bool:
+        """Return whether the active run of a suspect has yet to show that it harms nothing."""
+        if not self.is_suspect(job, name):
+            return False
+        longest_ms = max(crash.ran_ms for crash in sure_crashes(job, name, self._wide))
+        trial_ms = min(MAX_TRIAL_MS, longest_ms + MIN_TRIAL_MS)
+        return self._now_ms - job.subtasks[name].started_ms < trial_ms
+
+    def last_crash_ms(self, job: Job, name: str) -> int:
+        """Return when the newest crash under a subtask was learned."""
+        return max(crash.at_ms for crash in job.crashes[name])
+
+    def _has_settled(self, crashes: tuple[RunCrash, ...]) -> bool:
+        return self._now_ms - max(crash.at_ms for crash in crashes) >= SETTLE_MS
+
+
+def _known_crashes(job: Job, name: str) -> tuple[RunCrash, ...]:
+    """Return the crashes of workers under a subtask, without mere silence."""
+    return tuple(
+        crash for crash in job.crashes.get(name, ()) if crash.evidence is not CrashEvidence.SILENT
+    )
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -14,6 +14,7 @@
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.ledger.state import gang_of
+from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fleet import AllocatedRun, Fleet, RunKey, WorkerAllocation
 from agateferry_jobs.planning.future_capacity import FutureCapacity
@@ -73,6 +74,7 @@
         self._preemptible = FutureCapacity(PreemptionCost(self._ranks, now_ms, options))
         self._ending = FutureCapacity(WaitCost(self._timing, now_ms))
         self._failures = FailedSearches()
+        self._suspects = CrashSuspects(ledger, now_ms)
 
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
@@ -126,6 +128,7 @@
             for name in job.members(gang)
             if not job.subtasks[name].is_done and job.subtasks[name].active is None
         )
+        names = tuple(name for name in names if not self._suspects.is_guilty(job, name))
         if not names or (step.is_gang and len(names) < step.count):
             return None
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -103,6 +103,7 @@
         self._poll_number = 0
         self._has_answered = False
         self._is_failing = False
+        self._failing_since_ms = 0
         self._last_worker_clock_ms = -1
         self._committed_cursor = 0
         self._acknowledged_cursor = 0
@@ -129,7 +130,11 @@
         if tracked is not None and tracked.run == run:
             return
         self.runs[key] = TrackedRun(
-            run, Phase.UNCERTAIN, self._poll_number, last_progress_ms=self._clock.now_ms()
+            run,
+            Phase.UNCERTAIN,
+            self._poll_number,
+            last_progress_ms=self._clock.now_ms(),
+            is_adopted=True,
         )
         self._wake.set()
 
@@ -169,6 +174,14 @@
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
         return self._lease.is_expired(self._clock.now_ms())
 
+    def failing_for_ms(self) -> int:
+        """Return for how long the worker has not answered; 0 if it does."""
+        return self._clock.now_ms() - self._failing_since_ms if self._is_failing else 0
+
+    def uncertain_runs(self) -> tuple[RunKey, ...]:
+        """Return the runs that are not known to have begun."""
+        return tuple(key for key, tracked in self.runs.items() if tracked.may_not_have_begun)
+
     def ends_as_lost(self, cause: LossCause) -> tuple[RunEnded, ...]:
         """Return ends, as lost, of all tracked runs, once the worker can no longer report them."""
         return tuple(run_lost(key, tracked, cause) for key, tracked in self.runs.items())
@@ -253,6 +266,7 @@
         if not self._is_failing:
             self._log.warning(events.WORKER_SILENT, detail=detail, runs=len(self.runs))
             self._is_failing = True
+            self._failing_since_ms = self._clock.now_ms()
             self._listener.request_planning()
 
     def _mark_answering(self, clock_ms: int | None) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
@@ -30,6 +30,13 @@
     percent: float = -1.0
     last_progress_ms: int = 0
     checkpoint: str = ""
+    is_adopted: bool = False
+    """Whether an earlier leader ordered the start, so that it had probably begun."""
+
+    @property
+    def may_not_have_begun(self) -> bool:
+        """Return whether it is open if the run has begun."""
+        return self.phase is not Phase.CONFIRMED and not self.is_adopted
 
     def is_hung(self, now_ms: int) -> bool:
         """Return whether the run works but has made no progress for too long."""
