Ignore a worker's report that arrives after a later one, whichever leader had that

A start could bring a worker over its capacity (LIMIT): a leader remembered the numbers of the reports that it had handled, but not those of the leader before it, and compared them before the report was stored. So a report that had been held up undid a later one, whose smaller capacity the worker then had; two reports in flight at once could do the same within one leader.

The number of the report that last changed a worker's record is stored with it and compared when the change is applied. A report that the worker wrote a second or more before anything that has arrived since, by the worker's own clock, is late too; that covers reports in between that changed nothing and so were not stored. Only readings that have arrived count, so a worker whose clock stood still is not ignored for good.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -102,16 +102,16 @@
     async def on_heartbeat(self, heartbeat: messages.Heartbeat) -> messages.Reply:
         """Register a worker, or record its new state; `Done` means that this is committed.
 
-        A heartbeat with a lower sequence number than one handled before, or of an incarnation that
-        is outdated, records nothing.
+        A heartbeat with a lower sequence number than one handled before, one that arrives late, or
+        of an incarnation that is outdated, records nothing.
         """
         incarnation = heartbeat.worker
         key = (incarnation.id, incarnation.born)
-        if heartbeat.sequence < self._heartbeat_sequences.get(key, -1):
+        if heartbeat.sequence < self._heartbeat_sequences.get(key, -1) or self._is_late(heartbeat):
             return messages.Done()
         known = self._ledger.workers.get(incarnation.id)
         if known != incarnation and not self._is_outdated(incarnation):
-            note = commands.NoteWorker(incarnation, self._hooks.now_ms)
+            note = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
             if known is not None and self._has_crashed(known, incarnation):
                 note = self._with_crash(note, known)
             result = await self._proposer.propose(note)
@@ -129,7 +129,7 @@
         self._heartbeat_sequences[key] = heartbeat.sequence
         session = self.sessions.get(incarnation.id)
         if session is not None and session.incarnation.born == incarnation.born:
-            session.record_heartbeat()
+            session.record_heartbeat(heartbeat.clock_ms)
         return messages.Done()
 
     async def on_deregister(self, worker: str) -> messages.Reply:
@@ -228,6 +228,12 @@
         """Remove a replaced incarnation; the new one registers by its own heartbeat."""
         self._hooks.spawn(self._deregister(incarnation, cause_of_replacement(incarnation)))
 
+    def _is_late(self, heartbeat: messages.Heartbeat) -> bool:
+        """Return whether a heartbeat was held up on its way, so that it shows an earlier state."""
+        session = self.sessions.get(heartbeat.worker.id)
+        is_current = session is not None and session.incarnation.born == heartbeat.worker.born
+        return is_current and session is not None and session.is_late(heartbeat.clock_ms)
+
     def _is_outdated(self, incarnation: WorkerIncarnation) -> bool:
         """Return whether a newer incarnation is registered at the same address."""
         return any(
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -103,11 +103,15 @@
 
 
 class NoteWorker(Struct, frozen=True, tag="worker"):
-    """Record a worker's incarnation, or its new state, and the crash of the one before it."""
+    """Record a worker's incarnation, or its new state, and the crash of the one before it.
+
+    `sequence` is the number of the worker's report; one with a lower number is late.
+    """
 
     worker: WorkerIncarnation
     at_ms: int = 0
     crash: CrashReport | None = None
+    sequence: int = 0
 
 
 class StartRuns(Struct, frozen=True, tag="start"):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -52,6 +52,8 @@
     workers: dict[str, WorkerIncarnation] = field(default_factory=dict)
     gone: dict[str, int] = field(default_factory=dict)
     """For each worker that left, `born` of its last incarnation; later updates are ignored."""
+    report_sequences: dict[str, int] = field(default_factory=dict)
+    """For each worker, the number of the report that last changed its record."""
     durations: dict[str, DurationEstimate] = field(default_factory=dict, name="lengths")
     """Estimates of how long runs really take, by queue."""
     crashes: list[WorkerCrash] = field(default_factory=list)
@@ -166,7 +168,7 @@
         self._wide_failures = None
         crash = note.crash
         crashed = self.workers.get(crash.worker) if crash is not None else None
-        if not self._record_worker(note.worker):
+        if not self._record_worker(note.worker, note.sequence):
             return False
         if crash is not None and crashed is not None and crashed.born == crash.born:
             record_crash(
@@ -185,7 +187,7 @@
         drop_inactive_subtasks(job)
         return True
 
-    def _record_worker(self, worker: WorkerIncarnation) -> bool:
+    def _record_worker(self, worker: WorkerIncarnation, sequence: int) -> bool:
         known = self.workers.get(worker.id)
         if known is not None and worker.born < known.born:
             return False
@@ -193,11 +195,15 @@
             return False
         if worker.state is WorkerState.GONE:
             self.workers.pop(worker.id, None)
+            self.state.report_sequences.pop(worker.id, None)
             self.state.gone[worker.id] = worker.born
             return known is not None
-        if known is not None and known.born == worker.born and _is_stale(known, worker):
-            return False
+        if known is not None and known.born == worker.born:
+            is_late = sequence < self.state.report_sequences.get(worker.id, 0)
+            if is_late or _is_stale(known, worker):
+                return False
         self.workers[worker.id] = worker
+        self.state.report_sequences[worker.id] = sequence
         return True
 
     def _start(self, start: commands.RunStart, at_ms: int) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
@@ -39,6 +39,11 @@
             self._clock_ms = clock_ms
             self._read_at_ms = now_ms
 
+    @property
+    def newest_clock_ms(self) -> int:
+        """Return the newest reading of the worker's clock; 0 before the first one."""
+        return self._clock_ms or 0
+
     def grant_deadline(self, now_ms: int) -> int | None:
         """Return the deadline for an order that is sent now; None before the first clock reading.
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -51,6 +51,8 @@
 """The pause after a failed poll, except the first one in a row."""
 STOP_RESEND_MS = 600
 """A stop is sent again after this time if the run is still listed as running."""
+MAX_HEARTBEAT_DELAY_MS = 1_000
+"""A worker gives up a heartbeat that was not acknowledged in this time, and sends a new one."""
 HEARTBEAT_SILENCE_MS = 5000
 """A worker that is silent for three heartbeat intervals gets no new runs."""
 
@@ -153,9 +155,16 @@
             tracked.is_stopping = True
             self._spawn(self._send_stop(key, tracked.run.number, tracked))
 
-    def record_heartbeat(self) -> None:
-        """Record that a heartbeat of the worker arrived."""
-        self.last_contact_ms = self._clock.now_ms()
+    def record_heartbeat(self, clock_ms: int) -> None:
+        """Record that a heartbeat of the worker arrived, written at `clock_ms` of its clock."""
+        now_ms = self._clock.now_ms()
+        self.last_contact_ms = now_ms
+        if clock_ms:
+            self._lease.read_clock(clock_ms, now_ms)
+
+    def is_late(self, clock_ms: int) -> bool:
+        """Return whether the worker wrote a heartbeat long before what has arrived since."""
+        return 0 < clock_ms < self._lease.newest_clock_ms - MAX_HEARTBEAT_DELAY_MS
 
     async def is_present(self) -> bool:
         """Ask the worker now whether this incarnation is still there; one answer says so."""
