Start work on a worker only by a recent report of its capacity

A worker may shrink at any time, and only its reports show it.

A worker gets new runs only if its last report is at most contactMs + heartbeatMs - 1.5 s old; the rest is for a report and an order on their way. A new leader takes reports as stored up to when it last heard another leader, which the replica now tells; one that has heard none since its start, as after a loss of all power, waits for the workers' reports, which come within 1.5 s. After an ordinary change of leaders nothing waits. Runs, leases and polls are not touched by it.

Four tests in virtual time. Ruled out: asking the worker, since its lists of runs don't show the capacity.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -38,7 +38,13 @@
     """Manage the cell's jobs and workers while this host leads the replicated log."""
 
     def __init__(
-        self, replica: Replica, ledger: Ledger, clock: Clock, make_port: PortFactory, lease_ms: int
+        self,
+        replica: Replica,
+        ledger: Ledger,
+        clock: Clock,
+        make_port: PortFactory,
+        lease_ms: int,
+        max_report_age_ms: int | None = None,
     ) -> None:
         self._replica = replica
         self._ledger = ledger
@@ -48,7 +54,9 @@
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
-        self._registry = WorkerRegistry(ledger, clock, make_port, lease_ms, self, self._proposer)
+        self._registry = WorkerRegistry(
+            ledger, clock, make_port, lease_ms, max_report_age_ms, self, self._proposer
+        )
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
         self._wall_offset_ms = 0
         self._issued_tokens = 0
@@ -161,7 +169,7 @@
         self._has_taken_over = False
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
-        self._registry.open_sessions()
+        self._registry.open_sessions(self._replica.leader_heard_ms)
         ticking = repeat(self._tick, TICK_MS, self._log_failure)
         self._ticker = asyncio.get_running_loop().create_task(ticking)
         self.request_planning()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
@@ -2,15 +2,19 @@
 
 import asyncio
 
+from agateferry_core.support import run_virtual
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell.leader import Leader
-from agateferry_jobs.cell.tests.test_leader import LeaderCase
-from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.support import worker
+from agateferry_jobs.cell.tests.test_leader import LeaderCase, target
+from agateferry_jobs.ledger import Ledger
+from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
+from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import WORKER_CAPACITY
 
 SHRUNK = Resources(cpu=1000, mem_mb=100, gpu=1)
+WIDE = JobSpec("payload", (StepSpec(1, Resources(cpu=8000, mem_mb=100, gpu=4)),))
 LEASE_MS = 8_000
+MAX_REPORT_AGE_MS = 3_000
 
 
 def sized(capacity):
@@ -83,3 +87,85 @@
             self.assertEqual(WORKER_CAPACITY, self.capacity())
 
         self.check(scenario)
+
+
+class ReportAgeTests(LeaderCase):
+    """A worker shrank while there was no leader, and the next one started work by its old size."""
+
+    def play(self, scenario):
+        async def main(loop):
+            self.clock = loop
+            self.ports = {"w1": ModelWorker(loop)}
+            self.ledger = Ledger()
+            self.replica = MemoryReplica(self.ledger)
+            self.leader = Leader(
+                self.replica, self.ledger, loop, self.port_to, LEASE_MS, MAX_REPORT_AGE_MS
+            )
+            self.replica.lead()
+            await self.call(messages.InstallManifest(manifest()))
+            try:
+                await scenario()
+            finally:
+                await self.leader.close()
+
+        run_virtual(main)
+
+    async def submit(self):
+        await self.call(messages.Submit(target(), WIDE))
+        await asyncio.sleep(0.5)
+
+    def started(self):
+        return len(self.ports["w1"].starts)
+
+    def test_a_leader_after_a_long_gap_waits_for_a_report(self):
+        async def scenario():
+            await self.heartbeat(sized(WORKER_CAPACITY), 1)
+            self.replica.lead(False)
+            await asyncio.sleep(6)
+            self.replica.leader_heard_ms = self.clock.now_ms() - 6_000
+            self.replica.lead()
+            await self.submit()
+            self.assertEqual(0, self.started())
+            await self.heartbeat(sized(SHRUNK), 5)
+            await asyncio.sleep(0.5)
+            self.assertEqual(0, self.started())
+            await self.heartbeat(sized(WORKER_CAPACITY), 6)
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, self.started())
+
+        self.play(scenario)
+
+    def test_a_leader_that_has_heard_no_other_since_its_start_waits_for_a_report(self):
+        async def scenario():
+            await self.heartbeat(sized(WORKER_CAPACITY), 1)
+            self.replica.lead(False)
+            self.replica.leader_heard_ms = None
+            self.replica.lead()
+            await self.submit()
+            self.assertEqual(0, self.started())
+            await self.heartbeat(sized(WORKER_CAPACITY), 2)
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, self.started())
+
+        self.play(scenario)
+
+    def test_a_leader_after_a_short_gap_starts_work_at_once(self):
+        async def scenario():
+            await self.heartbeat(sized(WORKER_CAPACITY), 1)
+            self.replica.lead(False)
+            await asyncio.sleep(0.7)
+            self.replica.leader_heard_ms = self.clock.now_ms() - 700
+            self.replica.lead()
+            await self.submit()
+            self.assertEqual(1, self.started())
+
+        self.play(scenario)
+
+    def test_a_worker_whose_reports_do_not_arrive_gets_nothing_new(self):
+        async def scenario():
+            await self.heartbeat(sized(WORKER_CAPACITY), 1)
+            await asyncio.sleep(MAX_REPORT_AGE_MS / 1000 + 0.1)
+            await self.submit()
+            self.assertEqual(0, self.started())
+
+        self.play(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -22,6 +22,7 @@
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.lease import Lease, max_local_ms
+from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.session import (
     MAX_POLL_WAIT_MS,
     MIN_POLL_WAIT_MS,
@@ -68,6 +69,7 @@
         clock: Clock,
         make_port: PortFactory,
         lease_ms: int,
+        max_report_age_ms: int | None,
         hooks: LeaderHooks,
         proposer: Proposer,
     ) -> None:
@@ -76,20 +78,22 @@
         self._clock = clock
         self._make_port = make_port
         self._lease_ms = lease_ms
+        self._max_report_age_ms = max_report_age_ms
         self._hooks = hooks
         self._proposer = proposer
         self._heartbeat_sequences: dict[tuple[str, int], int] = {}
         self._log = EventLogger()
 
-    def open_sessions(self) -> None:
+    def open_sessions(self, reported_ms: int | None) -> None:
         """Open a session for each worker in the ledger and adopt the runs that may run there.
 
         Called when this host becomes leader. Earlier leaders may have granted leases up to now, so
-        a worker's lease counts as valid for one full lease from now.
+        a worker's lease counts as valid for one full lease from now. `reported_ms` is up to when an
+        earlier leader has surely stored the workers' reports; None if that is unknown.
         """
         earlier_leases_until_ms = self._clock.now_ms() + max_local_ms(self._lease_ms)
         for incarnation in self._ledger.workers.values():
-            self._open_session(incarnation, earlier_leases_until_ms)
+            self._open_session(incarnation, earlier_leases_until_ms, reported_ms)
         lost = self._adopt_all()
         if lost:
             self._hooks.spawn(self._commit_lost_runs(lost))
@@ -258,7 +262,7 @@
         for other in list(self._ledger.workers.values()):
             if other.address == incarnation.address and other.born < incarnation.born:
                 await self._deregister(other, cause_of_replacement(other))
-        self._open_session(incarnation, earlier_leases_until_ms=0)
+        self._open_session(incarnation, 0, reported_ms=self._clock.now_ms())
 
     async def _deregister_unless_present(self, session: WorkerSession) -> None:
         await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
@@ -315,10 +319,13 @@
             if session is not None:
                 session.forget((end.job, end.subtask), end.run)
 
-    def _open_session(self, incarnation: WorkerIncarnation, earlier_leases_until_ms: int) -> None:
+    def _open_session(
+        self, incarnation: WorkerIncarnation, earlier_leases_until_ms: int, reported_ms: int | None
+    ) -> None:
         lease = Lease(self._lease_ms, earlier_leases_until_ms)
+        reports = ReportAge(self._max_report_age_ms, reported_ms)
         self.sessions[incarnation.id] = WorkerSession(
-            incarnation, self._make_port(incarnation), self, self._clock, lease
+            incarnation, self._make_port(incarnation), self, self._clock, lease, reports
         )
 
     def _adopt_all(self) -> tuple[commands.RunEnded, ...]:
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -158,7 +158,14 @@
         replica = self._make_replica(hosts, may_bootstrap)
         self._replica = replica
         lease_ms = min(WORKER_LEASE_MS, self.cfg.bounds.max_lease_ms)
-        self._leader = Leader(replica, self.ledger, self._clock, self._make_port, lease_ms)
+        self._leader = Leader(
+            replica,
+            self.ledger,
+            self._clock,
+            self._make_port,
+            lease_ms,
+            self.cfg.bounds.max_report_age_ms,
+        )
         return replica
 
     async def _recover_replica(self) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -20,10 +20,17 @@
     """What calls to a worker showed: whether it answers, and whether its runs fail or hang."""
 
     answers: bool = True
+    has_recent_report: bool = True
+    """Whether the worker has reported its capacity lately enough to start work by it."""
     is_suspect: bool = False
     unexpected_runs: tuple[RunKey, ...] = ()
     """Runs that the worker reports but the ledger does not place there; they use resources too."""
 
+    @property
+    def may_start_runs(self) -> bool:
+        """Return whether new runs may be ordered from the worker now."""
+        return self.answers and self.has_recent_report
+
 
 @dataclass(slots=True)
 class AllocatedRun:
@@ -140,7 +147,7 @@
     def __init__(self, key: CandidateKey, feasible: list[WorkerAllocation]) -> None:
         self.key = key
         self.feasible = feasible
-        self.usable = [worker for worker in feasible if worker.health.answers]
+        self.usable = [worker for worker in feasible if worker.health.may_start_runs]
 
     @cached_property
     def feasible_racks(self) -> list[list[WorkerAllocation]]:
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -3,17 +3,27 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+ORDER_DELAY_MS = 1_500
+"""How long a report may be on its way, and then a start order until the worker begins."""
+
 
 @dataclass(frozen=True, slots=True)
 class TimeLimits:
     """Time limits of the platform.
 
     `grace_ms` is the time from the signal to stop to the kill, `max_lease_ms` the longest lease of
-    a worker.
+    a worker. A worker's capacity that has shrunk counts `contact_ms` and one `heartbeat_ms` later.
     """
 
     grace_ms: int = 6000
     max_lease_ms: int = 10_000
+    contact_ms: int = 3_000
+    heartbeat_ms: int = 1_500
+
+    @property
+    def max_report_age_ms(self) -> int:
+        """Return how old a worker's last report may be for a start by what it shows."""
+        return max(self.heartbeat_ms, self.contact_ms + self.heartbeat_ms - ORDER_DELAY_MS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/support/replica.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/replica.py
@@ -24,6 +24,7 @@
         self.is_leader = True
         self.leader: str | None = "here"
         self.term = 1
+        self.leader_heard_ms: int | None = None
         self.failure: ProposeError | None = None
         self.error_for: Callable[[bytes], ProposeErrorKind | None] = lambda _: None
         self._machine = machine
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -31,6 +31,7 @@
     StopOrder,
     WorkerPort,
 )
+from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended, run_lost
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
@@ -92,6 +93,7 @@
         listener: SessionListener,
         clock: Clock,
         lease: Lease,
+        reports: ReportAge,
     ) -> None:
         self.incarnation = incarnation
         self.runs: dict[RunKey, TrackedRun] = {}
@@ -101,6 +103,7 @@
         self._listener = listener
         self._clock = clock
         self._lease = lease
+        self._reports = reports
         self._token = listener.next_token()
         self._poll_number = 0
         self._has_answered = False
@@ -119,7 +122,12 @@
         """Return the worker's health for the planner."""
         silent_ms = self._clock.now_ms() - self.last_contact_ms
         answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
-        return WorkerHealth(answers, is_suspect, tuple(self.unexpected_runs))
+        return WorkerHealth(
+            answers,
+            self._reports.is_recent(self._clock.now_ms()),
+            is_suspect,
+            tuple(self.unexpected_runs),
+        )
 
     @property
     def is_known(self) -> bool:
@@ -159,6 +167,7 @@
         """Record that a heartbeat of the worker arrived, written at `clock_ms` of its clock."""
         now_ms = self._clock.now_ms()
         self.last_contact_ms = now_ms
+        self._reports.record(now_ms)
         if clock_ms:
             self._lease.read_clock(clock_ms, now_ms)
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -10,6 +10,7 @@
 from agateferry_jobs.support import ModelWorker, start_of, worker
 from agateferry_jobs.workers.lease import Lease
 from agateferry_jobs.workers.port import NoAnswer
+from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.session import MIN_POLL_WAIT_MS, WorkerSession
 
 KEY = ("j", "0.0.0")
@@ -58,7 +59,10 @@
         self.worker = self.make_worker(self.clock)
         self.listener = Listener()
         lease = Lease(8000, earlier_leases_until_ms)
-        self.session = WorkerSession(worker("w1"), self.worker, self.listener, self.clock, lease)
+        reports = ReportAge(None, None)
+        self.session = WorkerSession(
+            worker("w1"), self.worker, self.listener, self.clock, lease, reports
+        )
         await self.until(lambda: self.session.health(False).answers, "contact")
 
     async def until(self, condition, what):
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -100,6 +100,11 @@
         """Return the host of the leader that this member knows of, or None."""
         return self._driver.leader if self._driver is not None else None
 
+    @property
+    def leader_heard_ms(self) -> int | None:
+        """Return when this member last heard another leader; None if it has not since its start."""
+        return self._driver.core.leader_heard_ms if self._driver is not None else None
+
     @property
     def term(self) -> int:
         """Return the newest term that this member has seen."""
--- a/packages/agateferry-state/agateferry_state/replica/protocols.py
+++ b/packages/agateferry-state/agateferry_state/replica/protocols.py
@@ -74,6 +74,10 @@
     def term(self) -> int:
         """Return the newest term that this member has seen; it never decreases."""
 
+    @property
+    def leader_heard_ms(self) -> int | None:
+        """Return when this member last heard another leader, on its clock; None if never."""
+
     def on_leadership(self, listener: Callable[[bool, int], None]) -> None:
         """Call `listener(leads, term)` whenever this member starts or stops leading."""
 
--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -106,6 +106,11 @@
         """Return the leader, as far as this member knows."""
         return self._state.leader
 
+    @property
+    def leader_heard_ms(self) -> int | None:
+        """Return when this member last heard another leader; None if it has not since its start."""
+        return self._state.leader_heard_ms
+
     @property
     def term(self) -> int:
         """Return the current term."""
--- a/packages/agateferry-state/agateferry_state/replication/follower.py
+++ b/packages/agateferry-state/agateferry_state/replication/follower.py
@@ -76,6 +76,7 @@
         raise ValueError(f"{leader} leads in term {term} besides {state.me.id}")
     state.become_follower(term, leader)
     state.last_leader_contact_ms = state.now_ms
+    state.leader_heard_ms = state.now_ms
     state.reset_election_deadline()
 
 
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -73,6 +73,8 @@
 
     Votes are withheld for `election_timeout_min_ms` after it.
     """
+    leader_heard_ms: int | None = None
+    """When another member was last heard as the leader; None if never since the start."""
     election_deadline_ms: int = 0
     greeting_deadline_ms: int = 0
     role: Role = Role.FOLLOWER
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -35,6 +35,29 @@
         self.assertEqual("c", cluster.leader())
 
 
+class LeaderHeardTests(testtools.TestCase):
+    """A new leader tells by this how long there was none before it."""
+
+    def test_it_is_when_another_member_was_last_heard_as_the_leader(self):
+        cluster = Cluster(1)
+        cluster.run_until(2000)
+        old = cluster.leader()
+        cluster.kill(old)
+        cluster.run_until(6000)
+        new = cluster.hosts[cluster.leader()]
+        self.assertNotEqual(old, new.name)
+        heard_before_ms = cluster.local_ms(new) - new.core.leader_heard_ms
+        self.assertLessEqual(abs(heard_before_ms - 4000), 500)
+
+    def test_a_member_that_has_just_started_has_heard_none(self):
+        cluster = Cluster(1)
+        cluster.run_until(2000)
+        name = next(name for name in cluster.hosts if name != cluster.leader())
+        cluster.kill(name)
+        cluster.start(name)
+        self.assertIsNone(cluster.hosts[name].core.leader_heard_ms)
+
+
 class QuorumLossTests(testtools.TestCase):
     def test_two_hosts_that_return_empty_at_once_wait_for_an_operator(self):
         for seed in range(SEEDS):
