Start no gang where a resource that it doesn't need is overdrawn

After a worker's memory had shrunk below what runs there, a gang of subtasks that need no memory still started on it: max_subtasks passed over resources that a subtask doesn't need, while fits_now, which single subtasks use, compares all of them. So one start in two kinds brought a worker further over its capacity (LIMIT).

max_subtasks now returns 0 while any resource is overdrawn. The test failed before; four others show that nothing starts where less is left than runs, that stopping runs count, that urgent work counts on what is left only, and that a worker gets work again once it has grown.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -11,6 +11,7 @@
 
 RunKey = tuple[str, str]
 """A job's id and a subtask's name."""
+NOTHING = Resources()
 UNLIMITED_SUBTASKS = 2**31
 """More subtasks than any worker holds, for a resource that a subtask does not need."""
 
@@ -91,6 +92,8 @@
 
     def max_subtasks(self, step: StepSpec, available: Resources, job: Job, gang: str) -> int:
         """Return how many subtasks of a step fit into `available`; slots are not counted."""
+        if not NOTHING.fits(available):
+            return 0
         need = step.need
         fitting = self.incarnation.slots
         if need.cpu or need.mem_mb or need.gpu:
