Judge where work could ever run by the largest capacity that a worker has shown

A worker that was small for a while counted as one on which large work can never run. So a gang that prefers one rack started across racks, and a subtask left its data's rack, as soon as one worker there had shrunk; both then take three times as long. The same belief would refuse a job as never runnable.

The ledger keeps the largest capacity that an incarnation has reported, and feasibility goes by it; starts, stops and reservations go by the current one as before.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -25,13 +25,14 @@
     mark_done,
     update_job_end,
 )
-from agateferry_jobs.ledger.specs import JobSpec
+from agateferry_jobs.ledger.specs import JobSpec, Resources
 from agateferry_jobs.ledger.state import (
     Gang,
     Job,
     Subtask,
     WorkerCrash,
     WorkerIncarnation,
+    WorkerReports,
     WorkerState,
     gang_of,
 )
@@ -52,8 +53,8 @@
     workers: dict[str, WorkerIncarnation] = field(default_factory=dict)
     gone: dict[str, int] = field(default_factory=dict)
     """For each worker that left, `born` of its last incarnation; later updates are ignored."""
-    report_sequences: dict[str, int] = field(default_factory=dict)
-    """For each worker, the number of the report that last changed its record."""
+    reports: dict[str, WorkerReports] = field(default_factory=dict)
+    """What the reports of each worker's incarnation have shown."""
     durations: dict[str, DurationEstimate] = field(default_factory=dict, name="lengths")
     """Estimates of how long runs really take, by queue."""
     crashes: list[WorkerCrash] = field(default_factory=list)
@@ -158,6 +159,11 @@
             drop_inactive_subtasks(job)
         return True
 
+    def largest_capacity(self, worker: WorkerIncarnation) -> Resources:
+        """Return the largest capacity that an incarnation has reported."""
+        reports = self.state.reports.get(worker.id)
+        return reports.largest if reports is not None else worker.capacity
+
     def wide_failures(self) -> WideFailures:
         """Return the failures that took many workers at about the same time."""
         if self._wide_failures is None:
@@ -195,15 +201,17 @@
             return False
         if worker.state is WorkerState.GONE:
             self.workers.pop(worker.id, None)
-            self.state.report_sequences.pop(worker.id, None)
+            self.state.reports.pop(worker.id, None)
             self.state.gone[worker.id] = worker.born
             return known is not None
+        reports = WorkerReports(sequence, worker.capacity)
         if known is not None and known.born == worker.born:
-            is_late = sequence < self.state.report_sequences.get(worker.id, 0)
-            if is_late or _is_stale(known, worker):
+            earlier = self.state.reports.get(worker.id, reports)
+            if sequence < earlier.sequence or _is_stale(known, worker):
                 return False
+            reports.largest = reports.largest.max(earlier.largest)
         self.workers[worker.id] = worker
-        self.state.report_sequences[worker.id] = sequence
+        self.state.reports[worker.id] = reports
         return True
 
     def _start(self, start: commands.RunStart, at_ms: int) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
@@ -29,6 +29,12 @@
         """Return the sum."""
         return Resources(self.cpu + other.cpu, self.mem_mb + other.mem_mb, self.gpu + other.gpu)
 
+    def max(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu, other.cpu), max(self.mem_mb, other.mem_mb), max(self.gpu, other.gpu)
+        )
+
     def minus(self, other: "Resources") -> "Resources":
         """Return the difference, which may be negative."""
         return Resources(self.cpu - other.cpu, self.mem_mb - other.mem_mb, self.gpu - other.gpu)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -46,6 +46,15 @@
         return self.labels[1] if len(self.labels) > 1 else ""
 
 
+class WorkerReports(Struct):
+    """What the reports of a worker's incarnation have shown, besides its current state."""
+
+    sequence: int
+    """The number of the report that last changed the worker's record."""
+    largest: Resources
+    """The largest capacity of each resource so far; the current one may be small for a while."""
+
+
 class Run(Struct, frozen=True):
     """One run of a subtask on one incarnation of a worker."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -56,6 +56,8 @@
     free: Resources
     free_after_stops: Resources
     free_slots: int
+    largest_capacity: Resources
+    """The largest capacity that the worker has reported; it may be smaller for a while."""
     runs: list[AllocatedRun] = field(default_factory=list)
     trial_job: str = ""
     """The id of a suspected job that runs here; until it has shown to be safe, no other starts."""
@@ -73,10 +75,10 @@
         return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
 
     def can_ever_run(self, step: StepSpec) -> bool:
-        """Return whether a subtask of this step would fit here if the worker were empty."""
+        """Return whether a subtask would fit here if the worker were empty and at its largest."""
         if step.required_label and step.required_label not in self.incarnation.labels:
             return False
-        return step.need.fits(self.incarnation.capacity)
+        return step.need.fits(self.largest_capacity)
 
     def is_open_to(self, job: Job) -> bool:
         """Return whether runs of a job may start here, as far as suspects are concerned."""
@@ -190,6 +192,7 @@
                 incarnation.capacity,
                 incarnation.capacity,
                 incarnation.slots,
+                ledger.largest_capacity(incarnation),
             )
             for incarnation in ledger.workers.values()
         }
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_shrunken_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_shrunken_workers.py
@@ -61,3 +61,29 @@
         self.assertEqual({}, self.placed())
         self.resize("w1", worker("w1").capacity)
         self.assertEqual({("large", "0.0.0"): "w1"}, self.placed())
+
+    def test_a_gang_waits_for_its_rack_while_the_rack_is_small_for_a_while(self):
+        """It started across racks, which takes three times as long."""
+        self.add(worker("a1", "near"), worker("a2", "near"), worker("b1", "far"))
+        self.resize("a1", SHRUNK, "near")
+        gang = StepSpec(2, WHOLE_WORKER, estimated_ms=2_500, is_gang=True, same_rack=True)
+        self.apply(job_command("gang", gang))
+        self.assertEqual({}, self.placed())
+        self.add(worker("a1", "near"))
+        self.assertEqual({"a1", "a2"}, set(self.placed().values()))
+
+    def test_a_subtask_waits_for_its_data_rack_while_that_is_small_for_a_while(self):
+        self.add(worker("a1", "near"), worker("b1", "far"))
+        self.resize("a1", SHRUNK, "near")
+        step = StepSpec(1, WHOLE_WORKER, estimated_ms=2_500, data_rack="near")
+        self.apply(job_command("j", step))
+        self.assertEqual({}, self.placed())
+
+    def test_a_new_incarnation_starts_from_its_own_capacity(self):
+        self.add(worker("a1", "near"), worker("b1", "far"))
+        reborn = worker("a1", "near", born=2)
+        reborn.capacity = SHRUNK
+        self.add(reborn)
+        step = StepSpec(1, WHOLE_WORKER, estimated_ms=2_500, data_rack="near")
+        self.apply(job_command("j", step))
+        self.assertEqual({("j", "0.0.0"): "b1"}, self.placed())
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -174,7 +174,7 @@
         return (
             sum(
                 min(
-                    self._max_subtasks(worker, worker.incarnation.capacity),
+                    self._max_subtasks(worker, worker.largest_capacity),
                     worker.incarnation.slots,
                 )
                 for worker in group
