Take over reports from an earlier leader only if it led long enough, and from no silent worker

The replica tells since when and until when it heard its last leader. Reports are inherited only from one that led for as long as a report may be old, and not for a worker that fails to answer the new leader. What remains: a worker whose reports don't arrive while its polls do, under leaders that change; then it may be wrong until the next report.

Two new tests of the leader fail without this.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -169,7 +169,7 @@
         self._has_taken_over = False
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
-        self._registry.open_sessions(self._replica.leader_heard_ms)
+        self._registry.open_sessions(self._replica.leader_contact)
         ticking = repeat(self._tick, TICK_MS, self._log_failure)
         self._ticker = asyncio.get_running_loop().create_task(ticking)
         self.request_planning()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
@@ -10,6 +10,7 @@
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import WORKER_CAPACITY
+from agateferry_state.replication import LeaderContact
 
 SHRUNK = Resources(cpu=1000, mem_mb=100, gpu=1)
 WIDE = JobSpec("payload", (StepSpec(1, Resources(cpu=8000, mem_mb=100, gpu=4)),))
@@ -114,6 +115,11 @@
         await self.call(messages.Submit(target(), WIDE))
         await asyncio.sleep(0.5)
 
+    def contact(self, gap_ms, duration_ms=60_000):
+        """Return a contact to an earlier leader that ended `gap_ms` ago."""
+        last_ms = self.clock.now_ms() - gap_ms
+        return LeaderContact(1, last_ms - duration_ms, last_ms)
+
     def started(self):
         return len(self.ports["w1"].starts)
 
@@ -122,7 +128,7 @@
             await self.heartbeat(sized(WORKER_CAPACITY), 1)
             self.replica.lead(False)
             await asyncio.sleep(6)
-            self.replica.leader_heard_ms = self.clock.now_ms() - 6_000
+            self.replica.leader_contact = self.contact(gap_ms=6_000)
             self.replica.lead()
             await self.submit()
             self.assertEqual(0, self.started())
@@ -139,7 +145,7 @@
         async def scenario():
             await self.heartbeat(sized(WORKER_CAPACITY), 1)
             self.replica.lead(False)
-            self.replica.leader_heard_ms = None
+            self.replica.leader_contact = None
             self.replica.lead()
             await self.submit()
             self.assertEqual(0, self.started())
@@ -154,13 +160,46 @@
             await self.heartbeat(sized(WORKER_CAPACITY), 1)
             self.replica.lead(False)
             await asyncio.sleep(0.7)
-            self.replica.leader_heard_ms = self.clock.now_ms() - 700
+            self.replica.leader_contact = self.contact(gap_ms=700)
             self.replica.lead()
             await self.submit()
             self.assertEqual(1, self.started())
 
         self.play(scenario)
 
+    def test_a_leader_after_one_that_led_only_shortly_waits_for_a_report(self):
+        """The one before had led for less time than the workers need to report to it."""
+
+        async def scenario():
+            await self.heartbeat(sized(WORKER_CAPACITY), 1)
+            self.replica.lead(False)
+            self.replica.leader_contact = self.contact(gap_ms=100, duration_ms=1_000)
+            self.replica.lead()
+            await self.submit()
+            self.assertEqual(0, self.started())
+
+        self.play(scenario)
+
+    def test_a_worker_that_was_silent_at_the_take_over_gets_nothing_before_its_report(self):
+        """A worker behind a cut had shrunk; it answered the new leader before it reported."""
+
+        async def scenario():
+            await self.heartbeat(sized(WORKER_CAPACITY), 1)
+            self.replica.lead(False)
+            self.ports["w1"].is_unreachable = True
+            self.replica.leader_contact = self.contact(gap_ms=100)
+            self.replica.lead()
+            await asyncio.sleep(0.2)
+            self.ports["w1"].is_unreachable = False
+            await asyncio.sleep(0.5)
+            await self.submit()
+            self.assertEqual(0, self.started())
+            await self.heartbeat(sized(WORKER_CAPACITY), 2)
+            await asyncio.sleep(0.5)
+            self.assertEqual(1, self.started())
+
+        self.play(scenario)
+
     def test_a_worker_whose_reports_do_not_arrive_gets_nothing_new(self):
         async def scenario():
             await self.heartbeat(sized(WORKER_CAPACITY), 1)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
@@ -51,7 +51,10 @@
         self.restarted_key = None
         self.ids = [f"{number:016x}" for number in range(8)]
         self.replica = MemoryReplica(self.ledger)
-        self.leader = Leader(self.replica, self.ledger, loop, self.port_to, LEASE_MS)
+        self.leader = self.new_leader()
+
+    def new_leader(self):
+        return Leader(self.replica, self.ledger, self.clock, self.port_to, LEASE_MS)
 
     def new_port(self, born):
         port = ModelWorker(self.clock, born)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -30,6 +30,7 @@
     SessionListener,
     WorkerSession,
 )
+from agateferry_state.replication import LeaderContact
 
 SHUTDOWN_MS = 1_000
 """How long a worker that says that it leaves may take until it no longer answers."""
@@ -84,14 +85,18 @@
         self._heartbeat_sequences: dict[tuple[str, int], int] = {}
         self._log = EventLogger()
 
-    def open_sessions(self, reported_ms: int | None) -> None:
+    def open_sessions(self, contact: LeaderContact | None) -> None:
         """Open a session for each worker in the ledger and adopt the runs that may run there.
 
         Called when this host becomes leader. Earlier leaders may have granted leases up to now, so
-        a worker's lease counts as valid for one full lease from now. `reported_ms` is up to when an
-        earlier leader has surely stored the workers' reports; None if that is unknown.
+        a worker's lease counts as valid for one full lease from now. An earlier leader has the
+        workers' reports up to the end of its `contact` with this host, if that was long enough for
+        each worker to report.
         """
         earlier_leases_until_ms = self._clock.now_ms() + max_local_ms(self._lease_ms)
+        max_age_ms = self._max_report_age_ms or 0
+        has_reports = contact is not None and contact.duration_ms >= max_age_ms
+        reported_ms = contact.last_ms if contact is not None and has_reports else None
         for incarnation in self._ledger.workers.values():
             self._open_session(incarnation, earlier_leases_until_ms, reported_ms)
         lost = self._adopt_all()
--- a/packages/agateferry-jobs/agateferry_jobs/support/replica.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/replica.py
@@ -11,6 +11,7 @@
     ProposeErrorKind,
     StateMachine,
 )
+from agateferry_state.replication import LeaderContact
 
 
 class MemoryReplica:
@@ -24,7 +25,7 @@
         self.is_leader = True
         self.leader: str | None = "here"
         self.term = 1
-        self.leader_heard_ms: int | None = None
+        self.leader_contact: LeaderContact | None = None
         self.failure: ProposeError | None = None
         self.error_for: Callable[[bytes], ProposeErrorKind | None] = lambda _: None
         self._machine = machine
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -285,6 +285,7 @@
             self._log.warning(events.WORKER_SILENT, detail=detail, runs=len(self.runs))
             self._is_failing = True
             self._failing_since_ms = self._clock.now_ms()
+            self._reports.record_silence()
             self._listener.request_planning()
 
     def _mark_answering(self, clock_ms: int | None) -> None:
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -20,6 +20,7 @@
 from agateferry_state.replica.storage import OpenedStorage, open_storage
 from agateferry_state.replica.transport import Transport
 from agateferry_state.replication import Core, Role, Settings, messages
+from agateferry_state.replication.leader_contact import LeaderContact
 
 STOP_TIMEOUT_MS = 3000
 
@@ -101,9 +102,9 @@
         return self._driver.leader if self._driver is not None else None
 
     @property
-    def leader_heard_ms(self) -> int | None:
-        """Return when this member last heard another leader; None if it has not since its start."""
-        return self._driver.core.leader_heard_ms if self._driver is not None else None
+    def leader_contact(self) -> LeaderContact | None:
+        """Return the contact to the last other leader; None if none was heard since the start."""
+        return self._driver.core.leader_contact if self._driver is not None else None
 
     @property
     def term(self) -> int:
--- a/packages/agateferry-state/agateferry_state/replica/protocols.py
+++ b/packages/agateferry-state/agateferry_state/replica/protocols.py
@@ -12,6 +12,8 @@
 
 from expression import Result
 
+from agateferry_state.replication.leader_contact import LeaderContact
+
 
 class ProposeErrorKind(StrEnum):
     """Why a command was not applied here."""
@@ -75,8 +77,8 @@
         """Return the newest term that this member has seen; it never decreases."""
 
     @property
-    def leader_heard_ms(self) -> int | None:
-        """Return when this member last heard another leader, on its clock; None if never."""
+    def leader_contact(self) -> LeaderContact | None:
+        """Return the contact to the last other leader; None if none was heard since the start."""
 
     def on_leadership(self, listener: Callable[[bool, int], None]) -> None:
         """Call `listener(leads, term)` whenever this member starts or stops leading."""
--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -25,6 +25,7 @@
     requests,
     snapshots,
 )
+from agateferry_state.replication.leader_contact import LeaderContact
 from agateferry_state.replication.log import Log
 from agateferry_state.replication.messages import (
     AppendRequest,
@@ -107,9 +108,9 @@
         return self._state.leader
 
     @property
-    def leader_heard_ms(self) -> int | None:
-        """Return when this member last heard another leader; None if it has not since its start."""
-        return self._state.leader_heard_ms
+    def leader_contact(self) -> LeaderContact | None:
+        """Return the contact to the last other leader; None if none was heard since the start."""
+        return self._state.leader_contact
 
     @property
     def term(self) -> int:
--- a/packages/agateferry-state/agateferry_state/replication/follower.py
+++ b/packages/agateferry-state/agateferry_state/replication/follower.py
@@ -8,6 +8,7 @@
 
 from agateferry_state.members import MemberId
 from agateferry_state.replication import snapshots
+from agateferry_state.replication.leader_contact import LeaderContact
 from agateferry_state.replication.messages import (
     AppendRequest,
     AppendResponse,
@@ -76,7 +77,10 @@
         raise ValueError(f"{leader} leads in term {term} besides {state.me.id}")
     state.become_follower(term, leader)
     state.last_leader_contact_ms = state.now_ms
-    state.leader_heard_ms = state.now_ms
+    contact = state.leader_contact
+    is_same = contact is not None and contact.term == term
+    since_ms = contact.since_ms if contact is not None and is_same else state.now_ms
+    state.leader_contact = LeaderContact(term, since_ms, state.now_ms)
     state.reset_election_deadline()
 
 
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from agateferry_state.members import Member, MemberId
+from agateferry_state.replication.leader_contact import LeaderContact
 from agateferry_state.replication.leader_state import LeaderState
 from agateferry_state.replication.log import Log
 from agateferry_state.replication.messages import (
@@ -73,8 +74,8 @@
 
     Votes are withheld for `election_timeout_min_ms` after it.
     """
-    leader_heard_ms: int | None = None
-    """When another member was last heard as the leader; None if never since the start."""
+    leader_contact: LeaderContact | None = None
+    """The contact to the last leader other than this member; None if none since the start."""
     election_deadline_ms: int = 0
     greeting_deadline_ms: int = 0
     role: Role = Role.FOLLOWER
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -46,7 +46,7 @@
         cluster.run_until(6000)
         new = cluster.hosts[cluster.leader()]
         self.assertNotEqual(old, new.name)
-        heard_before_ms = cluster.local_ms(new) - new.core.leader_heard_ms
+        heard_before_ms = cluster.local_ms(new) - new.core.leader_contact.last_ms
         self.assertLessEqual(abs(heard_before_ms - 4000), 500)
 
     def test_a_member_that_has_just_started_has_heard_none(self):
@@ -55,7 +55,7 @@
         name = next(name for name in cluster.hosts if name != cluster.leader())
         cluster.kill(name)
         cluster.start(name)
-        self.assertIsNone(cluster.hosts[name].core.leader_heard_ms)
+        self.assertIsNone(cluster.hosts[name].core.leader_contact)
 
 
 class QuorumLossTests(testtools.TestCase):
