Tell the caller of a failed job why, and lead the logs from it to the crashes

A caller saw only that a job had failed. The status of a failed job now has the reason: the subtask and the workers that crashed under it, or how often it failed.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
@@ -9,7 +9,7 @@
 from typing import ClassVar
 
 import msgspec
-from msgspec import Struct, field
+from msgspec import UNSET, Struct, UnsetType, field
 
 from agateferry_jobs.ledger.specs import JobSpec
 from agateferry_jobs.ledger.state import JobState, WorkerIncarnation
@@ -102,11 +102,12 @@
 
 
 class JobStatus(Struct, frozen=True, tag="shown"):
-    """The state of a job."""
+    """The state of a job and, if it failed, why."""
 
     label: ClassVar[str] = "Shown"
 
     state: JobState
+    reason: str | UnsetType = UNSET
 
 
 class QueueDepth(Struct, frozen=True, tag="counted"):
--- a/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_messages.py
@@ -78,6 +78,11 @@
 REPLIES = [
     (messages.Done(), "Done", {"type": "done"}),
     (messages.JobStatus(JobState.QUEUED), "Shown", {"type": "shown", "state": "queued"}),
+    (
+        messages.JobStatus(JobState.FAILED, "why"),
+        "Shown",
+        {"type": "shown", "state": "failed", "reason": "why"},
+    ),
     (messages.QueueDepth(3), "Counted", {"type": "counted", "waiting": 3}),
     (messages.UnknownQueue(), "NoQueue", {"type": "no-queue"}),
     (messages.InvalidApiKey(), "BadKey", {"type": "bad-key"}),
--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from msgspec import UNSET
+
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages
@@ -81,7 +83,10 @@
         if not id:
             return messages.QueueDepth(self._queue_depth(queue))
         job = self._find_job(id, queue)
-        return messages.JobStatus(job.state) if job is not None else messages.UnknownJob()
+        if job is None:
+            return messages.UnknownJob()
+        reason = job.failure if job.is_failed and job.failure else UNSET
+        return messages.JobStatus(job.state, reason)
 
     async def cancel(self, call: messages.Cancel, now_ms: int) -> messages.Reply:
         """Cancel a job; one that has ended stays as it is."""
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deadly_subtasks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deadly_subtasks.py
@@ -48,6 +48,16 @@
 
         self.check(scenario)
 
+    def test_its_caller_is_told_why(self):
+        async def scenario():
+            await self.submit_deadly()
+            await self.fleet.sleep_ms(25_000)
+            status = await self.fleet.status(DEADLY)
+            self.assertEqual(JobState.FAILED, status.state)
+            self.assertIn("2 workers crashed under subtask 0.0.0", status.reason)
+
+        self.check(scenario)
+
     def test_crashes_are_counted_across_a_change_of_leaders(self):
         async def scenario():
             await self.submit_deadly()
--- a/packages/agateferry-jobs/agateferry_jobs/history/causes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/causes.py
@@ -65,7 +65,8 @@
         return "worked"
     if not run.outcome:
         return "no end was seen"
-    return f"lost: {run.outcome}{f', {run.stop_reason}' if run.stop_reason else ''}"
+    detail = ", ".join(filter(None, (run.outcome, run.loss, run.stop_reason)))
+    return f"lost: {detail}"
 
 
 def late_seconds(jobs: Iterable[JobHistory], until_ms: int) -> Counter[tuple[str, str]]:
--- a/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/jobs.py
@@ -25,6 +25,8 @@
     worker: str
     ended_ms: int | None = None
     outcome: str = ""
+    loss: str = ""
+    """What became of the worker of a lost run; empty for other outcomes and in older logs."""
     stop_reason: str = ""
     """Why the run was stopped; after a preemption, with the rank of the job that preempted it."""
     stopped_for: str = ""
@@ -130,6 +132,7 @@
     fields = line.fields
     if line.number == events.RUN_ENDED.number:
         run.ended_ms, run.outcome = line.at_ms, str(fields.get("how", ""))
+        run.loss = str(fields.get("loss", ""))
         run.has_checkpoint = bool(fields.get("saved", False))
     else:
         run.stopped_for = str(fields.get("for_job", ""))
--- a/packages/agateferry-jobs/agateferry_jobs/history/lines.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/lines.py
@@ -23,8 +23,15 @@
     fields: dict[str, Any]
 
     def is_about(self, id: str) -> bool:
-        """Return whether this line is about the job, or about a run that was stopped for it."""
-        return id in (self.fields.get("job"), self.fields.get("id"), self.fields.get("for_job"))
+        """Return whether this line is about the job, or about a run that was stopped for it.
+
+        The line of a crashed worker is about each job that ran there.
+        """
+        if id in (self.fields.get("job"), self.fields.get("id"), self.fields.get("for_job")):
+            return True
+        subtasks = self.fields.get("subtasks")
+        is_list = isinstance(subtasks, list)
+        return is_list and any(str(name).startswith(f"{id}.") for name in subtasks or ())
 
 
 def read_lines(texts: Iterable[str]) -> list[LogLine]:
--- a/packages/agateferry-jobs/agateferry_jobs/history/tests/test_history.py
+++ b/packages/agateferry-jobs/agateferry_jobs/history/tests/test_history.py
@@ -58,6 +58,18 @@
     def jobs(self, texts):
         return collect_jobs(read_lines(texts))
 
+    def test_a_crashed_worker_is_about_each_job_that_ran_there(self):
+        crash = text(2000, events.WORKER_CRASHED, worker="w1", subtasks=["j.0.0.0", "k.0.0.1"])
+        lines = read_lines([ACCEPTED, crash, text(3000, events.WORKER_LEFT, worker="w2")])
+        self.assertEqual(2, len(list(lines_about_job(lines, "j"))))
+        self.assertEqual(1, len(list(lines_about_job(lines, "k"))))
+        self.assertEqual([], list(lines_about_job(lines, "0")))
+
+    def test_a_lost_run_says_what_became_of_its_worker(self):
+        lines = [*ONCE_STOPPED[:2], run(2000, events.RUN_ENDED, how="lost", loss="crashed")]
+        causes = split_by_cause(collect_jobs(read_lines(lines))["j"], 2000)
+        self.assertIn("lost: lost, crashed", [cause.name for cause in causes])
+
     def test_the_time_of_a_job_is_split_by_cause(self):
         job = self.jobs(ONCE_STOPPED)["j"]
         expected = [
--- a/packages/agateferry-jobs/agateferry_jobs/support/crashing_fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/crashing_fleet.py
@@ -123,6 +123,11 @@
         reply = await self.leader.handle(messages.Cancel(target))
         assert isinstance(reply, messages.Done), reply
 
+    async def status(self, id: str) -> messages.Reply:
+        """Return the reply to a query for a job."""
+        target = messages.CallTarget("host", f"/jobs/{id}", "key")
+        return await self.leader.handle(messages.GetStatus(target))
+
     async def sleep_ms(self, duration_ms: int) -> None:
         """Let virtual time pass."""
         await asyncio.sleep(duration_ms / MS_PER_S)
