Start new jobs of a queue apart after several of it were given up

A class of deadly jobs took its neighbours along with each new job, however many of the class had been given up before: 20 deadly jobs among 120 others on 24 workers lost 7 runs of others for each of them.

After two jobs of a queue were given up within a minute, subtasks of that queue that have not begun count as suspects: an empty worker for their first second, with the same limits as other suspects (a tenth of the workers, 1.5 s of waiting). Other queues are not touched.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deadly_subtasks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deadly_subtasks.py
@@ -89,9 +89,9 @@
     def others(self, count, spec=SINGLE):
         return [(f"{number:016x}", spec) for number in range(count)]
 
-    async def submit_all(self, jobs):
+    async def submit_all(self, jobs, prefix="jobs"):
         for id, spec in jobs:
-            await self.fleet.submit(id, spec)
+            await self.fleet.submit(id, spec, prefix)
 
     def test_one_deadly_subtask_takes_its_neighbours_along_once(self):
         async def scenario():
@@ -121,6 +121,25 @@
 
         self.check(scenario, machines=24)
 
+    def test_new_jobs_of_a_class_of_deadly_ones_take_none_along(self):
+        """Each first run of a deadly job took its neighbours along, however many came before."""
+
+        async def scenario():
+            self.fleet.run_ms = 3_000
+            others = self.others(120)
+            for number in range(20):
+                await self.submit_all(others[6 * number : 6 * number + 6], "others")
+                await self.submit_deadly(deadly_id(number))
+                await self.fleet.sleep_ms(2_000)
+                if number == 9:
+                    lost_before = self.fleet.runs_lost
+            await self.fleet.sleep_ms(20_000)
+            self.assertEqual(lost_before, self.fleet.runs_lost)
+            completed = self.fleet.ids_in(JobState.COMPLETED)
+            self.assertEqual([id for id, _ in others], completed)
+
+        self.check(scenario, machines=24)
+
     def test_a_gang_with_a_deadly_member_is_given_up(self):
         gang = JobSpec("payload", (StepSpec(3, WHOLE, is_gang=True),))
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -28,6 +28,7 @@
 from agateferry_jobs.ledger.specs import JobSpec, Resources
 from agateferry_jobs.ledger.state import (
     Gang,
+    GivenUp,
     Job,
     Subtask,
     WorkerCrash,
@@ -44,6 +45,9 @@
 It is over twice the longest time that the platform requires.
 """
 
+MAX_GIVEN_UP_KEPT = 100
+"""How many of the jobs that were given up are remembered, to find the queues of many."""
+
 
 class State(Struct):
     """The whole state of the ledger, as its snapshots store it."""
@@ -59,6 +63,8 @@
     """Estimates of how long runs really take, by queue."""
     crashes: list[WorkerCrash] = field(default_factory=list)
     """The workers that crashed of late, in order of time."""
+    given_up: list[GivenUp] = field(default_factory=list)
+    """The jobs that were given up of late, in order of time."""
 
 
 class Ledger:
@@ -188,6 +194,10 @@
         if job is None or job.is_over:
             return False
         fail(job, command.reason, command.at_ms)
+        self.state.given_up = [
+            *self.state.given_up[1 - MAX_GIVEN_UP_KEPT :],
+            GivenUp(job.queue, command.at_ms),
+        ]
         exonerate(self.jobs, self.state.crashes, job)
         self._wide_failures = None
         drop_inactive_subtasks(job)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -101,6 +101,13 @@
     is_explained: bool
 
 
+class GivenUp(Struct):
+    """A job that was given up because workers crashed under it."""
+
+    queue: str
+    at_ms: int
+
+
 class Subtask(Struct):
     """One subtask: its newest run number, its active run if it has one, and its progress."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
@@ -5,6 +5,7 @@
 many workers at once accuse nobody.
 """
 
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -22,6 +23,10 @@
 """A subtask is given up after this many crashes of any kind, which bounds its runs."""
 SETTLE_MS = 1_000
 """How long to wait for other crashes, which may show a wider failure, before giving a job up."""
+PROBATION_MS = 60_000
+"""How long jobs that were given up make the others of their queue suspect."""
+GIVEN_UP_FOR_PROBATION = 2
+"""How many jobs of a queue must be given up in that time."""
 MIN_TRIAL_MS = 1_000
 MAX_TRIAL_MS = 4_000
 """The limits of how long a suspect runs apart from others until it counts as safe."""
@@ -56,6 +61,10 @@
             if sure_crashes(job, name, self._wide)
         }
         self._suspect_steps = {(id, step_number(name)) for id, name in self._suspects}
+        self._queues = _queues_on_probation(ledger, now_ms)
+        self._new_jobs = [
+            job for job in ledger.jobs.values() if job.queue in self._queues and not job.is_over
+        ]
 
     def guilty(self) -> Iterator[GuiltySubtask]:
         """Return a subtask of each job that is to be given up now."""
@@ -81,43 +90,39 @@
     def is_suspect(self, job: Job, name: str) -> bool:
         """Return whether a subtask is suspected of crashing its workers.
 
-        With one subtask of a step, its siblings are suspected that have not begun yet: they do the
-        same work.
+        One that has not begun yet is suspected with its siblings, which do the same work, and with
+        its queue after several jobs of it were given up.
         """
-        if not job.crashes:
-            return False
         if (job.id, name) in self._suspects:
             return True
-        has_begun = job.subtasks[name].last_run > 0
-        return not has_begun and (job.id, step_number(name)) in self._suspect_steps
+        if job.subtasks[name].last_run > 0:
+            return False
+        return job.queue in self._queues or (job.id, step_number(name)) in self._suspect_steps
 
     def is_on_trial(self, job: Job, name: str) -> bool:
         """Return whether the active run of a suspect has yet to show that it harms nothing."""
-        if (job.id, name) not in self._suspects:
-            return False
-        longest_ms = max(crash.ran_ms for crash in sure_crashes(job, name, self._wide))
-        trial_ms = min(MAX_TRIAL_MS, longest_ms + MIN_TRIAL_MS)
-        return self._now_ms - job.subtasks[name].started_ms < trial_ms
+        subtask = job.subtasks[name]
+        trial_ms = 0
+        if (job.id, name) in self._suspects:
+            longest_ms = max(crash.ran_ms for crash in sure_crashes(job, name, self._wide))
+            trial_ms = min(MAX_TRIAL_MS, longest_ms + MIN_TRIAL_MS)
+        elif subtask.last_run == 1 and job.queue in self._queues:
+            trial_ms = MIN_TRIAL_MS
+        return self._now_ms - subtask.started_ms < trial_ms
 
     def on_trial(self) -> Iterator[tuple[Job, str, Run]]:
         """Return the active runs that are on trial."""
-        for job in self._jobs:
-            for name in job.crashes:
-                subtask = job.subtasks.get(name)
-                run = subtask.active if subtask is not None else None
-                if run is not None and self.is_on_trial(job, name):
-                    yield job, name, run
+        for job in (*self._jobs, *self._new_jobs):
+            for name, subtask in job.subtasks.items():
+                if subtask.active is not None and self.is_on_trial(job, name):
+                    yield job, name, subtask.active
 
-    def last_crash_ms(self, job: Job, name: str) -> int:
-        """Return when the newest crash under a suspect, or under its siblings, was learned."""
+    def since_ms(self, job: Job, name: str) -> int:
+        """Return since when a suspect is one: its newest crash, a sibling's, or its acceptance."""
         step = step_number(name)
         names = [name] if name in job.crashes else job.crashes
-        return max(
-            crash.at_ms
-            for each in names
-            if step_number(each) == step
-            for crash in job.crashes[each]
-        )
+        crashes = (c for each in names if step_number(each) == step for c in job.crashes[each])
+        return max((crash.at_ms for crash in crashes), default=job.accepted_ms)
 
     def _has_settled(self, crashes: tuple[RunCrash, ...]) -> bool:
         return self._now_ms - max(crash.at_ms for crash in crashes) >= SETTLE_MS
@@ -128,3 +133,11 @@
     return tuple(
         crash for crash in job.crashes.get(name, ()) if crash.evidence is not CrashEvidence.SILENT
     )
+
+
+def _queues_on_probation(ledger: Ledger, now_ms: int) -> set[str]:
+    """Return the queues of which several jobs were given up of late."""
+    recent = Counter(
+        each.queue for each in ledger.state.given_up if now_ms - each.at_ms < PROBATION_MS
+    )
+    return {queue for queue, count in recent.items() if count >= GIVEN_UP_FOR_PROBATION}
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -160,13 +160,13 @@
         if not suspects:
             yield ready
             return
-        last_crash_ms = max(self._suspects.last_crash_ms(job, name) for name in suspects)
+        since_ms = max(self._suspects.since_ms(job, name) for name in suspects)
         if ready.step.is_gang:
             suspects = ready.names
         others = tuple(name for name in ready.names if name not in suspects)
         if others:
             yield replace(ready, names=others)
-        yield replace(ready, names=suspects, trial_wait_ms=self._now_ms - last_crash_ms)
+        yield replace(ready, names=suspects, trial_wait_ms=self._now_ms - since_ms)
 
     def _place(self, ready: ReadySubtasks) -> None:
         candidates = self._fleet.candidates(self._service_of(ready.job), ready.step)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_trial_selection.py
@@ -1,7 +1,12 @@
 from agateferry_jobs.ledger import Run, WorkerState, commands
 from agateferry_jobs.ledger.commands import CrashReport, LossCause, RunOutcome
 from agateferry_jobs.ledger.specs import Resources, StepSpec
-from agateferry_jobs.planning.crash_suspects import MAX_TRIAL_MS, MIN_TRIAL_MS, SETTLE_MS
+from agateferry_jobs.planning.crash_suspects import (
+    MAX_TRIAL_MS,
+    MIN_TRIAL_MS,
+    PROBATION_MS,
+    SETTLE_MS,
+)
 from agateferry_jobs.planning.tests.test_planner import WHOLE_WORKER, PlannerCase
 from agateferry_jobs.planning.trial_selection import TRIAL_WAIT_MS
 from agateferry_jobs.support import job_command, worker
@@ -162,3 +167,33 @@
             for n in hit:
                 self.crash(f"w{n}", 10, at_ms=number * 5_000)
         self.assertEqual(["a"], [start.job for start in self.plan(20_000).starts])
+
+
+class ProbationTests(TrialCase):
+    """After several jobs of a queue were given up, its new jobs start apart from others."""
+
+    def give_up(self, count, at_ms=0):
+        for number in range(count):
+            self.apply(job_command(f"guilty{number}"))
+            self.apply(commands.GiveUpJob(f"guilty{number}", "0.0.0", "why", at_ms))
+
+    def place_new_job(self, now_ms=0):
+        """Place a new job beside one that fills a part of w1, with w2 empty; return its worker."""
+        self.add(worker("w1"), worker("w2"))
+        self.apply(job_command("busy", at_ms=now_ms))
+        starts = (commands.RunStart("busy", "0.0.0", Run(1, "w1", 1)),)
+        self.apply(commands.StartRuns(starts, now_ms - MAX_TRIAL_MS))
+        self.apply(job_command("new", at_ms=now_ms))
+        return self.placed(now_ms)[("new", "0.0.0")]
+
+    def test_a_new_job_starts_on_an_empty_worker(self):
+        self.give_up(2)
+        self.assertEqual("w2", self.place_new_job())
+
+    def test_one_job_that_was_given_up_is_not_enough(self):
+        self.give_up(1)
+        self.assertEqual("w1", self.place_new_job())
+
+    def test_it_ends_after_a_while(self):
+        self.give_up(2)
+        self.assertEqual("w1", self.place_new_job(now_ms=PROBATION_MS))
--- a/packages/agateferry-jobs/agateferry_jobs/support/builders.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/builders.py
@@ -46,10 +46,11 @@
 def manifest(
     version: int = 1, source: str = "", stretch: float = 3.0, target_ms: float = 1000
 ) -> Manifest:
-    """Return a manifest with one queue, one service and one team, whose guarantee is 8 GPUs."""
-    queue = Queue(
-        "queue", "host", "/jobs/", "pool", 3000, target_ms, 1, attempts=2, stretch=stretch
+    """Return a manifest with two queues, one service and one team, whose guarantee is 8 GPUs."""
+    queues = tuple(
+        Queue(name, "host", prefix, "pool", 3000, target_ms, 1, attempts=2, stretch=stretch)
+        for name, prefix in (("queue", "/jobs/"), ("other-queue", "/others/"))
     )
     team = Team("team", ("key",), reserved_gpus=8)
     source = source or f"version {version}"
-    return Manifest(version, (queue,), (Service("pool"),), (team,), source.encode())
+    return Manifest(version, queues, (Service("pool"),), (team,), source.encode())
--- a/packages/agateferry-jobs/agateferry_jobs/support/crashing_fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/crashing_fleet.py
@@ -111,9 +111,9 @@
                 task.cancel()
             await self.leader.close()
 
-    async def submit(self, id: str, spec: JobSpec) -> None:
-        """Submit a job."""
-        target = messages.CallTarget("host", f"/jobs/{id}", "key")
+    async def submit(self, id: str, spec: JobSpec, prefix: str = "jobs") -> None:
+        """Submit a job; `prefix` is that of its queue."""
+        target = messages.CallTarget("host", f"/{prefix}/{id}", "key")
         reply = await self.leader.handle(messages.Submit(target, spec))
         assert isinstance(reply, messages.Done), reply
 
