Skip a command that meets an unexpected error, instead of ending each replica that reads it

A committed command that met a bug in the ledger ended the replica; the host restarted it after a second, it read the same command and ended again, on all hosts alike, so the cell had no leader until a new build.

The proposer gets an unknown outcome, since a part may have changed. A command of an unknown kind, of a newer build, and a lack of memory still end the replica: skipping these would not be the same on all hosts.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -5,12 +5,15 @@
 only the accepted starts are returned as the result.
 """
 
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 from msgspec import Struct, field
 
-from agateferry_jobs.ledger import commands
+from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
+from agateferry_jobs.ledger import commands, events
 from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.ledger.crashes import (
     WideFailures,
@@ -67,11 +70,19 @@
     """The jobs that were given up of late, in order of time."""
 
 
+@dataclass(frozen=True, slots=True)
+class NotApplied:
+    """The result of a command that failed; it may have changed a part of the state."""
+
+    detail: str
+
+
 class Ledger:
     """The jobs and workers, and the state machine that the replicated log drives."""
 
     def __init__(self) -> None:
         self.state = State()
+        self._log = EventLogger()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(State)
         self._wide_failures: WideFailures | None = None
@@ -97,8 +108,26 @@
         return estimate.expected_duration_ms(declared_ms) if estimate is not None else declared_ms
 
     def apply(self, index: int, command: bytes) -> Any:
-        """Apply one command and return its result."""
-        match commands.decode(command):
+        """Apply one command and return its result, or `NotApplied` after an unexpected error.
+
+        Each replica meets the same error at the same index, and again at each restart. So it must
+        not end the replica. A command of an unknown kind does: it is of a newer build, and a
+        replica that skipped it would show an older state than what was acknowledged.
+        """
+        decoded = commands.decode(command)
+        try:
+            return self._apply(decoded)
+        except MemoryError:
+            raise
+        except Exception as exc:
+            command_name = type(decoded).__name__
+            detail = f"{type(exc).__name__}: {exc}"
+            self._log.error(events.COMMAND_FAILED, index=index, command=command_name, detail=detail)
+            metrics.COMMANDS_FAILED.labels(command_name).inc()
+            return NotApplied(f"{command_name}: {detail}")
+
+    def _apply(self, command: commands.Command) -> Any:
+        match command:
             case commands.PutManifest(manifest):
                 return self._put_manifest(manifest)
             case commands.AcceptJob() as accepted:
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -29,6 +29,11 @@
     ["priority"],
     buckets=START_BUCKETS_S,
 )
+COMMANDS_FAILED = Counter(
+    "agateferry_jobs_commands_failed",
+    "Commands of the ledger that met an unexpected error and were skipped.",
+    ["command"],
+)
 RUNS_ENDED = Counter("agateferry_jobs_runs_ended", "Runs ended, by outcome.", ["how"])
 RUNS_LOST = Counter(
     "agateferry_jobs_runs_lost", "Runs whose end is unknown, by what happened to it.", ["cause"]
