--- a/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
@@ -24,7 +24,7 @@
 
     Without a session the crash may have been at any time up to now.
     """
-    if session is None or session.incarnation.born != incarnation.born:
+    if session is None:
         return CrashReport(incarnation.id, incarnation.born, now_ms)
     since_ms = now_ms - session.failing_for_ms()
     return CrashReport(incarnation.id, incarnation.born, since_ms, session.uncertain_runs())
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -18,7 +18,8 @@
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.suspects import SuspectWorkers
-from agateferry_jobs.cell.worker_registry import WorkerRegistry, close_all
+from agateferry_jobs.cell.worker_registry import WorkerRegistry
+from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
 from agateferry_jobs.ledger import Job, Ledger, Run, commands
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.planning.fleet import RunKey
@@ -54,9 +55,8 @@
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
-        self._registry = WorkerRegistry(
-            ledger, clock, make_port, lease_ms, max_report_age_ms, self, self._proposer
-        )
+        self._sessions = WorkerSessions(ledger, clock, make_port, lease_ms, max_report_age_ms, self)
+        self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
         self._wall_offset_ms = 0
         self._issued_tokens = 0
@@ -98,7 +98,7 @@
     async def close(self) -> None:
         """Stop planning and close all worker sessions."""
         self._stop()
-        await close_all(self._registry.detach_sessions())
+        await close_all(self._sessions.detach_all())
 
     async def _dispatch(self, call: messages.Call) -> messages.Reply:
         match call:
@@ -154,14 +154,14 @@
             return False
         if not self._has_taken_over:
             waited_ms = self._clock.now_ms() - self._leading_since_ms
-            self._has_taken_over = self._registry.knows_all() or waited_ms >= TAKEOVER_WAIT_MS
+            self._has_taken_over = self._sessions.knows_all() or waited_ms >= TAKEOVER_WAIT_MS
         return self._has_taken_over
 
     def _on_leadership(self, is_leader: bool, term: int) -> None:
         if not is_leader:
             self._log.info(events.NOT_LEADING, term=term)
             self._stop()
-            self.spawn(close_all(self._registry.detach_sessions()))
+            self.spawn(close_all(self._sessions.detach_all()))
             return
         self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
         self._issued_tokens = 0
@@ -169,7 +169,7 @@
         self._has_taken_over = False
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
-        self._registry.open_sessions(self._replica.leader_contact)
+        self._sessions.open_all(self._replica.leader_contact)
         ticking = repeat(self._tick, TICK_MS, self._log_failure)
         self._ticker = asyncio.get_running_loop().create_task(ticking)
         self.request_planning()
@@ -187,7 +187,7 @@
         if not self._replica.is_leader:
             return
         if not self._plan_loop.is_planning:
-            await self._registry.end_lost_runs()
+            await self._sessions.end_lost_runs()
         await self._give_up_guilty_jobs()
         self._stop_hung_runs()
         self.request_planning()
@@ -201,7 +201,7 @@
     def _make_plan(self) -> Plan:
         self._stop_obsolete_runs()
         fleet = Fleet.from_ledger(
-            self._ledger, self._registry.health(self._is_suspect), self._registry.stopping_runs()
+            self._ledger, self._sessions.health(self._is_suspect), self._sessions.stopping_runs()
         )
         return Planner(self._ledger, fleet, self.now_ms).plan()
 
@@ -227,7 +227,7 @@
             )
             job = self._ledger.jobs[start.job]
             self._observe_first_start(start, job)
-            self._registry.start_run(start, job.spec.payload)
+            self._sessions.start_run(start, job.spec.payload)
 
     def _log_errors(self, plan: Plan) -> None:
         """Log each job that could not be planned, once for each leadership."""
@@ -253,7 +253,7 @@
 
     def _stop_hung_runs(self) -> None:
         now_ms = self._clock.now_ms()
-        for session in self._registry.sessions.values():
+        for session in self._sessions.by_id.values():
             if not session.health(False).answers:
                 continue
             for key, tracked in list(session.runs.items()):
@@ -269,7 +269,7 @@
         return job is None or job.step_of(key[1]).is_long_running
 
     def _stop_run(self, key: RunKey, run: Run, reason: str, **inputs: str | int) -> None:
-        if self._registry.stop_run(key, run):
+        if self._sessions.stop_run(key, run):
             metrics.RUNS_STOPPED.labels(reason).inc()
             self._log.info(
                 events.RUN_STOPPING,
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -0,0 +1,233 @@
+"""The leader's sessions with workers: one for the current incarnation of each."""
+
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Protocol
+
+from agateferry_core.clock import MS_PER_S, Clock
+from agateferry_jobs.cell.departures import lost_run_end
+from agateferry_jobs.ledger import Ledger, Run, WorkerIncarnation, commands
+from agateferry_jobs.ledger.commands import LossCause
+from agateferry_jobs.planning import WorkerHealth
+from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.workers.lease import Lease, max_local_ms
+from agateferry_jobs.workers.report_age import ReportAge
+from agateferry_jobs.workers.session import (
+    MAX_POLL_WAIT_MS,
+    MIN_POLL_WAIT_MS,
+    PortFactory,
+    SessionListener,
+    WorkerSession,
+)
+from agateferry_state.replication import LeaderContact
+
+MAX_IDLE_POLLS_PER_S = 60
+"""How many polls a second the leader sends at most to workers where no run ends."""
+
+
+class LeaderHooks(Protocol):
+    """What the workers' sessions and their registry need from the leader."""
+
+    @property
+    def now_ms(self) -> int:
+        """Return wall-clock ms since the Unix epoch."""
+
+    def next_token(self) -> int:
+        """Return a fencing token greater than all issued before."""
+
+    def may_send_orders(self) -> bool:
+        """Return whether this host leads now, so that it may send orders to workers."""
+
+    async def commit_run_ends(self, ends: tuple[commands.RunEnded, ...]) -> bool:
+        """Commit how runs ended; return whether that succeeded."""
+
+    def request_planning(self) -> None:
+        """Make a new plan soon."""
+
+    def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
+        """Run a background task; an exception in it is logged."""
+
+
+class WorkerSessions(SessionListener):
+    """Track the runs on all workers, each through the session with its worker.
+
+    `on_replaced` is called for an incarnation at whose address another one answers.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        clock: Clock,
+        make_port: PortFactory,
+        lease_ms: int,
+        max_report_age_ms: int | None,
+        hooks: LeaderHooks,
+    ) -> None:
+        self.by_id: dict[str, WorkerSession] = {}
+        self.on_replaced: Callable[[WorkerIncarnation], None] = lambda _: None
+        self._ledger = ledger
+        self._clock = clock
+        self._make_port = make_port
+        self._lease_ms = lease_ms
+        self._max_report_age_ms = max_report_age_ms
+        self._hooks = hooks
+
+    def of(self, incarnation: WorkerIncarnation) -> WorkerSession | None:
+        """Return the session with an incarnation, or None if there is none."""
+        session = self.by_id.get(incarnation.id)
+        is_it = session is not None and session.incarnation.born == incarnation.born
+        return session if is_it else None
+
+    def open_new(self, incarnation: WorkerIncarnation) -> None:
+        """Open a session with an incarnation that has just reported for the first time."""
+        self._open_session(incarnation, 0, reported_ms=self._clock.now_ms())
+
+    def open_all(self, contact: LeaderContact | None) -> None:
+        """Open a session for each worker in the ledger and adopt the runs that may run there.
+
+        Called when this host becomes leader. Earlier leaders may have granted leases up to now, so
+        a worker's lease counts as valid for one full lease from now. An earlier leader has the
+        workers' reports up to the end of its `contact` with this host, if that was long enough for
+        each worker to report.
+        """
+        earlier_leases_until_ms = self._clock.now_ms() + max_local_ms(self._lease_ms)
+        max_age_ms = self._max_report_age_ms or 0
+        has_reports = contact is not None and contact.duration_ms >= max_age_ms
+        reported_ms = contact.last_ms if contact is not None and has_reports else None
+        for incarnation in self._ledger.workers.values():
+            self._open_session(incarnation, earlier_leases_until_ms, reported_ms)
+        lost = self._adopt_all()
+        if lost:
+            self._hooks.spawn(self._commit_lost_runs(lost))
+
+    def detach_all(self) -> list[WorkerSession]:
+        """Give up all sessions, at once, and return them to be closed."""
+        sessions, self.by_id = self.by_id, {}
+        return list(sessions.values())
+
+    def start_run(self, start: commands.RunStart, payload: str) -> None:
+        """Send the start order of a run whose start is committed.
+
+        If the worker has left or restarted since, the run is ended as lost.
+        """
+        session = self.by_id.get(start.run.worker)
+        if session is not None and session.incarnation.born == start.run.born:
+            session.start_run(start, payload)
+        else:
+            self._hooks.spawn(
+                self._commit_lost_runs((lost_run_end((start.job, start.subtask), start.run),))
+            )
+
+    def stop_run(self, key: RunKey, run: Run) -> bool:
+        """Stop a run; return False where it is not tracked or is being stopped already."""
+        session = self.by_id.get(run.worker)
+        tracked = session.runs.get(key) if session is not None else None
+        if session is None or tracked is None or tracked.run != run or tracked.is_stopping:
+            return False
+        session.stop_run(key)
+        return True
+
+    def stopping_runs(self) -> set[RunKey]:
+        """Return the keys of runs that are being stopped."""
+        return {
+            key
+            for session in self.by_id.values()
+            for key, tracked in session.runs.items()
+            if tracked.is_stopping
+        }
+
+    def knows_all(self) -> bool:
+        """Return whether each worker has answered a poll of this leader, or failed to."""
+        return all(session.is_known for session in self.by_id.values())
+
+    def health(self, is_suspect: Callable[[str, int], bool]) -> dict[str, WorkerHealth]:
+        """Return each worker's health for the planner, by worker id."""
+        return {
+            id: session.health(is_suspect(id, session.incarnation.born))
+            for id, session in self.by_id.items()
+        }
+
+    async def end_lost_runs(self) -> None:
+        """Adopt runs that no session tracks, and end those that no worker can report any more.
+
+        These are runs of workers that left or restarted, and all runs of a worker that does not
+        answer and whose lease has expired.
+        """
+        await self._commit_lost_runs(self._adopt_all())
+        for session in list(self.by_id.values()):
+            is_silent = not session.health(False).answers
+            if session.runs and is_silent and session.is_lease_expired():
+                await self._commit_lost_runs(session.ends_as_lost(LossCause.SILENT))
+
+    def next_token(self) -> int:
+        """Return a fencing token greater than all issued before."""
+        return self._hooks.next_token()
+
+    def may_send_orders(self) -> bool:
+        """Return whether this host leads now, so that it may send orders to workers."""
+        return self._hooks.may_send_orders()
+
+    async def commit_run_ends(self, ends: tuple[commands.RunEnded, ...]) -> bool:
+        """Commit how runs ended; return whether that succeeded."""
+        return await self._hooks.commit_run_ends(ends)
+
+    def request_planning(self) -> None:
+        """Make a new plan soon."""
+        self._hooks.request_planning()
+
+    def poll_wait_ms(self) -> int:
+        """Return how long a worker may delay the answer to a poll; longer with more workers."""
+        wait_ms = len(self.by_id) * MS_PER_S // MAX_IDLE_POLLS_PER_S
+        return min(MAX_POLL_WAIT_MS, max(MIN_POLL_WAIT_MS, wait_ms))
+
+    def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
+        """Handle that another incarnation runs at the worker's address, so this one has ended."""
+        self.on_replaced(incarnation)
+
+    async def close(self, session: WorkerSession, cause: LossCause) -> None:
+        """Close the session of an incarnation that has ended, and end its runs as lost."""
+        ends = session.ends_as_lost(cause)
+        self.by_id.pop(session.incarnation.id, None)
+        await session.close()
+        await self._commit_lost_runs(ends)
+
+    async def _commit_lost_runs(self, ends: tuple[commands.RunEnded, ...]) -> None:
+        if not ends or not await self._hooks.commit_run_ends(ends):
+            return
+        for end in ends:
+            session = self.by_id.get(end.run.worker)
+            if session is not None:
+                session.forget((end.job, end.subtask), end.run)
+
+    def _open_session(
+        self, incarnation: WorkerIncarnation, earlier_leases_until_ms: int, reported_ms: int | None
+    ) -> None:
+        lease = Lease(self._lease_ms, earlier_leases_until_ms)
+        reports = ReportAge(self._max_report_age_ms, reported_ms)
+        self.by_id[incarnation.id] = WorkerSession(
+            incarnation, self._make_port(incarnation), self, self._clock, lease, reports
+        )
+
+    def _adopt_all(self) -> tuple[commands.RunEnded, ...]:
+        """Have a session track each active run; return ends for runs of incarnations that ended.
+
+        A run can be in the ledger although no order was sent: the outcome of committing its start
+        was unknown to the leader that proposed it.
+        """
+        lost = []
+        for job in self._ledger.jobs.values():
+            for name, subtask in job.subtasks.items():
+                run = subtask.active
+                if run is None:
+                    continue
+                session = self.by_id.get(run.worker)
+                if session is None or session.incarnation.born != run.born:
+                    lost.append(lost_run_end((job.id, name), run))
+                else:
+                    session.adopt((job.id, name), run)
+        return tuple(lost)
+
+
+async def close_all(sessions: Sequence[WorkerSession]) -> None:
+    """Close sessions, one after the other."""
+    for session in sessions:
+        await session.close()
