--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -17,12 +17,12 @@
 from agateferry_jobs.cell.guilty_jobs import GuiltyJobs
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
+from agateferry_jobs.cell.run_stops import RunStops
 from agateferry_jobs.cell.suspects import SuspectWorkers
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
-from agateferry_jobs.ledger import Job, Ledger, Run, commands
+from agateferry_jobs.ledger import Job, Ledger, commands
 from agateferry_jobs.planning import Fleet, Plan, Planner
-from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.protocols import Replica
 
@@ -56,6 +56,7 @@
         self._suspects = SuspectWorkers()
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
         self._sessions = WorkerSessions(ledger, clock, make_port, lease_ms, max_report_age_ms, self)
+        self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
         self._wall_offset_ms = 0
@@ -189,7 +190,7 @@
         if not self._plan_loop.is_planning:
             await self._sessions.end_lost_runs()
         await self._give_up_guilty_jobs()
-        self._stop_hung_runs()
+        self._stops.stop_hung()
         self.request_planning()
 
     async def _give_up_guilty_jobs(self) -> None:
@@ -199,7 +200,7 @@
             self._log_job_end(id, at_ms)
 
     def _make_plan(self) -> Plan:
-        self._stop_obsolete_runs()
+        self._stops.stop_obsolete()
         fleet = Fleet.from_ledger(
             self._ledger, self._sessions.health(self._is_suspect), self._sessions.stopping_runs()
         )
@@ -208,7 +209,9 @@
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
         for stop in plan.stops:
-            self._stop_run(stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank)
+            self._stops.stop(
+                stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank
+            )
         if not plan.starts:
             return
         term = self._replica.term
@@ -240,46 +243,6 @@
             waited_s = (self.now_ms - job.accepted_ms) / MS_PER_S
             metrics.FIRST_START_SECONDS.labels(str(job.priority)).observe(waited_s)
 
-    def _stop_obsolete_runs(self) -> None:
-        """Stop runs of jobs that have ended, and the remaining members of broken gangs."""
-        for job in self._ledger.jobs.values():
-            for name, subtask in job.subtasks.items():
-                if subtask.active is None or subtask.is_done:
-                    continue
-                if job.is_over:
-                    self._stop_run((job.id, name), subtask.active, "job is over")
-                elif job.is_gang_broken(name):
-                    self._stop_run((job.id, name), subtask.active, "gang is not whole")
-
-    def _stop_hung_runs(self) -> None:
-        now_ms = self._clock.now_ms()
-        for session in self._sessions.by_id.values():
-            if not session.health(False).answers:
-                continue
-            for key, tracked in list(session.runs.items()):
-                if not tracked.is_hung(now_ms) or self._is_long_running(key):
-                    continue
-                run = tracked.run
-                if self._suspects.record_failure(run.worker, run.born, key[0], now_ms, weight=2):
-                    self._log.warning(events.WORKER_SUSPECT, worker=run.worker, reason="hung run")
-                self._stop_run(key, run, "no progress")
-
-    def _is_long_running(self, key: RunKey) -> bool:
-        job = self._ledger.jobs.get(key[0])
-        return job is None or job.step_of(key[1]).is_long_running
-
-    def _stop_run(self, key: RunKey, run: Run, reason: str, **inputs: str | int) -> None:
-        if self._sessions.stop_run(key, run):
-            metrics.RUNS_STOPPED.labels(reason).inc()
-            self._log.info(
-                events.RUN_STOPPING,
-                job=key[0],
-                subtask=key[1],
-                run=run.number,
-                reason=reason,
-                **inputs,
-            )
-
     def _is_suspect(self, worker: str, born: int) -> bool:
         return self._suspects.is_suspect(worker, born, self._clock.now_ms())
 
