Hold back workers that reject starts, and subtasks whose starts are refused

A start that its worker rejected was planned again at once, on the same worker, 500 times a second in virtual time; each one is two commands in the log. Two free workers were never tried, and the job did not run at all (429 and 503 from an unhealthy worker, room, a fencing token). A job that every worker rejects with 400 did the same beside all others.

After a rejection that is not about the job the worker gets no new starts for 250 ms, doubled up to 2 s, until it accepts one, so work goes elsewhere; a rejected token is also replaced. A subtask whose start was refused waits 20 ms, doubled up to 2 s, which stays below the 3 s in which a runnable subtask must be on its way. A job that all workers reject holds no worker back from others.

--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/backoff.py
@@ -0,0 +1,42 @@
+"""Delays that double with each failure in a row."""
+
+from collections.abc import Hashable
+
+RETENTION_FACTOR = 4
+"""For how many of the longest delays the failures of a key are remembered."""
+
+
+class Backoff:
+    """Hold back what failed, for longer each time; `max_ms` is the longest delay."""
+
+    def __init__(self, first_ms: int, max_ms: int) -> None:
+        self._first_ms = first_ms
+        self._max_ms = max_ms
+        self._failures: dict[Hashable, tuple[int, int]] = {}
+        """For each key, how often it failed in a row, and until when it is held back."""
+
+    def record_failure(self, key: Hashable, now_ms: int) -> None:
+        """Hold a key back from now on."""
+        self._forget_old(now_ms)
+        count, _ = self._failures.get(key, (0, 0))
+        delay_ms = min(self._max_ms, self._first_ms * 2**count)
+        is_longest = delay_ms == self._max_ms
+        self._failures[key] = (count if is_longest else count + 1, now_ms + delay_ms)
+
+    def record_success(self, key: Hashable) -> None:
+        """Forget the failures of a key."""
+        self._failures.pop(key, None)
+
+    def is_held(self, key: Hashable, now_ms: int) -> bool:
+        """Return whether a key is held back now."""
+        failure = self._failures.get(key)
+        return failure is not None and now_ms < failure[1]
+
+    def clear(self) -> None:
+        """Forget all failures."""
+        self._failures.clear()
+
+    def _forget_old(self, now_ms: int) -> None:
+        """Forget the keys that have not failed again for much longer than they were held back."""
+        oldest_ms = now_ms - RETENTION_FACTOR * self._max_ms
+        self._failures = {key: each for key, each in self._failures.items() if each[1] > oldest_ms}
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -11,6 +11,7 @@
 from agateferry_core.logs import EventLogger
 from agateferry_core.tasks import repeat, spawn
 from agateferry_jobs import metrics
+from agateferry_jobs.backoff import Backoff
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.call_handler import CallHandler
@@ -28,6 +29,9 @@
 
 TICK_MS = 250
 """Interval of checks that depend on time alone: expired leases, hung runs, scheduled starts."""
+REFUSAL_DELAY_MS = 20
+MAX_REFUSAL_DELAY_MS = 2_000
+"""The limits of how long a subtask whose start was refused waits; the delay doubles."""
 TAKEOVER_WAIT_MS = 300
 """How long a new leader waits for the first answers of all workers before it plans.
 
@@ -55,6 +59,7 @@
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
+        self._refusals = Backoff(REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
         self._sessions = WorkerSessions(ledger, clock, make_port, lease_ms, max_report_age_ms, self)
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
@@ -167,6 +172,7 @@
         self._log.info(events.LEADING, term=term, jobs=len(self._ledger.jobs))
         self._issued_tokens = 0
         self._jobs_with_errors.clear()
+        self._refusals.clear()
         self._has_taken_over = False
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
@@ -204,7 +210,13 @@
         fleet = Fleet.from_ledger(
             self._ledger, self._sessions.health(self._is_suspect), self._sessions.stopping_runs()
         )
-        return Planner(self._ledger, fleet, self.now_ms).plan()
+        now_ms = self._clock.now_ms()
+        return Planner(
+            self._ledger,
+            fleet,
+            self.now_ms,
+            is_held=lambda key: self._refusals.is_held(key, now_ms),
+        ).plan()
 
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
@@ -261,6 +273,11 @@
         metrics.RUNS_ENDED.labels(end.outcome.value).inc()
         if end.loss is not UNSET:
             metrics.RUNS_LOST.labels(end.loss.value).inc()
+        key = (end.job, end.subtask)
+        if end.outcome is commands.RunOutcome.REFUSED:
+            self._refusals.record_failure(key, self._clock.now_ms())
+        else:
+            self._refusals.record_success(key)
         if end.outcome is commands.RunOutcome.DONE:
             self._suspects.record_success(run.worker, run.born)
         elif end.outcome is commands.RunOutcome.FAILED:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -21,6 +21,8 @@
     """What calls to a worker showed: whether it answers, and whether its runs fail or hang."""
 
     answers: bool = True
+    accepts_starts: bool = True
+    """Whether the worker has not rejected a start just now."""
     has_recent_report: bool = True
     """Whether the worker has reported its capacity lately enough to start work by it."""
     is_suspect: bool = False
@@ -30,7 +32,7 @@
     @property
     def may_start_runs(self) -> bool:
         """Return whether new runs may be ordered from the worker now."""
-        return self.answers and self.has_recent_report
+        return self.answers and self.accepts_starts and self.has_recent_report
 
 
 @dataclass(slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -6,7 +6,7 @@
 later do not get them.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
@@ -62,7 +62,10 @@
 
 
 class Planner:
-    """Make one plan from the ledger and the fleet at one moment."""
+    """Make one plan from the ledger and the fleet at one moment.
+
+    Subtasks that are held, as `is_held` says, are left out.
+    """
 
     def __init__(
         self,
@@ -70,11 +73,13 @@
         fleet: Fleet,
         now_ms: int,
         options: PolicyOptions = DEFAULT_OPTIONS,
+        is_held: Callable[[RunKey], bool] = lambda _: False,
     ) -> None:
         self._ledger = ledger
         self._fleet = fleet
         self._now_ms = now_ms
         self._options = options
+        self._is_held = is_held
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
@@ -134,7 +139,7 @@
             for name in job.members(gang)
             if not job.subtasks[name].is_done and job.subtasks[name].active is None
         )
-        names = tuple(name for name in names if not self._suspects.is_guilty(job, name))
+        names = tuple(name for name in names if not self._must_wait(job, name))
         if not names or (step.is_gang and len(names) < step.count):
             return
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
@@ -153,6 +158,10 @@
         )
         yield from self._split_suspects(ready)
 
+    def _must_wait(self, job: Job, name: str) -> bool:
+        """Return whether a subtask is about to be given up, or was refused just now."""
+        return self._suspects.is_guilty(job, name) or self._is_held((job.id, name))
+
     def _split_suspects(self, ready: ReadySubtasks) -> Iterator[ReadySubtasks]:
         """Tell the suspects from the others; a gang with one suspect is suspected as a whole."""
         job = ready.job
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -15,6 +15,7 @@
 from agateferry_core.logs import EventLogger
 from agateferry_core.tasks import spawn
 from agateferry_jobs import metrics
+from agateferry_jobs.backoff import Backoff
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome, RunStart
 from agateferry_jobs.planning.fleet import RunKey, WorkerHealth
@@ -38,6 +39,11 @@
 ORDER_TIMEOUT_MS = 300
 """Workers answer an order in a few ms; after this it is sent again on a new connection."""
 START_ATTEMPTS = 2
+START_PAUSE_MS = 250
+MAX_START_PAUSE_MS = 2_000
+"""The limits of how long a worker that rejects starts gets no new ones; the pause doubles."""
+REJECTED_JOB = "400"
+"""The reason of a rejection that is about the job and not about the worker."""
 PRESENCE_ATTEMPTS = 3
 """How many polls without an answer show that a worker that said it leaves has left."""
 MIN_POLL_WAIT_MS = 400
@@ -104,6 +110,7 @@
         self._clock = clock
         self._lease = lease
         self._reports = reports
+        self._starts = Backoff(START_PAUSE_MS, MAX_START_PAUSE_MS)
         self._token = listener.next_token()
         self._poll_number = 0
         self._has_answered = False
@@ -122,8 +129,10 @@
         """Return the worker's health for the planner."""
         silent_ms = self._clock.now_ms() - self.last_contact_ms
         answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
+        now_ms = self._clock.now_ms()
         return WorkerHealth(
             answers,
+            not self._starts.is_held(self.incarnation.id, now_ms),
             self._reports.is_recent(self._clock.now_ms()),
             is_suspect,
             tuple(self.unexpected_runs),
@@ -369,6 +378,7 @@
                     self._mark_answering(clock_ms)
                     tracked.phase = Phase.CONFIRMED
                     tracked.phase_since_poll = self._poll_number
+                    self._starts.record_success(self.incarnation.id)
                     self._wake.set()
                     return True
                 case Rejected(reason) if attempt == 0:
@@ -376,6 +386,7 @@
                     self._log.warning(
                         events.START_REJECTED, job=key[0], subtask=key[1], reason=reason
                     )
+                    self._pause_starts(reason)
                     return await self._end_as_refused(key, tracked)
                 case _:
                     metrics.STARTS_UNCLEAR.labels(answer.label).inc()
@@ -384,6 +395,15 @@
                     )
         return False
 
+    def _pause_starts(self, reason: str) -> None:
+        """Order no new starts for a while, unless the rejection is about the job."""
+        if reason == REJECTED_JOB:
+            return
+        if reason == "fence":
+            self._token = self._listener.next_token()
+        now_ms = self._clock.now_ms()
+        self._starts.record_failure(self.incarnation.id, now_ms)
+
     async def _end_as_refused(self, key: RunKey, tracked: TrackedRun) -> bool:
         if not await self._listener.commit_run_ends((run_ended(key, tracked, RunOutcome.REFUSED),)):
             return False
