Look for suspects, held subtasks and kept workers only where there are any

Now a job without crashes is passed over at once, the held keys are a set that is mostly empty, and the fleet counts its trials. Decisions are unchanged.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -24,6 +24,7 @@
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
 from agateferry_jobs.ledger import Job, Ledger, commands
 from agateferry_jobs.planning import Fleet, Plan, Planner
+from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.protocols import Replica
 
@@ -59,7 +60,7 @@
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
-        self._refusals = Backoff(REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
+        self._refusals = Backoff[RunKey](REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
         self._sessions = WorkerSessions(ledger, clock, make_port, lease_ms, max_report_age_ms, self)
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
@@ -210,13 +211,8 @@
         fleet = Fleet.from_ledger(
             self._ledger, self._sessions.health(self._is_suspect), self._sessions.stopping_runs()
         )
-        now_ms = self._clock.now_ms()
-        return Planner(
-            self._ledger,
-            fleet,
-            self.now_ms,
-            is_held=lambda key: self._refusals.is_held(key, now_ms),
-        ).plan()
+        held = self._refusals.held(self._clock.now_ms())
+        return Planner(self._ledger, fleet, self.now_ms, held=held).plan()
 
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
@@ -87,6 +87,10 @@
         is_typical = alone > 0 and at_start >= CRASHES_AT_START_TO_GIVE_UP
         return alone >= CRASHES_ALONE_TO_GIVE_UP or is_typical
 
+    def has_suspects(self, job: Job) -> bool:
+        """Return whether any subtask of a job may be suspected."""
+        return bool(job.crashes) or job.queue in self._queues
+
     def is_suspect(self, job: Job, name: str) -> bool:
         """Return whether a subtask is suspected of crashing its workers.
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -1,6 +1,6 @@
 """The workers as the planner sees them: what is free now and once all stopping runs have ended."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -153,6 +153,7 @@
 
     def __init__(self, key: CandidateKey, feasible: list[WorkerAllocation]) -> None:
         self.key = key
+        self.service = key[0]
         self.feasible = feasible
         self.usable = [worker for worker in feasible if worker.health.may_start_runs]
 
@@ -177,6 +178,7 @@
             self.by_service[worker.incarnation.service].append(worker)
             self._by_id[worker.incarnation.id] = worker
         self._candidates: dict[CandidateKey, CandidateWorkers] = {}
+        self._trials: Counter[str] = Counter()
 
     @classmethod
     def from_ledger(
@@ -217,12 +219,19 @@
         for job, subtask, run in trials:
             worker = self._by_id.get(run.worker)
             for each in worker.runs if worker is not None else ():
-                if worker is not None and each.job is job and each.subtask == subtask:
-                    worker.trial_job = worker.trial_job if each.is_stopping else job.id
+                is_it = each.job is job and each.subtask == subtask
+                if worker is not None and is_it and not each.is_stopping:
+                    self.open_trial(worker, job)
+
+    def open_trial(self, worker: WorkerAllocation, job: Job) -> None:
+        """Keep a worker for a suspected job."""
+        if not worker.trial_job:
+            self._trials[worker.incarnation.service] += 1
+        worker.trial_job = job.id
 
     def count_trials(self, service: str) -> int:
         """Return how many workers of a service are kept for suspects."""
-        return sum(bool(worker.trial_job) for worker in self.by_service.get(service, ()))
+        return self._trials[service]
 
     def mark_stopping(self, job: Job, subtask: str) -> Run | None:
         """Mark a job's active run as stopping; return it, or None if there is none to stop."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -6,7 +6,7 @@
 later do not get them.
 """
 
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from enum import Enum, auto
 
@@ -64,7 +64,7 @@
 class Planner:
     """Make one plan from the ledger and the fleet at one moment.
 
-    Subtasks that are held, as `is_held` says, are left out.
+    The subtasks in `held` are left out.
     """
 
     def __init__(
@@ -73,13 +73,13 @@
         fleet: Fleet,
         now_ms: int,
         options: PolicyOptions = DEFAULT_OPTIONS,
-        is_held: Callable[[RunKey], bool] = lambda _: False,
+        held: Collection[RunKey] = (),
     ) -> None:
         self._ledger = ledger
         self._fleet = fleet
         self._now_ms = now_ms
         self._options = options
-        self._is_held = is_held
+        self._held = held
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
@@ -139,7 +139,8 @@
             for name in job.members(gang)
             if not job.subtasks[name].is_done and job.subtasks[name].active is None
         )
-        names = tuple(name for name in names if not self._must_wait(job, name))
+        if job.crashes or self._held:
+            names = tuple(name for name in names if not self._must_wait(job, name))
         if not names or (step.is_gang and len(names) < step.count):
             return
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
@@ -160,11 +161,14 @@
 
     def _must_wait(self, job: Job, name: str) -> bool:
         """Return whether a subtask is about to be given up, or was refused just now."""
-        return self._suspects.is_guilty(job, name) or self._is_held((job.id, name))
+        return self._suspects.is_guilty(job, name) or (job.id, name) in self._held
 
     def _split_suspects(self, ready: ReadySubtasks) -> Iterator[ReadySubtasks]:
         """Tell the suspects from the others; a gang with one suspect is suspected as a whole."""
         job = ready.job
+        if not self._suspects.has_suspects(job):
+            yield ready
+            return
         suspects = tuple(name for name in ready.names if self._suspects.is_suspect(job, name))
         if not suspects:
             yield ready
@@ -195,10 +199,9 @@
             self._start(ready, (name,), (worker,))
 
     def _selector(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> WorkerSelector:
-        if not ready.is_suspect:
-            return WorkerSelector(candidates, ready, self._ranks, self._options)
-        trials = self._fleet.count_trials(self._service_of(ready.job))
-        return TrialSelector(candidates, ready, self._ranks, self._options, trials)
+        trials = self._fleet.count_trials(candidates.service)
+        selector = TrialSelector if ready.is_suspect else WorkerSelector
+        return selector(candidates, ready, self._ranks, self._options, trials)
 
     def _service_of(self, job: Job) -> str:
         manifest = self._ledger.manifest
@@ -214,7 +217,7 @@
         for name, worker in zip(names, workers, strict=True):
             worker.allocate(job, name)
             if ready.is_suspect:
-                worker.trial_job = job.id
+                self._fleet.open_trial(worker, job)
             self._failures.record_change()
             run = Run(number, worker.incarnation.id, worker.incarnation.born)
             self._plan.starts.append(RunStart(job.id, name, run, checkpoint))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -27,7 +27,7 @@
 
 
 class TrialSelector(WorkerSelector):
-    """Select among the candidate workers for suspects; `trials` workers are kept for some now."""
+    """Select among the candidate workers for suspects."""
 
     def __init__(
         self,
@@ -35,9 +35,9 @@
         ready: ReadySubtasks,
         ranks: Mapping[str, int],
         options: PolicyOptions,
-        trials: int,
+        trials: int = 0,
     ) -> None:
-        super().__init__(candidates, ready, ranks, options)
+        super().__init__(candidates, ready, ranks, options, trials)
         limit = max(MIN_TRIALS, TRIAL_SHARE * len(candidates.usable))
         self._may_open_trial = trials < limit
 
@@ -53,11 +53,14 @@
         """Return None, since the result depends on the job."""
         return None
 
-    def _may_use(self, worker: WorkerAllocation) -> bool:
-        if not super()._may_use(worker):
-            return False
-        if not waits_for_trial(self._ready) or worker.trial_job:
-            return True
+    def _open(self, workers: list[WorkerAllocation]) -> list[WorkerAllocation]:
+        """Return the workers for suspects: empty ones, or their own, while these may wait."""
+        others_kept = super()._open(workers)
+        if not waits_for_trial(self._ready):
+            return others_kept
+        return [worker for worker in others_kept if worker.trial_job or self._may_open_on(worker)]
+
+    def _may_open_on(self, worker: WorkerAllocation) -> bool:
         return self._may_open_trial and not worker.runs
 
     @property
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -24,7 +24,10 @@
 
 
 class WorkerSelector:
-    """Select among the candidate workers for the ready subtasks of one step."""
+    """Select among the candidate workers for the ready subtasks of one step.
+
+    `trials` is how many workers are kept for suspected jobs.
+    """
 
     def __init__(
         self,
@@ -32,12 +35,14 @@
         ready: ReadySubtasks,
         ranks: Mapping[str, int],
         options: PolicyOptions,
+        trials: int = 0,
     ) -> None:
         self._ready = ready
         self._options = options
         self._step = ready.step
         self._candidates = candidates
         self._ranks = ranks
+        self._has_trials = trials > 0
         self._waits_for_rack = ready.waited_ms < self._max_rack_wait_ms()
 
     def _max_rack_wait_ms(self) -> float:
@@ -103,7 +108,7 @@
         preempted. So the least urgent work shares workers only with its peers and leaves some
         workers empty, until it has waited for a part of its slack.
         """
-        usable = [worker for worker in self._candidates.usable if self._may_use(worker)]
+        usable = self._open(self._candidates.usable)
         if not self._shares_only_with_peers:
             return usable
         empty = [worker for worker in usable if not worker.runs]
@@ -113,8 +118,11 @@
         ]
         return peers_only + empty if len(empty) > headroom else peers_only
 
-    def _may_use(self, worker: WorkerAllocation) -> bool:
-        return worker.is_open_to(self._ready.job)
+    def _open(self, workers: list[WorkerAllocation]) -> list[WorkerAllocation]:
+        """Return the workers that are not kept for suspected jobs."""
+        if not self._has_trials:
+            return workers
+        return [worker for worker in workers if worker.is_open_to(self._ready.job)]
 
     @property
     def _shares_only_with_peers(self) -> bool:
@@ -148,7 +156,7 @@
         groups = self._usable_groups()
         if not self._waits_for_rack:
             groups = [*groups, self._candidates.usable]
-        return [[worker for worker in group if self._may_use(worker)] for group in groups]
+        return [self._open(group) for group in groups]
 
     @property
     def _is_rack_gang(self) -> bool:
@@ -161,11 +169,11 @@
         return [self._candidates.usable]
 
     def _pack(
-        self, group: Sequence[WorkerAllocation], count: int
+        self, group: list[WorkerAllocation], count: int
     ) -> tuple[WorkerAllocation, ...] | None:
         """Return a worker of a group for each of `count` subtasks, the fullest workers first."""
         chosen: list[WorkerAllocation] = []
-        for worker in sorted(filter(self._may_use, group), key=self._sort_key):
+        for worker in sorted(self._open(group), key=self._sort_key):
             fitting = min(self._max_subtasks(worker, worker.free), worker.free_slots)
             chosen += [worker] * min(fitting, count - len(chosen))
         return tuple(chosen) if len(chosen) == count else None
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -110,7 +110,7 @@
         self._clock = clock
         self._lease = lease
         self._reports = reports
-        self._starts = Backoff(START_PAUSE_MS, MAX_START_PAUSE_MS)
+        self._starts = Backoff[str](START_PAUSE_MS, MAX_START_PAUSE_MS)
         self._token = listener.next_token()
         self._poll_number = 0
         self._has_answered = False
