Preempt nothing for room that a worker has free which is about to report

A worker that has begun to answer within the last 2 s, and has not reported yet, counts as one whose room comes soon: what fits there now waits instead of preempting or reserving. The bound keeps a worker whose reports never arrive from holding back anything.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -25,6 +25,8 @@
     """Whether the worker has not rejected a start just now."""
     has_recent_report: bool = True
     """Whether the worker has reported its capacity lately enough to start work by it."""
+    reports_soon: bool = False
+    """Whether such a report is still awaited, from a worker that has just begun to answer."""
     is_suspect: bool = False
     unexpected_runs: tuple[RunKey, ...] = ()
     """Runs that the worker reports but the ledger does not place there; they use resources too."""
@@ -148,7 +150,7 @@
     """The workers that may run subtasks of one shape.
 
     `feasible` ones could if they were empty and answered; `usable` ones answer too. Both are also
-    grouped by rack.
+    grouped by rack. `awaited` ones will be usable once they have reported.
     """
 
     def __init__(self, key: CandidateKey, feasible: list[WorkerAllocation]) -> None:
@@ -156,6 +158,7 @@
         self.service = key[0]
         self.feasible = feasible
         self.usable = [worker for worker in feasible if worker.health.may_start_runs]
+        self.awaited = [worker for worker in feasible if worker.health.reports_soon]
 
     @cached_property
     def feasible_racks(self) -> list[list[WorkerAllocation]]:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -250,7 +250,7 @@
 
     def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
         """Return what ready subtasks that cannot start may do to other work."""
-        if waits_for_trial(ready):
+        if waits_for_trial(ready) or self._awaits_report(ready):
             return PreemptionPolicy.WAIT
         if ready.rank <= BORROWED_RANK:
             may_preempt = ready.rank < BORROWED_RANK or self._options.borrowed_work_preempts
@@ -267,6 +267,11 @@
             else PreemptionPolicy.WAIT
         )
 
+    def _awaits_report(self, ready: ReadySubtasks) -> bool:
+        """Return whether a worker has room that can be used once it has reported its capacity."""
+        candidates = self._fleet.candidates(self._service_of(ready.job), ready.step)
+        return any(worker.fits_now(ready.step) for worker in candidates.awaited)
+
     def _preempt(self, victim: AllocatedRun, ready: ReadySubtasks) -> None:
         """Stop a run, together with the other members if it belongs to a gang."""
         job = victim.job
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -60,6 +60,8 @@
 """A stop is sent again after this time if the run is still listed as running."""
 MAX_HEARTBEAT_DELAY_MS = 1_000
 """A worker gives up a heartbeat that was not acknowledged in this time, and sends a new one."""
+REPORT_WAIT_MS = 2_000
+"""A worker that answers again sends its next heartbeat within this time."""
 HEARTBEAT_SILENCE_MS = 5000
 """A worker that is silent for three heartbeat intervals gets no new runs."""
 
@@ -116,6 +118,7 @@
         self._has_answered = False
         self._is_failing = False
         self._failing_since_ms = 0
+        self._answering_since_ms = 0
         self._last_worker_clock_ms = -1
         self._committed_cursor = 0
         self._acknowledged_cursor = 0
@@ -130,10 +133,13 @@
         silent_ms = self._clock.now_ms() - self.last_contact_ms
         answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
         now_ms = self._clock.now_ms()
+        has_recent_report = self._reports.is_recent(now_ms)
+        answers_since_ms = now_ms - self._answering_since_ms
         return WorkerHealth(
             answers,
             not self._starts.is_held(self.incarnation.id, now_ms),
-            self._reports.is_recent(self._clock.now_ms()),
+            has_recent_report,
+            answers and not has_recent_report and answers_since_ms <= REPORT_WAIT_MS,
             is_suspect,
             tuple(self.unexpected_runs),
         )
@@ -305,6 +311,7 @@
         if self._is_failing:
             self._log.info(events.WORKER_ANSWERS)
             self._is_failing = False
+            self._answering_since_ms = now_ms
             for tracked in self.runs.values():
                 tracked.last_progress_ms = now_ms
             self._listener.request_planning()
@@ -324,6 +331,7 @@
             return False
         if not self._has_answered:
             self._has_answered = True
+            self._answering_since_ms = self._clock.now_ms()
             self._listener.request_planning()
         return True
 
