--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -15,11 +15,11 @@
 from agateferry_core.logs import EventLogger
 from agateferry_core.tasks import spawn
 from agateferry_jobs import metrics
-from agateferry_jobs.backoff import Backoff
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome, RunStart
 from agateferry_jobs.planning.fleet import RunKey, WorkerHealth
 from agateferry_jobs.workers import events
+from agateferry_jobs.workers.contact import WorkerContact
 from agateferry_jobs.workers.lease import Lease
 from agateferry_jobs.workers.port import (
     Confirmed,
@@ -39,9 +39,6 @@
 ORDER_TIMEOUT_MS = 300
 """Workers answer an order in a few ms; after this it is sent again on a new connection."""
 START_ATTEMPTS = 2
-START_PAUSE_MS = 250
-MAX_START_PAUSE_MS = 2_000
-"""The limits of how long a worker that rejects starts gets no new ones; the pause doubles."""
 REJECTED_JOB = "400"
 """The reason of a rejection that is about the job and not about the worker."""
 PRESENCE_ATTEMPTS = 3
@@ -60,10 +57,6 @@
 """A stop is sent again after this time if the run is still listed as running."""
 MAX_HEARTBEAT_DELAY_MS = 1_000
 """A worker gives up a heartbeat that was not acknowledged in this time, and sends a new one."""
-REPORT_WAIT_MS = 2_000
-"""A worker that answers again sends its next heartbeat within this time."""
-HEARTBEAT_SILENCE_MS = 5000
-"""A worker that is silent for three heartbeat intervals gets no new runs."""
 
 
 class SessionListener(Protocol):
@@ -106,19 +99,13 @@
         self.incarnation = incarnation
         self.runs: dict[RunKey, TrackedRun] = {}
         self.unexpected_runs: dict[RunKey, int] = {}
-        self.last_contact_ms = clock.now_ms()
+        self._contact = WorkerContact(clock, reports)
         self._port = port
         self._listener = listener
         self._clock = clock
         self._lease = lease
-        self._reports = reports
-        self._starts = Backoff[str](START_PAUSE_MS, MAX_START_PAUSE_MS)
         self._token = listener.next_token()
         self._poll_number = 0
-        self._has_answered = False
-        self._is_failing = False
-        self._failing_since_ms = 0
-        self._answering_since_ms = 0
         self._last_worker_clock_ms = -1
         self._committed_cursor = 0
         self._acknowledged_cursor = 0
@@ -130,24 +117,12 @@
 
     def health(self, is_suspect: bool) -> WorkerHealth:
         """Return the worker's health for the planner."""
-        silent_ms = self._clock.now_ms() - self.last_contact_ms
-        answers = self._has_answered and not self._is_failing and silent_ms < HEARTBEAT_SILENCE_MS
-        now_ms = self._clock.now_ms()
-        has_recent_report = self._reports.is_recent(now_ms)
-        answers_since_ms = now_ms - self._answering_since_ms
-        return WorkerHealth(
-            answers,
-            not self._starts.is_held(self.incarnation.id, now_ms),
-            has_recent_report,
-            answers and not has_recent_report and answers_since_ms <= REPORT_WAIT_MS,
-            is_suspect,
-            tuple(self.unexpected_runs),
-        )
+        return self._contact.health(is_suspect, tuple(self.unexpected_runs))
 
     @property
     def is_known(self) -> bool:
         """Return whether the worker has answered a poll, or failed to."""
-        return self._has_answered or self._is_failing
+        return self._contact.is_known
 
     def adopt(self, key: RunKey, run: Run) -> None:
         """Track a run whose start order may have been sent, unless it is tracked already."""
@@ -180,11 +155,9 @@
 
     def record_heartbeat(self, clock_ms: int) -> None:
         """Record that a heartbeat of the worker arrived, written at `clock_ms` of its clock."""
-        now_ms = self._clock.now_ms()
-        self.last_contact_ms = now_ms
-        self._reports.record(now_ms)
+        self._contact.record_report()
         if clock_ms:
-            self._lease.read_clock(clock_ms, now_ms)
+            self._lease.read_clock(clock_ms, self._clock.now_ms())
 
     def is_late(self, clock_ms: int) -> bool:
         """Return whether the worker wrote a heartbeat long before what has arrived since."""
@@ -209,7 +182,7 @@
 
     def failing_for_ms(self) -> int:
         """Return for how long the worker has not answered; 0 if it does."""
-        return self._clock.now_ms() - self._failing_since_ms if self._is_failing else 0
+        return self._contact.failing_for_ms()
 
     def uncertain_runs(self) -> tuple[RunKey, ...]:
         """Return the runs that are not known to have begun."""
@@ -244,13 +217,13 @@
             if not self._listener.may_send_orders():
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
                 continue
-            was_failing = self._is_failing
+            was_failing = self._contact.is_failing
             try:
                 succeeded = await self._poll_once()
             except Exception as exc:
                 self._log_failure(exc)
                 succeeded = False
-            has_just_failed = self._is_failing and not was_failing
+            has_just_failed = self._contact.is_failing and not was_failing
             if not succeeded and not has_just_failed:
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
@@ -259,11 +232,11 @@
             bool(self.runs or self.unexpected_runs)
             or self._committed_cursor > self._acknowledged_cursor
         )
-        return is_poll_due or not self._has_answered or self._is_failing
+        return is_poll_due or not self._contact.has_answered or self._contact.is_failing
 
     async def _poll_once(self) -> bool:
         now_ms = self._clock.now_ms()
-        is_urgent = not self._has_answered or bool(self.unexpected_runs)
+        is_urgent = not self._contact.has_answered or bool(self.unexpected_runs)
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
         wait_ms = 0 if is_urgent or not self.runs else self._listener.poll_wait_ms()
         deadline_ms = self._poll_deadline(now_ms)
@@ -291,27 +264,21 @@
 
     def _poll_deadline(self, now_ms: int) -> int | None:
         """Return the lease deadline of a poll; None for a silent worker, so its lease expires."""
-        if not self.runs or self._is_failing:
+        if not self.runs or self._contact.is_failing:
             return None
         return self._lease.grant_deadline(now_ms)
 
     def _mark_failing(self, detail: str) -> None:
-        if not self._is_failing:
+        if self._contact.record_failure():
             self._log.warning(events.WORKER_SILENT, detail=detail, runs=len(self.runs))
-            self._is_failing = True
-            self._failing_since_ms = self._clock.now_ms()
-            self._reports.record_silence()
             self._listener.request_planning()
 
     def _mark_answering(self, clock_ms: int | None) -> None:
         now_ms = self._clock.now_ms()
-        self.last_contact_ms = now_ms
         if clock_ms is not None:
             self._lease.read_clock(clock_ms, now_ms)
-        if self._is_failing:
+        if self._contact.record_answer():
             self._log.info(events.WORKER_ANSWERS)
-            self._is_failing = False
-            self._answering_since_ms = now_ms
             for tracked in self.runs.values():
                 tracked.last_progress_ms = now_ms
             self._listener.request_planning()
@@ -329,9 +296,7 @@
         ends += inferred_ends(lists, self.runs, poll_number)
         if not await self._commit_ends(lists, ends):
             return False
-        if not self._has_answered:
-            self._has_answered = True
-            self._answering_since_ms = self._clock.now_ms()
+        if self._contact.record_first_lists():
             self._listener.request_planning()
         return True
 
@@ -386,7 +351,7 @@
                     self._mark_answering(clock_ms)
                     tracked.phase = Phase.CONFIRMED
                     tracked.phase_since_poll = self._poll_number
-                    self._starts.record_success(self.incarnation.id)
+                    self._contact.record_start()
                     self._wake.set()
                     return True
                 case Rejected(reason) if attempt == 0:
@@ -409,8 +374,7 @@
             return
         if reason == "fence":
             self._token = self._listener.next_token()
-        now_ms = self._clock.now_ms()
-        self._starts.record_failure(self.incarnation.id, now_ms)
+        self._contact.record_rejection()
 
     async def _end_as_refused(self, key: RunKey, tracked: TrackedRun) -> bool:
         if not await self._listener.commit_run_ends((run_ended(key, tracked, RunOutcome.REFUSED),)):
