Skip a command that meets an unexpected error in the own daemon's cell too

The same fault as in the jobs' ledger: a committed command that met a bug ended each replica of its zone, and again at each restart, so the zone had no leader. The command is logged (4190) and skipped, alike on every host; its proposer gets an unknown outcome, and the leader rebuilds its state from the ledger, as after any command whose outcome is unknown. A command of an unknown kind still ends the replica. NotApplied stands once, beside the state machine's protocol.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/proposing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/proposing.py
@@ -8,8 +8,13 @@
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.ledger import commands
-from agateferry_jobs.ledger.ledger import NotApplied
-from agateferry_state.replica.protocols import Applied, ProposeError, ProposeErrorKind, Replica
+from agateferry_state.replica.protocols import (
+    Applied,
+    NotApplied,
+    ProposeError,
+    ProposeErrorKind,
+    Replica,
+)
 
 
 class Proposer:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -5,7 +5,6 @@
 only the accepted starts are returned as the result.
 """
 
-from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -41,6 +40,7 @@
     gang_of,
 )
 from agateferry_jobs.manifest import Manifest
+from agateferry_state.replica.protocols import NotApplied
 
 ENDED_JOB_RETENTION_MS = 300_000
 """How long the state of an ended job can be queried.
@@ -70,13 +70,6 @@
     """The jobs that were given up of late, in order of time."""
 
 
-@dataclass(frozen=True, slots=True)
-class NotApplied:
-    """The result of a command that failed; it may have changed a part of the state."""
-
-    detail: str
-
-
 class Ledger:
     """The jobs and workers, and the state machine that the replicated log drives."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_failing_commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_failing_commands.py
@@ -5,10 +5,9 @@
 from agateferry_core.support import run_async
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.ledger import Ledger, commands
-from agateferry_jobs.ledger.ledger import NotApplied
 from agateferry_jobs.ledger.tests.test_ledger import LedgerCase
 from agateferry_jobs.support import MemoryReplica, job_command
-from agateferry_state.replica.protocols import ProposeErrorKind
+from agateferry_state.replica.protocols import NotApplied, ProposeErrorKind
 
 
 def failing_for(id):
--- a/packages/agateferry-service/agateferry_service/cell/events.py
+++ b/packages/agateferry-service/agateferry_service/cell/events.py
@@ -61,3 +61,8 @@
 OUTCOME_UNKNOWN = Event(
     4150, "outcome of a command unknown", "Normal when leadership changed; otherwise see the disk."
 )
+COMMAND_FAILED = Event(
+    4190,
+    "unexpected error in applying a command",
+    "Report it as a bug; the command was skipped on every host, and the zone goes on.",
+)
--- a/packages/agateferry-service/agateferry_service/cell/machine.py
+++ b/packages/agateferry-service/agateferry_service/cell/machine.py
@@ -3,10 +3,13 @@
 from collections.abc import Callable
 from typing import Any
 
+from agateferry_core.logs import EventLogger
+from agateferry_service.cell import events
 from agateferry_service.endpoints.registry import WorkerRegistry
 from agateferry_service.requests.ledger import Ledger
 from agateferry_service.rpc import commands_pb2 as pb
 from agateferry_state.records import RecordStore, decode_revisions
+from agateferry_state.replica import NotApplied
 
 
 class CellMachine:
@@ -20,12 +23,19 @@
         self.ledger = Ledger()
         self.registry = WorkerRegistry(zone)
         self.records = RecordStore()
+        self._log = EventLogger(zone=zone)
         self.listeners: list[Callable[[pb.Command, Any], None]] = []
 
     def apply(self, index: int, command: bytes) -> Any:
-        """Apply one command and return its result."""
+        """Apply one command and return its result, or `NotApplied` after an unexpected error.
+
+        A command of an unknown kind still raises: it is of a newer build, and a replica that
+        skipped it would show an older state than what was acknowledged.
+        """
         message = pb.Command.FromString(command)
-        result = self._apply_message(message)
+        result = self._apply_or_skip(index, message)
+        if isinstance(result, NotApplied):
+            return result
         for listener in self.listeners:
             listener(message, result)
         return result
@@ -46,6 +56,19 @@
         self.registry.load(list(stored.workers))
         self.records.restore(stored.records)
 
+    def _apply_or_skip(self, index: int, message: pb.Command) -> Any:
+        kind = message.WhichOneof("kind")
+        if kind is None:
+            return self._apply_message(message)
+        try:
+            return self._apply_message(message)
+        except MemoryError:
+            raise
+        except Exception as exc:
+            detail = f"{kind}: {type(exc).__name__}: {exc}"
+            self._log.error(events.COMMAND_FAILED, index=index, command=kind, detail=detail)
+            return NotApplied(detail)
+
     def _apply_message(self, message: pb.Command) -> Any:
         match message.WhichOneof("kind"):
             case "accept":
--- a/packages/agateferry-service/agateferry_service/cell/proposer.py
+++ b/packages/agateferry-service/agateferry_service/cell/proposer.py
@@ -7,7 +7,7 @@
 from agateferry_core.metrics import Metrics
 from agateferry_service.cell.refusals import RETRY_AFTER_MS, RefusalReason, not_leader, refusal
 from agateferry_service.rpc import cell_pb2, commands_pb2
-from agateferry_state.replica import ProposeError, ProposeErrorKind, Replica
+from agateferry_state.replica import NotApplied, ProposeError, ProposeErrorKind, Replica
 
 LOG_NAME = "cell"
 
@@ -41,6 +41,11 @@
             self.mark_outcome_uncertain()
             self._metrics.proposed(LOG_NAME, result.error.kind.value)
             return Error(result.error)
+        if isinstance(result.ok.result, NotApplied):
+            self.mark_outcome_uncertain()
+            self._metrics.proposed(LOG_NAME, "not-applied")
+            detail = result.ok.result.detail
+            return Error(ProposeError(ProposeErrorKind.UNKNOWN, detail=detail))
         self._metrics.proposed(LOG_NAME, "applied")
         return Ok(result.ok.result)
 
--- a/packages/agateferry-state/agateferry_state/replica/__init__.py
+++ b/packages/agateferry-state/agateferry_state/replica/__init__.py
@@ -4,6 +4,7 @@
 from agateferry_state.replica.node import NodeConfig, NodeReplica, Peer
 from agateferry_state.replica.protocols import (
     Applied,
+    NotApplied,
     ProposeError,
     ProposeErrorKind,
     Replica,
@@ -19,6 +20,7 @@
     "NodeConfig",
     "NodeReplica",
     "NodeStatus",
+    "NotApplied",
     "Peer",
     "ProposeError",
     "ProposeErrorKind",
--- a/packages/agateferry-state/agateferry_state/replica/protocols.py
+++ b/packages/agateferry-state/agateferry_state/replica/protocols.py
@@ -48,6 +48,17 @@
     result: Any
 
 
+@dataclass(frozen=True, slots=True)
+class NotApplied:
+    """The result of a command that met an unexpected error; a part may have been changed.
+
+    A state machine returns it instead of raising: each replica meets the same error at the same
+    index, and again at each restart, so it would end them all for good.
+    """
+
+    detail: str
+
+
 class StateMachine(Protocol):
     """A deterministic state machine that committed commands are applied to."""
 
