--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
@@ -115,21 +115,23 @@
         await self.call(messages.Submit(target(), WIDE))
         await asyncio.sleep(0.5)
 
-    def contact(self, gap_ms, duration_ms=60_000):
-        """Return a contact to an earlier leader that ended `gap_ms` ago."""
-        last_ms = self.clock.now_ms() - gap_ms
-        return LeaderContact(1, last_ms - duration_ms, last_ms)
+    async def take_over(self, after_ms=0, led_ms=60_000, has_heard_leader=True, is_silent=False):
+        """Lead `after_ms` after an earlier leader, to which the worker had reported, ended."""
+        await self.heartbeat(sized(WORKER_CAPACITY), 1)
+        self.replica.lead(False)
+        last_ms = self.clock.now_ms()
+        await asyncio.sleep(after_ms / 1000)
+        self.ports["w1"].is_unreachable = is_silent
+        contact = LeaderContact(1, last_ms - led_ms, last_ms)
+        self.replica.leader_contact = contact if has_heard_leader else None
+        self.replica.lead()
 
     def started(self):
         return len(self.ports["w1"].starts)
 
     def test_a_leader_after_a_long_gap_waits_for_a_report(self):
         async def scenario():
-            await self.heartbeat(sized(WORKER_CAPACITY), 1)
-            self.replica.lead(False)
-            await asyncio.sleep(6)
-            self.replica.leader_contact = self.contact(gap_ms=6_000)
-            self.replica.lead()
+            await self.take_over(after_ms=6_000)
             await self.submit()
             self.assertEqual(0, self.started())
             await self.heartbeat(sized(SHRUNK), 5)
@@ -143,10 +145,7 @@
 
     def test_a_leader_that_has_heard_no_other_since_its_start_waits_for_a_report(self):
         async def scenario():
-            await self.heartbeat(sized(WORKER_CAPACITY), 1)
-            self.replica.lead(False)
-            self.replica.leader_contact = None
-            self.replica.lead()
+            await self.take_over(has_heard_leader=False)
             await self.submit()
             self.assertEqual(0, self.started())
             await self.heartbeat(sized(WORKER_CAPACITY), 2)
@@ -157,11 +156,7 @@
 
     def test_a_leader_after_a_short_gap_starts_work_at_once(self):
         async def scenario():
-            await self.heartbeat(sized(WORKER_CAPACITY), 1)
-            self.replica.lead(False)
-            await asyncio.sleep(0.7)
-            self.replica.leader_contact = self.contact(gap_ms=700)
-            self.replica.lead()
+            await self.take_over(after_ms=700)
             await self.submit()
             self.assertEqual(1, self.started())
 
@@ -171,10 +166,7 @@
         """The one before had led for less time than the workers need to report to it."""
 
         async def scenario():
-            await self.heartbeat(sized(WORKER_CAPACITY), 1)
-            self.replica.lead(False)
-            self.replica.leader_contact = self.contact(gap_ms=100, duration_ms=1_000)
-            self.replica.lead()
+            await self.take_over(after_ms=100, led_ms=1_000)
             await self.submit()
             self.assertEqual(0, self.started())
 
@@ -184,11 +176,7 @@
         """A worker behind a cut had shrunk; it answered the new leader before it reported."""
 
         async def scenario():
-            await self.heartbeat(sized(WORKER_CAPACITY), 1)
-            self.replica.lead(False)
-            self.ports["w1"].is_unreachable = True
-            self.replica.leader_contact = self.contact(gap_ms=100)
-            self.replica.lead()
+            await self.take_over(after_ms=100, is_silent=True)
             await asyncio.sleep(0.2)
             self.ports["w1"].is_unreachable = False
             await asyncio.sleep(0.5)
