--- a/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
@@ -30,7 +30,7 @@
     return CrashReport(incarnation.id, incarnation.born, since_ms, session.uncertain_runs())
 
 
-def gone(incarnation: WorkerIncarnation) -> WorkerIncarnation:
+def departed_record(incarnation: WorkerIncarnation) -> WorkerIncarnation:
     """Return the record of an incarnation that has ended."""
     return WorkerIncarnation(
         incarnation.id,
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -12,7 +12,7 @@
 from agateferry_jobs.cell.departures import (
     cause_of_replacement,
     crash_report,
-    gone,
+    departed_record,
 )
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.cell.worker_sessions import LeaderHooks, WorkerSessions
@@ -136,7 +136,7 @@
             await self._deregister(session.incarnation, LossCause.LEFT)
 
     async def _deregister(self, incarnation: WorkerIncarnation, cause: LossCause) -> bool:
-        note = commands.NoteWorker(gone(incarnation), self._hooks.now_ms)
+        note = commands.NoteWorker(departed_record(incarnation), self._hooks.now_ms)
         if cause is LossCause.CRASHED:
             note = self._with_crash(note, incarnation)
         result = await self._proposer.propose(note)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
@@ -121,7 +121,7 @@
                 if subtask.active is not None and self.is_on_trial(job, name):
                     yield job, name, subtask.active
 
-    def since_ms(self, job: Job, name: str) -> int:
+    def suspected_since_ms(self, job: Job, name: str) -> int:
         """Return since when a suspect is one: its newest crash, a sibling's, or its acceptance."""
         step = step_number(name)
         names = [name] if name in job.crashes else job.crashes
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -173,7 +173,7 @@
         if not suspects:
             yield ready
             return
-        since_ms = max(self._suspects.since_ms(job, name) for name in suspects)
+        since_ms = max(self._suspects.suspected_since_ms(job, name) for name in suspects)
         if ready.step.is_gang:
             suspects = ready.names
         others = tuple(name for name in ready.names if name not in suspects)
