--- a/packages/agateferry-core/agateferry_core/support/__init__.py
+++ b/packages/agateferry-core/agateferry_core/support/__init__.py
@@ -3,9 +3,10 @@
 from agateferry_core.support.support import (
     VirtualLoop,
     free_port,
+    free_ports,
     run_async,
     run_virtual,
     wait_until,
 )
 
-__all__ = ["VirtualLoop", "free_port", "run_async", "run_virtual", "wait_until"]
+__all__ = ["VirtualLoop", "free_port", "free_ports", "run_async", "run_virtual", "wait_until"]
--- a/packages/agateferry-core/agateferry_core/support/support.py
+++ b/packages/agateferry-core/agateferry_core/support/support.py
@@ -1,6 +1,7 @@
 """Run coroutines in real or virtual time, and wait for ports and conditions."""
 
 import asyncio
+import contextlib
 import selectors
 import socket
 import time
@@ -70,6 +71,18 @@
         return int(sock.getsockname()[1])
 
 
+def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return different ports that were free when they were checked.
+
+    All of them are held until the last one is drawn; drawn one after the other, two may be equal.
+    """
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((host, 0))
+        return [int(sock.getsockname()[1]) for sock in sockets]
+
+
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float = 30.0) -> None:
     """Poll `condition` until it holds; raise TimeoutError naming `what` after `timeout_s`."""
     end = time.monotonic() + timeout_s
--- a/packages/agateferry-service/agateferry_service/daemon/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/support.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from agateferry_core.support import free_port
+from agateferry_core.support import free_ports
 from agateferry_service.daemon.host import Host
 from agateferry_service.settings import load_settings
 
@@ -40,10 +40,9 @@
 
 
 def settings_text(folder):
-    ports = {
-        name: f"127.0.0.1:{free_port()}" for name in ("callers", "operators", "endpoints", "peers")
-    }
-    return TEMPLATE.format(folder=folder, **ports)
+    names = ("callers", "operators", "endpoints", "peers")
+    ports = zip(names, free_ports(len(names)), strict=True)
+    return TEMPLATE.format(folder=folder, **{name: f"127.0.0.1:{port}" for name, port in ports})
 
 
 class Client:
