Read again: say the key of a run's worker once, and ask the selector for what it holds

A silence that is confirmed was tested twice and built by hand. Whether a report is awaited looked the candidates up again, though the selector has them. The log of a departure asks for the session of that incarnation, as all others do. No behaviour changes; no test is touched.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -165,7 +165,7 @@
         if cause is not LossCause.CRASHED:
             self._log.info(events.WORKER_LEFT, **about, reason=cause)
             return
-        session = self._sessions.by_id.get(incarnation.id)
+        session = self._sessions.of(incarnation)
         runs = session.runs if session is not None else {}
         keys = sorted(".".join(key) for key in runs)
         self._log.warning(events.WORKER_CRASHED, **about, rack=incarnation.rack, subtasks=keys)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
@@ -9,6 +9,8 @@
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping, Sequence
 
+from msgspec.structs import replace
+
 from agateferry_jobs.ledger.commands import CrashReport, LossCause, RunEnded
 from agateferry_jobs.ledger.state import (
     CrashEvidence,
@@ -88,7 +90,7 @@
     at_ms: int,
 ) -> None:
     """Record the crash of a worker against all runs that were on it."""
-    lost = list(_runs_on(jobs, report.worker, report.born))
+    lost = list(_runs_on(jobs, (report.worker, report.born)))
     suspects = _suspects_among(lost, wide)
     for job, name, run in lost:
         has_begun = (job.id, name) not in report.uncertain_runs
@@ -118,9 +120,9 @@
     jobs: Mapping[str, Job], wide: WideFailures, ends: Sequence[RunEnded], at_ms: int
 ) -> None:
     """Record runs whose worker was silent until its lease expired, while they are active."""
-    silent = {(e.run.worker, e.run.born) for e in ends if e.loss is LossCause.SILENT}
-    for worker, born in sorted(silent):
-        lost = list(_runs_on(jobs, worker, born))
+    silent = {end.run.worker_key for end in ends if end.loss is LossCause.SILENT}
+    for worker in sorted(silent):
+        lost = list(_runs_on(jobs, worker))
         suspects = _suspects_among(lost, wide)
         for job, name, run in lost:
             ran_ms = max(0, at_ms - job.subtasks[name].started_ms)
@@ -130,25 +132,23 @@
 
 def exonerate(jobs: Mapping[str, Job], crashes: Sequence[WorkerCrash], guilty: Job) -> None:
     """Take crashes that a job caused off the records of the others that were there."""
-    caused = {
-        (crash.run.worker, crash.run.born) for each in guilty.crashes.values() for crash in each
-    }
+    caused = {crash.run.worker_key for each in guilty.crashes.values() for crash in each}
     for event in crashes:
         event.is_explained |= (event.worker, event.born) in caused
     for job in jobs.values():
         if job.crashes and job is not guilty:
             kept = {
-                name: tuple(c for c in each if (c.run.worker, c.run.born) not in caused)
+                name: tuple(crash for crash in each if crash.run.worker_key not in caused)
                 for name, each in job.crashes.items()
             }
             job.crashes = {name: each for name, each in kept.items() if each}
 
 
-def _runs_on(jobs: Mapping[str, Job], worker: str, born: int) -> Iterator[tuple[Job, str, Run]]:
+def _runs_on(jobs: Mapping[str, Job], worker: WorkerKey) -> Iterator[tuple[Job, str, Run]]:
     for job in jobs.values():
         for name, subtask in job.subtasks.items():
             run = subtask.active
-            if run is not None and run.worker == worker and run.born == born:
+            if run is not None and run.worker_key == worker:
                 yield job, name, run
 
 
@@ -162,8 +162,7 @@
     return [
         crash
         for crash in job.crashes.get(name, ())
-        if crash.evidence is CrashEvidence.CRASHED
-        and not wide.excuse(job.id, (crash.run.worker, crash.run.born))
+        if crash.evidence is CrashEvidence.CRASHED and not wide.excuse(job.id, crash.run.worker_key)
     ]
 
 
@@ -186,19 +185,17 @@
     """Turn the silence of a worker into a crash, once a new incarnation shows it."""
     for job in jobs.values():
         for name, crashes in job.crashes.items():
-            if any(_is_confirmed(crash, report, at_ms) for crash in crashes):
-                job.crashes[name] = tuple(
-                    (
-                        RunCrash(c.run, CrashEvidence.CRASHED, at_ms, c.ran_ms, c.is_alone)
-                        if _is_confirmed(c, report, at_ms)
-                        else c
-                    )
-                    for c in crashes
-                )
+            job.crashes[name] = tuple(_resolved(crash, report, at_ms) for crash in crashes)
+
+
+def _resolved(crash: RunCrash, report: CrashReport, at_ms: int) -> RunCrash:
+    if not _is_confirmed(crash, report, at_ms):
+        return crash
+    return replace(crash, evidence=CrashEvidence.CRASHED, at_ms=at_ms)
 
 
 def _is_confirmed(crash: RunCrash, report: CrashReport, at_ms: int) -> bool:
-    is_same = (crash.run.worker, crash.run.born) == (report.worker, report.born)
+    is_same = crash.run.worker_key == (report.worker, report.born)
     is_recent = at_ms - crash.at_ms <= SILENCE_RESOLUTION_MS
     return is_same and is_recent and crash.evidence is CrashEvidence.SILENT
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -62,6 +62,11 @@
     worker: str
     born: int
 
+    @property
+    def worker_key(self) -> tuple[str, int]:
+        """Return the id and `born` of the incarnation that it runs on."""
+        return self.worker, self.born
+
 
 class CrashEvidence(StrEnum):
     """How surely a worker crashed while a run worked on it."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -232,6 +232,8 @@
         self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]
     ) -> None:
         """Reserve resources for subtasks that cannot start; preempt if the policy allows it."""
+        if waits_for_trial(ready) or selector.awaits_report():
+            return
         policy = self._preemption_policy(ready)
         if policy is PreemptionPolicy.WAIT:
             return
@@ -250,8 +252,6 @@
 
     def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
         """Return what ready subtasks that cannot start may do to other work."""
-        if waits_for_trial(ready) or self._awaits_report(ready):
-            return PreemptionPolicy.WAIT
         if ready.rank <= BORROWED_RANK:
             may_preempt = ready.rank < BORROWED_RANK or self._options.borrowed_work_preempts
             return PreemptionPolicy.PREEMPT if may_preempt else PreemptionPolicy.RESERVE
@@ -267,11 +267,6 @@
             else PreemptionPolicy.WAIT
         )
 
-    def _awaits_report(self, ready: ReadySubtasks) -> bool:
-        """Return whether a worker has room that can be used once it has reported its capacity."""
-        candidates = self._fleet.candidates(self._service_of(ready.job), ready.step)
-        return any(worker.fits_now(ready.step) for worker in candidates.awaited)
-
     def _preempt(self, victim: AllocatedRun, ready: ReadySubtasks) -> None:
         """Stop a run, together with the other members if it belongs to a gang."""
         job = victim.job
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -151,6 +151,10 @@
             return self._pack(self._candidates.usable, count)
         return None
 
+    def awaits_report(self) -> bool:
+        """Return whether a worker has room that can be used once it has reported its capacity."""
+        return any(worker.fits_now(self._step) for worker in self._candidates.awaited)
+
     def future_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers of which one is to hold the subtasks later."""
         groups = self._usable_groups()
