Simulate a load whose memory binds, cold workers and evacuated zones

Cause: every simulated load so far fits its accelerators before its memory, or nearly, and no zone is evacuated, so placement in several resources could not be measured.

An evacuated zone gets no starts and its workers are cold afterwards.

--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -9,6 +9,9 @@
 from agateferry_jobs.simulation.loads import LOADS
 from agateferry_jobs.simulation.policies import ABLATIONS, POLICIES
 from agateferry_jobs.simulation.report import Summary, summarize
+from agateferry_jobs.simulation.uneven_teams import UNEVEN_TEAMS_LOADS
+
+ALL_LOADS = LOADS | UNEVEN_TEAMS_LOADS
 
 
 def simulate(*, load: str = "surge", policy: str = "", seeds: int = 10) -> None:
@@ -25,9 +28,9 @@
 
 def simulate_day(load: str, policy: str, seed: int) -> Summary:
     """Return the summary of one simulated day."""
-    jobs = draw_jobs(LOADS[load], seed)
-    day = DaySimulation(LOADS[load], jobs, (POLICIES | ABLATIONS)[policy], seed).run()
-    return summarize(day, LOADS[load].goal)
+    jobs = draw_jobs(ALL_LOADS[load], seed)
+    day = DaySimulation(ALL_LOADS[load], jobs, (POLICIES | ABLATIONS)[policy], seed).run()
+    return summarize(day, ALL_LOADS[load].goal)
 
 
 def describe(days: list[Summary]) -> str:
@@ -47,6 +50,8 @@
         f"waste_price={mean(day.waste_price for day in days):.3f} "
         f"wasted_gpu_s={mean(day.wasted_gpu_s for day in days):.0f} "
         f"stops={mean(day.stops for day in days):.1f} "
+        f"wasted_core_s={mean(day.wasted_core_s for day in days):.0f} "
+        f"stranded_gpus={mean(day.stranded_gpus for day in days):.1f} "
         f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds}"
     )
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -16,6 +16,7 @@
 from agateferry_jobs.simulation.loads import Load
 from agateferry_jobs.simulation.policies import Policy
 from agateferry_jobs.simulation.running_group import RunningGroup
+from agateferry_jobs.simulation.stranded import StrandedGpus
 
 TIME_STEP_MS = 50
 """The step of virtual time in which the simulation advances."""
@@ -42,7 +43,8 @@
     """The result of a simulated day.
 
     `wasted_gpu_s` is lost work in accelerator-seconds. `wasted_core_s` is the same in core-seconds,
-    in which an accelerator counts as several, see `Resources.weighted_cores`.
+    in which an accelerator counts as several, see `Resources.weighted_cores`. `stranded_gpus` is the
+    mean number of accelerators that no waiting subtask could use, see `StrandedGpus`.
     """
 
     outcomes: list[JobOutcome]
@@ -50,6 +52,7 @@
     stops: int
     cross_rack_starts: int
     wasted_core_s: float = 0.0
+    stranded_gpus: float = 0.0
 
 
 class DaySimulation:
@@ -73,12 +76,16 @@
         self._now_ms = 0
         self._speeds: dict[str, float] = {}
         self._unreachable: set[str] = set()
+        self._evacuated: set[str] = set()
+        self._stranded = StrandedGpus()
         self._has_leader = True
         self._racks = {
             f"w{number:03d}": f"r{number // load.workers_per_rack}"
             for number in range(load.workers)
         }
-        self._faults = FaultSchedule(self._racks, load.slowness, load.outages, load.absences)
+        self._faults = FaultSchedule(
+            self._racks, load.slowness, load.outages, load.absences, load.evacuations, load.zones
+        )
 
     def run(self) -> DayResult:
         """Simulate the day and return its result."""
@@ -99,6 +106,7 @@
             self._stops,
             self._cross_rack_starts,
             self._wasted_core_s,
+            self._stranded.mean,
         )
 
     def _ended_ms(self, job: SimulatedJob) -> int | None:
@@ -140,11 +148,12 @@
 
     def _update_faults(self) -> bool:
         """Update what the faults of this moment affect; return whether the leader may notice."""
-        before = (self._unreachable, self._has_leader)
+        before = (self._unreachable, self._has_leader, self._evacuated)
         self._speeds = self._faults.speeds(self._now_ms)
         self._unreachable = self._faults.unreachable(self._now_ms)
         self._has_leader = self._faults.has_leader(self._now_ms)
-        return before != (self._unreachable, self._has_leader)
+        self._evacuated = self._faults.evacuated(self._now_ms)
+        return before != (self._unreachable, self._has_leader, self._evacuated)
 
     def _advance_all(self) -> bool:
         """Advance all running groups by one time step; return whether any ended."""
@@ -202,9 +211,14 @@
             if group.stops_at_ms is not None
             for name in group.members
         }
-        health = {id: WorkerHealth(answers=id not in self._unreachable) for id in self._racks}
+        health = {
+            id: WorkerHealth(id not in self._unreachable, id not in self._evacuated)
+            for id in self._racks
+        }
         fleet = Fleet.from_ledger(self._ledger, health, stopping)
         plan = self._policy.plan(self._ledger, fleet, self._now_ms)
+        if self._now_ms % MS_PER_S == 0 and self._future_jobs:
+            self._stranded.sample(self._ledger, fleet, plan)
         for stop in plan.stops:
             for group in self._groups:
                 if group.job.id == stop.key[0] and stop.key[1] in group.members:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
@@ -12,6 +12,8 @@
 
 MAX_WIDTH_FACTOR = 6
 """The largest width as a multiple of its kind's mean, so that one job does not dominate a day."""
+RACK_GANG_RACKS = 0.5
+"""The share of a rack that a gang fills at most that needs one rack."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +65,10 @@
 def _job(load: Load, kind: JobKind, arrival_ms: int, rng: random.Random) -> SimulatedJob:
     need = Resources(kind.cpu, kind.mem_mb, rng.choice(kind.gpus))
     same_rack = kind.is_gang and rng.random() < kind.same_rack_share
-    count = _width(load, kind, need, rng)
+    count = _width(kind, rng)
+    if kind.is_gang:
+        racks = RACK_GANG_RACKS if same_rack else load.wide_gang_racks
+        count = min(count, _max_gang(load, need, racks))
     duration_ms = max(300.0, rng.gauss(1.0, 0.3) * kind.work_ms)
     spread = 0.0 if kind.is_gang else 0.15
     work_ms = tuple(round(duration_ms * (1 + rng.uniform(-spread, spread))) for _ in range(count))
@@ -82,14 +87,16 @@
     return SimulatedJob(id, kind, team, arrival_ms, JobSpec("payload", (step,)), work_ms, fails)
 
 
-def _width(load: Load, kind: JobKind, need: Resources, rng: random.Random) -> int:
-    """Draw the number of subtasks of a job; a gang must fit into half of a rack."""
+def _width(kind: JobKind, rng: random.Random) -> int:
+    """Draw the number of subtasks of a job."""
     width = rng.lognormvariate(0.0, 0.8) * kind.width * 0.73
-    count = max(1, round(min(width, MAX_WIDTH_FACTOR * kind.width)))
-    if not kind.is_gang:
-        return count
+    return max(1, round(min(width, MAX_WIDTH_FACTOR * kind.width)))
+
+
+def _max_gang(load: Load, need: Resources, racks: float) -> int:
+    """Return how many members of a gang fit into this many empty racks."""
     capacity = load.capacity
     per_worker = min(
         capacity.cpu // need.cpu, capacity.mem_mb // need.mem_mb, capacity.gpu // need.gpu
     )
-    return min(count, load.workers_per_rack // 2 * per_worker)
+    return int(load.workers_per_rack * racks) * per_worker
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/faults.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/faults.py
@@ -41,7 +41,27 @@
     duration_s: float
 
 
-Fault = Slowness | Outage | LeaderAbsence
+@dataclass(frozen=True, slots=True)
+class ZoneEvacuation:
+    """A period in which nothing starts in a zone; its workers are cold for `cold_s` afterwards.
+
+    Racks lie in zones in turn: rack 4 of 3 zones is in zone 1. Cold workers are `slowdown` times as
+    slow.
+    """
+
+    start_s: float
+    duration_s: float
+    zone: int
+    cold_s: float = 0.0
+    slowdown: float = 1.0
+
+    @property
+    def coldness(self) -> Slowness:
+        """Return the slowness of the zone's workers after the evacuation."""
+        return Slowness(self.start_s + self.duration_s, self.cold_s, 1.0, self.slowdown)
+
+
+Fault = Slowness | Outage | LeaderAbsence | ZoneEvacuation
 
 
 class FaultSchedule:
@@ -53,8 +73,12 @@
         slowness: Iterable[Slowness],
         outages: Iterable[Outage],
         absences: Iterable[LeaderAbsence],
+        evacuations: Iterable[ZoneEvacuation] = (),
+        zones: int = 1,
     ) -> None:
         self._racks = racks
+        self._evacuations = tuple(evacuations)
+        self._zones = zones
         self._slowness = tuple(slowness)
         self._outages = tuple(outages)
         self._absences = tuple(absences)
@@ -65,8 +89,19 @@
         for number, slowness in enumerate(self._slowness):
             for id in self._affected(slowness, slowness.share, number, now_ms):
                 speeds[id] = 1 / slowness.slowdown if slowness.slowdown else 0.0
+        for evacuation in self._evacuations:
+            if _is_active(evacuation.coldness, now_ms):
+                speeds |= dict.fromkeys(self._in_zone(evacuation.zone), 1 / evacuation.slowdown)
         return speeds
 
+    def evacuated(self, now_ms: int) -> set[str]:
+        """Return the workers on which nothing may start."""
+        active = [each for each in self._evacuations if _is_active(each, now_ms)]
+        return {id for each in active for id in self._in_zone(each.zone)}
+
+    def _in_zone(self, zone: int) -> set[str]:
+        return {id for id, rack in self._racks.items() if int(rack[1:]) % self._zones == zone}
+
     def unreachable(self, now_ms: int) -> set[str]:
         """Return the workers that the leader cannot reach."""
         unreachable: set[str] = set()
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.simulation.faults import LeaderAbsence, Outage, Slowness
+from agateferry_jobs.simulation.faults import LeaderAbsence, Outage, Slowness, ZoneEvacuation
 
 WORKER_CAPACITY = Resources(cpu=64_000, mem_mb=262_000, gpu=8)
 """The capacity of a simulated worker where the load states no other."""
@@ -86,14 +86,17 @@
     """The capacity of every worker."""
     teams: int = 4
     zones: int = 3
-    """The number of availability zones from which jobs are submitted."""
+    """The number of availability zones: jobs are submitted from them, and each rack lies in one."""
     guaranteed_share: float = 0.62
     """The share of all accelerators that is guaranteed to teams, in equal parts."""
+    wide_gang_racks: float = 0.5
+    """How many racks a gang fills at most that needs no single rack; others fill half of one."""
     duration_s: float = 36.0
     surges: tuple[Surge, ...] = ()
     slowness: tuple[Slowness, ...] = ()
     outages: tuple[Outage, ...] = ()
     absences: tuple[LeaderAbsence, ...] = ()
+    evacuations: tuple[ZoneEvacuation, ...] = ()
     refused_start_share: float = 0.0
     """The share of start orders that get no answer; the run is known as refused later."""
     stop_duration_ms: tuple[int, int] = (100, 900)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -35,6 +35,10 @@
     wasted_gpu_s: float
     stops: int
     cross_rack_starts: int
+    wasted_core_s: float
+    stranded_gpus: float
+    in_time: dict[str, float]
+    """The share of the jobs of each kind that ended within their objective."""
 
     @property
     def score(self) -> float:
@@ -67,9 +71,20 @@
         day.wasted_gpu_s,
         day.stops,
         day.cross_rack_starts,
+        day.wasted_core_s,
+        day.stranded_gpus,
+        in_time_shares(day.outcomes),
     )
 
 
+def in_time_shares(outcomes: Iterable[JobOutcome]) -> dict[str, float]:
+    """Return the share of the jobs of each kind that ended within their objective."""
+    by_kind: dict[str, list[bool]] = {}
+    for outcome in outcomes:
+        by_kind.setdefault(outcome.job.kind.name, []).append(_earned_share(outcome) == 1.0)
+    return {name: mean(each) for name, each in by_kind.items()}
+
+
 def _by_kind(outcomes: Iterable[JobOutcome]) -> dict[str, list[JobOutcome]]:
     kinds: dict[str, list[JobOutcome]] = {}
     for outcome in outcomes:
