--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -43,8 +43,8 @@
     """The result of a simulated day.
 
     `wasted_gpu_s` is lost work in accelerator-seconds. `wasted_core_s` is the same in core-seconds,
-    in which an accelerator counts as several, see `Resources.weighted_cores`. `stranded_gpus` is the
-    mean number of accelerators that no waiting subtask could use, see `StrandedGpus`.
+    in which an accelerator counts as several, see `Resources.weighted_cores`. `stranded_gpus` is
+    the mean number of accelerators that no waiting subtask could use, see `StrandedGpus`.
     """
 
     outcomes: list[JobOutcome]
