Take out the trial of placement by lost room

Change: the planner chooses workers by free accelerators as before the trial; the simulation stays, and prints the share of jobs in time.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -6,17 +6,6 @@
 """
 
 from dataclasses import dataclass
-from enum import Enum, auto
-
-
-class Placement(Enum):
-    """By which cost a worker is chosen among those that have room, see `fragmentation`."""
-
-    FULLEST = auto()
-    DOMINANT_SHARE = auto()
-    WHOLE_WORKERS = auto()
-    LOST_ROOM = auto()
-    FULLEST_THEN_LOST_ROOM = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +34,6 @@
     """Whether a subtask waits for the rack that holds its data."""
     values_checkpoints: bool = True
     """Whether a run with a checkpoint counts as cheaper to preempt."""
-    placement: Placement = Placement.FULLEST
-    """By which cost a worker is chosen among those that have room."""
     checkpoint_loss_s: float = 1.5
     """The most work that a preempted run with a checkpoint counts as losing."""
     stop_loss_s: float = 1.5
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -23,7 +23,6 @@
     RunKey,
     WorkerAllocation,
 )
-from agateferry_jobs.planning.fragmentation import placement_cost
 from agateferry_jobs.planning.future_capacity import FutureCapacity
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
 from agateferry_jobs.planning.preemption_cost import PreemptionCost, WaitCost
@@ -87,9 +86,6 @@
         self._preemptible = FutureCapacity(PreemptionCost(self._ranks, now_ms, options))
         self._ending = FutureCapacity(WaitCost(self._timing, now_ms))
         self._failures = FailedSearches()
-        self._cost = placement_cost(
-            options.placement, ledger.jobs.values(), self._service_of, now_ms
-        )
         self._suspects = CrashSuspects(ledger, now_ms)
         fleet.mark_trials(self._suspects.on_trial())
 
@@ -205,7 +201,7 @@
     def _selector(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> WorkerSelector:
         trials = self._fleet.count_trials(candidates.service)
         selector = TrialSelector if ready.is_suspect else WorkerSelector
-        return selector(candidates, ready, self._ranks, self._options, trials, self._cost)
+        return selector(candidates, ready, self._ranks, self._options, trials)
 
     def _service_of(self, job: Job) -> str:
         manifest = self._ledger.manifest
--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -5,15 +5,14 @@
 goes where the least is lost.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 from agateferry_jobs.planning.failed_searches import SearchKey
 from agateferry_jobs.planning.fleet import CandidateWorkers, WorkerAllocation
-from agateferry_jobs.planning.fragmentation import PlacementCost
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import BORROWED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
-from agateferry_jobs.planning.worker_selection import FREE_ACCELERATORS, WorkerSelector, distinct
+from agateferry_jobs.planning.worker_selection import WorkerSelector
 
 TRIAL_WAIT_MS = 1_500
 """How long a suspect waits for an empty worker; the platform wants it started within 3 s."""
@@ -37,9 +36,8 @@
         ranks: Mapping[str, int],
         options: PolicyOptions,
         trials: int = 0,
-        cost: PlacementCost = FREE_ACCELERATORS,
     ) -> None:
-        super().__init__(candidates, ready, ranks, options, trials, cost)
+        super().__init__(candidates, ready, ranks, options, trials)
         limit = max(MIN_TRIALS, TRIAL_SHARE * len(candidates.usable))
         self._may_open_trial = trials < limit
 
@@ -69,10 +67,6 @@
     def _shares_only_with_peers(self) -> bool:
         return False
 
-    def _group_cost(self, workers: Sequence[WorkerAllocation]) -> float:
-        """Return how many workers would become trials."""
-        return sum(not worker.trial_job for worker in distinct(workers))
-
     def _sort_key(self, worker: WorkerAllocation) -> tuple[float, ...]:
         """Return the sort key of workers: those where a crash would cost the least go first."""
         ranks = [self._ranks.get(run.job.id, LOWEST_RANK) for run in worker.runs]
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -1,13 +1,11 @@
 """Select the workers that a step's ready subtasks go to."""
 
 import math
-from collections import Counter
 from collections.abc import Mapping, Sequence
 
 from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.planning.failed_searches import SearchKey
 from agateferry_jobs.planning.fleet import AllocatedRun, CandidateWorkers, WorkerAllocation
-from agateferry_jobs.planning.fragmentation import FreeAccelerators, PlacementCost
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
@@ -23,7 +21,6 @@
 The platform requires its start 2.9 s after submission at the earliest, and a preemption on another
 rack takes up to 0.9 s of that.
 """
-FREE_ACCELERATORS = FreeAccelerators()
 
 
 class WorkerSelector:
@@ -39,7 +36,6 @@
         ranks: Mapping[str, int],
         options: PolicyOptions,
         trials: int = 0,
-        cost: PlacementCost = FREE_ACCELERATORS,
     ) -> None:
         self._ready = ready
         self._options = options
@@ -47,7 +43,6 @@
         self._candidates = candidates
         self._ranks = ranks
         self._has_trials = trials > 0
-        self._cost = cost
         self._waits_for_rack = ready.waited_ms < self._max_rack_wait_ms()
 
     def _max_rack_wait_ms(self) -> float:
@@ -144,7 +139,10 @@
         groups = self._usable_groups()
         found = [workers for group in groups if (workers := self._pack(group, count)) is not None]
         if found:
-            return min(found, key=self._group_cost)
+            return min(
+                found,
+                key=lambda workers: sum(self._sort_key(worker)[1] for worker in distinct(workers)),
+            )
         racks = (
             self._candidates.feasible_racks if self._is_rack_gang else [self._candidates.feasible]
         )
@@ -179,25 +177,10 @@
     ) -> tuple[WorkerAllocation, ...] | None:
         """Return a worker of a group for each of `count` subtasks, the fullest workers first."""
         chosen: list[WorkerAllocation] = []
-        fitting = [(self._count_fitting(worker), worker) for worker in self._open(group)]
-        fitting = [each for each in fitting if each[0] > 0]
-        if sum(number for number, _ in fitting) < count:
-            return None
-        for number, worker in sorted(fitting, key=lambda each: self._sort_key(each[1])):
-            chosen += [worker] * min(number, count - len(chosen))
-        return tuple(chosen)
-
-    def _count_fitting(self, worker: WorkerAllocation) -> int:
-        return min(self._max_subtasks(worker, worker.free), worker.free_slots)
-
-    def _group_cost(self, workers: Sequence[WorkerAllocation]) -> float:
-        """Return the cost of placing a gang on these workers, each named once for each member."""
-        counts = Counter(worker.incarnation.id for worker in workers)
-        need = self._step.need
-        return sum(
-            self._cost.of(need, worker, counts[worker.incarnation.id])
-            for worker in distinct(workers)
-        )
+        for worker in sorted(self._open(group), key=self._sort_key):
+            fitting = min(self._max_subtasks(worker, worker.free), worker.free_slots)
+            chosen += [worker] * min(fitting, count - len(chosen))
+        return tuple(chosen) if len(chosen) == count else None
 
     def _fits_when_empty(self, group: Sequence[WorkerAllocation], count: int) -> bool:
         return (
@@ -222,9 +205,8 @@
         return not self._step.data_rack or worker.incarnation.rack == self._step.data_rack
 
     def _sort_key(self, worker: WorkerAllocation) -> tuple[float, ...]:
-        """Return the sort key of workers: not suspect first, then by cost and what is free."""
-        cost = self._cost.of(self._step.need, worker)
-        return (worker.health.is_suspect, cost, worker.free.gpu, worker.free.cpu)
+        """Return the sort key of workers: not suspect first, then by what is free."""
+        return (worker.health.is_suspect, worker.free.gpu, worker.free.cpu)
 
 
 def distinct(workers: Sequence[WorkerAllocation]) -> list[WorkerAllocation]:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -42,6 +42,10 @@
         f"{name}={mean(day.by_kind[name] for day in days if name in day.by_kind):.3f}"
         for name in names
     )
+    in_time = " ".join(
+        f"in_time_{name}={mean(day.in_time.get(name, 1.0) for day in days):.3f}"
+        for name in sorted({name for day in days for name in day.in_time})
+    )
     return (
         f"score={mean(scores):.3f} spread={spread:.3f} "
         f"day={mean(day.day_share for day in days):.3f} "
@@ -52,7 +56,7 @@
         f"stops={mean(day.stops for day in days):.1f} "
         f"wasted_core_s={mean(day.wasted_core_s for day in days):.0f} "
         f"stranded_gpus={mean(day.stranded_gpus for day in days):.1f} "
-        f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds}"
+        f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds} {in_time}"
     )
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -7,7 +7,7 @@
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerAllocation
-from agateferry_jobs.planning.options import DEFAULT_OPTIONS, Placement
+from agateferry_jobs.planning.options import DEFAULT_OPTIONS
 
 
 class Policy(Protocol):
@@ -86,10 +86,6 @@
     "no-borrowed-preemption": LeaderPolicy(borrowed_work_preempts=False),
     "no-rack-wait": LeaderPolicy(waits_for_rack=False),
     "no-data-rack-wait": LeaderPolicy(waits_for_data_rack=False),
-    "placement-dominant-share": LeaderPolicy(placement=Placement.DOMINANT_SHARE),
-    "placement-whole-workers": LeaderPolicy(placement=Placement.WHOLE_WORKERS),
-    "placement-fullest-then-lost-room": LeaderPolicy(placement=Placement.FULLEST_THEN_LOST_ROOM),
-    "placement-lost-room": LeaderPolicy(placement=Placement.LOST_ROOM),
     "no-checkpoint-value": LeaderPolicy(values_checkpoints=False),
 }
 """The leader's policy without one of its parts each."""
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_report.py
@@ -20,6 +20,12 @@
         shares = [summary((job(), ended_ms)).day_share for ended_ms in (7_000, 7_001, 21_001, None)]
         self.assertEqual([1.0, 0.3, 0.0, 0.0], [round(share, 6) for share in shares])
 
+    def test_the_share_in_time_counts_jobs_and_not_their_worth(self):
+        ends_ms = (7_000, 7_001, None)
+        jobs = [(job(f"g{count}", count=count), end) for count, end in enumerate(ends_ms, start=1)]
+        found = summary(*jobs, (job("b", kind=BATCH), 1_000))
+        self.assertEqual({"gangs": 1 / 3, "batch": 1.0}, found.in_time)
+
     def test_the_largest_jobs_of_a_kind_count_separately(self):
         small = [(job(f"s{number}", kind=BATCH), 2_000) for number in range(9)]
         large = (job("l", count=4, kind=BATCH), None)
