Record evacuated zones in the ledger and drop starts there

An operator must be able to stop all starts in a zone, durably. The ledger has the commands EvacuateZone and ReadmitZone and drops a start that is applied after the evacuation; of a gang with a member in the zone it drops all starts, as the others would only be stopped again. A command may name the revision of its zone that it was checked against, so that one that was held up and has been resent and reversed meanwhile changes nothing.

Runs that started on a cold worker are marked and do not count in learned durations.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -62,6 +62,8 @@
     subtask: str
     run: Run
     checkpoint: str = ""
+    is_cold: bool = False
+    """Whether the worker was cold, so that the run's duration tells nothing about others."""
 
 
 class RunEnded(Struct, frozen=True):
@@ -137,7 +139,38 @@
     at_ms: int
 
 
-Command = PutManifest | AcceptJob | CancelJob | NoteWorker | StartRuns | EndRuns | GiveUpJob
+class EvacuateZone(Struct, frozen=True, tag="evacuate"):
+    """Evacuate a zone, so that nothing starts on its workers until it is readmitted.
+
+    `revision` is how often the zone had been evacuated or readmitted when the call was checked; a
+    command with another one comes late and changes nothing. Without one it always counts.
+    """
+
+    zone: str
+    at_ms: int
+    requested_by: str = ""
+    revision: int | None = None
+
+
+class ReadmitZone(Struct, frozen=True, tag="readmit"):
+    """End the evacuation of a zone; `revision` is as in `EvacuateZone`."""
+
+    zone: str
+    at_ms: int
+    revision: int | None = None
+
+
+Command = (
+    PutManifest
+    | AcceptJob
+    | CancelJob
+    | NoteWorker
+    | StartRuns
+    | EndRuns
+    | GiveUpJob
+    | EvacuateZone
+    | ReadmitZone
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Command)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -1,8 +1,8 @@
 """The replicated ledger: a deterministic state machine over its commands.
 
 Every decision that callers or workers may see is stored here first. A start that contradicts the
-ledger (a cancelled job, a subtask that already runs) is dropped when the command is applied, and
-only the accepted starts are returned as the result.
+ledger (a cancelled job, a subtask that already runs, an evacuated zone) is dropped when the command
+is applied, and only the accepted starts are returned as the result.
 """
 
 from typing import Any
@@ -21,6 +21,7 @@
     record_silences,
 )
 from agateferry_jobs.ledger.durations import DurationEstimate
+from agateferry_jobs.ledger.evacuations import Evacuation, evacuate, readmit, startable
 from agateferry_jobs.ledger.job_ends import (
     drop_inactive_subtasks,
     fail,
@@ -68,6 +69,10 @@
     """The workers that crashed of late, in order of time."""
     given_up: list[GivenUp] = field(default_factory=list)
     """The jobs that were given up of late, in order of time."""
+    evacuations: dict[str, Evacuation] = field(default_factory=dict)
+    """The evacuated zones."""
+    evacuation_revisions: dict[str, int] = field(default_factory=dict)
+    """How often each zone was evacuated or readmitted."""
 
 
 class Ledger:
@@ -130,13 +135,20 @@
             case commands.NoteWorker() as note:
                 return self._note_worker(note)
             case commands.StartRuns(starts, at_ms):
-                return tuple(start for start in starts if self._start(start, at_ms))
+                allowed = startable(starts, self.jobs, self.workers, self.state.evacuations)
+                return tuple(start for start in allowed if self._start(start, at_ms))
             case commands.EndRuns(ends, at_ms):
                 if any(end.loss is LossCause.SILENT for end in ends):
                     record_silences(self.jobs, self.wide_failures(), ends, at_ms)
                 return tuple(end for end in ends if self._end(end, at_ms))
             case commands.GiveUpJob() as given_up:
                 return self._give_up(given_up)
+            case commands.EvacuateZone() as evacuation:
+                state = self.state
+                return evacuate(state.evacuations, state.evacuation_revisions, evacuation)
+            case commands.ReadmitZone() as readmission:
+                state = self.state
+                return readmit(state.evacuations, state.evacuation_revisions, readmission)
 
     def snapshot(self) -> bytes:
         """Encode the whole state."""
@@ -258,6 +270,7 @@
         subtask.last_run = start.run.number
         subtask.active = start.run
         subtask.started_ms = at_ms
+        subtask.is_cold = start.is_cold
         gang = job.gangs.setdefault(gang_of(start.subtask), Gang())
         gang.last_run = max(gang.last_run, start.run.number)
         job.has_started = True
@@ -283,12 +296,13 @@
     def _record_duration(
         self, job: Job, subtask: Subtask, end: commands.RunEnded, at_ms: int
     ) -> None:
-        """Record the duration of a run that did all the work of its subtask by itself."""
+        """Record the duration of a run that did all its subtask's work by itself, while warm."""
         step = job.step_of(end.subtask)
         if (
             end.outcome is commands.RunOutcome.DONE
             and not step.is_long_running
             and not subtask.checkpoint
+            and not subtask.is_cold
         ):
             estimate = self.state.durations.setdefault(job.queue, DurationEstimate())
             estimate.record(step.estimated_ms, at_ms - subtask.started_ms)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -122,6 +122,8 @@
     checkpoint: str = ""
     active: Run | None = None
     started_ms: int = 0
+    is_cold: bool = False
+    """Whether the newest run started on a cold worker."""
 
 
 class Gang(Struct):
--- a/packages/agateferry-jobs/agateferry_jobs/support/builders.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/builders.py
@@ -9,7 +9,11 @@
 
 
 def worker(
-    id: str, rack: str = "r1", born: int = 1, state: WorkerState = WorkerState.READY
+    id: str,
+    rack: str = "r1",
+    born: int = 1,
+    state: WorkerState = WorkerState.READY,
+    zone: str = "zone-a",
 ) -> WorkerIncarnation:
     """Return an incarnation of a worker with eight accelerators."""
     return WorkerIncarnation(
@@ -17,7 +21,7 @@
         born,
         "pool",
         f"{id}:80",
-        "zone-a",
+        zone,
         WORKER_CAPACITY,
         ("kind", rack),
         slots=8,
