Evacuate and readmit zones at the leader of the cell

Nothing told the leader to stop starting runs in a zone. It now handles calls that evacuate and readmit a zone and are acknowledged once committed. A start that was never sent is refused; one that may have arrived is left to the next poll. A start order carries a shorter deadline than the lease where the settings name zones, so that one which was held up in the network or on a suspended host is refused by its worker before the evacuation's bound.

The teams' guarantees are compared with the ready workers outside evacuated zones; a change is logged and gauges show it. Heartbeats carry how long a worker stays cold: urgent work takes warm workers first. Queues carry the regions whose workers may run their jobs.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
@@ -54,6 +54,7 @@
     """Report a worker's state; one with a lower `sequence` than an earlier one is ignored.
 
     `clock_ms` reads the worker's clock; `remaining_ms` is the time that a draining worker has left.
+    For `cold_remaining_ms` more, runs that start on the worker are slow; 0 if it is not cold.
     """
 
     label: ClassVar[str] = "Beat"
@@ -62,6 +63,7 @@
     sequence: int
     clock_ms: int = 0
     remaining_ms: int | None = None
+    cold_remaining_ms: int = 0
 
 
 class Deregister(Struct, frozen=True, tag="leave"):
@@ -92,7 +94,49 @@
     label: ClassVar[str] = "Ping"
 
 
-Call = Submit | GetStatus | Cancel | Heartbeat | Deregister | InstallManifest | ReadManifest | Ping
+class EvacuateZone(Struct, frozen=True, tag="evacuate"):
+    """Evacuate a zone, so that nothing starts on its workers until it is readmitted.
+
+    `revision` is that of the zone in the reply to `ReadEvacuations`, which was asked for while the
+    caller was still connected. A call with an older revision gets `Outdated`.
+    """
+
+    label: ClassVar[str] = "EvacuateZone"
+
+    zone: str
+    requested_by: str = ""
+    revision: int | None = None
+
+
+class ReadmitZone(Struct, frozen=True, tag="readmit"):
+    """End the evacuation of a zone; `revision` is as in `EvacuateZone`."""
+
+    label: ClassVar[str] = "ReadmitZone"
+
+    zone: str
+    requested_by: str = ""
+    revision: int | None = None
+
+
+class ReadEvacuations(Struct, frozen=True, tag="read-evacuations"):
+    """Get the evacuated zones and the revisions of all zones that were ever evacuated."""
+
+    label: ClassVar[str] = "ReadEvacuations"
+
+
+Call = (
+    Submit
+    | GetStatus
+    | Cancel
+    | Heartbeat
+    | Deregister
+    | InstallManifest
+    | ReadManifest
+    | Ping
+    | EvacuateZone
+    | ReadmitZone
+    | ReadEvacuations
+)
 
 
 class Done(Struct, frozen=True, tag="done"):
@@ -152,6 +196,30 @@
     source: bytes
 
 
+class EvacuatedZone(Struct, frozen=True):
+    """An evacuated zone, since when, at whose request, and how many runs are still there."""
+
+    zone: str
+    since_ms: int
+    requested_by: str
+    runs: int
+
+
+class EvacuationsRead(Struct, frozen=True, tag="evacuations"):
+    """The evacuated zones by name, and by zone its revision, which is 0 for a zone without one."""
+
+    label: ClassVar[str] = "EvacuationsRead"
+
+    zones: tuple[EvacuatedZone, ...] = ()
+    revisions: dict[str, int] = {}
+
+
+class Outdated(Struct, frozen=True, tag="outdated"):
+    """The call had no effect, since another call about the same was handled after its check."""
+
+    label: ClassVar[str] = "Outdated"
+
+
 class Refused(Struct, frozen=True, tag="refused"):
     """The call had no effect and will have none; it may be repeated after `retry_after_ms`."""
 
@@ -186,6 +254,8 @@
     | UnknownJob
     | Invalid
     | ManifestRead
+    | EvacuationsRead
+    | Outdated
     | Refused
     | NotLeader
     | OutcomeUnknown
--- a/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_messages.py
@@ -58,7 +58,14 @@
     "state": "ready",
 }
 MANIFEST_WIRE = {"version": 7, "queues": [], "services": [], "teams": [], "source": b"src"}
-HEARTBEAT_WIRE = {"worker": WORKER_WIRE, "sequence": 5, "clock_ms": 6, "remaining_ms": 7}
+HEARTBEAT_WIRE = {
+    "worker": WORKER_WIRE,
+    "sequence": 5,
+    "clock_ms": 6,
+    "remaining_ms": 7,
+    "cold_remaining_ms": 0,
+}
+EVACUATED_ZONE_WIRE = {"zone": "z", "since_ms": 5, "requested_by": "op", "runs": 2}
 SUBMIT_WIRE = {"place": TARGET_WIRE, "job": JOB_WIRE, "flaw": "bad"}
 
 CALLS = [
@@ -74,6 +81,17 @@
     ),
     (messages.ReadManifest(), "ReadManifest", {"type": "read-manifest"}),
     (messages.Ping(), "Ping", {"type": "ping"}),
+    (
+        messages.EvacuateZone("z", "op", 3),
+        "EvacuateZone",
+        {"type": "evacuate", "zone": "z", "requested_by": "op", "revision": 3},
+    ),
+    (
+        messages.ReadmitZone("z", "op", 3),
+        "ReadmitZone",
+        {"type": "readmit", "zone": "z", "requested_by": "op", "revision": 3},
+    ),
+    (messages.ReadEvacuations(), "ReadEvacuations", {"type": "read-evacuations"}),
 ]
 REPLIES = [
     (messages.Done(), "Done", {"type": "done"}),
@@ -94,6 +112,12 @@
         "Refused",
         {"type": "refused", "reason": "why", "retry_after_ms": 9},
     ),
+    (
+        messages.EvacuationsRead((messages.EvacuatedZone("z", 5, "op", 2),), {"z": 3}),
+        "EvacuationsRead",
+        {"type": "evacuations", "zones": [EVACUATED_ZONE_WIRE], "revisions": {"z": 3}},
+    ),
+    (messages.Outdated(), "Outdated", {"type": "outdated"}),
     (messages.NotLeader("h"), "NotLeader", {"type": "not-leader", "leader": "h"}),
     (messages.OutcomeUnknown("why"), "Uncertain", {"type": "uncertain", "reason": "why"}),
 ]
@@ -117,6 +141,12 @@
             self.assertEqual(message, messages.decode_call(data), label)
             self.assertEqual(label, message.label)
 
+    def test_a_heartbeat_of_an_earlier_version_is_of_a_warm_worker(self):
+        wire = {"type": "beat"} | HEARTBEAT_WIRE
+        del wire["cold_remaining_ms"]
+        heartbeat = messages.decode_call(msgspec.msgpack.encode(wire))
+        self.assertEqual(messages.Heartbeat(WORKER, 5, 6, 7), heartbeat)
+
     def test_replies_keep_their_bytes_and_labels(self):
         self.assertEqual(
             set(typing.get_args(messages.Reply)), {type(message) for message, _, _ in REPLIES}
--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -43,6 +43,27 @@
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
+ZONE_EVACUATED = Event(
+    7360,
+    "zone evacuated",
+    "Nothing starts there until 7361; see docs/OPERATIONS.md for how to watch it become empty.",
+)
+ZONE_READMITTED = Event(7361, "zone readmitted", "Nothing to do; its workers get new runs again.")
+GUARANTEES_UNMET = Event(
+    7362,
+    "teams' guarantees exceed the accelerators of ready workers",
+    "Readmit a zone, add workers or lower the guarantees; urgent work may wait until then.",
+)
+GUARANTEES_MET = Event(
+    7363,
+    "teams' guarantees can be met again",
+    "Nothing to do unless it follows 7362 often.",
+)
+EVACUATION_OUTDATED = Event(
+    7364,
+    "call to evacuate or readmit a zone came late and had no effect",
+    "Nothing to do; a newer call for the zone was handled, and a caller that waits sends it again.",
+)
 PROPOSAL_FAILED = Event(
     7350,
     "command not committed or its outcome unknown",
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -1,7 +1,7 @@
 """The leader of the cell: it handles calls, plans, sends orders to workers and commits run ends."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any
 
 from expression import Result
@@ -15,6 +15,7 @@
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.call_handler import CallHandler
+from agateferry_jobs.cell.evacuations import ZoneEvacuations
 from agateferry_jobs.cell.guilty_jobs import GuiltyJobs
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
@@ -51,6 +52,8 @@
         make_port: PortFactory,
         lease_ms: int,
         max_report_age_ms: int | None = None,
+        max_start_ms: int | None = None,
+        zone_regions: Mapping[str, str] | None = None,
     ) -> None:
         self._replica = replica
         self._ledger = ledger
@@ -61,7 +64,13 @@
         self._suspects = SuspectWorkers()
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
         self._refusals = Backoff[RunKey](REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
-        self._sessions = WorkerSessions(ledger, clock, make_port, lease_ms, max_report_age_ms, self)
+        self._sessions = WorkerSessions(
+            ledger, clock, make_port, lease_ms, max_report_age_ms, self, max_start_ms
+        )
+        self._zone_regions = zone_regions or {}
+        self._evacuations = ZoneEvacuations(
+            ledger, self._sessions, self._proposer, self.request_planning
+        )
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
@@ -123,6 +132,12 @@
                 return await self._call_handler.install(manifest)
             case messages.ReadManifest():
                 return self._call_handler.read_manifest()
+            case messages.EvacuateZone():
+                return await self._evacuations.evacuate(call, self.now_ms)
+            case messages.ReadmitZone():
+                return await self._evacuations.readmit(call, self.now_ms)
+            case messages.ReadEvacuations():
+                return self._evacuations.read()
             case messages.Ping():
                 return messages.Done()
 
@@ -186,6 +201,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
             self._ticker = None
+            self._evacuations.reset()
 
     def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         """Run a background task; an exception in it is logged."""
@@ -198,6 +214,7 @@
             await self._sessions.end_lost_runs()
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
+        self._evacuations.check()
         self.request_planning()
 
     async def _give_up_guilty_jobs(self) -> None:
@@ -209,7 +226,10 @@
     def _make_plan(self) -> Plan:
         self._stops.stop_obsolete()
         fleet = Fleet.from_ledger(
-            self._ledger, self._sessions.health(self._is_suspect), self._sessions.stopping_runs()
+            self._ledger,
+            self._sessions.health(self._is_suspect),
+            self._sessions.stopping_runs(),
+            self._zone_regions,
         )
         held = self._refusals.held(self._clock.now_ms())
         return Planner(self._ledger, fleet, self.now_ms, held=held).plan()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -73,7 +73,7 @@
         self._heartbeat_sequences[key] = heartbeat.sequence
         session = self._sessions.of(incarnation)
         if session is not None:
-            session.record_heartbeat(heartbeat.clock_ms)
+            session.record_heartbeat(heartbeat.clock_ms, heartbeat.cold_remaining_ms)
         return messages.Done()
 
     async def on_deregister(self, worker: str) -> messages.Reply:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -50,7 +50,8 @@
 class WorkerSessions(SessionListener):
     """Track the runs on all workers, each through the session with its worker.
 
-    `on_replaced` is called for an incarnation at whose address another one answers.
+    `on_replaced` is called for an incarnation at whose address another one answers. A worker
+    refuses a start order that arrives more than `max_start_ms` after it was sent.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         lease_ms: int,
         max_report_age_ms: int | None,
         hooks: LeaderHooks,
+        max_start_ms: int | None = None,
     ) -> None:
         self.by_id: dict[str, WorkerSession] = {}
         self.on_replaced: Callable[[WorkerIncarnation], None] = lambda _: None
@@ -70,6 +72,7 @@
         self._lease_ms = lease_ms
         self._max_report_age_ms = max_report_age_ms
         self._hooks = hooks
+        self._max_start_ms = max_start_ms
 
     def of(self, incarnation: WorkerIncarnation) -> WorkerSession | None:
         """Return the session with an incarnation, or None if there is none."""
@@ -174,6 +177,14 @@
         """Make a new plan soon."""
         self._hooks.request_planning()
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether a zone is evacuated now, so that no start order may be sent there."""
+        return zone in self._ledger.state.evacuations
+
+    def runs_in(self, zone: str) -> int:
+        """Return how many runs are tracked on the workers of a zone."""
+        return sum(len(s.runs) for s in self.by_id.values() if s.incarnation.zone == zone)
+
     def poll_wait_ms(self) -> int:
         """Return how long a worker may delay the answer to a poll; longer with more workers."""
         wait_ms = len(self.by_id) * MS_PER_S // MAX_IDLE_POLLS_PER_S
@@ -201,7 +212,7 @@
     def _open_session(
         self, incarnation: WorkerIncarnation, earlier_leases_until_ms: int, reported_ms: int | None
     ) -> None:
-        lease = Lease(self._lease_ms, earlier_leases_until_ms)
+        lease = Lease(self._lease_ms, earlier_leases_until_ms, self._max_start_ms)
         reports = ReportAge(self._max_report_age_ms, reported_ms)
         self.by_id[incarnation.id] = WorkerSession(
             incarnation, self._make_port(incarnation), self, self._clock, lease, reports
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -142,8 +142,8 @@
 class EvacuateZone(Struct, frozen=True, tag="evacuate"):
     """Evacuate a zone, so that nothing starts on its workers until it is readmitted.
 
-    `revision` is how often the zone had been evacuated or readmitted when the call was checked; a
-    command with another one comes late and changes nothing. Without one it always counts.
+    `revision` is the zone's revision when the call was checked. If another command for the zone
+    was applied since, this one comes late and does not change the zone. Without one it always does.
     """
 
     zone: str
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/evacuations.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/evacuations.py
@@ -23,19 +23,20 @@
     UNCHANGED = "unchanged"
     """The zone was in the requested state already."""
     OUTDATED = "outdated"
-    """The zone has changed since the command's revision was read, so nothing was done."""
+    """Another command for the zone came after the revision was read, so nothing was done."""
 
 
 def evacuate(
     evacuations: dict[str, Evacuation], revisions: dict[str, int], command: EvacuateZone
 ) -> EvacuationResult:
     """Evacuate a zone; a zone that is evacuated keeps its record."""
-    if command.zone in evacuations:
-        return EvacuationResult.UNCHANGED
-    if _is_outdated(revisions, command):
+    is_evacuated = command.zone in evacuations
+    if not is_evacuated and _is_outdated(revisions, command):
         return EvacuationResult.OUTDATED
-    evacuations[command.zone] = Evacuation(command.at_ms, command.requested_by)
     revisions[command.zone] = revisions.get(command.zone, 0) + 1
+    if is_evacuated:
+        return EvacuationResult.UNCHANGED
+    evacuations[command.zone] = Evacuation(command.at_ms, command.requested_by)
     return EvacuationResult.CHANGED
 
 
@@ -43,12 +44,13 @@
     evacuations: dict[str, Evacuation], revisions: dict[str, int], command: ReadmitZone
 ) -> EvacuationResult:
     """Readmit a zone; one that is not evacuated stays as it is."""
-    if command.zone not in evacuations:
-        return EvacuationResult.UNCHANGED
-    if _is_outdated(revisions, command):
+    is_evacuated = command.zone in evacuations
+    if is_evacuated and _is_outdated(revisions, command):
         return EvacuationResult.OUTDATED
-    del evacuations[command.zone]
     revisions[command.zone] = revisions.get(command.zone, 0) + 1
+    if not is_evacuated:
+        return EvacuationResult.UNCHANGED
+    del evacuations[command.zone]
     return EvacuationResult.CHANGED
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -72,7 +72,7 @@
     evacuations: dict[str, Evacuation] = field(default_factory=dict)
     """The evacuated zones."""
     evacuation_revisions: dict[str, int] = field(default_factory=dict)
-    """How often each zone was evacuated or readmitted."""
+    """The revision of each zone, which counts the commands that evacuated or readmitted it."""
 
 
 class Ledger:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_evacuations.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_evacuations.py
@@ -69,6 +69,13 @@
         self.evacuate(revision=0)
         self.assertEqual(EvacuationResult.UNCHANGED, self.evacuate(revision=0))
 
+    def test_a_readmission_that_comes_after_a_repeated_evacuation_is_outdated(self):
+        """The repeated evacuation changes nothing, but its caller relies on the answer."""
+        self.evacuate(revision=0)
+        self.evacuate(revision=1)
+        self.assertEqual(EvacuationResult.OUTDATED, self.readmit(revision=1))
+        self.assertEqual({ZONE}, {*self.ledger.state.evacuations})
+
     def test_the_revision_of_one_zone_does_not_depend_on_another(self):
         self.evacuate("zone-b", revision=0)
         self.assertEqual(EvacuationResult.CHANGED, self.evacuate(revision=0))
--- a/packages/agateferry-jobs/agateferry_jobs/manifest/manifest.py
+++ b/packages/agateferry-jobs/agateferry_jobs/manifest/manifest.py
@@ -9,7 +9,8 @@
     """A queue that callers submit jobs to, and the service whose workers run them.
 
     `timeout_ms` limits a caller's call. The objective of a job is the time that its callers accept:
-    `stretch` times its own duration, plus `target_ms`, the wait that they are promised.
+    `stretch` times its own duration, plus `target_ms`, the wait that they are promised. Only
+    workers in one of `allowed_regions` run its jobs; empty allows all.
     """
 
     name: str
@@ -23,6 +24,7 @@
     stretch: float = 1.0
     is_public: bool = False
     needs_ticket: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 class Service(Struct, frozen=True):
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -1,6 +1,6 @@
-"""Counters and histograms of jobs, runs and calls; each reason is a label value."""
+"""Counters, gauges and histograms of jobs, runs, calls and zones; each reason is a label value."""
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 START_BUCKETS_S = (0.02, 0.05, 0.1, 0.3, 1.0, 3.6, 10.0, 30.0)
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
@@ -51,6 +51,18 @@
 ROWS_UNREADABLE = Counter(
     "agateferry_jobs_rows_unreadable", "Rows in workers' lists of runs that could not be read."
 )
+ZONES_EVACUATED = Gauge(
+    "agateferry_jobs_zones_evacuated", "Evacuated zones; 0 on a host that does not lead."
+)
+RUNS_IN_EVACUATED_ZONES = Gauge(
+    "agateferry_jobs_runs_in_evacuated_zones",
+    "Runs on workers of evacuated zones; 0 on a host that does not lead.",
+)
+GUARANTEED_GPUS_MISSING = Gauge(
+    "agateferry_jobs_guaranteed_gpus_missing",
+    "Accelerators that the teams' guarantees exceed those of ready workers outside evacuated zones"
+    " by; 0 on a host that does not lead.",
+)
 PLAN_SECONDS = Histogram(
     "agateferry_jobs_plan_seconds",
     "Time that a plan holds the leader's event loop.",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -28,6 +28,8 @@
     reports_soon: bool = False
     """Whether such a report is still awaited, from a worker that has just begun to answer."""
     is_suspect: bool = False
+    is_cold: bool = False
+    """Whether the worker has started lately, so that runs are slow on it for now."""
     unexpected_runs: tuple[RunKey, ...] = ()
     """Runs that the worker reports but the ledger does not place there; they use resources too."""
 
@@ -63,6 +65,10 @@
     largest_capacity: Resources
     """The largest capacity that the worker has reported; it may be smaller for a while."""
     runs: list[AllocatedRun] = field(default_factory=list)
+    is_evacuated: bool = False
+    """Whether the worker's zone is evacuated."""
+    region: str = ""
+    """The region of the worker's zone; empty if it is not known."""
     trial_job: str = ""
     """The id of a suspected job that runs here; until it has shown to be safe, no other starts."""
     version: int = 0
@@ -71,7 +77,7 @@
     @property
     def is_ready(self) -> bool:
         """Return whether this worker may get new runs, provided that it answers."""
-        return self.incarnation.state is WorkerState.READY
+        return self.incarnation.state is WorkerState.READY and not self.is_evacuated
 
     @property
     def slots_after_stops(self) -> int:
@@ -142,8 +148,8 @@
         )
 
 
-CandidateKey = tuple[str, Resources, str]
-"""A service, what a subtask needs, and the label that its worker must have."""
+CandidateKey = tuple[str, Resources, str, tuple[str, ...]]
+"""A service, what a subtask needs, its worker's label, and the allowed regions (empty: all)."""
 
 
 class CandidateWorkers:
@@ -174,7 +180,8 @@
 class Fleet:
     """All workers of all services at one moment."""
 
-    def __init__(self, workers: Iterable[WorkerAllocation]) -> None:
+    def __init__(self, workers: Iterable[WorkerAllocation], knows_regions: bool = False) -> None:
+        self._knows_regions = knows_regions
         self.by_service: dict[str, list[WorkerAllocation]] = defaultdict(list)
         self._by_id: dict[str, WorkerAllocation] = {}
         for worker in workers:
@@ -189,9 +196,14 @@
         ledger: Ledger,
         health: Mapping[str, WorkerHealth],
         stopping: Collection[RunKey],
+        zone_regions: Mapping[str, str] | None = None,
     ) -> "Fleet":
-        """Return the fleet of a ledger, with the health of each worker and the stopping runs."""
+        """Return the fleet of a ledger, with the health of each worker and the stopping runs.
+
+        `zone_regions` maps zones to regions. Where none are known, queues may use all workers.
+        """
         unknown = WorkerHealth(answers=False)
+        evacuations, regions = ledger.state.evacuations, zone_regions or {}
         workers = {
             incarnation.id: WorkerAllocation(
                 incarnation,
@@ -200,19 +212,29 @@
                 incarnation.capacity,
                 incarnation.slots,
                 ledger.largest_capacity(incarnation),
+                is_evacuated=incarnation.zone in evacuations,
+                region=regions.get(incarnation.zone, ""),
             )
             for incarnation in ledger.workers.values()
         }
         for id, runs in _runs_by_worker(ledger, workers, stopping).items():
             workers[id].add_runs(runs)
-        return cls(workers.values())
+        return cls(workers.values(), knows_regions=bool(regions))
+
+    def candidates(
+        self, service: str, step: StepSpec, allowed_regions: tuple[str, ...] = ()
+    ) -> CandidateWorkers:
+        """Return the workers of a service that may run a step's subtasks.
 
-    def candidates(self, service: str, step: StepSpec) -> CandidateWorkers:
-        """Return the workers of a service that may run a step's subtasks."""
-        key = (service, step.need, step.required_label)
+        Empty `allowed_regions` allow all.
+        """
+        regions = allowed_regions if self._knows_regions else ()
+        key = (service, step.need, step.required_label, regions)
         found = self._candidates.get(key)
         if found is None:
             workers = self.by_service.get(service, [])
+            if regions:
+                workers = [each for each in workers if each.region in regions]
             feasible = [each for each in workers if each.is_ready and each.can_ever_run(step)]
             found = self._candidates[key] = CandidateWorkers(key, feasible)
         return found
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -14,6 +14,7 @@
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.ledger.state import gang_of
+from agateferry_jobs.manifest import Queue
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fleet import (
@@ -182,7 +183,10 @@
         yield replace(ready, names=suspects, trial_wait_ms=self._now_ms - since_ms)
 
     def _place(self, ready: ReadySubtasks) -> None:
-        candidates = self._fleet.candidates(self._service_of(ready.job), ready.step)
+        queue = self._queue_of(ready.job)
+        service = queue.service if queue is not None else ready.job.service
+        regions = queue.allowed_regions if queue is not None else ()
+        candidates = self._fleet.candidates(service, ready.step, regions)
         selector = self._selector(candidates, ready)
         if ready.step.is_gang:
             workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
@@ -203,10 +207,9 @@
         selector = TrialSelector if ready.is_suspect else WorkerSelector
         return selector(candidates, ready, self._ranks, self._options, trials)
 
-    def _service_of(self, job: Job) -> str:
+    def _queue_of(self, job: Job) -> Queue | None:
         manifest = self._ledger.manifest
-        queue = manifest.queue_named(job.queue) if manifest is not None else None
-        return queue.service if queue is not None else job.service
+        return manifest.queue_named(job.queue) if manifest is not None else None
 
     def _start(
         self, ready: ReadySubtasks, names: Sequence[str], workers: Sequence[WorkerAllocation]
@@ -220,7 +223,8 @@
                 self._fleet.open_trial(worker, job)
             self._failures.record_change()
             run = Run(number, worker.incarnation.id, worker.incarnation.born)
-            self._plan.starts.append(RunStart(job.id, name, run, checkpoint))
+            is_cold = worker.health.is_cold
+            self._plan.starts.append(RunStart(job.id, name, run, checkpoint, is_cold))
 
     def _checkpoint(self, ready: ReadySubtasks, names: Sequence[str]) -> str:
         """Return the newest checkpoint of these subtasks; one member's restores its whole gang."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -141,7 +141,10 @@
         if found:
             return min(
                 found,
-                key=lambda workers: sum(self._sort_key(worker)[1] for worker in distinct(workers)),
+                key=lambda workers: (
+                    sum(self._is_too_cold(worker) for worker in distinct(workers)),
+                    sum(self._sort_key(worker)[1] for worker in distinct(workers)),
+                ),
             )
         racks = (
             self._candidates.feasible_racks if self._is_rack_gang else [self._candidates.feasible]
@@ -205,8 +208,16 @@
         return not self._step.data_rack or worker.incarnation.rack == self._step.data_rack
 
     def _sort_key(self, worker: WorkerAllocation) -> tuple[float, ...]:
-        """Return the sort key of workers: not suspect first, then by what is free."""
-        return (worker.health.is_suspect, worker.free.gpu, worker.free.cpu)
+        """Return the sort key of workers: not suspect, warm for urgent work, then by what is free.
+
+        The first element tells the two apart: a cold worker is better than a suspect one.
+        """
+        last_choice = 2 * worker.health.is_suspect + self._is_too_cold(worker)
+        return (last_choice, worker.free.gpu, worker.free.cpu)
+
+    def _is_too_cold(self, worker: WorkerAllocation) -> bool:
+        """Return whether a worker is cold and the work urgent."""
+        return worker.health.is_cold and self._ready.rank <= BORROWED_RANK
 
 
 def distinct(workers: Sequence[WorkerAllocation]) -> list[WorkerAllocation]:
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -1,10 +1,16 @@
 """The settings of one process, which `agateferry_platform` reads from the platform's file."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from pathlib import Path
 
 ORDER_DELAY_MS = 1_500
 """How long a report may be on its way, and then a start order until the worker begins."""
+START_SHARE_OF_EVACUATION = 0.9
+"""The share of `evacuation_ms` within which a worker may begin a run that was ordered.
+
+The rest covers a worker's clock that is 2 % slow, the age of its last reading, and the margin.
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,12 +19,19 @@
 
     `grace_ms` is the time from the signal to stop to the kill, `max_lease_ms` the longest lease of
     a worker. A worker's capacity that has shrunk counts `contact_ms` and one `heartbeat_ms` later.
+    Nothing starts in an evacuated zone from `evacuation_ms` after the acknowledgement on.
     """
 
     grace_ms: int = 6000
     max_lease_ms: int = 10_000
     contact_ms: int = 3_000
     heartbeat_ms: int = 1_500
+    evacuation_ms: int = 5_000
+
+    @property
+    def max_start_ms(self) -> int:
+        """Return how long after a start order was sent its worker may begin the run."""
+        return round(self.evacuation_ms * START_SHARE_OF_EVACUATION)
 
     @property
     def max_report_age_ms(self) -> int:
@@ -33,7 +46,7 @@
     Hosts are identified by their IP. `seeds` are the hosts of the cell that were known when the
     settings were written. With `may_bootstrap` the host may form a new cell. `data_folder` is None
     on a host without a disk. `front`, `readiness` and `control` are `ip:port` addresses, None if
-    this role does not serve them.
+    this role does not serve them. `zones` maps each zone that may be evacuated to its region.
     """
 
     node: str
@@ -48,6 +61,7 @@
     control: str | None
     metrics_port: int
     bounds: TimeLimits = TimeLimits()
+    zones: Mapping[str, str] = field(default_factory=dict)
 
     @property
     def internal_address(self) -> str:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
@@ -28,6 +28,7 @@
         self._last_contact_ms = clock.now_ms()
         self._failing_since_ms = 0
         self._answering_since_ms = 0
+        self._cold_until_ms = 0
 
     def health(self, is_suspect: bool, unexpected_runs: tuple[RunKey, ...]) -> WorkerHealth:
         """Return the worker's health for the planner."""
@@ -42,6 +43,7 @@
             has_recent_report=has_recent_report,
             reports_soon=answers and not has_recent_report and has_just_answered,
             is_suspect=is_suspect,
+            is_cold=now_ms < self._cold_until_ms,
             unexpected_runs=unexpected_runs,
         )
 
@@ -54,9 +56,10 @@
         """Return for how long the worker has not answered; 0 if it does."""
         return self._clock.now_ms() - self._failing_since_ms if self.is_failing else 0
 
-    def record_report(self) -> None:
-        """Record that a heartbeat arrived, which shows the worker's capacity."""
+    def record_report(self, cold_ms: int = 0) -> None:
+        """Record that a heartbeat arrived; it shows the capacity and for how long it stays cold."""
         self._last_contact_ms = self._clock.now_ms()
+        self._cold_until_ms = self._last_contact_ms + cold_ms
         self._reports.record(self._last_contact_ms)
 
     def record_failure(self) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
@@ -17,12 +17,16 @@
 class Lease:
     """The latest deadline that one worker may have received.
 
-    A lease lasts `duration_ms` from each order. `earlier_leases_until_ms`, on the local clock, is
-    when all leases that earlier leaders may have granted have expired.
+    A lease lasts `duration_ms` from each order; `start_ms` is the same for start orders, if that is
+    shorter. `earlier_leases_until_ms`, on the local clock, is when all leases that earlier leaders
+    may have granted have expired.
     """
 
-    def __init__(self, duration_ms: int, earlier_leases_until_ms: int) -> None:
+    def __init__(
+        self, duration_ms: int, earlier_leases_until_ms: int, start_ms: int | None = None
+    ) -> None:
         self._duration_ms = duration_ms
+        self._start_ms = min(duration_ms, start_ms if start_ms is not None else duration_ms)
         self._earlier_leases_until_ms = earlier_leases_until_ms
         self._clock_ms: int | None = None
         self._read_at_ms = 0
@@ -45,13 +49,20 @@
         return self._clock_ms or 0
 
     def grant_deadline(self, now_ms: int) -> int | None:
-        """Return the deadline for an order that is sent now; None before the first clock reading.
+        """Return the deadline for a poll that is sent now; None before the first clock reading.
 
         The deadline counts as granted, whether or not the order arrives.
         """
+        return self._grant(now_ms, self._duration_ms)
+
+    def grant_start_deadline(self, now_ms: int) -> int | None:
+        """Return the deadline for a start order; a worker refuses one that arrives after it."""
+        return self._grant(now_ms, self._start_ms)
+
+    def _grant(self, now_ms: int, duration_ms: int) -> int | None:
         if self._clock_ms is None:
             return None
-        deadline_ms = self._clock_ms + now_ms - self._read_at_ms + self._duration_ms
+        deadline_ms = self._clock_ms + now_ms - self._read_at_ms + duration_ms
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -77,6 +77,9 @@
     def request_planning(self) -> None:
         """Request a new plan, since the worker's health changed."""
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether a zone is evacuated now, so that no start order may be sent there."""
+
     def poll_wait_ms(self) -> int:
         """Return how long a worker may delay the answer to a poll while no run ends."""
 
@@ -153,9 +156,12 @@
             tracked.is_stopping = True
             self._spawn(self._send_stop(key, tracked.run.number, tracked))
 
-    def record_heartbeat(self, clock_ms: int) -> None:
-        """Record that a heartbeat of the worker arrived, written at `clock_ms` of its clock."""
-        self._contact.record_report()
+    def record_heartbeat(self, clock_ms: int, cold_ms: int = 0) -> None:
+        """Record that a heartbeat of the worker arrived, written at `clock_ms` of its clock.
+
+        The worker stays cold for `cold_ms` more.
+        """
+        self._contact.record_report(cold_ms)
         if clock_ms:
             self._lease.read_clock(clock_ms, self._clock.now_ms())
 
@@ -337,11 +343,16 @@
             self._mark_uncertain(tracked)
 
     async def _try_start(self, start: RunStart, payload: str, tracked: TrackedRun) -> bool:
-        """Send a start order, twice at most; return whether its outcome is known and recorded."""
+        """Send a start order, twice at most; return whether its outcome is known and recorded.
+
+        Nothing is sent to an evacuated zone. A start that was never sent is refused.
+        """
         key = (start.job, start.subtask)
         token = self._token
         for attempt in range(START_ATTEMPTS):
-            deadline_ms = self._lease.grant_deadline(self._clock.now_ms())
+            if self._listener.is_evacuated(self.incarnation.zone):
+                return attempt == 0 and await self._end_as_refused(key, tracked)
+            deadline_ms = self._lease.grant_start_deadline(self._clock.now_ms())
             if deadline_ms is None or not self._listener.may_send_orders():
                 break
             order = StartOrder(key, start.run.number, payload, deadline_ms, token, start.checkpoint)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -24,6 +24,7 @@
         self.ends = []
         self.replaced_incarnations = []
         self.stores = True
+        self.evacuated_zones = set()
 
     def next_token(self):
         self.tokens += 1
@@ -43,6 +44,9 @@
     def request_planning(self):
         pass
 
+    def is_evacuated(self, zone):
+        return zone in self.evacuated_zones
+
     def poll_wait_ms(self):
         return MIN_POLL_WAIT_MS
 
