--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -57,12 +57,13 @@
 
 class SessionCase(testtools.TestCase):
     make_worker = ModelWorker
+    start_ms: int | None = None
 
     async def begin(self, earlier_leases_until_ms=0):
         self.clock = SystemClock()
         self.worker = self.make_worker(self.clock)
         self.listener = Listener()
-        lease = Lease(8000, earlier_leases_until_ms)
+        lease = Lease(8000, earlier_leases_until_ms, self.start_ms)
         reports = ReportAge(None, None)
         self.session = WorkerSession(
             worker("w1"), self.worker, self.listener, self.clock, lease, reports
@@ -126,6 +127,72 @@
         self.check(scenario)
 
 
+class EvacuatedZoneTests(SessionCase):
+    ZONE = "zone-a"
+
+    def test_a_start_that_was_never_sent_ends_as_refused(self):
+        async def scenario():
+            self.session.start_run(start_of(*KEY), "payload")
+            self.listener.evacuated_zones.add(self.ZONE)
+            await self.until(lambda: self.outcomes() == [RunOutcome.REFUSED], "refused")
+            self.assertEqual([], self.worker.starts)
+
+        self.check(scenario)
+
+    def test_an_order_without_an_answer_is_not_sent_again_and_left_to_the_next_poll(self):
+        async def scenario():
+            self.worker.orders_to_lose = 1
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: self.worker.delayed_orders, "an order is under way")
+            self.listener.evacuated_zones.add(self.ZONE)
+            await self.until(lambda: self.outcomes() == [RunOutcome.REFUSED], "refused")
+            self.worker.execute(self.worker.delayed_orders[0])
+            self.assertEqual([], self.worker.starts)
+
+        self.check(scenario)
+
+    def test_an_order_that_began_a_run_without_an_answer_keeps_it(self):
+        async def scenario():
+            self.worker.orders_to_lose = 1
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: self.worker.delayed_orders, "an order is under way")
+            self.worker.execute(self.worker.delayed_orders[0])
+            self.listener.evacuated_zones.add(self.ZONE)
+            await asyncio.sleep(0.5)
+            self.assertEqual([], self.outcomes())
+            self.assertIn(KEY, self.worker.running)
+
+        self.check(scenario)
+
+
+class StartDeadlineTests(SessionCase):
+    """An order that is held up for long would begin a run in a zone evacuated meanwhile."""
+
+    start_ms = 500
+
+    def test_an_order_that_is_held_up_beyond_its_deadline_is_refused(self):
+        async def scenario():
+            self.worker.orders_to_lose = 2
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: self.worker.delayed_orders, "an order is under way")
+            self.worker.is_unreachable = True
+            await asyncio.sleep(self.start_ms / 1000)
+            self.assertEqual("late", self.worker.execute(self.worker.delayed_orders[0]).reason)
+            self.assertEqual([], self.worker.starts)
+
+        self.check(scenario)
+
+    def test_the_next_poll_extends_the_lease_of_a_run_that_was_started(self):
+        async def scenario():
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            await asyncio.sleep(self.start_ms / 1000)
+            self.worker.expire_lease()
+            self.assertIn(KEY, self.worker.running)
+
+        self.check(scenario)
+
+
 class AdoptTests(SessionCase):
     def test_an_adopted_run_that_is_not_listed_ends_as_refused(self):
         async def scenario():
