Limit start orders by the bound of evacuations only where the settings have it

Cause: the merged code gave start orders a deadline of 4.5 s on every deployment, so that a run behind a partition could end sooner than before where zones are never evacuated. Change: without evacuationMs in the settings, start orders grant the whole lease, as before. Measured: tests of the jobs package and the platform pass (a test of the settings fails without the change).

--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -165,7 +165,7 @@
             self._make_port,
             lease_ms,
             self.cfg.bounds.max_report_age_ms,
-            self.cfg.bounds.max_start_ms if self.cfg.zones else None,
+            self.cfg.bounds.max_start_ms,
             self.cfg.zones,
         )
         return replica
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -19,18 +19,21 @@
 
     `grace_ms` is the time from the signal to stop to the kill, `max_lease_ms` the longest lease of
     a worker. A worker's capacity that has shrunk counts `contact_ms` and one `heartbeat_ms` later.
-    Nothing starts in an evacuated zone from `evacuation_ms` after the acknowledgement on.
+    Nothing starts in an evacuated zone from `evacuation_ms` after the acknowledgement on; this is
+    None where zones are never evacuated.
     """
 
     grace_ms: int = 6000
     max_lease_ms: int = 10_000
     contact_ms: int = 3_000
     heartbeat_ms: int = 1_500
-    evacuation_ms: int = 5_000
+    evacuation_ms: int | None = None
 
     @property
-    def max_start_ms(self) -> int:
-        """Return how long after a start order was sent its worker may begin the run."""
+    def max_start_ms(self) -> int | None:
+        """Return how long after a start order was sent its worker may begin the run, if limited."""
+        if self.evacuation_ms is None:
+            return None
         return round(self.evacuation_ms * START_SHARE_OF_EVACUATION)
 
     @property
