Keep evacuations of zones as a kind of operators' record

An evacuation has to survive restarts and reach each zone's cell. Records already do both, and compare-and-set decides between two operators. The new kind has the same form in both schemas, and its name is a zone's.

--- a/packages/agateferry-state/agateferry_state/records/__init__.py
+++ b/packages/agateferry-state/agateferry_state/records/__init__.py
@@ -1,4 +1,4 @@
-"""Versioned records that operators write: teams, jobs and the scheduling configuration."""
+"""Versioned records that operators write: teams, jobs, scheduling configuration, evacuations."""
 
 from agateferry_state.records.checks import parse_put, read_content
 from agateferry_state.records.codec import (
@@ -19,6 +19,7 @@
 )
 from agateferry_state.records.record_types import (
     ConfigRecord,
+    EvacuationRecord,
     JobRecord,
     Kind,
     Record,
@@ -35,6 +36,7 @@
     "ConfigRecord",
     "Conflict",
     "ContentProblem",
+    "EvacuationRecord",
     "Invalid",
     "JobRecord",
     "Kind",
--- a/packages/agateferry-state/agateferry_state/records/checks.py
+++ b/packages/agateferry-state/agateferry_state/records/checks.py
@@ -11,7 +11,7 @@
 from expression import Error, Ok, Result
 from pydantic import ValidationError
 
-from agateferry_state.records.bounds import Content
+from agateferry_state.records.bounds import ZONE_PATTERN, Content
 from agateferry_state.records.messages import ContentProblem, Invalid, RecordPut
 from agateferry_state.records.record_types import Kind, Record, Schema
 from agateferry_state.records.schemas import MODELS, to_record
@@ -22,6 +22,7 @@
 MAX_VERSION = 2**53
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
 CONFIG_NAMES = ("scheduling",)
+ZONE_NAME = re.compile(ZONE_PATTERN)
 BODY_FIELDS = ("schema", "replaces", "content")
 
 
@@ -74,6 +75,8 @@
     """Return the problems with the name of a record of a kind, if any."""
     if kind is Kind.CONFIG and name not in CONFIG_NAMES:
         return [ContentProblem("name", f"must be {' or '.join(CONFIG_NAMES)} for kind config")]
+    if kind is Kind.EVACUATION and ZONE_NAME.fullmatch(name) is None:
+        return [ContentProblem("name", "must be a zone's name for kind evacuation")]
     if NAME_PATTERN.fullmatch(name) is None:
         allowed = "needs 1 to 63 lowercase letters, digits, dots, hyphens and underscores"
         return [ContentProblem("name", f"{allowed}, and begins with a letter or digit")]
--- a/packages/agateferry-state/agateferry_state/records/codec.py
+++ b/packages/agateferry-state/agateferry_state/records/codec.py
@@ -13,6 +13,7 @@
 from agateferry_state.records.messages import RecordPut, Revision
 from agateferry_state.records.record_types import (
     ConfigRecord,
+    EvacuationRecord,
     JobRecord,
     Kind,
     Record,
@@ -127,6 +128,8 @@
             return _team(fields)
         case Kind.CONFIG:
             return _config(fields)
+        case Kind.EVACUATION:
+            return EvacuationRecord(**fields)
 
 
 def _job(fields: dict[str, Any]) -> JobRecord:
--- a/packages/agateferry-state/agateferry_state/records/record_types.py
+++ b/packages/agateferry-state/agateferry_state/records/record_types.py
@@ -16,6 +16,7 @@
     TEAM = "team"
     JOB = "job"
     CONFIG = "config"
+    EVACUATION = "evacuation"
 
 
 class Schema(StrEnum):
@@ -84,4 +85,16 @@
     quarantine_probe_ms: int | None = None
 
 
-Record = TeamRecord | JobRecord | ConfigRecord
+@dataclass(frozen=True, slots=True)
+class EvacuationRecord:
+    """Whether the zone that the record is named after is evacuated: nothing new starts there.
+
+    `since_ms` is the wall time of the change, and `requested_by` who asked for it.
+    """
+
+    evacuated: bool = False
+    since_ms: int = 0
+    requested_by: str = ""
+
+
+Record = TeamRecord | JobRecord | ConfigRecord | EvacuationRecord
--- a/packages/agateferry-state/agateferry_state/records/schema_v2.py
+++ b/packages/agateferry-state/agateferry_state/records/schema_v2.py
@@ -11,7 +11,9 @@
     MAX_CPU_CORES,
     MAX_MEMBERS,
     MAX_MEMORY_MB,
+    MAX_REQUESTED_BY_CHARS,
     MAX_SHAPES,
+    MAX_WALL_MS,
     MAX_ZONES,
     AcceleratorsField,
     AdjacencyField,
@@ -28,6 +30,7 @@
 )
 from agateferry_state.records.record_types import (
     ConfigRecord,
+    EvacuationRecord,
     JobRecord,
     TeamRecord,
     WeightsRecord,
@@ -120,6 +123,14 @@
     quarantine_probe_ms: MillisecondsField | None = None
 
 
+class EvacuationV2(Content):
+    """Whether a zone is evacuated; the same in v1, which has no older form of it."""
+
+    evacuated: bool
+    since_ms: Annotated[int, Field(ge=0, le=MAX_WALL_MS)] = 0
+    requested_by: Annotated[str, Field(max_length=MAX_REQUESTED_BY_CHARS)] = ""
+
+
 def read_job(content: JobV2) -> JobRecord:
     """Return a job record."""
     fields = {name: getattr(content, name) for name in JobV2.model_fields}
@@ -144,6 +155,11 @@
     return ConfigRecord(**fields)
 
 
+def read_evacuation(content: EvacuationV2) -> EvacuationRecord:
+    """Return an evacuation record."""
+    return EvacuationRecord(content.evacuated, content.since_ms, content.requested_by)
+
+
 def render_job(record: JobRecord) -> dict[str, Any]:
     """Return a job as JSON."""
     demand = record.demand
@@ -184,3 +200,8 @@
 def render_config(record: ConfigRecord) -> dict[str, Any]:
     """Return a configuration as JSON, without the fields that are None."""
     return {name: value for name, value in asdict(record).items() if value is not None}
+
+
+def render_evacuation(record: EvacuationRecord) -> dict[str, Any]:
+    """Return an evacuation as JSON."""
+    return asdict(record)
--- a/packages/agateferry-state/agateferry_state/records/schemas.py
+++ b/packages/agateferry-state/agateferry_state/records/schemas.py
@@ -9,6 +9,7 @@
 from agateferry_state.records.bounds import Content
 from agateferry_state.records.record_types import (
     ConfigRecord,
+    EvacuationRecord,
     JobRecord,
     Kind,
     Record,
@@ -23,6 +24,8 @@
     (Kind.TEAM, Schema.V2): schema_v2.TeamV2,
     (Kind.CONFIG, Schema.V1): schema_v1.ConfigV1,
     (Kind.CONFIG, Schema.V2): schema_v2.ConfigV2,
+    (Kind.EVACUATION, Schema.V1): schema_v2.EvacuationV2,
+    (Kind.EVACUATION, Schema.V2): schema_v2.EvacuationV2,
 }
 
 
@@ -37,6 +40,8 @@
             content = module.render_team(record)
         case ConfigRecord():
             content = module.render_config(record)
+        case EvacuationRecord():
+            content = schema_v2.render_evacuation(record)
         case _:
             assert_never(record)
     return content
@@ -51,6 +56,8 @@
             return schema_v2.read_team(content)
         case schema_v2.ConfigV2():
             return schema_v2.read_config(content)
+        case schema_v2.EvacuationV2():
+            return schema_v2.read_evacuation(content)
         case schema_v1.JobV1():
             return schema_v1.read_job(content, _if_instance(JobRecord, current))
         case schema_v1.TeamV1():
--- a/packages/agateferry-state/agateferry_state/records/tests/test_checks.py
+++ b/packages/agateferry-state/agateferry_state/records/tests/test_checks.py
@@ -40,6 +40,14 @@
     def test_the_configuration_has_only_one_valid_name(self):
         self.assertIn("must be scheduling", self.problems(kind="config", name="other"))
 
+    def test_an_evacuation_is_named_after_a_zone(self):
+        content = {"evacuated": True}
+        for name in ("a.b", "a_b", "x" * 64):
+            found = self.problems(kind="evacuation", name=name, content=content)
+            self.assertIn("name: ", found)
+        body = {"schema": "v2", "replaces": 0, "content": content}
+        self.assertTrue(parse_put("evacuation", "vestland-1", body).is_ok())
+
     def test_a_body_must_be_an_object(self):
         self.assertIn("needs a JSON object", str(parse_put("job", "j", [1]).error))
 
@@ -85,6 +93,11 @@
     def test_a_large_content_is_rejected(self):
         self.assertIn("at most 65536", self.rejection(Kind.JOB, {"urgency": "x" * 70_000}))
 
+    def test_an_evacuation_states_whether_the_zone_is_evacuated(self):
+        self.assertIn("evacuated", self.rejection(Kind.EVACUATION, {}))
+        requested_by = {"evacuated": True, "requested_by": "x" * 129}
+        self.assertIn("requested_by", self.rejection(Kind.EVACUATION, requested_by))
+
     def test_all_problems_are_reported_at_once(self):
         rejection_text = self.rejection(Kind.JOB, {"urgency": "soon", "max_attempts": 0})
         self.assertIn("urgency: 'soon'", rejection_text)
--- a/packages/agateferry-state/agateferry_state/records/tests/test_schemas.py
+++ b/packages/agateferry-state/agateferry_state/records/tests/test_schemas.py
@@ -6,6 +6,7 @@
 from agateferry_state.records import (
     Accepted,
     ConfigRecord,
+    EvacuationRecord,
     JobRecord,
     Kind,
     RecordPut,
@@ -46,7 +47,16 @@
 WEIGHTS = st.floats(0.0, 1.0).map(lambda share: WeightsRecord(share, 1.0 - share))
 OPTIONAL_NUMBERS = st.none() | st.integers(1, 100)
 CONFIGS = st.builds(ConfigRecord, st.none() | WEIGHTS, *([OPTIONAL_NUMBERS] * 7))
-KINDS = {JobRecord: Kind.JOB, TeamRecord: Kind.TEAM, ConfigRecord: Kind.CONFIG}
+EVACUATIONS = st.builds(
+    EvacuationRecord, st.booleans(), st.integers(0, 2**53), st.text(max_size=128)
+)
+RECORDS = st.one_of(JOBS, TEAMS, CONFIGS, EVACUATIONS)
+KINDS = {
+    JobRecord: Kind.JOB,
+    TeamRecord: Kind.TEAM,
+    ConfigRecord: Kind.CONFIG,
+    EvacuationRecord: Kind.EVACUATION,
+}
 
 
 def put(store, record, content, schema):
@@ -60,21 +70,21 @@
 
 class RoundTripTests(testtools.TestCase):
     @settings(derandomize=True, max_examples=200, deadline=None)
-    @given(st.one_of(JOBS, TEAMS, CONFIGS))
+    @given(RECORDS)
     def test_v2_has_all_fields(self, record):
         self.assertEqual(
             record, put(RecordStore(), record, render_content(record, Schema.V2), Schema.V2)
         )
 
     @settings(derandomize=True, max_examples=200, deadline=None)
-    @given(st.one_of(JOBS, TEAMS, CONFIGS))
+    @given(RECORDS)
     def test_writing_back_what_v1_reads_changes_nothing(self, record):
         store = RecordStore()
         put(store, record, render_content(record, Schema.V2), Schema.V2)
         self.assertEqual(record, put(store, record, render_content(record, Schema.V1), Schema.V1))
 
     @settings(derandomize=True, max_examples=200, deadline=None)
-    @given(st.one_of(JOBS, TEAMS, CONFIGS))
+    @given(RECORDS)
     def test_writing_back_what_v2_reads_keeps_what_v1_wrote(self, record):
         store = RecordStore()
         content = render_content(record, Schema.V1)
@@ -83,7 +93,7 @@
         self.assertEqual(content, render_content(again, Schema.V1))
 
     @settings(derandomize=True, max_examples=100, deadline=None)
-    @given(st.one_of(JOBS, TEAMS, CONFIGS))
+    @given(RECORDS)
     def test_revisions_are_unchanged_by_encoding_for_a_cell(self, record):
         store = RecordStore()
         put(store, record, render_content(record, Schema.V2), Schema.V2)
--- a/packages/agateferry-state/agateferry_state/records/tests/test_store.py
+++ b/packages/agateferry-state/agateferry_state/records/tests/test_store.py
@@ -3,6 +3,7 @@
 from agateferry_state.records import (
     Accepted,
     Conflict,
+    EvacuationRecord,
     Invalid,
     Kind,
     RecordPut,
@@ -104,6 +105,16 @@
         self.assertEqual(whole.snapshot(), late.snapshot())
 
 
+class EvacuationTests(testtools.TestCase):
+    def test_a_snapshot_keeps_an_evacuation(self):
+        store = RecordStore()
+        content = {"evacuated": True, "since_ms": 7, "requested_by": "ada"}
+        store.put(RecordPut(Kind.EVACUATION, "z", Schema.V2, 0, content))
+        copy = RecordStore()
+        copy.restore(store.snapshot())
+        self.assertEqual(EvacuationRecord(True, 7, "ada"), copy.get(Kind.EVACUATION, "z").record)
+
+
 class AdoptTests(testtools.TestCase):
     def test_adopt_adds_only_new_revisions(self):
         plane, cell = store_with_versions(3), RecordStore()
