Let a scheduler start nothing while its zone is evacuated

The event EvacuationChanged closes or opens all workers of a zone, also those that join later. Closed workers are treated as draining ones: no placement, probe, claim, reservation or move counts on them, and running work goes on. On readmission the guarantees are laid out around the running work again.

--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/baseline.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/baseline.py
@@ -6,6 +6,7 @@
 from agateferry_scheduling.scheduler.messages import (
     ConfigChanged,
     Decision,
+    EvacuationChanged,
     Explanation,
     PendingRequest,
     Reject,
@@ -79,6 +80,8 @@
                 self._teams = {team.name: team for team in teams}
             case ConfigChanged(config=config):
                 self._config = config
+            case EvacuationChanged(evacuated=evacuated):
+                self.topology.set_evacuated(evacuated)
         return []
 
     def _admit(self, request: PendingRequest) -> list[Decision]:
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/explaining.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/explaining.py
@@ -42,6 +42,10 @@
         f"weighted share of team {request.team}: {team_share:.3f}",
         f"likely run time {likely_ms} ms, declared {request.declared_run_ms} ms",
     ]
+    if zone.topology.evacuated:
+        readmitted = f"an operator readmits {zone.topology.zone}"
+        waits = f"the end of the evacuation of {zone.topology.zone}"
+        return Explanation(request.request_id, "waiting", waits, readmitted, tuple(details))
     reservation = zone.reservation
     starts_if = f"{group.waits_for} become available"
     if reservation is not None and reservation.request.request_id == request.request_id:
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/messages.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/messages.py
@@ -158,6 +158,13 @@
     config: SchedulingConfig
 
 
+@dataclass(frozen=True, slots=True)
+class EvacuationChanged:
+    """The zone was evacuated or readmitted: while `evacuated`, no worker accepts new work."""
+
+    evacuated: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Tick:
     """Time passed; deadlines, ageing, probes and reservations are checked."""
@@ -174,6 +181,7 @@
     | RequestEnded
     | TeamsChanged
     | ConfigChanged
+    | EvacuationChanged
     | Tick
 )
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
@@ -14,6 +14,7 @@
     ConfigChanged,
     Decision,
     EndReason,
+    EvacuationChanged,
     Explanation,
     GuaranteeAtRisk,
     PendingRequest,
@@ -104,6 +105,8 @@
             case ConfigChanged(config=config):
                 zone.set_config(config)
                 zone.topology.invalidate_searches()
+            case EvacuationChanged(evacuated=evacuated) if evacuated != zone.topology.evacuated:
+                self._set_evacuated(evacuated)
 
     def _enqueue(self, request: PendingRequest, now_ms: int) -> list[Decision]:
         if request.request_id in self.zone.topology.allocations:
@@ -162,6 +165,13 @@
         if worker.accelerators:
             self._vacate_unschedulable_workers()
 
+    def _set_evacuated(self, evacuated: bool) -> None:
+        """Close or open all workers; running work gets its team's cells back once they are open."""
+        self.zone.topology.set_evacuated(evacuated)
+        if not evacuated:
+            self.zone.layout.adopt_running_allocations()
+        self._vacate_unschedulable_workers()
+
     def _vacate_unschedulable_workers(self) -> None:
         """Move cells off workers that accept no new work, and requeue requests claiming them."""
         self.zone.layout.refresh()
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/starting.py
@@ -172,7 +172,7 @@
     def _probe(self, groups: list[RequestGroup], now_ms: int) -> list[Decision]:
         worker = self._zone.health.probe_due(now_ms)
         state = None if worker is None else self._zone.topology.workers.get(worker)
-        if worker is None or state is None or state.draining:
+        if worker is None or state is None or state.draining or state.evacuated:
             return []
         for group in groups:
             request = group.head()
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_baseline.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_baseline.py
@@ -4,6 +4,7 @@
 from agateferry_scheduling.scheduler.baseline import BaselineScheduler
 from agateferry_scheduling.scheduler.messages import (
     EndReason,
+    EvacuationChanged,
     PendingRequest,
     Reject,
     RejectReason,
@@ -34,6 +35,12 @@
         for name, rack in (("w1", "r1"), ("w2", "r1"), ("w3", "r2")):
             self.scheduler.step(WorkerJoined(worker(name, rack)), 0)
 
+    def test_nothing_starts_in_an_evacuated_zone(self):
+        self.scheduler.step(EvacuationChanged(True), 0)
+        self.assertEqual([], self.queue(request("x1")))
+        started = self.scheduler.step(EvacuationChanged(False), 0)
+        self.assertEqual(["x1"], [decision.request_id for decision in started])
+
     def queue(self, pending):
         return self.scheduler.step(RequestQueued(pending), 0)
 
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_invariants.py
@@ -12,6 +12,7 @@
 from agateferry_scheduling.topology import Topology
 from agateferry_scheduling.traces.records import (
     Cancelled,
+    EvacuationSet,
     Submitted,
     TeamsSet,
     WorkerDown,
@@ -50,7 +51,9 @@
     st.booleans(),
     st.integers(1, 600),
 )
-others = st.tuples(st.sampled_from(("cancel", "down", "up", "left")), st.integers(0, 30))
+others = st.tuples(
+    st.sampled_from(("cancel", "down", "up", "left", "evacuate")), st.integers(0, 30)
+)
 steps = st.lists(st.one_of(submissions, submissions, submissions, others), max_size=40)
 
 
@@ -72,6 +75,8 @@
             return Submitted(at_ms, pending, run_s * 700)
         case ("cancel", which):
             return Cancelled(at_ms, f"q{which}")
+        case ("evacuate", which):
+            return EvacuationSet(at_ms, which % 2 == 0)
         case ("down", which):
             return WorkerDown(at_ms, f"w{which % WORKERS}")
         case ("left", which):
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/tests/test_scheduler.py
@@ -3,6 +3,7 @@
 from agateferry_core.demand import Adjacency, Urgency
 from agateferry_scheduling.scheduler.messages import (
     EndReason,
+    EvacuationChanged,
     GuaranteeAtRisk,
     Preempt,
     Quarantine,
@@ -29,6 +30,72 @@
 )
 
 
+class EvacuationTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.scheduler = make_scheduler()
+
+    def evacuate(self, evacuated=True, now_ms=0):
+        return self.scheduler.step(EvacuationChanged(evacuated), now_ms)
+
+    def test_nothing_starts_before_the_zone_is_readmitted(self):
+        self.evacuate()
+        self.assertEqual([], started(queue(self.scheduler, request("a1"))))
+        self.assertEqual([], started(self.scheduler.step(Tick(), 5_000)))
+        self.assertEqual(["a1"], started(self.evacuate(False, 6_000)))
+
+    def test_a_worker_that_joins_later_is_covered(self):
+        self.evacuate()
+        self.scheduler.step(WorkerJoined(worker("w9")), 0)
+        self.assertEqual([], started(queue(self.scheduler, request("a1"))))
+
+    def test_a_waiting_request_is_explained(self):
+        self.evacuate()
+        queue(self.scheduler, request("a1"))
+        explanation = self.scheduler.explain("a1", 0)
+        self.assertIn("evacuation of z", explanation.waits_for)
+        self.assertIn("readmits z", explanation.would_start_if)
+
+    def test_nothing_is_preempted_for_work_that_cannot_start(self):
+        for number in range(2):
+            queue(self.scheduler, request(f"a{number}", accelerators=8))
+        self.evacuate()
+        urgent = request("u", "b", Urgency.URGENT, accelerators=8)
+        self.assertEqual([], queue(self.scheduler, urgent))
+
+    def test_a_claim_of_workers_waits_again(self):
+        for number in range(2):
+            queue(self.scheduler, request(f"a{number}", accelerators=8))
+        urgent = request("u", "b", Urgency.URGENT, accelerators=8)
+        victim = of_type(queue(self.scheduler, urgent), Preempt)[0].request_id
+        self.evacuate(now_ms=10)
+        ended = RequestEnded(victim, EndReason.PREEMPTED, 10)
+        self.assertEqual([], started(self.scheduler.step(ended, 20)))
+        self.assertEqual(["u"], started(self.evacuate(False, 30)))
+
+    def test_the_probe_of_a_quarantined_worker_does_not_start(self):
+        config = SchedulingConfig(quarantine_after_failures=1, quarantine_probe_ms=10)
+        scheduler = self.scheduler = make_scheduler(per_rack=1, config=config)
+        queue(scheduler, request("bad"))
+        ended = RequestEnded("bad", EndReason.FAILED, 5, ("w0",))
+        scheduler.step(ended, 5)
+        self.evacuate(now_ms=6)
+        queue(scheduler, request("a1", job="other", at_ms=10), 10)
+        self.assertEqual([], started(scheduler.step(Tick(), 5_000)))
+        decisions = self.evacuate(False, 6_000) + scheduler.step(Tick(), 7_000)
+        self.assertEqual(["a1"], started(decisions))
+
+    def test_guarantees_are_at_risk_until_the_zone_is_readmitted(self):
+        self.scheduler = make_scheduler(teams=(team("a"), team("b", (8,))))
+        queue(self.scheduler, request("b0", "b", accelerators=8))
+        risks = of_type(self.evacuate(), GuaranteeAtRisk)
+        self.assertEqual([("b",)], [risk.teams for risk in risks])
+        risks = of_type(self.evacuate(False, 10), GuaranteeAtRisk)
+        self.assertEqual([()], [risk.teams for risk in risks])
+        allocation = self.scheduler.zone.topology.allocations["b0"]
+        self.assertEqual("guaranteed", allocation.kind)
+
+
 class ReclaimTests(testtools.TestCase):
     def setUp(self):
         super().setUp()
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/state.py
@@ -60,6 +60,7 @@
     free_memory: int = 0
     draining: bool = False
     quarantined: bool = False
+    evacuated: bool = False
     request_ids: set[str] = field(default_factory=set)
     pending: Resources = field(default_factory=Resources)
     stopping: Resources = field(default_factory=Resources)
@@ -73,7 +74,7 @@
 
     def is_schedulable(self) -> bool:
         """Return whether new work may be placed here."""
-        return not (self.draining or self.quarantined)
+        return not (self.draining or self.quarantined or self.evacuated)
 
     def fitting_members(self, demand: Demand) -> int:
         """Return how many members of the demand fit into the free resources."""
--- a/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/topology/topology.py
@@ -12,7 +12,7 @@
 
     `version` increases whenever free resources may have increased. `known_workers` also contains
     workers that were lost, so that a demand is called infeasible only when the zone never had the
-    hosts for it.
+    hosts for it. While the zone is `evacuated`, no worker accepts new work.
     """
 
     def __init__(self, zone: str) -> None:
@@ -21,6 +21,7 @@
         self.workers: dict[str, WorkerState] = {}
         self.known_workers: dict[str, Worker] = {}
         self.allocations: dict[str, Allocation] = {}
+        self.evacuated = False
         self.version = 0
         self.join_count = 0
         self.accelerators = 0
@@ -38,7 +39,7 @@
         self.known_workers[worker.name] = worker
         self.version += 1
         self.join_count += 1
-        state = WorkerState(worker=worker, join_number=self.join_count)
+        state = WorkerState(worker, self.join_count, evacuated=self.evacuated)
         state.reset()
         self.workers[worker.name] = state
         rack = self.racks.setdefault(worker.rack, RackState(name=worker.rack))
@@ -59,6 +60,13 @@
         if name in self.workers:
             self.workers[name].draining = True
 
+    def set_evacuated(self, evacuated: bool) -> None:
+        """Place no new work on any worker while the zone is evacuated; running work continues."""
+        self.evacuated = evacuated
+        for state in self.workers.values():
+            state.evacuated = evacuated
+        self.invalidate_searches()
+
     def remove_worker(self, name: str) -> None:
         """Remove a lost worker; its allocations stay until their ends are reported."""
         state = self.workers.pop(name, None)
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/cluster.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/cluster.py
@@ -36,7 +36,8 @@
 class Cluster:
     """The workers that are up, their free resources and the runs on them, by name or request id.
 
-    `broken` workers fail every run that starts there. `leaving` workers accept no new run.
+    `broken` workers fail every run that starts there. `leaving` workers accept no new run,
+    and no worker does while the zone is `evacuated`.
     """
 
     workers: dict[str, Worker] = field(default_factory=dict)
@@ -44,6 +45,7 @@
     runs: dict[str, Run] = field(default_factory=dict)
     broken: set[str] = field(default_factory=set)
     leaving: set[str] = field(default_factory=set)
+    evacuated: bool = False
 
     def join(self, worker: Worker) -> None:
         """Add an empty worker."""
@@ -119,7 +121,7 @@
 
     def _check_adjacent(self, request: PendingRequest, workers: Counter[str]) -> None:
         for name in workers:
-            if name not in self.workers or name in self.leaving:
+            if self.evacuated or name not in self.workers or name in self.leaving:
                 raise InvariantError(f"{request.request_id} starts on {name}, which is closed")
         adjacency = request.demand.adjacency
         racks = {self.workers[name].rack for name in workers}
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/recorder.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/recorder.py
@@ -5,6 +5,7 @@
 from agateferry_scheduling.scheduler.messages import (
     ConfigChanged,
     EndReason,
+    EvacuationChanged,
     RequestEnded,
     RequestQueued,
     RequestWithdrawn,
@@ -19,6 +20,7 @@
     Cancelled,
     ConfigSet,
     Ended,
+    EvacuationSet,
     Record,
     Submitted,
     TeamsSet,
@@ -82,6 +84,8 @@
             return TeamsSet(now_ms, teams)
         case ConfigChanged(config=config):
             return ConfigSet(now_ms, config)
+        case EvacuationChanged(evacuated=evacuated):
+            return EvacuationSet(now_ms, evacuated)
         case UsageReported(name=name, as_of_ms=as_of_ms, slots_used=slots, accelerators_used=used):
             return UsageSeen(now_ms, name, as_of_ms, slots, used)
     return None
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/records.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/records.py
@@ -74,6 +74,15 @@
     event: Literal["config"] = "config"
 
 
+@dataclass(frozen=True)
+class EvacuationSet:
+    """The zone was evacuated, or readmitted."""
+
+    at_ms: int
+    evacuated: bool
+    event: Literal["evacuation"] = "evacuation"
+
+
 @dataclass(frozen=True)
 class Submitted:
     """A request was submitted; `run_ms` is its real run time, or None where that is not known."""
@@ -124,6 +133,7 @@
     | WorkerBroke
     | TeamsSet
     | ConfigSet
+    | EvacuationSet
     | Submitted
     | Ended
     | Cancelled
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/replay.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/replay.py
@@ -19,6 +19,7 @@
     ConfigChanged,
     Decision,
     EndReason,
+    EvacuationChanged,
     GuaranteeAtRisk,
     PendingRequest,
     PolicyWeights,
@@ -46,6 +47,7 @@
 from agateferry_scheduling.traces.records import (
     Cancelled,
     ConfigSet,
+    EvacuationSet,
     Record,
     Submitted,
     TeamsSet,
@@ -222,6 +224,9 @@
                 weights = self.weights or config.weights
                 self.config = replace(config, weights=weights)
                 self._step(ConfigChanged(self.config))
+            case EvacuationSet(evacuated=evacuated):
+                self.cluster.evacuated = evacuated
+                self._step(EvacuationChanged(evacuated))
             case UsageSeen():
                 as_of_ms, slots = record.as_of_ms, record.slots_used
                 usage = UsageReported(record.name, as_of_ms, slots, record.accelerators_used)
--- a/packages/agateferry-scheduling/agateferry_scheduling/traces/tests/test_replay.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/traces/tests/test_replay.py
@@ -6,6 +6,7 @@
 from agateferry_core.demand import Adjacency, Assignment, Demand, Urgency
 from agateferry_scheduling.scheduler.messages import (
     EndReason,
+    EvacuationChanged,
     RequestEnded,
     RequestQueued,
     RequestWithdrawn,
@@ -158,6 +159,22 @@
         self.assertEqual((2, 1, 1), (report.submitted, report.finished, report.cancelled))
         self.assertEqual(700, report.completion[Urgency.NORMAL].median_ms)
 
+    def test_an_evacuation_is_replayed(self):
+        path = temporary_folder(self) / "day.jsonl"
+        lines = []
+        recorder = Recorder(lines.append)
+        recorder.record(TeamsChanged((team("a"),)), 0)
+        recorder.record(WorkerJoined(worker("w0")), 0)
+        recorder.record(EvacuationChanged(True), 1)
+        recorder.record(RequestQueued(request("x1", at_ms=5)), 5)
+        recorder.record(EvacuationChanged(False), 10_005)
+        recorder.record(RequestEnded("x1", EndReason.FINISHED, 700), 10_705)
+        path.write_text("\n".join(lines))
+        for policy in Policy:
+            report = replay(path, policy)
+            self.assertEqual((1, None), (report.finished, report.broken))
+            self.assertEqual(10_700, report.completion[Urgency.NORMAL].median_ms)
+
 
 class PercentilesTests(testtools.TestCase):
     def test_percentiles_use_the_nearest_rank(self):
