Start nothing in a cell whose zone is evacuated

The evacuation is a record in the cell's own log, so that each leader and each restarted host knows it. It is checked three times: the scheduler offers no worker, the ledger drops a placement that is applied after it, and an attempt checks before each call that reserves or starts, also before a resend. A start that was never sent ends as not run and waits again; one that was sent and not answered is polled until its worker knows it or the zone is readmitted. Running work goes on, also under a new leader.

New requests are refused as zone-evacuated, with Retry-After 5 s; a resend of a known key gets its request. The view of a request that waits in the zone says why. Log events 4142 and 4143, two gauges and the leader's query show the state.

--- a/packages/agateferry-core/agateferry_core/metrics/metrics.py
+++ b/packages/agateferry-core/agateferry_core/metrics/metrics.py
@@ -84,6 +84,10 @@
         self._revision = self._gauge(
             "records_revision", "Newest revision of the records in force here."
         )
+        self._evacuated = self._gauge("zone_evacuated", "1 while the zone is evacuated.")
+        self._evacuated_runs = self._gauge(
+            "evacuated_zone_running", "Requests with an active attempt in the evacuated zone."
+        )
 
     def _counter(self, name: str, text: str, *labels: str) -> Counter:
         return Counter(f"agateferry_{name}", text, labels, registry=self.registry)
@@ -185,6 +189,11 @@
         """Set the newest revision of the records that is in force on this host."""
         self._revision.set(revision)
 
+    def set_evacuated(self, evacuated: bool, running: int) -> None:
+        """Set whether the zone is evacuated, and how many requests still run there if it is."""
+        self._evacuated.set(1 if evacuated else 0)
+        self._evacuated_runs.set(running)
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self.registry)
--- a/packages/agateferry-service/agateferry_service/cell/attempts.py
+++ b/packages/agateferry-service/agateferry_service/cell/attempts.py
@@ -11,7 +11,12 @@
 from agateferry_service.cell.context import CellContext
 from agateferry_service.cell.request_metrics import count_request_end
 from agateferry_service.cell.scheduler_driver import SchedulerDriver
-from agateferry_service.dispatch.attempt import REASON_WORKER_LOST, Attempt, Member
+from agateferry_service.dispatch.attempt import (
+    REASON_EVACUATED,
+    REASON_WORKER_LOST,
+    Attempt,
+    Member,
+)
 from agateferry_service.dispatch.budget import RetryBudget
 from agateferry_service.dispatch.client import StartOrder
 from agateferry_service.dispatch.messages import AttemptOutcome, AttemptResult
@@ -31,7 +36,15 @@
 BUDGET_EXHAUSTED_DELAY_MS = 5_000
 MAX_COUNTED_REQUEUES = 8  # bounds the exponent of the requeue delay
 REASONS_WITHOUT_WORKER_FAULT = frozenset(
-    {"no-capacity", "leaving", "wrong-incarnation", "deadline", "deposed", "gang-not-reserved"}
+    {
+        "no-capacity",
+        "leaving",
+        "wrong-incarnation",
+        "deadline",
+        "deposed",
+        "gang-not-reserved",
+        REASON_EVACUATED,
+    }
 )
 
 
@@ -68,6 +81,7 @@
             deadline_ms=deadline_wall_ms + offset_ms if deadline_wall_ms else None,
             checkpointable=request.spec.checkpointable,
             on_running=lambda: self._record_running(request),
+            may_start=lambda: ctx.catalog.evacuation() is None,
         )
         self._running[request.id] = attempt
         pending_stop = self._pending_stops.pop(request.id, None)
--- a/packages/agateferry-service/agateferry_service/cell/catalog.py
+++ b/packages/agateferry-service/agateferry_service/cell/catalog.py
@@ -1,10 +1,11 @@
-"""The teams, jobs and scheduling configuration that are in force in this zone."""
+"""The teams, jobs, scheduling configuration and evacuations that are in force in this zone."""
 
 from dataclasses import asdict, dataclass
 
 from agateferry_scheduling.scheduler.messages import PolicyWeights, SchedulingConfig, Team
 from agateferry_state.records import (
     ConfigRecord,
+    EvacuationRecord,
     JobRecord,
     Kind,
     RecordStore,
@@ -49,6 +50,19 @@
             stated["weights"] = PolicyWeights(weights.completion_time, weights.fragmentation)
         return SchedulingConfig(**stated)
 
+    def evacuation(self) -> EvacuationRecord | None:
+        """Return the evacuation of this zone, or None if it is not evacuated."""
+        return self._evacuation(self.zone)
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether a zone, this one or another, is evacuated."""
+        return self._evacuation(zone) is not None
+
+    def _evacuation(self, zone: str) -> EvacuationRecord | None:
+        revision = self.records.get(Kind.EVACUATION, zone)
+        record = revision.record if revision else None
+        return record if isinstance(record, EvacuationRecord) and record.evacuated else None
+
     def _team(self, revision: Revision) -> Team:
         record = revision.record
         if not isinstance(record, TeamRecord):
--- a/packages/agateferry-service/agateferry_service/cell/context.py
+++ b/packages/agateferry-service/agateferry_service/cell/context.py
@@ -52,4 +52,4 @@
     @property
     def catalog(self) -> Catalog:
         """Return the records in force in this zone."""
-        return Catalog(self.machine.records, self.machine.zone)
+        return self.machine.catalog
--- a/packages/agateferry-service/agateferry_service/cell/events.py
+++ b/packages/agateferry-service/agateferry_service/cell/events.py
@@ -58,6 +58,16 @@
     "records plane unreachable",
     "Requests are served with the last known records; see whether other zones can be reached.",
 )
+EVACUATED = Event(
+    4142,
+    "zone evacuated: nothing new starts",
+    "Normal after `agateferry evacuate`; see the runs that are left, and the guarantees at risk.",
+)
+READMITTED = Event(
+    4143,
+    "zone readmitted: work starts again",
+    "Normal after `agateferry readmit`; see 4122 if workers fail at first.",
+)
 OUTCOME_UNKNOWN = Event(
     4150, "outcome of a command unknown", "Normal when leadership changed; otherwise see the disk."
 )
--- a/packages/agateferry-service/agateferry_service/cell/gauges.py
+++ b/packages/agateferry-service/agateferry_service/cell/gauges.py
@@ -9,7 +9,7 @@
 
 
 def refresh_gauges(metrics: Metrics, machine: CellMachine) -> None:
-    """Set the gauges of workers, requests and the records revision from this host's state."""
+    """Set the gauges from this host's state: workers, requests, records revision, evacuation."""
     workers = Counter(item.state for item in machine.registry)
     for state in WorkerState:
         metrics.set_workers(state.value, workers[state])
@@ -22,3 +22,5 @@
         metrics.set_queued(urgency.value, queued[urgency])
         metrics.set_running(urgency.value, running[urgency])
     metrics.set_revision(machine.records.revision)
+    evacuated = machine.catalog.evacuation() is not None
+    metrics.set_evacuated(evacuated, running.total() if evacuated else 0)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -13,6 +13,7 @@
     ConfigChanged,
     Decision,
     EndReason,
+    EvacuationChanged,
     GuaranteeAtRisk,
     PendingRequest,
     Preempt,
@@ -31,6 +32,7 @@
 from agateferry_service.cell.admission import Admission, to_pending_request
 from agateferry_service.cell.attempts import AttemptManager
 from agateferry_service.cell.context import CellContext
+from agateferry_service.cell.evacuation import EvacuationNotice, evacuated_refusal, request_view
 from agateferry_service.cell.proposer import refusal_for_propose_error
 from agateferry_service.cell.refusals import RefusalReason, refusal
 from agateferry_service.cell.request_metrics import count_request_end
@@ -43,8 +45,9 @@
     Placement,
     Request,
     RequestSpec,
+    RequestState,
 )
-from agateferry_service.requests.codec import placement_to_pb, spec_to_pb, view_to_pb
+from agateferry_service.requests.codec import placement_to_pb, spec_to_pb
 from agateferry_service.rpc import cell_pb2, commands_pb2
 from agateferry_state.replica import ProposeError
 
@@ -70,6 +73,7 @@
         self.at_risk: tuple[str, ...] = ()
         self.background_tasks: list[Callable[[], Coroutine[Any, Any, None]]] = []
         self._notified_revision = -1
+        self._evacuation_notice = EvacuationNotice(ctx)
 
     @property
     def active(self) -> bool:
@@ -121,6 +125,11 @@
         known = self._find_existing(admitted)
         if known is not None:
             return await self._reply_to_resend(known, admitted, req.wait_ms)
+        evacuation = self.ctx.catalog.evacuation()
+        if evacuation is not None:
+            self.ctx.metrics.refused(RefusalReason.ZONE_EVACUATED)
+            refused = evacuated_refusal(self.ctx.machine.zone, evacuation)
+            return cell_pb2.RequestReply(refusal=refused)
         return await self._accept_new(admitted, req.wait_ms)
 
     async def get_request(self, req: cell_pb2.LookRequest) -> cell_pb2.RequestReply:
@@ -200,8 +209,10 @@
             return await self._reply_to_resend(request, spec, wait_ms)
         self.ctx.metrics.accepted(request.spec.urgency.value)
         self.ctx.log.info(events.ACCEPTED, request=request.id, team=spec.team, job=spec.job)
-        if placements:
+        if placements and request.has_active_attempt:
             self._launch(request)
+        elif placements:
+            self._requeue_unplaced(request)
         return await self._reply(request, wait_ms)
 
     async def _refuse_uncommitted(
@@ -256,9 +267,20 @@
         if placed.request is not None and placed.kind is CommandResultKind.DONE:
             self._launch(placed.request)
             return
+        if placed.request is not None and placed.kind is CommandResultKind.NOT_PLACED:
+            self._requeue_unplaced(placed.request)
+            return
         self.attempts.discard_pending_stop(decision.request_id)
         self.driver().feed(RequestEnded(decision.request_id, EndReason.CANCELLED, 0))
 
+    def _requeue_unplaced(self, request: Request) -> None:
+        """Queue a request again whose placement the ledger dropped, as the zone is evacuated."""
+        self._notify_records_changed()
+        self.attempts.discard_pending_stop(request.id)
+        self.driver().feed(RequestEnded(request.id, EndReason.CANCELLED, 0))
+        if request.state is RequestState.ACCEPTED:
+            self.driver().feed(RequestQueued(self._pending(request)))
+
     async def _give_up(self, decision: Reject) -> None:
         command = commands_pb2.GiveUp(
             request_id=decision.request_id,
@@ -283,7 +305,8 @@
 
     async def _reply(self, request: Request, wait_ms: int) -> cell_pb2.RequestReply:
         await self.ctx.waiters.wait_until_ended(request, wait_ms)
-        return cell_pb2.RequestReply(view=view_to_pb(request))
+        view = request_view(request, self.ctx.machine.zone, self.ctx.catalog.evacuation())
+        return cell_pb2.RequestReply(view=view)
 
     def _refuse(self, reason: str, detail: str, retry_after_ms: int = 0) -> cell_pb2.RequestReply:
         self.ctx.metrics.refused(reason)
@@ -332,11 +355,13 @@
                 await self._forget_old_requests()
 
     def _notify_records_changed(self) -> None:
-        """Report teams and configuration to the scheduler when a newer revision is in force."""
+        """Report what the records say to the scheduler when a newer revision is in force."""
         revision = self.ctx.machine.records.revision
         if revision == self._notified_revision:
             return
         self._notified_revision = revision
+        self._evacuation_notice.log_change()
+        self.driver().feed(EvacuationChanged(self.ctx.catalog.evacuation() is not None))
         self.driver().feed(ConfigChanged(self.ctx.catalog.scheduling()))
         self.driver().feed(TeamsChanged(self.ctx.catalog.teams()))
 
--- a/packages/agateferry-service/agateferry_service/cell/machine.py
+++ b/packages/agateferry-service/agateferry_service/cell/machine.py
@@ -5,6 +5,7 @@
 
 from agateferry_core.logs import EventLogger
 from agateferry_service.cell import events
+from agateferry_service.cell.catalog import Catalog
 from agateferry_service.endpoints.registry import WorkerRegistry
 from agateferry_service.requests.ledger import Ledger
 from agateferry_service.rpc import commands_pb2 as pb
@@ -26,6 +27,11 @@
         self._log = EventLogger(zone=zone)
         self.listeners: list[Callable[[pb.Command, Any], None]] = []
 
+    @property
+    def catalog(self) -> Catalog:
+        """Return the records in force in this zone."""
+        return Catalog(self.records, self.zone)
+
     def apply(self, index: int, command: bytes) -> Any:
         """Apply one command and return its result, or `NotApplied` after an unexpected error.
 
@@ -72,9 +78,9 @@
     def _apply_message(self, message: pb.Command) -> Any:
         match message.WhichOneof("kind"):
             case "accept":
-                return self.ledger.accept(message.accept)
+                return self.ledger.accept(message.accept, self._may_start())
             case "place":
-                return self.ledger.place(message.place)
+                return self.ledger.place(message.place, self._may_start())
             case "progress":
                 return self.ledger.progress(message.progress)
             case "finish":
@@ -93,3 +99,6 @@
                 return self.records.adopt(decode_revisions(message.adopt.revisions))
             case unknown:
                 raise ValueError(f"unknown kind of command in the cell's log: {unknown}")
+
+    def _may_start(self) -> bool:
+        return self.catalog.evacuation() is None
--- a/packages/agateferry-service/agateferry_service/cell/refusals.py
+++ b/packages/agateferry-service/agateferry_service/cell/refusals.py
@@ -5,6 +5,7 @@
 from agateferry_service.rpc import cell_pb2 as pb
 
 RETRY_AFTER_MS = 1_000
+EVACUATED_RETRY_AFTER_MS = 5_000
 
 
 class RefusalReason(StrEnum):
@@ -26,6 +27,7 @@
     VERSION_CONFLICT = "version-conflict"
     INVALID = "invalid"
     WRONG_ZONE = "wrong-zone"
+    ZONE_EVACUATED = "zone-evacuated"
 
 
 def refusal(reason: str, detail: str, retry_after_ms: int = 0, leader: str = "") -> pb.Refusal:
--- a/packages/agateferry-service/agateferry_service/cell/tests/support.py
+++ b/packages/agateferry-service/agateferry_service/cell/tests/support.py
@@ -23,7 +23,7 @@
     WorkerErrorKind,
 )
 from agateferry_service.rpc import cell_pb2, commands_pb2
-from agateferry_state.records import RecordStore, encode_revisions, parse_put
+from agateferry_state.records import Kind, RecordStore, encode_revisions, parse_put
 from agateferry_state.replica import Applied, ProposeError, ProposeErrorKind
 
 TIMES = CellTimes(
@@ -153,9 +153,6 @@
 
 def give_records(machine, team="t", **team_content):
     """Put a team and three jobs in force: quick, once (not idempotent) and gang (three members)."""
-    store = RecordStore()
-    store.restore(machine.records.snapshot())
-    known = store.revision
     gang = {"members": 3, "accelerators": 4, "adjacency": "rack"}
     contents = {
         ("team", team): team_content,
@@ -163,8 +160,24 @@
         ("job", "once"): {"idempotent": False},
         ("job", "gang"): {"urgency": "long", "idempotent": True, "demand": gang},
     }
+    adopt_contents(machine, contents)
+
+
+def set_evacuated(machine, evacuated=True, zone="z"):
+    """Put an evacuation or its end in force."""
+    content = {"evacuated": evacuated, "since_ms": 1_000, "requested_by": "ada"}
+    adopt_contents(machine, {("evacuation", zone): content})
+
+
+def adopt_contents(machine, contents):
+    """Put contents in force, each as the next version of the record that its key names."""
+    store = RecordStore()
+    store.restore(machine.records.snapshot())
+    known = store.revision
     for (kind, name), content in contents.items():
-        body = {"schema": "v2", "replaces": 0, "content": content}
+        current = store.get(Kind(kind), name)
+        replaces = current.version if current and kind == "evacuation" else 0
+        body = {"schema": "v2", "replaces": replaces, "content": content}
         store.put(parse_put(kind, name, body).ok)
     adopt = commands_pb2.AdoptRecords(revisions=encode_revisions(store.since(known)))
     machine.apply(0, commands_pb2.Command(adopt=adopt).SerializeToString())
--- a/packages/agateferry-service/agateferry_service/cell/views.py
+++ b/packages/agateferry-service/agateferry_service/cell/views.py
@@ -19,7 +19,7 @@
         self._leader = leader
 
     def answer(self, what: str, name: str) -> pb.QueryReply:
-        """Answer one query: workers, teams, queue or explain."""
+        """Answer one query: workers, teams, queue, evacuation or explain."""
         match what:
             case "workers":
                 return _reply({"workers": self._workers()})
@@ -27,6 +27,8 @@
                 return _reply({"teams": self._teams()})
             case "queue":
                 return _reply({"requests": self._queue()})
+            case "evacuation":
+                return _reply(self._evacuation())
             case "explain":
                 return self._explain(name)
         detail = f"unknown query: {what}"
@@ -95,6 +97,16 @@
             )
         return listed
 
+    def _evacuation(self) -> dict[str, Any]:
+        """Return whether the zone obeys an evacuation, with what still runs and waits there."""
+        machine = self._leader.ctx.machine
+        active = [request.has_active_attempt for request in machine.ledger.open_requests()]
+        return {
+            "evacuated": machine.catalog.evacuation() is not None,
+            "running": sum(active),
+            "queued": len(active) - sum(active),
+        }
+
     def _explain(self, request_id: str) -> pb.QueryReply:
         request = self._leader.ctx.machine.ledger.get(request_id)
         if request is None:
--- a/packages/agateferry-service/agateferry_service/dispatch/attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/attempt.py
@@ -27,6 +27,7 @@
 
 REASON_WORKER_LOST = "worker-lost"
 REASON_DEADLINE = "deadline"
+REASON_EVACUATED = "zone-evacuated"
 STATES_PROVING_RUN = frozenset({LeaseState.RUNNING, LeaseState.FINISHED, LeaseState.FAILED})
 
 
@@ -36,7 +37,8 @@
 
     `start_wait_ms` is how long a start call waits for a short task to end; `resolve_timeout_ms`
     bounds the search for the state of a lease after a lost reply; `poll_interval_ms` is how often a
-    lease is polled that no heartbeat reports; `reservation_ttl_ms` is a reservation's lifetime.
+    lease is polled that no heartbeat reports; `reservation_ttl_ms` is a reservation's lifetime;
+    `hold_poll_interval_ms` is how often a lease is polled whose start an evacuation holds back.
     """
 
     start_wait_ms: int = 1_500
@@ -44,6 +46,7 @@
     backoff_ms: int = 100
     poll_interval_ms: int = 60_000
     reservation_ttl_ms: int = 10_000
+    hold_poll_interval_ms: int = 500
 
 
 @dataclass(slots=True)
@@ -96,7 +99,9 @@
 class Attempt:
     """Run one attempt.
 
-    `is_leader` is checked before each call that changes state on a worker.
+    `is_leader` is checked before each call that changes state on a worker, and `may_start` before
+    each call that reserves or starts, also before it is sent again: it is false while the zone is
+    evacuated.
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         deadline_ms: int | None = None,
         checkpointable: bool = False,
         on_running: Callable[[], None] = lambda: None,
+        may_start: Callable[[], bool] = lambda: True,
     ) -> None:
         self.members = tuple(members)
         self.started_ms = clock.now_ms()
@@ -121,6 +127,7 @@
         self._deadline_ms = deadline_ms
         self._checkpointable = checkpointable
         self._on_running = on_running
+        self._may_start = may_start
         self._wake = asyncio.Event()
         self._stop_outcome: AttemptOutcome | None = None
         self._abandoned = False
@@ -168,8 +175,7 @@
     async def _reserve(self, member: Member) -> bool:
         if not self._check_leadership():
             return False
-        ttl_ms = self._times.reservation_ttl_ms
-        match await self._calls.reserve(member.address, member.order, ttl_ms):
+        match await self._reserve_or_poll(member):
             case Result(tag="ok", ok=view):
                 if view.state is not LeaseState.RESERVED:
                     member.update(view)
@@ -178,6 +184,13 @@
                 member.error = error
         return False
 
+    async def _reserve_or_poll(self, member: Member) -> Result[LeaseView, WorkerError]:
+        """Reserve for a member, or only poll a lease that an earlier leader may have started."""
+        if self._may_start():
+            ttl_ms = self._times.reservation_ttl_ms
+            return await self._calls.reserve(member.address, member.order, ttl_ms)
+        return await self._get_lease(member) if member.sent else _refused_as_evacuated()
+
     def _check_leadership(self) -> bool:
         """Return whether this host leads; if not, abandon the attempt without touching its leases.
 
@@ -239,6 +252,12 @@
             may_have_started = member.sent
             if not self._check_leadership():
                 return Error(WorkerError(WorkerErrorKind.SILENT, "deposed"))
+            if not self._may_start():
+                held = await self._hold(member)
+                if held is not None:
+                    return held
+                give_up_at_ms = self._clock.now_ms() + self._times.resolve_timeout_ms
+                continue
             member.sent = True
             start_wait_ms = self._times.start_wait_ms
             reply = await self._calls.start(member.address, member.order, start_wait_ms)
@@ -251,6 +270,22 @@
                 return reply
             await self._back_off(retries)
 
+    async def _hold(self, member: Member) -> Result[LeaseView, WorkerError] | None:
+        """Send no start while the zone is evacuated; return how the member goes on, if it does.
+
+        A start that was sent and not answered may still arrive: its lease is polled until the
+        worker knows it or the zone is readmitted. A gang is not held, because its other members
+        may run: it is stopped as a whole.
+        """
+        if not member.sent or len(self.members) > 1:
+            return _refused_as_evacuated()
+        while not self._may_start():
+            reply = await self._get_lease(member)
+            if not _is_not_started(reply):
+                return reply
+            await asyncio.sleep(self._times.hold_poll_interval_ms / 1000)
+        return None
+
     async def _get_lease(self, member: Member) -> Result[LeaseView, WorkerError]:
         """Poll a lease until a usable reply comes or the time limit has passed."""
         give_up_at_ms = self._clock.now_ms() + self._times.resolve_timeout_ms
@@ -357,6 +392,10 @@
         )
 
 
+def _refused_as_evacuated() -> Result[LeaseView, WorkerError]:
+    return Error(WorkerError(WorkerErrorKind.REFUSED, REASON_EVACUATED))
+
+
 def _has_no_usable_reply(reply: Result[LeaseView, WorkerError]) -> bool:
     lost = (WorkerErrorKind.SILENT, WorkerErrorKind.GARBLED, WorkerErrorKind.UNREACHED)
     return reply.is_error() and reply.error.kind in lost
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_attempt.py
@@ -17,7 +17,13 @@
 )
 from agateferry_service.requests.state import RunCertainty
 
-TIMES = AttemptTimes(start_wait_ms=20, resolve_timeout_ms=60, backoff_ms=5, poll_interval_ms=20)
+TIMES = AttemptTimes(
+    start_wait_ms=20,
+    resolve_timeout_ms=60,
+    backoff_ms=5,
+    poll_interval_ms=20,
+    hold_poll_interval_ms=5,
+)
 
 
 class FakeWorkers:
@@ -205,3 +211,100 @@
 
         result = run_async(main())
         self.assertEqual(("worker-lost", ("w1",)), (result.reason, result.failed_workers))
+
+
+class EvacuatedZoneTests(testtools.TestCase):
+    """The zone is evacuated while an attempt is under way."""
+
+    def setUp(self):
+        super().setUp()
+        self.evacuated = True
+
+    def attempt(self, fake, count=1, sent=False):
+        tried = attempt(fake, count, may_start=lambda: not self.evacuated)
+        for member in tried.members:
+            member.sent = sent
+        return tried
+
+    def starts(self, fake):
+        return [call for call in fake.calls if call[1] in ("start", "reserve")]
+
+    async def run_until_readmitted(self, fake, tried):
+        work = asyncio.create_task(tried.run())
+        await asyncio.sleep(0.05)
+        before = self.starts(fake)
+        self.evacuated = False
+        return before, await work
+
+    def test_a_start_that_was_never_sent_is_refused_as_not_run(self):
+        fake = FakeWorkers()
+        result = run_async(self.attempt(fake).run())
+        self.assertEqual(
+            (RunCertainty.NOT_RUN, False, "zone-evacuated"),
+            (result.run, result.counts_as_failure, result.reason),
+        )
+        self.assertEqual([], self.starts(fake))
+
+    def test_a_start_without_reply_is_not_sent_again_before_the_readmission(self):
+        """A resent start would run in the zone after the evacuation was acknowledged."""
+        fake = FakeWorkers(m0_get=[WorkerErrorKind.UNKNOWN_LEASE])
+        self.evacuated = False
+        start = fake.start
+
+        async def evacuate_at_start(address, order, wait_ms):
+            fake.start = start
+            self.evacuated = True
+            fake.calls.append((order.lease, "start"))
+            return Error(WorkerError(WorkerErrorKind.SILENT))
+
+        fake.start = evacuate_at_start
+        before, result = run_async(self.run_until_readmitted(fake, self.attempt(fake)), 5)
+        self.assertEqual([("m0", "start")], before)
+        self.assertEqual(AttemptOutcome.FINISHED, result.outcome)
+        self.assertEqual([("m0", "start")] * 2, self.starts(fake))
+
+    def test_a_start_that_arrived_after_all_goes_on(self):
+        unknown = WorkerErrorKind.UNKNOWN_LEASE
+        fake = FakeWorkers(m0_get=[unknown, unknown, LeaseState.FINISHED])
+        result = run_async(self.attempt(fake, sent=True).run(), 5)
+        self.assertEqual((AttemptOutcome.FINISHED, []), (result.outcome, self.starts(fake)))
+
+    def test_a_placement_that_a_new_leader_resumes_is_held(self):
+        fake = FakeWorkers(m0_get=[WorkerErrorKind.UNKNOWN_LEASE])
+        tried = self.attempt(fake, sent=True)
+        before, result = run_async(self.run_until_readmitted(fake, tried), 5)
+        self.assertEqual(([], AttemptOutcome.FINISHED), (before, result.outcome))
+
+    def test_a_held_attempt_can_be_cancelled(self):
+        fake = FakeWorkers(m0_get=[WorkerErrorKind.UNKNOWN_LEASE])
+        tried = self.attempt(fake, sent=True)
+
+        async def main():
+            work = asyncio.create_task(tried.run())
+            await asyncio.sleep(0.02)
+            tried.stop(AttemptOutcome.CANCELLED)
+            return await work
+
+        result = run_async(main(), 5)
+        self.assertEqual((AttemptOutcome.CANCELLED, []), (result.outcome, self.starts(fake)))
+
+    def test_a_gang_is_not_reserved(self):
+        fake = FakeWorkers()
+        result = run_async(self.attempt(fake, 3).run())
+        self.assertEqual(
+            (RunCertainty.NOT_RUN, "zone-evacuated", []),
+            (result.run, result.reason, self.starts(fake)),
+        )
+
+    def test_a_gang_that_runs_goes_on_under_a_new_leader(self):
+        finished = [LeaseState.RUNNING, LeaseState.FINISHED]
+        fake = FakeWorkers(m0_get=finished, m1_get=list(finished))
+        result = run_async(self.attempt(fake, 2, sent=True).run(), 5)
+        self.assertEqual((AttemptOutcome.FINISHED, []), (result.outcome, self.starts(fake)))
+
+    def test_a_gang_that_started_in_part_is_stopped(self):
+        fake = FakeWorkers(m1_get=[LeaseState.RESERVED])
+        result = run_async(self.attempt(fake, 2, sent=True).run(), 5)
+        self.assertEqual((AttemptOutcome.FAILED, RunCertainty.RAN), (result.outcome, result.run))
+        self.assertEqual([], self.starts(fake))
+        self.assertIn(("m0", "stop"), fake.calls)
--- a/packages/agateferry-service/agateferry_service/requests/ledger.py
+++ b/packages/agateferry-service/agateferry_service/requests/ledger.py
@@ -73,8 +73,12 @@
         request = self._open.get(parsed[0])
         return request is not None and request.has_active_attempt and request.attempt == parsed[1]
 
-    def accept(self, command: pb.Accept) -> CommandResult:
-        """Store a new request, or return the existing one if this is a resend."""
+    def accept(self, command: pb.Accept, may_start: bool = True) -> CommandResult:
+        """Store a new request, or return the existing one if this is a resend.
+
+        Without `may_start`, which is false while the zone is evacuated, the request waits whatever
+        placements the command has.
+        """
         spec = spec_from_pb(command.spec)
         known = self.get(spec.id)
         if known is None and spec.key:
@@ -85,18 +89,23 @@
         self._open[spec.id] = request
         if spec.key:
             self._by_key[(spec.team, spec.key)] = spec.id
-        if command.placements:
+        if command.placements and may_start:
             self._begin_attempt(request, _placements(command.placements))
         return self._mark_changed(request)
 
-    def place(self, command: pb.Place) -> CommandResult:
-        """Store the placements of a new attempt; only a waiting request can be placed."""
+    def place(self, command: pb.Place, may_start: bool = True) -> CommandResult:
+        """Store the placements of a new attempt; only a waiting request can be placed.
+
+        Nothing is placed without `may_start`, which is false while the zone is evacuated.
+        """
         request = self.get(command.request_id)
         if request is None:
             return CommandResult(CommandResultKind.UNKNOWN_REQUEST)
         waits = request.state is RequestState.ACCEPTED
         if not waits or command.attempt != request.attempt + 1:
             return CommandResult(CommandResultKind.STALE, request)
+        if not may_start:
+            return CommandResult(CommandResultKind.NOT_PLACED, request)
         self._begin_attempt(request, _placements(command.placements))
         return self._mark_changed(request)
 
--- a/packages/agateferry-service/agateferry_service/requests/messages.py
+++ b/packages/agateferry-service/agateferry_service/requests/messages.py
@@ -15,6 +15,8 @@
     UNKNOWN_REQUEST = "unknown-request"
     STALE = "stale"
     ALREADY_ENDED = "already-ended"
+    NOT_PLACED = "not-placed"
+    """The zone was evacuated before the command, so the request goes on waiting."""
 
 
 @dataclass(frozen=True, slots=True)
