Send idempotent requests to another zone while theirs is evacuated

A request moves where that is safe: its job is idempotent and its caller names no zone. One with a key asks its home zone first, which may have accepted it before, and then the other zones in an order that depends on the key. All others are refused by the cell as not run, with Retry-After.

--- a/packages/agateferry-service/agateferry_service/cell/catalog.py
+++ b/packages/agateferry-service/agateferry_service/cell/catalog.py
@@ -50,16 +50,9 @@
             stated["weights"] = PolicyWeights(weights.completion_time, weights.fragmentation)
         return SchedulingConfig(**stated)
 
-    def evacuation(self) -> EvacuationRecord | None:
-        """Return the evacuation of this zone, or None if it is not evacuated."""
-        return self._evacuation(self.zone)
-
-    def is_evacuated(self, zone: str) -> bool:
-        """Return whether a zone, this one or another, is evacuated."""
-        return self._evacuation(zone) is not None
-
-    def _evacuation(self, zone: str) -> EvacuationRecord | None:
-        revision = self.records.get(Kind.EVACUATION, zone)
+    def evacuation(self, zone: str = "") -> EvacuationRecord | None:
+        """Return the evacuation of a zone, by default this one, or None if it is not evacuated."""
+        revision = self.records.get(Kind.EVACUATION, zone or self.zone)
         record = revision.record if revision else None
         return record if isinstance(record, EvacuationRecord) and record.evacuated else None
 
--- a/packages/agateferry-service/agateferry_service/entry/app.py
+++ b/packages/agateferry-service/agateferry_service/entry/app.py
@@ -11,8 +11,11 @@
 from starlette.routing import Route
 
 from agateferry_core.metrics import Metrics
+from agateferry_scheduling.scheduler.messages import RejectReason
 from agateferry_service.cell.catalog import Catalog
-from agateferry_service.entry.home_zone import home_zone, new_id, zone_of_id
+from agateferry_service.cell.evacuation import evacuated_refusal
+from agateferry_service.cell.refusals import RefusalReason
+from agateferry_service.entry.home_zone import home_zone, new_id, other_zones, zone_of_id
 from agateferry_service.entry.models import SubmitBody
 from agateferry_service.entry.views import has_ended, request_json
 from agateferry_service.http.bodies import canonical_json, read_model, wait_ms
@@ -28,6 +31,8 @@
 MAX_CALL_WAIT_MS = 5_000
 DISCONNECT_POLL_INTERVAL_S = 0.25
 
+REASONS_TO_TRY_ANOTHER_ZONE = frozenset({RefusalReason.ZONE_EVACUATED, RejectReason.INFEASIBLE})
+
 Handler = Callable[[Request], Awaitable[Response]]
 
 
@@ -106,15 +111,17 @@
         restarted may not have its copy of the records yet, and a resend must reach the zone of its
         key all the same.
         """
-        job = self._catalog.job(body.job)
-        idempotent = job is not None and job.idempotent
+        idempotent = self._is_idempotent(body)
         return home_zone(body.zone, body.team, key, idempotent, self._zone, self._zones.names)
 
+    def _is_idempotent(self, body: SubmitBody) -> bool:
+        job = self._catalog.job(body.job)
+        return job is not None and job.idempotent
+
     async def _submit_to(
         self, zone: str, req: Request, body: SubmitBody, key: str, data: bytes
     ) -> Response:
         message = pb.SubmitRequest(
-            id=new_id(zone),
             team=body.team,
             job=body.job,
             key=key,
@@ -129,13 +136,49 @@
         total_wait_ms = wait_ms(req, self._limits.max_wait_ms)
         message.wait_ms = min(total_wait_ms, MAX_CALL_WAIT_MS)
         deadline_s = time.monotonic() + total_wait_ms / 1000
-        reply = await self._call_submit(zone, message, req)
+        reply = await self._submit_or_move(zone, message, req, body)
         remaining_ms = int((deadline_s - time.monotonic()) * 1000)
         may_wait = reply.HasField("view") and not has_ended(reply.view) and remaining_ms > 0
         if may_wait and not self._is_stopping():
             reply = await self._poll_until_ended(reply.view.id, remaining_ms)
         return self._response(reply, is_new=True)
 
+    async def _submit_or_move(
+        self, home: str, message: pb.SubmitRequest, req: Request, body: SubmitBody
+    ) -> pb.RequestReply:
+        """Submit a request to its home zone or, while that is evacuated, to another if it is safe.
+
+        It is safe for an idempotent request whose caller names no zone. One with a key still asks
+        its home zone first, which may have accepted it before; one without skips a home zone that
+        is known to be evacuated, as its cell may not answer any more.
+        """
+        may_move = body.zone is None and self._is_idempotent(body)
+        evacuation = self._catalog.evacuation(home)
+        if may_move and evacuation is not None and not message.key:
+            reply = pb.RequestReply(refusal=evacuated_refusal(home, evacuation))
+        else:
+            reply = await self._submit_copy(home, message, req)
+        if reply.refusal.reason != RefusalReason.ZONE_EVACUATED or not may_move:
+            return reply
+        spread_by = message.key or new_id(home)
+        for zone in other_zones(home, body.team, spread_by, self._zones.names):
+            if self._catalog.evacuation(zone) is not None:
+                continue
+            self._metrics.retried(RefusalReason.ZONE_EVACUATED)
+            moved = await self._submit_copy(zone, message, req)
+            if moved.refusal.reason not in REASONS_TO_TRY_ANOTHER_ZONE:
+                return moved
+        return reply
+
+    async def _submit_copy(
+        self, zone: str, message: pb.SubmitRequest, req: Request
+    ) -> pb.RequestReply:
+        """Submit a copy of a request to a zone, with an id of that zone."""
+        copy = pb.SubmitRequest()
+        copy.CopyFrom(message)
+        copy.id = new_id(zone)
+        return await self._call_submit(zone, copy, req)
+
     async def _call_submit(
         self, zone: str, message: pb.SubmitRequest, req: Request
     ) -> pb.RequestReply:
--- a/packages/agateferry-service/agateferry_service/entry/home_zone.py
+++ b/packages/agateferry-service/agateferry_service/entry/home_zone.py
@@ -34,5 +34,15 @@
     return max(zones, key=lambda zone: _score(zone, team, key))
 
 
+def other_zones(home: str, team: str, key: str, zones: Sequence[str]) -> list[str]:
+    """Return the zones to which an idempotent request may go while its home zone is evacuated.
+
+    Their order depends on the team and the key, so that a resend goes to the same zone and requests
+    with different keys spread over all zones.
+    """
+    others = [zone for zone in zones if zone != home]
+    return sorted(others, key=lambda zone: _score(zone, team, key), reverse=True)
+
+
 def _score(zone: str, team: str, key: str) -> bytes:
     return hashlib.sha256(f"{zone}\0{team}\0{key}".encode()).digest()
