Evacuate and readmit zones on the operators' port

POST and DELETE /v1/evacuations/ZONE read the zone's record and replace just that version; a call that finds the zone in the state that it asks for changes nothing and is acknowledged. So of two operators one changes it and both get 200, and a resend after a lost answer gets the change that was made. A caller that has closed its connection before the put changes nothing: a host that was suspended may find an order that was sent elsewhere and reversed since. A zone that the settings do not name gets a 404 and changes nothing. GET lists the evacuated zones, whether each zone's cell obeys, and what runs and waits there.

--- a/packages/agateferry-service/agateferry_service/cell/refusals.py
+++ b/packages/agateferry-service/agateferry_service/cell/refusals.py
@@ -28,6 +28,7 @@
     INVALID = "invalid"
     WRONG_ZONE = "wrong-zone"
     ZONE_EVACUATED = "zone-evacuated"
+    CALLER_GONE = "caller-gone"
 
 
 def refusal(reason: str, detail: str, retry_after_ms: int = 0, leader: str = "") -> pb.Refusal:
--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -25,8 +25,10 @@
 from agateferry_service.entry.app import CallersApp
 from agateferry_service.http.server import HttpServer
 from agateferry_service.operators.app import OperatorsApp
+from agateferry_service.operators.evacuations import Evacuations
 from agateferry_service.operators.host_status import HostStatusReader
 from agateferry_service.operators.membership import Group, MembershipChanges
+from agateferry_service.operators.records_reader import RecordsReader
 from agateferry_service.records.follower import RecordsFollower
 from agateferry_service.records.plane import NotifyingRecordsMachine, RecordsPlane
 from agateferry_service.records.servicer import RecordsServicer
@@ -184,14 +186,26 @@
             lambda: self._stopping,
         )
         hosts = HostStatusReader(settings, self.cell, self.plane)
+        records = RecordsReader(self.zones, self.records_calls, self.cell.ctx.machine.records)
+        evacuations = Evacuations(
+            self.zones,
+            self.cell_calls,
+            self.records_calls,
+            records,
+            limits,
+            self.metrics,
+            self.clock,
+            self.log,
+        )
         operators = OperatorsApp(
             zone,
             self.zones,
             self.cell_calls,
             self.records_calls,
-            self.cell.ctx.machine.records,
+            records,
             hosts,
             MembershipChanges(settings, self.nodes, hosts, self.metrics),
+            evacuations,
             limits,
             self.metrics,
             lambda: self.is_ready,
--- a/packages/agateferry-service/agateferry_service/http/bodies.py
+++ b/packages/agateferry-service/agateferry_service/http/bodies.py
@@ -37,12 +37,15 @@
     if not content_type.startswith("application/json"):
         return Error(problem(415, "not-json", f"send application/json, not {content_type}"))
     body = await read_body(req, max_bytes, timeout_ms)
-    if body.is_error():
-        return Error(body.error)
-    try:
-        return Ok((model.model_validate_json(body.ok), body.ok))
-    except ValidationError as exc:
-        return Error(_invalid(exc))
+    return body.bind(lambda data: _parse(model, data).map(lambda parsed: (parsed, data)))
+
+
+async def read_optional_model(
+    req: Request, model: type[ModelT], max_bytes: int, timeout_ms: int
+) -> Result[ModelT, Response]:
+    """Read a JSON body into a model, or return its defaults if there is none."""
+    body = await read_body(req, max_bytes, timeout_ms)
+    return body.bind(lambda data: _parse(model, data or b"{}"))
 
 
 def wait_ms(req: Request, max_wait_ms: int) -> int:
@@ -67,6 +70,13 @@
     return Ok(data)
 
 
+def _parse(model: type[ModelT], data: bytes) -> Result[ModelT, Response]:
+    try:
+        return Ok(model.model_validate_json(data))
+    except ValidationError as exc:
+        return Error(_invalid(exc))
+
+
 def _invalid(exc: ValidationError) -> Response:
     errors = exc.errors(include_url=False, include_context=False, include_input=False)
     shown = [
--- a/packages/agateferry-service/agateferry_service/operators/app.py
+++ b/packages/agateferry-service/agateferry_service/operators/app.py
@@ -15,17 +15,17 @@
 from agateferry_service.entry.home_zone import zone_of_id
 from agateferry_service.http.bodies import read_model
 from agateferry_service.http.problems import problem, refusal_response
+from agateferry_service.operators.evacuations import Evacuations
 from agateferry_service.operators.host_status import HostStatusReader
 from agateferry_service.operators.membership import MembershipChanges
-from agateferry_service.records.plane import NEWEST_REVISION, read_records
+from agateferry_service.operators.records_reader import RecordsReader
 from agateferry_service.routing.calls import CellCalls, RecordsCalls
 from agateferry_service.routing.zone_routers import ZoneRouters
 from agateferry_service.rpc import cell_pb2 as pb
 from agateferry_service.settings import LimitSettings
-from agateferry_state.records import Kind, RecordStore, Schema
+from agateferry_state.records import Kind, Schema
 
 CALL_TIMEOUT_MS = 5_000
-RECORDS_READ_TIMEOUT_MS = 1_500
 JSON_CONTENT_TYPE = "application/json"
 
 
@@ -48,9 +48,10 @@
         zones: ZoneRouters,
         cell_calls: CellCalls,
         records_calls: RecordsCalls,
-        local_records: RecordStore,
+        records: RecordsReader,
         hosts: HostStatusReader,
         membership_changes: MembershipChanges,
+        evacuations: Evacuations,
         limits: LimitSettings,
         metrics: Metrics,
         is_ready: Callable[[], bool],
@@ -60,9 +61,10 @@
         self._zones = zones
         self._cell_calls = cell_calls
         self._records_calls = records_calls
-        self._local_records = local_records
+        self._records = records
         self._hosts = hosts
         self._membership_changes = membership_changes
+        self._evacuations = evacuations
         self._limits = limits
         self._metrics = metrics
         self._is_ready = is_ready
@@ -84,6 +86,7 @@
                 Route("/v1/cell", self.cell, methods=["GET"]),
                 Route("/v1/cells", self.cells, methods=["GET"]),
                 *self._membership_changes.routes(),
+                *self._evacuations.routes(),
                 Route("/healthz", self.healthz, methods=["GET"]),
                 Route("/readyz", self.readyz, methods=["GET"]),
                 Route("/metrics", self.metrics, methods=["GET"]),
@@ -92,6 +95,9 @@
 
     async def put_record(self, req: Request) -> Response:
         """Store a new version of a record."""
+        if req.path_params["kind"] == Kind.EVACUATION:
+            detail = "evacuations change by POST or DELETE /v1/evacuations/ZONE only"
+            return problem(422, "invalid", detail, run=None)
         limits = self._limits
         parsed = await read_model(
             req, PutBody, limits.max_body_bytes, limits.request_body_timeout_ms
@@ -195,24 +201,18 @@
         """
         kind, schema = req.path_params["kind"], req.query_params.get("schema", "v2")
         if kind not in list(Kind) or schema not in list(Schema):
-            detail = "kinds are team, job and config; schemas are v1 and v2"
+            detail = "kinds are team, job, config and evacuation; schemas are v1 and v2"
             return problem(404, "unknown-record", detail, run=None)
-        message = pb.QueryRequest(
-            what=query, name=f"{kind}/{req.path_params.get('name', '')}/{schema}"
-        )
-        read = self._records_calls.read
-        reply = await self._zones.records.call(read, message, RECORDS_READ_TIMEOUT_MS)
-        if reply.HasField("refusal") and reply.refusal.reason != "unknown-record":
-            resp = _query_response(read_records(self._local_records, message))
+        name = req.path_params.get("name", "")
+        reply, is_stale = await self._records.read(query, Kind(kind), name, Schema(schema))
+        resp = _query_response(reply)
+        if is_stale:
             resp.headers["Agateferry-Stale"] = "true"
-            return resp
-        return _query_response(reply)
+        return resp
 
     async def _newest_revision(self) -> int | None:
         """Return the newest committed revision, or None if the records plane cannot be reached."""
-        message = pb.QueryRequest(what=NEWEST_REVISION)
-        read = self._records_calls.read
-        reply = await self._zones.records.call(read, message, RECORDS_READ_TIMEOUT_MS)
+        reply = await self._records.newest_revision()
         if reply.HasField("refusal"):
             return None
         newest: int = json.loads(reply.body)["revision"]
--- a/packages/agateferry-service/agateferry_service/operators/events.py
+++ b/packages/agateferry-service/agateferry_service/operators/events.py
@@ -17,3 +17,13 @@
     "operator's membership change or recovery refused",
     "See the detail, which names the cause and the next step.",
 )
+ZONE_EVACUATED = Event(
+    4204,
+    "operator evacuated a zone",
+    "Normal; 4142 in that zone's logs shows that it is in force there.",
+)
+ZONE_READMITTED = Event(
+    4205,
+    "operator readmitted a zone",
+    "Normal; 4143 in that zone's logs shows that it is in force there.",
+)
