--- a/packages/agateferry-cli/agateferry_cli/client/problems.py
+++ b/packages/agateferry-cli/agateferry_cli/client/problems.py
@@ -44,6 +44,8 @@
     "stopping": "Call another host.",
     "not-leader": "Name the leader, or all hosts of the zone, in --operators.",
     "no-voter": "Call a host whose settings have records_voter = true.",
+    "unknown-zone": "The detail names the zones of the settings.",
+    "zone-evacuated": "See since when with: agateferry evacuations",
     "unsafe": "See the members and the ends of the logs with: agateferry cell status",
 }
 
--- a/packages/agateferry-cli/agateferry_cli/client/views.py
+++ b/packages/agateferry-cli/agateferry_cli/client/views.py
@@ -167,6 +167,22 @@
     warnings: tuple[str, ...] = ()
 
 
+class EvacuationView(View):
+    """The state of a zone: evacuated or not, and what is left there where it was asked for.
+
+    `in_force` tells whether the zone's cell obeys; it and the counts are None where unknown.
+    """
+
+    zone: str
+    evacuated: bool = True
+    since_ms: int = 0
+    requested_by: str = ""
+    changed: bool = True
+    in_force: bool | None = None
+    running: int | None = None
+    queued: int | None = None
+
+
 def parse_view(model: type[V], body: Any) -> Result[V, Failure]:
     """Parse a body; the failure names the first field that does not match the view."""
     try:
--- a/packages/agateferry-cli/agateferry_cli/main.py
+++ b/packages/agateferry-cli/agateferry_cli/main.py
@@ -14,6 +14,7 @@
 from agateferry_cli.verbs.analyze import analyze
 from agateferry_cli.verbs.cancel import cancel
 from agateferry_cli.verbs.check_config import check_config
+from agateferry_cli.verbs.evacuation import evacuate, evacuations, readmit
 from agateferry_cli.verbs.explain import explain
 from agateferry_cli.verbs.put import put
 from agateferry_cli.verbs.queue import queue
@@ -43,6 +44,9 @@
     "teams": teams,
     "queue": queue,
     "explain": explain,
+    "evacuate": evacuate,
+    "readmit": readmit,
+    "evacuations": evacuations,
     "cell": {
         "status": cell.status,
         "replace": membership.replace,
--- a/packages/agateferry-cli/agateferry_cli/verbs/records.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/records.py
@@ -21,7 +21,7 @@
 ) -> int:
     """Show the current version of a record.
 
-    :param kind: team, job or config
+    :param kind: team, job, config or evacuation
     :param name: name of the record
     :param schema: form of the content: v1 or v2
     :param operators: operators' addresses of entry hosts, IP:PORT with commas between
@@ -39,7 +39,7 @@
 def list_(kind: str, *, schema: str = "v2", operators: str = "", json: bool = False) -> int:
     """List all records of a kind.
 
-    :param kind: team, job or config
+    :param kind: team, job, config or evacuation
     :param schema: form of the contents: v1 or v2
     :param operators: operators' addresses of entry hosts, IP:PORT with commas between
     :param json: print the records as JSON
@@ -54,7 +54,7 @@
 ) -> int:
     """List the versions of a record that are still stored, oldest first.
 
-    :param kind: team, job or config
+    :param kind: team, job, config or evacuation
     :param name: name of the record
     :param schema: form of the contents: v1 or v2
     :param operators: operators' addresses of entry hosts, IP:PORT with commas between
