Send no start order again for a subtask that is done meanwhile

A worker was cut off, its run was ended as lost, and the subtask was placed on another worker, whose first start order got no answer. Then the first worker came back and reported its run as done. The order was still sent again and started the finished subtask.

Before each attempt the session now also checks that the subtask is not done and its job not over. A start that was never sent ends as refused; any other is left to the next poll.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_evacuations.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_evacuations.py
@@ -218,6 +218,23 @@
         self.check(scenario)
 
 
+class ObsoleteStartTests(EvacuationCase):
+    # An order was sent again for a subtask that the late report of an earlier run showed as done.
+    def test_a_subtask_that_becomes_done_while_its_order_is_under_way_does_not_start(self):
+        async def scenario():
+            await self.heartbeat(worker("w1"))
+            self.ports["w1"].orders_to_lose = 1
+            await self.submit()
+            await self.until(lambda: self.ports["w1"].delayed_orders, "an order is under way")
+            earlier = commands.RunEnded(*KEY, Run(0, "w0", 1), commands.RunOutcome.DONE)
+            self.apply(commands.EndRuns((earlier,), 1))
+            subtask = self.ledger.jobs[ID].subtasks["0.0.0"]
+            await self.until(lambda: subtask.active is None, "found not to run")
+            self.assertEqual([], self.starts("w1"))
+
+        self.check(scenario)
+
+
 class HandOverTests(EvacuationCase):
     def test_a_leader_that_dies_right_after_the_commit_is_followed_by_one_that_knows(self):
         async def scenario():
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -181,6 +181,12 @@
         """Return whether a zone is evacuated now, so that no start order may be sent there."""
         return zone in self._ledger.state.evacuations
 
+    def is_obsolete(self, key: RunKey) -> bool:
+        """Return whether a subtask is done or its job is over, so that it must not start."""
+        job = self._ledger.jobs.get(key[0])
+        subtask = job.subtasks.get(key[1]) if job is not None else None
+        return job is None or subtask is None or job.is_over or subtask.is_done
+
     def runs_in(self, zone: str) -> int:
         """Return how many runs are tracked on the workers of a zone."""
         return sum(len(s.runs) for s in self.by_id.values() if s.incarnation.zone == zone)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -80,6 +80,9 @@
     def is_evacuated(self, zone: str) -> bool:
         """Return whether a zone is evacuated now, so that no start order may be sent there."""
 
+    def is_obsolete(self, key: RunKey) -> bool:
+        """Return whether a subtask is done or its job is over, so that it must not start."""
+
     def poll_wait_ms(self) -> int:
         """Return how long a worker may delay the answer to a poll while no run ends."""
 
@@ -345,12 +348,13 @@
     async def _try_start(self, start: RunStart, payload: str, tracked: TrackedRun) -> bool:
         """Send a start order, twice at most; return whether its outcome is known and recorded.
 
-        Nothing is sent to an evacuated zone. A start that was never sent is refused.
+        Nothing is sent to an evacuated zone, or for a subtask that has become done, as by the late
+        report of an earlier run. A start that was never sent is refused.
         """
         key = (start.job, start.subtask)
         token = self._token
         for attempt in range(START_ATTEMPTS):
-            if self._listener.is_evacuated(self.incarnation.zone):
+            if self._is_ruled_out(key):
                 return attempt == 0 and await self._end_as_refused(key, tracked)
             deadline_ms = self._lease.grant_start_deadline(self._clock.now_ms())
             if deadline_ms is None or not self._listener.may_send_orders():
@@ -379,6 +383,11 @@
                     )
         return False
 
+    def _is_ruled_out(self, key: RunKey) -> bool:
+        """Return whether no start order for a subtask may be sent to this worker now."""
+        is_evacuated = self._listener.is_evacuated(self.incarnation.zone)
+        return is_evacuated or self._listener.is_obsolete(key)
+
     def _pause_starts(self, reason: str) -> None:
         """Order no new starts for a while, unless the rejection is about the job."""
         if reason == REJECTED_JOB:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -25,6 +25,7 @@
         self.replaced_incarnations = []
         self.stores = True
         self.evacuated_zones = set()
+        self.obsolete = set()
 
     def next_token(self):
         self.tokens += 1
@@ -47,6 +48,9 @@
     def is_evacuated(self, zone):
         return zone in self.evacuated_zones
 
+    def is_obsolete(self, key):
+        return key in self.obsolete
+
     def poll_wait_ms(self):
         return MIN_POLL_WAIT_MS
 
@@ -165,6 +169,20 @@
         self.check(scenario)
 
 
+class ObsoleteStartTests(SessionCase):
+    # A subtask was started again after the late report of an earlier run that had done it.
+    def test_an_order_without_an_answer_is_not_sent_again_for_a_subtask_that_is_done(self):
+        async def scenario():
+            self.worker.orders_to_lose = 1
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: self.worker.delayed_orders, "an order is under way")
+            self.listener.obsolete.add(KEY)
+            await self.until(lambda: self.outcomes() == [RunOutcome.REFUSED], "refused")
+            self.assertEqual([], self.worker.starts)
+
+        self.check(scenario)
+
+
 class StartDeadlineTests(SessionCase):
     """An order that is held up for long would begin a run in a zone evacuated meanwhile."""
 
