--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
@@ -41,11 +41,14 @@
 class FaultScenario:
     """Three workers and one leader, with random faults from a seed."""
 
+    worker_ids = ("w0", "w1", "w2")
+    steps = STEPS
+
     def __init__(self, loop, seed):
         self.clock = loop
         self.rng = random.Random(seed)
         self.ledger = Ledger()
-        self.incarnations = {f"w{number}": worker(f"w{number}") for number in range(3)}
+        self.incarnations = {id: self.new_incarnation(id, 1) for id in self.worker_ids}
         self.ports = {id: self.new_port(1) for id in self.incarnations}
         self.executed_late_orders = []
         self.restarted_key = None
@@ -56,6 +59,9 @@
     def new_leader(self):
         return Leader(self.replica, self.ledger, self.clock, self.port_to, LEASE_MS)
 
+    def new_incarnation(self, id, born):
+        return worker(id, born=born)
+
     def new_port(self, born):
         port = ModelWorker(self.clock, born)
         execute = port.execute
@@ -87,7 +93,7 @@
         await self.leader.handle(messages.InstallManifest(manifest()))
         ticking = asyncio.create_task(self.tick_forever())
         try:
-            for step in range(STEPS):
+            for step in range(self.steps):
                 await asyncio.sleep(self.rng.uniform(0.02, 0.15))
                 if step % 12 == 0:
                     await self.submit(self.ids[step // 12 % len(self.ids)])
@@ -100,8 +106,8 @@
             is_violated = ticking.done()
             ticking.cancel()
             await self.leader.close()
-        if is_violated:
-            ticking.result()
+            if is_violated:
+                ticking.result()
 
     def faults(self):
         return (
@@ -165,7 +171,7 @@
         old = self.ports[id]
         old.is_replaced = True
         old.running.clear()
-        self.incarnations[id] = worker(id, born=old.born + 1)
+        self.incarnations[id] = self.new_incarnation(id, old.born + 1)
         self.ports[id] = self.new_port(old.born + 1)
         await self.leader.handle(messages.Heartbeat(self.incarnations[id], 1))
 
