Simulate workers of different speeds

Cause: on a deployment whose workers run at 0.6, 1.0 and 1.6 times the usual speed, urgent work is late wherever one worker is slow. The simulation knew only workers of equal speed.

Change: a load may state the speeds that workers draw from, and log-normal spreads of the work. The loads uneven, uneven-quiet, uneven-mild and even are new. A summary states the share of the jobs in time, by kind.

--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -39,6 +39,11 @@
         f"{name}={mean(day.by_kind[name] for day in days if name in day.by_kind):.3f}"
         for name in names
     )
+    in_time = " ".join(
+        f"{name}={mean(day.in_time[name] for day in days if name in day.in_time):.3f}"
+        for name in names
+        if "," not in name
+    )
     return (
         f"score={mean(scores):.3f} spread={spread:.3f} "
         f"day={mean(day.day_share for day in days):.3f} "
@@ -47,7 +52,8 @@
         f"waste_price={mean(day.waste_price for day in days):.3f} "
         f"wasted_gpu_s={mean(day.wasted_gpu_s for day in days):.0f} "
         f"stops={mean(day.stops for day in days):.1f} "
-        f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds}"
+        f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds} "
+        f"in time: {in_time}"
     )
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -79,6 +79,8 @@
             for number in range(load.workers)
         }
         self._faults = FaultSchedule(self._racks, load.slowness, load.outages, load.absences)
+        speed_rng = random.Random(seed)
+        self._own_speeds = {id: speed_rng.choice(load.worker_speeds) for id in self._racks}
 
     def run(self) -> DayResult:
         """Simulate the day and return its result."""
@@ -141,7 +143,8 @@
     def _update_faults(self) -> bool:
         """Update what the faults of this moment affect; return whether the leader may notice."""
         before = (self._unreachable, self._has_leader)
-        self._speeds = self._faults.speeds(self._now_ms)
+        speeds = self._faults.speeds(self._now_ms)
+        self._speeds = {id: speed * self._own_speeds[id] for id, speed in speeds.items()}
         self._unreachable = self._faults.unreachable(self._now_ms)
         self._has_leader = self._faults.has_leader(self._now_ms)
         return before != (self._unreachable, self._has_leader)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
@@ -8,7 +8,7 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
-from agateferry_jobs.simulation.loads import JobKind, Load
+from agateferry_jobs.simulation.loads import JobKind, Load, WorkSpread
 
 MAX_WIDTH_FACTOR = 6
 """The largest width as a multiple of its kind's mean, so that one job does not dominate a day."""
@@ -64,14 +64,11 @@
     need = Resources(kind.cpu, kind.mem_mb, rng.choice(kind.gpus))
     same_rack = kind.is_gang and rng.random() < kind.same_rack_share
     count = _width(load, kind, need, rng)
-    duration_ms = max(300.0, rng.gauss(1.0, 0.3) * kind.work_ms)
-    spread = 0.0 if kind.is_gang else 0.15
-    work_ms = tuple(round(duration_ms * (1 + rng.uniform(-spread, spread))) for _ in range(count))
-    declared_ms = duration_ms * (1 + rng.uniform(-kind.estimate_error, kind.estimate_error))
+    work_ms, declared_ms = _work_ms(kind, count, rng)
     step = StepSpec(
         count,
         need,
-        estimated_ms=round(declared_ms),
+        estimated_ms=declared_ms,
         is_gang=kind.is_gang,
         same_rack=same_rack,
         saves_checkpoints=rng.random() < kind.saves_share,
@@ -82,6 +79,28 @@
     return SimulatedJob(id, kind, team, arrival_ms, JobSpec("payload", (step,)), work_ms, fails)
 
 
+def _work_ms(kind: JobKind, count: int, rng: random.Random) -> tuple[tuple[int, ...], int]:
+    """Draw the work of each subtask, and the duration that the caller declares."""
+    if kind.spread is not None:
+        return _log_normal_work_ms(kind.work_ms, kind.spread, count, rng)
+    duration_ms = max(300.0, rng.gauss(1.0, 0.3) * kind.work_ms)
+    spread = 0.0 if kind.is_gang else 0.15
+    work_ms = tuple(round(duration_ms * (1 + rng.uniform(-spread, spread))) for _ in range(count))
+    declared_ms = duration_ms * (1 + rng.uniform(-kind.estimate_error, kind.estimate_error))
+    return work_ms, round(declared_ms)
+
+
+def _log_normal_work_ms(
+    mean_ms: float, spread: WorkSpread, count: int, rng: random.Random
+) -> tuple[tuple[int, ...], int]:
+    median_ms = mean_ms * rng.lognormvariate(-(spread.jobs**2) / 2, spread.jobs)
+    declared_ms = round(median_ms * rng.lognormvariate(0.0, spread.declared))
+    if rng.random() < spread.outlier_share:
+        median_ms *= spread.outlier_factor
+    work_ms = (median_ms * rng.lognormvariate(0.0, spread.subtasks) for _ in range(count))
+    return tuple(max(300, round(each)) for each in work_ms), max(1, declared_ms)
+
+
 def _width(load: Load, kind: JobKind, need: Resources, rng: random.Random) -> int:
     """Draw the number of subtasks of a job; a gang must fit into half of a rack."""
     width = rng.lognormvariate(0.0, 0.8) * kind.width * 0.73
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -13,6 +13,21 @@
 """The capacity of a simulated worker where the load states no other."""
 
 
+@dataclass(frozen=True, slots=True)
+class WorkSpread:
+    """How the work of the jobs of one kind spreads, as standard deviations of its logarithm.
+
+    A share of the jobs, `outlier_share`, takes `outlier_factor` times as long as others.
+    """
+
+    jobs: float = 0.4
+    subtasks: float = 0.15
+    declared: float = 0.6
+    """The spread of declared durations around the work of the job."""
+    outlier_share: float = 0.03
+    outlier_factor: float = 7.0
+
+
 @dataclass(frozen=True, slots=True)
 class JobKind:
     """A kind of jobs: how many arrive, what they need and what they are worth.
@@ -42,6 +57,8 @@
     saves_share: float = 0.0
     failing_share: float = 0.0
     estimate_error: float = 0.5
+    spread: WorkSpread | None = None
+    """How the work spreads where it does so as a log-normal; without it the spread is 30 %."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +115,8 @@
     """The share of start orders that get no answer; the run is known as refused later."""
     stop_duration_ms: tuple[int, int] = (100, 900)
     """The least and the longest time from the order to stop a run to its end."""
+    worker_speeds: tuple[float, ...] = (1.0,)
+    """The speeds from which each worker gets its own, which is stated nowhere."""
     restore_ms: int = 600
     """How long a run that starts from a checkpoint restores it before it makes progress."""
     goal: Goal = DEFAULT_GOAL
@@ -262,7 +281,31 @@
     refused_start_share=0.02,
 )
 
+UNEVEN = Load(
+    (
+        replace(URGENT, per_s=4.2, width=5.0, spread=WorkSpread(subtasks=0.0, declared=0.9)),
+        replace(GANGS, per_s=1.4, width=13.0, spread=WorkSpread(subtasks=0.0)),
+        replace(BATCH, per_s=2.6, width=39.0, spread=WorkSpread(0.3, 0.15, 0.5)),
+    ),
+    workers=176,
+    workers_per_rack=12,
+    teams=10,
+    duration_s=34.0,
+    stop_duration_ms=(100, 400),
+    surges=(Surge("urgent", 6.0, 5.0, 2.0),),
+    goal=Goal(0.5, 0.25, 0.25, window_s=2, waste_price=0.0005),
+    worker_speeds=(0.6, 1.0, 1.6),
+)
+"""Workers whose speeds differ by a factor of 2.7, and more work than they can do."""
+UNEVEN_QUIET = replace(
+    UNEVEN, kinds=tuple(replace(kind, per_s=kind.per_s * 0.3) for kind in UNEVEN.kinds), surges=()
+)
+
 LOADS = {
+    "uneven": UNEVEN,
+    "uneven-quiet": UNEVEN_QUIET,
+    "uneven-mild": replace(UNEVEN, worker_speeds=(0.8, 1.0, 1.25)),
+    "even": replace(UNEVEN, worker_speeds=(1.0,)),
     "calm": CALM,
     "surge": SURGE,
     "slow": SLOW,
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -32,6 +32,8 @@
     worst_team: float
     waste_price: float
     by_kind: dict[str, float]
+    in_time: dict[str, float]
+    """By kind, the share of the jobs that ended within their objective."""
     wasted_gpu_s: float
     stops: int
     cross_rack_starts: int
@@ -64,6 +66,7 @@
         min(_shares_by(day.outcomes, lambda job: job.team), default=1.0),
         goal.waste_price * day.wasted_core_s / worth if worth else 0.0,
         shares,
+        {name: _in_time_share(outcomes) for name, outcomes in _by_kind(day.outcomes).items()},
         day.wasted_gpu_s,
         day.stops,
         day.cross_rack_starts,
@@ -109,6 +112,10 @@
     return job.kind.worth * _size_weight(job)
 
 
+def _in_time_share(outcomes: Sequence[JobOutcome]) -> float:
+    return mean(_earned_share(outcome) == 1.0 for outcome in outcomes)
+
+
 def _earned_share(outcome: JobOutcome) -> float:
     """Return the share of its worth that a job earned: all in time, less if late, or none."""
     job, kind = outcome.job, outcome.job.kind
