Estimate the pace of each worker in the ledger

Cause: workers of some deployments differ in speed, which is told nowhere; their runs show it.

Change: the ledger estimates the log pace of each incarnation from done runs.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -27,6 +27,7 @@
     mark_done,
     update_job_end,
 )
+from agateferry_jobs.ledger.run_durations import record_run
 from agateferry_jobs.ledger.specs import JobSpec, Resources
 from agateferry_jobs.ledger.state import (
     Gang,
@@ -39,6 +40,7 @@
     WorkerState,
     gang_of,
 )
+from agateferry_jobs.ledger.worker_speeds import WorkerSpeeds
 from agateferry_jobs.manifest import Manifest
 from agateferry_state.replica.protocols import NotApplied
 
@@ -64,6 +66,8 @@
     """What the reports of each worker's incarnation have shown."""
     durations: dict[str, DurationEstimate] = field(default_factory=dict, name="lengths")
     """Estimates of how long runs really take, by queue."""
+    speeds: WorkerSpeeds = field(default_factory=WorkerSpeeds)
+    """Estimates of the pace of each worker."""
     crashes: list[WorkerCrash] = field(default_factory=list)
     """The workers that crashed of late, in order of time."""
     given_up: list[GivenUp] = field(default_factory=list)
@@ -234,6 +238,7 @@
         if worker.state is WorkerState.GONE:
             self.workers.pop(worker.id, None)
             self.state.reports.pop(worker.id, None)
+            self.state.speeds.forget_worker(worker.id)
             self.state.gone[worker.id] = worker.born
             return known is not None
         reports = WorkerReports(sequence, worker.capacity)
@@ -290,8 +295,7 @@
             and not step.is_long_running
             and not subtask.checkpoint
         ):
-            estimate = self.state.durations.setdefault(job.queue, DurationEstimate())
-            estimate.record(step.estimated_ms, at_ms - subtask.started_ms)
+            record_run(self.state, job, end, at_ms - subtask.started_ms, at_ms)
 
     def _record_outcome(
         self, job: Job, subtask: Subtask, end: commands.RunEnded, was_active: bool
