Respect the paces of workers in placement and preemption

Cause: urgent work on a slow worker, and a gang with one slow member, are late for certain.

Change: the leader adds the progress of running subtasks to the ledger's evidence, once a second. Urgent work takes fast workers first, other work takes slow ones where these suffice. Urgent work that would be late on the free workers preempts lower work on faster ones, and takes what is free where that cannot help, or, within a guarantee, after 1 s. Lost work and waits count by pace. The policy option uses_paces switches all of it off.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -40,6 +40,11 @@
     "worker crashed; another incarnation took its place",
     "A job whose subtasks stand in several such lines may be the cause; see the worker's own log.",
 )
+WORKER_PACE = Event(
+    7334,
+    "estimate of a worker's pace changed",
+    "Nothing to do; its runs take this many times as long as usual, urgent work avoids slow ones.",
+)
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -20,6 +20,7 @@
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.run_stops import RunStops
 from agateferry_jobs.cell.suspects import SuspectWorkers
+from agateferry_jobs.cell.worker_paces import WorkerPaces
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
 from agateferry_jobs.ledger import Job, Ledger, commands
@@ -62,6 +63,7 @@
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
         self._refusals = Backoff[RunKey](REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
         self._sessions = WorkerSessions(ledger, clock, make_port, lease_ms, max_report_age_ms, self)
+        self._paces = WorkerPaces(ledger)
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
@@ -198,6 +200,7 @@
             await self._sessions.end_lost_runs()
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
+        self._paces.update(lambda: self._sessions.progress(self._wall_offset_ms), self.now_ms)
         self.request_planning()
 
     async def _give_up_guilty_jobs(self) -> None:
@@ -211,6 +214,7 @@
         fleet = Fleet.from_ledger(
             self._ledger, self._sessions.health(self._is_suspect), self._sessions.stopping_runs()
         )
+        fleet.set_paces(self._paces.current)
         held = self._refusals.held(self._clock.now_ms())
         return Planner(self._ledger, fleet, self.now_ms, held=held).plan()
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -9,6 +9,7 @@
 from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.planning.paces import Progress
 from agateferry_jobs.workers.lease import Lease, max_local_ms
 from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.session import (
@@ -135,6 +136,18 @@
             if tracked.is_stopping
         }
 
+    def progress(self, wall_offset_ms: int) -> dict[RunKey, Progress]:
+        """Return how far the runs were when their progress last changed.
+
+        `wall_offset_ms` is the wall-clock time less the monotonic clock's.
+        """
+        return {
+            key: Progress(tracked.run, tracked.percent, tracked.last_progress_ms + wall_offset_ms)
+            for session in self.by_id.values()
+            for key, tracked in session.runs.items()
+            if tracked.percent > 0 and not tracked.is_stopping
+        }
+
     def knows_all(self) -> bool:
         """Return whether each worker has answered a poll of this leader, or failed to."""
         return all(session.is_known for session in self.by_id.values())
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/worker_speeds.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/worker_speeds.py
@@ -44,7 +44,7 @@
 """The variance of the runs of one step on workers of one pace."""
 GROUP_VARIANCE = 0.05**2
 """The variance that remains however many runs of one step a worker ends."""
-MAX_STEPS_KEPT = 128
+MAX_STEPS_KEPT = 64
 """How many steps whose runs end are kept at most; the oldest are dropped first."""
 SPREAD_INTERVAL_MS = 250
 """How often the spread of the paces is computed at most."""
@@ -57,7 +57,7 @@
 """By how many deviations of chance the paces must differ more than their errors explain."""
 
 
-class WorkerEvidence(Struct):
+class WorkerEvidence(Struct, array_like=True):
     """What is known of one incarnation: the sum of evidence as of `at_ms`."""
 
     born: int
@@ -74,7 +74,7 @@
         self.at_ms = max(at_ms, self.at_ms)
 
 
-class StepRuns(Struct):
+class StepRuns(Struct, array_like=True):
     """The done runs of one step on one incarnation, and what they last told about its pace."""
 
     born: int
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -4,6 +4,7 @@
 
 START_BUCKETS_S = (0.02, 0.05, 0.1, 0.3, 1.0, 3.6, 10.0, 30.0)
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+PACE_BUCKETS = (0.4, 0.6, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5, 5.0)
 LOOP_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
 
 REPLIES = Counter(
@@ -51,6 +52,11 @@
 ROWS_UNREADABLE = Counter(
     "agateferry_jobs_rows_unreadable", "Rows in workers' lists of runs that could not be read."
 )
+WORKER_PACE = Histogram(
+    "agateferry_jobs_worker_pace",
+    "Estimated paces of workers when they changed considerably; 1 is usual, 2 is twice as long.",
+    buckets=PACE_BUCKETS,
+)
 PLAN_SECONDS = Histogram(
     "agateferry_jobs_plan_seconds",
     "Time that a plan holds the leader's event loop.",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -1,5 +1,6 @@
 """The workers as the planner sees them: what is free now and once all stopping runs have ended."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -9,9 +10,13 @@
 from agateferry_jobs.ledger.specs import Resources, StepSpec
 from agateferry_jobs.ledger.state import gang_of
 
+WorkerKey = tuple[str, int]
+"""The id and `born` of a worker's incarnation."""
 RunKey = tuple[str, str]
 """A job's id and a subtask's name."""
 NOTHING = Resources()
+PACE_CLASS_WIDTH = 0.2
+"""Workers whose log paces differ by less count as equal, so that placement packs them as usual."""
 UNLIMITED_SUBTASKS = 2**31
 """More subtasks than any worker holds, for a resource that a subtask does not need."""
 
@@ -45,6 +50,8 @@
     subtask: str
     step: StepSpec
     is_stopping: bool
+    pace: float = 1.0
+    """The pace of its worker."""
 
 
 @dataclass(slots=True)
@@ -65,6 +72,10 @@
     runs: list[AllocatedRun] = field(default_factory=list)
     trial_job: str = ""
     """The id of a suspected job that runs here; until it has shown to be safe, no other starts."""
+    pace: float = 1.0
+    """How many times as long as usual its runs take; 1 where paces are not known to differ."""
+    pace_class: int = 0
+    """The logarithm of the pace in steps of `PACE_CLASS_WIDTH`."""
     version: int = 0
     """Grows with each change of the runs or of what is free."""
 
@@ -78,6 +89,13 @@
         """Return the free slots once all stopping runs have ended."""
         return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
 
+    def set_pace(self, pace: float) -> None:
+        """Set the pace of the worker and of the runs on it."""
+        self.pace = pace
+        self.pace_class = round(math.log(pace) / PACE_CLASS_WIDTH)
+        for run in self.runs:
+            run.pace = pace
+
     def can_ever_run(self, step: StepSpec) -> bool:
         """Return whether a subtask would fit here if the worker were empty and at its largest."""
         if step.required_label and step.required_label not in self.incarnation.labels:
@@ -142,8 +160,8 @@
         )
 
 
-CandidateKey = tuple[str, Resources, str]
-"""A service, what a subtask needs, and the label that its worker must have."""
+CandidateKey = tuple[str, Resources, str, float]
+"""A service, what a subtask needs, the label that its worker must have, and a limit of its pace."""
 
 
 class CandidateWorkers:
@@ -153,13 +171,30 @@
     grouped by rack. `awaited` ones will be usable once they have reported.
     """
 
-    def __init__(self, key: CandidateKey, feasible: list[WorkerAllocation]) -> None:
-        self.key = key
+    def __init__(
+        self,
+        key: tuple[str, Resources, str],
+        feasible: list[WorkerAllocation],
+        pace_limit: float = math.inf,
+    ) -> None:
+        self.key: CandidateKey = (*key, pace_limit)
+        self._within_pace: dict[float, CandidateWorkers] = {}
         self.service = key[0]
+        self.is_paced = pace_limit < math.inf
+        """Whether slower workers are left out, so that a rack may hold more than it shows here."""
         self.feasible = feasible
         self.usable = [worker for worker in feasible if worker.health.may_start_runs]
         self.awaited = [worker for worker in feasible if worker.health.reports_soon]
 
+    def within_pace(self, limit: float) -> "CandidateWorkers":
+        """Return those of the workers whose runs take up to `limit` times as long as usual."""
+        found = self._within_pace.get(limit)
+        if found is None:
+            workers = [worker for worker in self.feasible if worker.pace <= limit]
+            found = CandidateWorkers(self.key[:3], workers, limit)
+            self._within_pace[limit] = found
+        return found
+
     @cached_property
     def feasible_racks(self) -> list[list[WorkerAllocation]]:
         """Return the feasible workers of each rack; only gangs that prefer one rack ask for it."""
@@ -180,7 +215,8 @@
         for worker in workers:
             self.by_service[worker.incarnation.service].append(worker)
             self._by_id[worker.incarnation.id] = worker
-        self._candidates: dict[CandidateKey, CandidateWorkers] = {}
+        self._candidates: dict[tuple[str, Resources, str], CandidateWorkers] = {}
+        self.slowest_pace = self.fastest_pace = 1.0
         self._trials: Counter[str] = Counter()
 
     @classmethod
@@ -217,6 +253,21 @@
             found = self._candidates[key] = CandidateWorkers(key, feasible)
         return found
 
+    def set_paces(self, paces: Mapping[WorkerKey, float]) -> None:
+        """Set the paces of the incarnations in `paces`, and 1 for all others."""
+        if not paces and not self.has_paces:
+            return
+        for worker in self._by_id.values():
+            incarnation = worker.incarnation
+            worker.set_pace(paces.get((incarnation.id, incarnation.born), 1.0))
+        values = [worker.pace for worker in self._by_id.values()]
+        self.slowest_pace, self.fastest_pace = max(values, default=1.0), min(values, default=1.0)
+
+    @property
+    def has_paces(self) -> bool:
+        """Return whether the workers are known to differ in pace."""
+        return self.slowest_pace > self.fastest_pace
+
     def mark_trials(self, trials: Iterable[tuple[Job, str, Run]]) -> None:
         """Keep the workers of suspects on trial from other work; stopping runs end soon."""
         for job, subtask, run in trials:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -38,6 +38,10 @@
     """The most work that a preempted run with a checkpoint counts as losing."""
     stop_loss_s: float = 1.5
     """What every preempted run counts as losing, besides its work: the stop and the restore."""
+    uses_paces: bool = True
+    """Whether placement and preemption respect the paces of workers that are known to differ."""
+    waits_for_pace: bool = True
+    """Whether urgent work preempts on fast workers rather than start where it would be late."""
 
 
 DEFAULT_OPTIONS = PolicyOptions()
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -25,6 +25,7 @@
 )
 from agateferry_jobs.planning.future_capacity import FutureCapacity
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
+from agateferry_jobs.planning.pace_limits import pace_limit, prefers_slow
 from agateferry_jobs.planning.preemption_cost import PreemptionCost, WaitCost
 from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
@@ -87,6 +88,8 @@
         self._ending = FutureCapacity(WaitCost(self._timing, now_ms))
         self._failures = FailedSearches()
         self._suspects = CrashSuspects(ledger, now_ms)
+        if not options.uses_paces:
+            fleet.set_paces({})
         fleet.mark_trials(self._suspects.on_trial())
 
     def plan(self) -> Plan:
@@ -156,6 +159,7 @@
             waited_ms=waited,
             hopeless_after_ms=self._timing.hopeless_after_ms(job),
             waited_slack_share=waited / max(1.0, self._timing.slack_ms(job)),
+            prefers_slow=prefers_slow(job, self._ranks[job.id], waited, self._fleet, self._timing),
         )
         yield from self._split_suspects(ready)
 
@@ -183,20 +187,31 @@
 
     def _place(self, ready: ReadySubtasks) -> None:
         candidates = self._fleet.candidates(self._service_of(ready.job), ready.step)
+        limit = pace_limit(ready, self._fleet, self._timing, self._options)
+        if limit is not None:
+            left = self._place_on(candidates.within_pace(limit), ready)
+            if not left:
+                return
+            ready = replace(ready, names=left)
+        self._place_on(candidates, ready)
+
+    def _place_on(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> tuple[str, ...]:
+        """Start subtasks on these workers, or reserve room there; return those left without any."""
         selector = self._selector(candidates, ready)
         if ready.step.is_gang:
             workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
             if workers is None:
-                self._reserve_or_preempt(ready, selector, ready.names)
-                return
+                found = self._reserve_or_preempt(ready, selector, ready.names)
+                return () if found else ready.names
             self._start(ready, ready.names, workers)
-            return
+            return ()
         for position, name in enumerate(ready.names):
             worker = self._failures.search(selector.subtask_key(), selector.select_for_subtask)
             if worker is None:
-                self._reserve_or_preempt(ready, selector, ready.names[position:])
-                return
+                names = ready.names[position:]
+                return () if self._reserve_or_preempt(ready, selector, names) else names
             self._start(ready, (name,), (worker,))
+        return ()
 
     def _selector(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> WorkerSelector:
         trials = self._fleet.count_trials(candidates.service)
@@ -230,13 +245,16 @@
 
     def _reserve_or_preempt(
         self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]
-    ) -> None:
-        """Reserve resources for subtasks that cannot start; preempt if the policy allows it."""
+    ) -> bool:
+        """Reserve resources for subtasks that cannot start; preempt if the policy allows it.
+
+        Returns whether resources for all of them were found.
+        """
         if waits_for_trial(ready) or selector.awaits_report():
-            return
+            return False
         policy = self._preemption_policy(ready)
         if policy is PreemptionPolicy.WAIT:
-            return
+            return False
         preempts = policy is PreemptionPolicy.PREEMPT
         capacity = self._preemptible if preempts else self._ending
         placements = self._failures.search(
@@ -249,6 +267,7 @@
                     self._preempt(victim, ready)
             worker.reserve(ready.step.need)
             self._failures.record_change()
+        return bool(placements)
 
     def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
         """Return what ready subtasks that cannot start may do to other work."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -63,11 +63,11 @@
         job = allocated_run.job
         expected_ms = self._timing.expected_duration_ms(job, step_number(allocated_run.subtask))
         ran_ms = self._now_ms - job.subtasks[allocated_run.subtask].started_ms
-        return max(0, expected_ms - ran_ms)
+        return max(0, expected_ms * allocated_run.pace - ran_ms)
 
 
 class PreemptionCost(CapacityCost):
-    """Preempt runs; the cost is the lost work in core-seconds, weighted by rank."""
+    """Preempt runs; the cost is the lost work in core-seconds at pace 1, weighted by rank."""
 
     def __init__(self, ranks: Mapping[str, int], now_ms: int, options: PolicyOptions) -> None:
         super().__init__(now_ms)
@@ -83,7 +83,8 @@
         options = self._options
         job, step = allocated_run.job, allocated_run.step
         members = step.count if step.is_gang else 1
-        lost_s = max(0, self._now_ms - job.subtasks[allocated_run.subtask].started_ms) / MS_PER_S
+        ran_ms = max(0, self._now_ms - job.subtasks[allocated_run.subtask].started_ms)
+        lost_s = ran_ms / MS_PER_S / allocated_run.pace
         if step.saves_checkpoints and options.values_checkpoints:
             lost_s = min(lost_s, options.checkpoint_loss_s)
         ranks_above_lowest = LOWEST_RANK - self._ranks.get(job.id, LOWEST_RANK)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -1,5 +1,6 @@
 """How long a job may wait and still meet its objective, by the expected duration of its steps."""
 
+import math
 from enum import IntEnum
 
 from agateferry_jobs.ledger import Job, Ledger
@@ -82,6 +83,11 @@
         slack = self.slack_ms(job)
         return slack + (LATE_FACTOR - 1) * (slack + self.critical_path_ms(job))
 
+    def pace_limit(self, job: Job, waited_ms: int) -> float:
+        """Return the largest pace at which a job that has waited this long can end in time."""
+        path_ms = self.critical_path_ms(job)
+        return 1 + (self.slack_ms(job) - waited_ms) / path_ms if path_ms else math.inf
+
     def lateness(self, job: Job, waited_ms: int) -> Lateness:
         """Return whether a job that has waited this long can still end in time or late."""
         if waited_ms <= self.slack_ms(job):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -67,6 +67,9 @@
     def _shares_only_with_peers(self) -> bool:
         return False
 
+    def _pace_key(self, worker: WorkerAllocation) -> float:
+        return 0
+
     def _sort_key(self, worker: WorkerAllocation) -> tuple[float, ...]:
         """Return the sort key of workers: those where a crash would cost the least go first."""
         ranks = [self._ranks.get(run.job.id, LOWEST_RANK) for run in worker.runs]
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -95,11 +95,11 @@
         in_data_rack = [worker for worker in fitting if self._is_in_data_rack(worker)]
         if (
             not in_data_rack
-            and self._waits_for_rack
+            and (self._waits_for_rack or self._candidates.is_paced)
             and any(self._is_in_data_rack(worker) for worker in self._candidates.feasible)
         ):
             return None
-        return min(in_data_rack or fitting, key=self._sort_key, default=None)
+        return min(in_data_rack or fitting, key=self._order, default=None)
 
     def _eligible_workers(self) -> list[WorkerAllocation]:
         """Return the workers that these subtasks may use.
@@ -141,8 +141,13 @@
         if found:
             return min(
                 found,
-                key=lambda workers: sum(self._sort_key(worker)[1] for worker in distinct(workers)),
+                key=lambda workers: (
+                    max(map(self._pace_key, workers)),
+                    sum(self._sort_key(worker)[1] for worker in distinct(workers)),
+                ),
             )
+        if self._candidates.is_paced:
+            return None
         racks = (
             self._candidates.feasible_racks if self._is_rack_gang else [self._candidates.feasible]
         )
@@ -177,7 +182,7 @@
     ) -> tuple[WorkerAllocation, ...] | None:
         """Return a worker of a group for each of `count` subtasks, the fullest workers first."""
         chosen: list[WorkerAllocation] = []
-        for worker in sorted(self._open(group), key=self._sort_key):
+        for worker in sorted(self._open(group), key=self._order):
             fitting = min(self._max_subtasks(worker, worker.free), worker.free_slots)
             chosen += [worker] * min(fitting, count - len(chosen))
         return tuple(chosen) if len(chosen) == count else None
@@ -204,6 +209,14 @@
     def _is_in_data_rack(self, worker: WorkerAllocation) -> bool:
         return not self._step.data_rack or worker.incarnation.rack == self._step.data_rack
 
+    def _order(self, worker: WorkerAllocation) -> tuple[float, ...]:
+        """Return the sort key of workers: not suspect first, then by pace, then by `_sort_key`."""
+        return (worker.health.is_suspect, self._pace_key(worker), *self._sort_key(worker))
+
+    def _pace_key(self, worker: WorkerAllocation) -> float:
+        """Return the sort key of workers by pace; 0 for all where paces are not known to differ."""
+        return -worker.pace_class if self._ready.prefers_slow else worker.pace_class
+
     def _sort_key(self, worker: WorkerAllocation) -> tuple[float, ...]:
         """Return the sort key of workers: not suspect first, then by what is free."""
         return (worker.health.is_suspect, worker.free.gpu, worker.free.cpu)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -11,6 +11,7 @@
 from agateferry_jobs.manifest import Manifest, Queue, Service, Team
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.planning.paces import PaceTracker, Progress
 from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import FaultSchedule
 from agateferry_jobs.simulation.loads import Load
@@ -23,6 +24,8 @@
 """How long the simulation goes on after the last arrivals, so that late jobs can end."""
 REFUSAL_DELAY_RANGE_MS = (500, 1_200)
 """After how long the leader knows that a start without an answer will not be carried out."""
+POLL_INTERVAL_MS = 1_500
+"""How often workers report the progress of their runs."""
 CALL_TIMEOUT_MS = 3_000
 """The time limit of callers' calls, which the manifest requires; a simulation has no calls."""
 CROSS_RACK_SLOWDOWN = 3
@@ -62,6 +65,9 @@
         self._policy = policy
         self._rng = random.Random(seed)
         self._ledger = Ledger()
+        self._paces = PaceTracker(self._ledger)
+        self._progress: dict[RunKey, Progress] = {}
+        """What the workers have reported of the runs."""
         self._groups: list[RunningGroup] = []
         self._failed: dict[str, int] = {}
         self._unreported: list[tuple[RunningGroup, commands.RunOutcome]] = []
@@ -91,6 +97,8 @@
             is_changed |= self._update_faults()
             is_changed |= self._submit_due_jobs()
             is_changed |= self._advance_all()
+            if self._now_ms % POLL_INTERVAL_MS == 0:
+                self._poll()
             if self._has_leader and (is_changed or self._now_ms % TICK_MS == 0):
                 self._report_ends()
                 self._plan()
@@ -155,6 +163,15 @@
         self._groups = [group for group in self._groups if group not in ended]
         return bool(ended)
 
+    def _poll(self) -> None:
+        """Learn the progress of all runs on workers that can be reached."""
+        self._progress = {
+            (group.job.id, name): Progress(run, 100 * group.done_ms / group.work_ms, self._now_ms)
+            for group in self._groups
+            for name, run in group.members.items()
+            if group.stops_at_ms is None and run.worker not in self._unreachable
+        }
+
     def _advance(self, group: RunningGroup) -> bool:
         """Advance a group by one time step; return whether it ended."""
         workers = {run.worker for run in group.members.values()}
@@ -207,6 +224,9 @@
         }
         health = {id: WorkerHealth(answers=id not in self._unreachable) for id in self._racks}
         fleet = Fleet.from_ledger(self._ledger, health, stopping)
+        if self._paces.is_due(self._now_ms):
+            self._paces.update(self._progress, self._now_ms)
+        fleet.set_paces(self._paces.paces)
         plan = self._policy.plan(self._ledger, fleet, self._now_ms)
         for stop in plan.stops:
             for group in self._groups:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -86,6 +86,8 @@
     "no-borrowed-preemption": LeaderPolicy(borrowed_work_preempts=False),
     "no-rack-wait": LeaderPolicy(waits_for_rack=False),
     "no-data-rack-wait": LeaderPolicy(waits_for_data_rack=False),
+    "no-paces": LeaderPolicy(uses_paces=False),
+    "no-pace-wait": LeaderPolicy(waits_for_pace=False),
     "no-checkpoint-value": LeaderPolicy(values_checkpoints=False),
 }
 """The leader's policy without one of its parts each."""
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_uneven_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_uneven_workers.py
@@ -4,9 +4,9 @@
 
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.simulation.day_simulation import DaySimulation
-from agateferry_jobs.simulation.drawing import SimulatedJob
-from agateferry_jobs.simulation.loads import BATCH, UNEVEN_QUIET, URGENT
-from agateferry_jobs.simulation.policies import LeaderPolicy
+from agateferry_jobs.simulation.drawing import SimulatedJob, draw_jobs
+from agateferry_jobs.simulation.loads import BATCH, LOADS, UNEVEN_QUIET, URGENT
+from agateferry_jobs.simulation.policies import ABLATIONS, LeaderPolicy
 
 SEEDS = range(1, 11)
 LOAD = replace(UNEVEN_QUIET, workers=12, teams=1, duration_s=12.0)
@@ -24,8 +24,7 @@
 def in_time_days(urgent, policy):
     """Return on how many days an urgent job is in time after batch jobs ran on each worker."""
     batches = [
-        job(f"batch-{number}", BATCH, number * 3_500, 2_000, 96, SMALL)
-        for number in range(2)
+        job(f"batch-{number}", BATCH, number * 3_500, 2_000, 96, SMALL) for number in range(2)
     ]
     return sum(is_in_time(urgent, batches, policy, seed) for seed in SEEDS)
 
@@ -49,3 +48,18 @@
         """Guards against a gang that is late because of one member on a slow worker."""
         urgent = job("urgent", URGENT, WARM_UP_MS, 4_000, 4, WHOLE_WORKER, is_gang=True)
         self.assertEqual(10, in_time_days(urgent, LeaderPolicy()))
+
+
+class EqualWorkersTests(testtools.TestCase):
+    def test_a_day_is_the_same_with_and_without_paces(self):
+        """Guards against plans that follow chance differences on earlier deployments."""
+        load = replace(LOADS["even"], workers=48, duration_s=20.0)
+        kinds = tuple(replace(kind, per_s=kind.per_s * 0.3) for kind in load.kinds)
+        load = replace(load, kinds=kinds)
+        for seed in (1, 2, 3):
+            jobs = draw_jobs(load, seed)
+            days = [
+                DaySimulation(load, jobs, policy, seed).run()
+                for policy in (LeaderPolicy(), ABLATIONS["no-paces"])
+            ]
+            self.assertEqual(*days)
