--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -21,6 +21,7 @@
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.run_stops import RunStops
 from agateferry_jobs.cell.suspects import SuspectWorkers
+from agateferry_jobs.cell.worker_paces import WorkerPaces
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
 from agateferry_jobs.ledger import Job, Ledger, commands
@@ -71,6 +72,7 @@
         self._evacuations = ZoneEvacuations(
             ledger, self._sessions, self._proposer, self.request_planning
         )
+        self._paces = WorkerPaces(ledger)
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
@@ -215,6 +217,7 @@
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
         self._evacuations.check()
+        self._paces.update(lambda: self._sessions.progress(self._wall_offset_ms), self.now_ms)
         self.request_planning()
 
     async def _give_up_guilty_jobs(self) -> None:
@@ -231,6 +234,7 @@
             self._sessions.stopping_runs(),
             self._zone_regions,
         )
+        fleet.set_paces(self._paces.current)
         held = self._refusals.held(self._clock.now_ms())
         return Planner(self._ledger, fleet, self.now_ms, held=held).plan()
 
