Judge waiting work by what it can still earn, where capacity is scarce

Cause: ranks went strictly first, so urgent jobs that were late already took and preempted capacity that other work could still be in time with, and a preemption counted lost work by rank alone. Teams of very different size competed by acceptance.

Change: where more waits than is free, work beyond a guarantee that can no longer be in time goes last and preempts nothing; a preemption costs what the stopped jobs earn less and what their lost work would earn, and is made only if the job gains half of that or more; among equals the team with the least dominant share goes first. Plans say why each job waits, which the leader logs (7315) and counts. Each part is a field of PolicyOptions.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -17,6 +17,11 @@
     "job given up because workers crashed under one of its subtasks",
     "See crashes, and 7333 of each worker for what else ran there; the caller should mend the job.",
 )
+JOB_WAITS = Event(
+    7315,
+    "job waits",
+    "See the reason in docs/OPERATIONS.md, why a job waits; 7320 follows once it is placed.",
+)
 RUN_STARTED = Event(7320, "run placed", "Nothing to do; 7321 says how the run ended.")
 RUN_ENDED = Event(7321, "run ended", "Unless how is done, see the worker's own log.")
 RUN_STOPPING = Event(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -20,6 +20,7 @@
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.run_stops import RunStops
 from agateferry_jobs.cell.suspects import SuspectWorkers
+from agateferry_jobs.cell.waiting_jobs import WaitingJobs
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
 from agateferry_jobs.ledger import Job, Ledger, commands
@@ -71,6 +72,7 @@
         self._ticker: asyncio.Task[None] | None = None
         self._has_taken_over = False
         self._leading_since_ms = 0
+        self._waiting_jobs = WaitingJobs(ledger)
         self._plan_loop = PlanLoop(
             clock, ledger, self, make=lambda: self._make_plan(), execute=self._execute
         )
@@ -216,6 +218,7 @@
 
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
+        self._waiting_jobs.observe(plan, self.now_ms)
         for stop in plan.stops:
             self._stops.stop(
                 stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
@@ -0,0 +1,52 @@
+import testtools
+
+from agateferry_jobs import metrics
+from agateferry_jobs.cell.waiting_jobs import LOG_INTERVAL_MS, WaitingJobs
+from agateferry_jobs.ledger import Ledger, commands
+from agateferry_jobs.planning import Plan
+from agateferry_jobs.planning.wait_reasons import WaitReason
+from agateferry_jobs.support import job_command
+
+
+class RecordingLog:
+    def __init__(self):
+        self.lines = []
+
+    def info(self, event, **fields):
+        self.lines.append((event.number, fields))
+
+
+class WaitingJobsTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        ledger = Ledger()
+        ledger.apply(1, commands.encode(job_command("j", at_ms=100)))
+        self.waiting = WaitingJobs(ledger)
+        self.log = self.waiting._log = RecordingLog()
+
+    def observe(self, now_ms, reason):
+        waits = {"j": reason} if reason else {}
+        self.waiting.observe(Plan(waits=waits), now_ms)
+
+    def counted(self, reason):
+        return metrics.PASSED_OVER.labels(reason.value)._value.get()
+
+    def test_a_reason_is_logged_and_counted_once(self):
+        before = self.counted(WaitReason.LATE)
+        for now_ms in (500, 600):
+            self.observe(now_ms, WaitReason.LATE)
+        self.assertEqual(before + 1, self.counted(WaitReason.LATE))
+        fields = {"job": "j", "reason": "late", "waited_ms": 400, "priority": 1, "team": "team"}
+        self.assertEqual([(7315, fields)], self.log.lines)
+
+    def test_a_reason_that_alternates_is_logged_at_intervals(self):
+        """A job whose reason changes with each plan would fill the log."""
+        for now_ms in range(0, LOG_INTERVAL_MS + 1, 100):
+            self.observe(now_ms, WaitReason.NO_ROOM if now_ms % 200 else WaitReason.RESERVED)
+        self.assertEqual(2, len(self.log.lines))
+
+    def test_a_job_that_has_started_is_forgotten(self):
+        self.observe(0, WaitReason.NO_ROOM)
+        self.observe(100, None)
+        self.observe(200, WaitReason.NO_ROOM)
+        self.assertEqual(2, len(self.log.lines))
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
@@ -0,0 +1,47 @@
+"""Log and count why jobs wait."""
+
+from agateferry_core.logs import EventLogger
+from agateferry_jobs import metrics
+from agateferry_jobs.cell import events
+from agateferry_jobs.ledger import Ledger
+from agateferry_jobs.planning import Plan
+from agateferry_jobs.planning.wait_reasons import WaitReason
+
+LOG_INTERVAL_MS = 2_000
+"""How often a changed reason of one job is logged at most; the counter takes every change."""
+
+
+class WaitingJobs:
+    """The reason for which each job waits, from one plan to the next."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+        self._reasons: dict[str, WaitReason] = {}
+        self._logged_ms: dict[str, int] = {}
+        self._log = EventLogger()
+
+    def observe(self, plan: Plan, now_ms: int) -> None:
+        """Count the reasons that are new in a plan, and log those of jobs not logged just now."""
+        for id, reason in plan.waits.items():
+            if self._reasons.get(id) is reason:
+                continue
+            metrics.PASSED_OVER.labels(reason.value).inc()
+            logged_ms = self._logged_ms.get(id)
+            if logged_ms is None or now_ms - logged_ms >= LOG_INTERVAL_MS:
+                self._logged_ms[id] = now_ms
+                self._log_wait(id, reason, now_ms)
+        self._reasons = dict(plan.waits)
+        self._logged_ms = {id: at for id, at in self._logged_ms.items() if id in plan.waits}
+
+    def _log_wait(self, id: str, reason: WaitReason, now_ms: int) -> None:
+        job = self._ledger.jobs.get(id)
+        if job is None:
+            return
+        self._log.info(
+            events.JOB_WAITS,
+            job=id,
+            reason=reason.value,
+            waited_ms=now_ms - job.accepted_ms,
+            priority=job.priority,
+            team=job.team,
+        )
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -29,6 +29,11 @@
     ["priority"],
     buckets=START_BUCKETS_S,
 )
+PASSED_OVER = Counter(
+    "agateferry_jobs_passed_over",
+    "Jobs that a plan could not start, by reason; counted once until the reason changes.",
+    ["reason"],
+)
 COMMANDS_FAILED = Counter(
     "agateferry_jobs_commands_failed",
     "Commands of the ledger that met an unexpected error and were skipped.",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -6,6 +6,22 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum, auto
+
+
+class ScarceOrder(Enum):
+    """How jobs beyond a guarantee that are equally late are ordered where capacity is scarce."""
+
+    RANK = auto()
+    """By their rank, then as on a day with room."""
+    DEADLINE = auto()
+    """By the time that is left to their objective."""
+    LEAST_WORK = auto()
+    """By their work, the least first."""
+    VALUE = auto()
+    """By what they can still earn for each worker-second of the resource that they need most of."""
+    AGED_VALUE = auto()
+    """As by value, which grows with the share of its slack that a job has waited."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,5 +55,16 @@
     stop_loss_s: float = 1.5
     """What every preempted run counts as losing, besides its work: the stop and the restore."""
 
+    late_work_yields: bool = True
+    """Whether, where capacity is scarce, late work goes last and preempts none, but for rank 0."""
+    values_victims: bool = True
+    """Whether, where capacity is scarce, a preemption counts what the stopped jobs earn less."""
+    max_preemption_cost: float = 2.0
+    """What a preemption may cost at most, as a multiple of what the job gains, if it is valued."""
+    scarce_order: ScarceOrder = ScarceOrder.RANK
+    """How jobs are ordered where capacity is scarce; rank 0 goes first in all of them."""
+    shares_fairly: bool = True
+    """Whether, where capacity is scarce, teams with less in use go first within a rank."""
+
 
 DEFAULT_OPTIONS = PolicyOptions()
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field, replace
-from enum import Enum, auto
 
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
@@ -16,6 +15,7 @@
 from agateferry_jobs.ledger.state import gang_of
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
+from agateferry_jobs.planning.fair_shares import shares_in_use
 from agateferry_jobs.planning.fleet import (
     AllocatedRun,
     CandidateWorkers,
@@ -23,24 +23,25 @@
     RunKey,
     WorkerAllocation,
 )
-from agateferry_jobs.planning.future_capacity import FutureCapacity
+from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
+from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
+from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
-from agateferry_jobs.planning.preemption_cost import PreemptionCost, WaitCost
-from agateferry_jobs.planning.ranks import BORROWED_RANK, rank_jobs
+from agateferry_jobs.planning.preemption_cost import (
+    PreemptionCost,
+    ValuedPreemptionCost,
+    WaitCost,
+)
+from agateferry_jobs.planning.preemption_policy import PreemptionPolicy, PreemptionRules
+from agateferry_jobs.planning.ranks import GUARANTEED_RANK, rank_jobs
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
-from agateferry_jobs.planning.timing import Lateness, Timing, first_unfinished_occurrence
+from agateferry_jobs.planning.scarcity import is_capacity_scarce
+from agateferry_jobs.planning.timing import Timing
 from agateferry_jobs.planning.trial_selection import TrialSelector, waits_for_trial
+from agateferry_jobs.planning.wait_reasons import WaitReason
 from agateferry_jobs.planning.worker_selection import WorkerSelector
 
 
-class PreemptionPolicy(Enum):
-    """What ready subtasks that cannot start may do to other work."""
-
-    WAIT = auto()
-    RESERVE = auto()
-    PREEMPT = auto()
-
-
 @dataclass(frozen=True, slots=True)
 class Stop:
     """A run to stop, and the id and the rank of the job that gets its resources."""
@@ -57,6 +58,8 @@
 
     starts: list[RunStart] = field(default_factory=list)
     stops: list[Stop] = field(default_factory=list)
+    waits: dict[str, WaitReason] = field(default_factory=dict)
+    """By job id, why subtasks that could start wait."""
     errors: dict[str, str] = field(default_factory=dict)
     """By job id, the unexpected error for which a job was left out; the others are planned."""
 
@@ -83,7 +86,10 @@
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
-        self._preemptible = FutureCapacity(PreemptionCost(self._ranks, now_ms, options))
+        self._values = JobValues(list(ledger.jobs.values()), self._timing, now_ms)
+        self._is_scarce = False
+        self._cost = PreemptionCost(self._ranks, now_ms, options)
+        self._preemptible = FutureCapacity(self._cost)
         self._ending = FutureCapacity(WaitCost(self._timing, now_ms))
         self._failures = FailedSearches()
         self._suspects = CrashSuspects(ledger, now_ms)
@@ -91,36 +97,44 @@
 
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
-        for job in self._waiting_jobs():
+        waiting = self._waiting_jobs()
+        self._judge_capacity(waiting)
+        is_fair = self._is_scarce and self._options.shares_fairly
+        shares = shares_in_use(self._fleet, self._ranks) if is_fair else None
+        order = JobOrder(self._ranks, self._values, self._options, self._is_scarce, shares)
+        for job, all_ready in order.sort(waiting):
             try:
-                self._plan_job(job)
+                for ready in all_ready:
+                    self._place(ready)
             except Exception as exc:
                 self._plan.errors[job.id] = repr(exc)
         return self._plan
 
-    def _plan_job(self, job: Job) -> None:
-        for ready in self._ready_subtasks(job):
-            self._place(ready)
-
-    def _waiting_jobs(self) -> list[Job]:
-        jobs = [job for job in self._ledger.jobs.values() if not job.is_over]
-        return sorted(jobs, key=self._sort_key)
-
-    def _sort_key(self, job: Job) -> tuple[int, int, float, str]:
-        """Return the sort key of jobs.
-
-        Urgent jobs are planned in the order in which they were accepted. The others are ordered by
-        their lateness, then by the slack that is left: the largest gang of a rank often waits
-        longest for its workers, and a short job that is late anyway must not go before it.
-        """
-        rank = self._ranks[job.id]
-        if rank <= BORROWED_RANK:
-            return (rank, 0, job.accepted_ms, job.id)
-        waited = self._timing.waited_ms(job, first_unfinished_occurrence(job), self._now_ms)
-        lateness = self._timing.lateness(job, waited) if self._options.orders_by_lateness else 0
-        remaining_slack_ms = self._timing.slack_ms(job) - waited
-        order = remaining_slack_ms if self._options.orders_by_slack else job.accepted_ms
-        return (rank, lateness, order, job.id)
+    def _waiting_jobs(self) -> list[PlannedJob]:
+        """Return the jobs that have subtasks which may start now."""
+        waiting: list[PlannedJob] = []
+        for job in self._ledger.jobs.values():
+            if job.is_over:
+                continue
+            try:
+                all_ready = tuple(self._ready_subtasks(job))
+            except Exception as exc:
+                self._plan.errors[job.id] = repr(exc)
+                continue
+            if all_ready:
+                waiting.append((job, all_ready))
+        return waiting
+
+    def _judge_capacity(self, waiting: Sequence[PlannedJob]) -> None:
+        """Find out whether capacity is scarce; if it is, preemptions cost what callers lose."""
+        needs = [
+            (self._service_of(job), ready) for job, all_ready in waiting for ready in all_ready
+        ]
+        self._is_scarce = is_capacity_scarce(needs, self._fleet)
+        options, values = self._options, self._values
+        if self._is_scarce and options.values_victims and values.worth_per_core_second:
+            self._cost = ValuedPreemptionCost(self._ranks, self._now_ms, options, values)
+            self._preemptible = FutureCapacity(self._cost)
 
     def _ready_subtasks(self, job: Job) -> Iterator[ReadySubtasks]:
         for occurrence in range(job.spec.occurrences):
@@ -187,14 +201,14 @@
         if ready.step.is_gang:
             workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
             if workers is None:
-                self._reserve_or_preempt(ready, selector, ready.names)
+                self._wait(ready, selector, ready.names)
                 return
             self._start(ready, ready.names, workers)
             return
         for position, name in enumerate(ready.names):
             worker = self._failures.search(selector.subtask_key(), selector.select_for_subtask)
             if worker is None:
-                self._reserve_or_preempt(ready, selector, ready.names[position:])
+                self._wait(ready, selector, ready.names[position:])
                 return
             self._start(ready, (name,), (worker,))
 
@@ -228,45 +242,52 @@
         saved = [subtask for subtask in subtasks if subtask.checkpoint]
         return max(saved, key=lambda subtask: subtask.last_run).checkpoint if saved else ""
 
+    def _wait(self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]) -> None:
+        self._plan.waits[ready.job.id] = self._reserve_or_preempt(ready, selector, names)
+
     def _reserve_or_preempt(
         self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]
-    ) -> None:
-        """Reserve resources for subtasks that cannot start; preempt if the policy allows it."""
-        if waits_for_trial(ready) or selector.awaits_report():
-            return
-        policy = self._preemption_policy(ready)
+    ) -> WaitReason:
+        """Reserve resources for subtasks that cannot start; preempt if the policy allows it.
+
+        Return why they wait.
+        """
+        if waits_for_trial(ready):
+            return WaitReason.TRIAL
+        if selector.awaits_report():
+            return WaitReason.REPORT
+        rules = PreemptionRules(self._timing, self._options, self._is_scarce)
+        policy = rules.policy_for(ready)
         if policy is PreemptionPolicy.WAIT:
-            return
+            return WaitReason.NO_ROOM if rules.can_be_in_time(ready) else WaitReason.LATE
         preempts = policy is PreemptionPolicy.PREEMPT
         capacity = self._preemptible if preempts else self._ending
         placements = self._failures.search(
             selector.future_key(len(names), preempts),
             lambda: capacity.cheapest(selector.future_groups(), ready, len(names)),
         )
-        for worker, runs in placements or ():
+        if not placements:
+            return WaitReason.NOTHING_TO_STOP if preempts else WaitReason.NO_ROOM
+        if preempts and not self._is_worthwhile(ready, placements):
+            return WaitReason.TOO_COSTLY
+        self._keep(placements, ready, preempts)
+        return WaitReason.PREEMPTING if preempts else WaitReason.RESERVED
+
+    def _is_worthwhile(self, ready: ReadySubtasks, placements: FuturePlacements) -> bool:
+        """Return whether a preemption gains more than it costs; guaranteed work always may."""
+        if ready.rank == GUARANTEED_RANK:
+            return True
+        return self._cost.is_worthwhile(ready.job, [run for _, runs in placements for run in runs])
+
+    def _keep(self, placements: FuturePlacements, ready: ReadySubtasks, preempts: bool) -> None:
+        """Reserve placements for ready subtasks, and preempt the runs that are in their way."""
+        for worker, runs in placements:
             if preempts:
                 for victim in runs:
                     self._preempt(victim, ready)
             worker.reserve(ready.step.need)
             self._failures.record_change()
 
-    def _preemption_policy(self, ready: ReadySubtasks) -> PreemptionPolicy:
-        """Return what ready subtasks that cannot start may do to other work."""
-        if ready.rank <= BORROWED_RANK:
-            may_preempt = ready.rank < BORROWED_RANK or self._options.borrowed_work_preempts
-            return PreemptionPolicy.PREEMPT if may_preempt else PreemptionPolicy.RESERVE
-        if not ready.step.is_gang:
-            return PreemptionPolicy.WAIT
-        if self._timing.lateness(ready.job, ready.waited_ms) is not Lateness.IN_TIME:
-            return PreemptionPolicy.WAIT
-        if ready.waited_slack_share > self._options.preempt_after:
-            return PreemptionPolicy.PREEMPT
-        return (
-            PreemptionPolicy.RESERVE
-            if ready.waited_slack_share > self._options.reserve_after
-            else PreemptionPolicy.WAIT
-        )
-
     def _preempt(self, victim: AllocatedRun, ready: ReadySubtasks) -> None:
         """Stop a run, together with the other members if it belongs to a gang."""
         job = victim.job
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -1,16 +1,20 @@
 """The cost of the resources that a run holds: of preempting it, or of waiting for its end."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from agateferry_core.clock import MS_PER_S
-from agateferry_jobs.ledger.state import step_number
+from agateferry_jobs.ledger import Job
+from agateferry_jobs.ledger.state import gang_of, step_number
 from agateferry_jobs.planning.fleet import AllocatedRun, RunKey
+from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import LOWEST_RANK
 from agateferry_jobs.planning.timing import Timing
 
 RANK_WEIGHT = 3
 """The factor by which lost work counts more for each rank nearer to the first."""
+RESTART_DELAY_MS = 1_000
+"""How long a stopped run is expected to wait, with the stop, until it starts again."""
 
 
 class CapacityCost:
@@ -80,12 +84,75 @@
 
     def _compute(self, allocated_run: AllocatedRun) -> float:
         """Return the weighted work that is lost with a run and the rest of its gang."""
-        options = self._options
-        job, step = allocated_run.job, allocated_run.step
+        ranks_above_lowest = LOWEST_RANK - self._ranks.get(allocated_run.job.id, LOWEST_RANK)
+        return self._lost_core_s(allocated_run) * RANK_WEIGHT**ranks_above_lowest
+
+    def is_worthwhile(self, job: Job, runs: Iterable[AllocatedRun]) -> bool:
+        """Return whether a job may have these runs stopped, which it always may by rank."""
+        return True
+
+    def _lost_core_s(self, allocated_run: AllocatedRun) -> float:
+        """Return the core-seconds that are lost with a run and the rest of its gang."""
+        step = allocated_run.step
         members = step.count if step.is_gang else 1
-        lost_s = max(0, self._now_ms - job.subtasks[allocated_run.subtask].started_ms) / MS_PER_S
-        if step.saves_checkpoints and options.values_checkpoints:
-            lost_s = min(lost_s, options.checkpoint_loss_s)
-        ranks_above_lowest = LOWEST_RANK - self._ranks.get(job.id, LOWEST_RANK)
-        lost_core_s = members * step.need.weighted_cores * (lost_s + options.stop_loss_s)
-        return lost_core_s * RANK_WEIGHT**ranks_above_lowest
+        lost_s = self._lost_s(allocated_run) + self._options.stop_loss_s
+        return members * step.need.weighted_cores * lost_s
+
+    def _lost_s(self, allocated_run: AllocatedRun) -> float:
+        """Return the seconds of a run that have to be done again; a checkpoint saves the rest."""
+        subtask = allocated_run.job.subtasks[allocated_run.subtask]
+        ran_s = max(0, self._now_ms - subtask.started_ms) / MS_PER_S
+        if allocated_run.step.saves_checkpoints and self._options.values_checkpoints:
+            return min(ran_s, self._options.checkpoint_loss_s)
+        return ran_s
+
+
+class ValuedPreemptionCost(PreemptionCost):
+    """Preempt runs; the cost is what callers lose, where capacity is scarce.
+
+    A job whose run is stopped may earn less. Besides, the lost work takes capacity that other jobs
+    would earn with.
+    """
+
+    def __init__(
+        self, ranks: Mapping[str, int], now_ms: int, options: PolicyOptions, values: JobValues
+    ) -> None:
+        super().__init__(ranks, now_ms, options)
+        self._values = values
+
+    def is_worthwhile(self, job: Job, runs: Iterable[AllocatedRun]) -> bool:
+        """Return whether a job gains enough by the ends of these runs; a gang ends as a whole.
+
+        It does if the duration of one of them is not known, since nothing can be compared then.
+        """
+        victims = {_whole_key(run): run for run in runs}
+        if not all(self._values.core_seconds(run.job) for run in victims.values()):
+            return True
+        gain = self._values.gain_of_start(job)
+        return self.of_runs(list(victims.values())) <= self._options.max_preemption_cost * gain
+
+    def _compute(self, allocated_run: AllocatedRun) -> float:
+        """Return what is lost with a run and the rest of its gang."""
+        lost_work = self._lost_core_s(allocated_run) * self._values.worth_per_core_second
+        return lost_work + self._lost_earnings(allocated_run)
+
+    def _lost_earnings(self, allocated_run: AllocatedRun) -> float:
+        """Return what the job earns less, for a single run by its part of the job's work.
+
+        The other runs of such a job may be stopped too, and it can end late but once.
+        """
+        job, step = allocated_run.job, allocated_run.step
+        started_ms = job.subtasks[allocated_run.subtask].started_ms
+        saved_ms = self._now_ms - started_ms - self._lost_s(allocated_run) * MS_PER_S
+        loss = self._values.loss_of_stop(job, started_ms, RESTART_DELAY_MS - max(0.0, saved_ms))
+        work = self._values.core_seconds(job)
+        if step.is_gang or not work:
+            return loss
+        part = self._values.step_core_seconds(job, step_number(allocated_run.subtask)) / step.count
+        return loss * part / work
+
+
+def _whole_key(allocated_run: AllocatedRun) -> RunKey:
+    """Return the key of what ends with a run: its gang, or the run alone."""
+    name = allocated_run.subtask
+    return (allocated_run.job.id, gang_of(name) if allocated_run.step.is_gang else name)
--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/wait_reasons.py
@@ -0,0 +1,24 @@
+"""Why a job that was considered in a plan still waits."""
+
+from enum import StrEnum
+
+
+class WaitReason(StrEnum):
+    """Why subtasks that may start were passed over."""
+
+    NO_ROOM = "no-room"
+    """Nothing fits now, and the job may not make room."""
+    LATE = "late"
+    """Nothing is free, and the job is too late to reserve resources or to preempt."""
+    RESERVED = "reserved"
+    """Resources that become free are reserved for it."""
+    PREEMPTING = "preempting"
+    """Runs of lower rank are being stopped for it."""
+    NOTHING_TO_STOP = "nothing-to-stop"
+    """It may preempt, but the runs of lower rank do not free enough resources."""
+    TOO_COSTLY = "too-costly"
+    """Preempting would cost other callers more than the job gains."""
+    TRIAL = "trial"
+    """It is suspected of crashing workers and waits for one of its own."""
+    REPORT = "report"
+    """A worker with room has yet to report its capacity."""
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -7,14 +7,17 @@
 from agateferry_jobs.simulation.day_simulation import DaySimulation
 from agateferry_jobs.simulation.drawing import draw_jobs
 from agateferry_jobs.simulation.loads import LOADS
-from agateferry_jobs.simulation.policies import ABLATIONS, POLICIES
+from agateferry_jobs.simulation.policies import ALL_POLICIES, POLICIES
 from agateferry_jobs.simulation.report import Summary, summarize
+from agateferry_jobs.simulation.scarce_loads import SCARCE_LOADS
+
+ALL_LOADS = LOADS | SCARCE_LOADS
 
 
 def simulate(*, load: str = "surge", policy: str = "", seeds: int = 10) -> None:
     """Simulate a load under one policy, or under each of them.
 
-    :param load: the name of a load, such as surge or straps
+    :param load: the name of a load, such as surge or uneven-1.6
     :param policy: the name of a policy or of an ablation; without it all policies are simulated
     :param seeds: how many days are simulated; the seeds are 1 to this number
     """
@@ -25,9 +28,9 @@
 
 def simulate_day(load: str, policy: str, seed: int) -> Summary:
     """Return the summary of one simulated day."""
-    jobs = draw_jobs(LOADS[load], seed)
-    day = DaySimulation(LOADS[load], jobs, (POLICIES | ABLATIONS)[policy], seed).run()
-    return summarize(day, LOADS[load].goal)
+    jobs = draw_jobs(ALL_LOADS[load], seed)
+    day = DaySimulation(ALL_LOADS[load], jobs, ALL_POLICIES[policy], seed).run()
+    return summarize(day, ALL_LOADS[load].goal)
 
 
 def describe(days: list[Summary]) -> str:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
@@ -78,12 +78,18 @@
     )
     fails = (rng.random(),) if rng.random() < kind.failing_share else ()
     id = f"{rng.getrandbits(64):016x}"
-    team = f"team-{rng.randrange(load.teams)}"
+    team = f"team-{_team(load, rng)}"
     return SimulatedJob(id, kind, team, arrival_ms, JobSpec("payload", (step,)), work_ms, fails)
 
 
+def _team(load: Load, rng: random.Random) -> int:
+    if not load.team_weights:
+        return rng.randrange(load.teams)
+    return rng.choices(range(load.teams), load.team_weights)[0]
+
+
 def _width(load: Load, kind: JobKind, need: Resources, rng: random.Random) -> int:
-    """Draw the number of subtasks of a job; a gang must fit into half of a rack."""
+    """Draw the number of subtasks of a job; a gang must fit into the workers that it may use."""
     width = rng.lognormvariate(0.0, 0.8) * kind.width * 0.73
     count = max(1, round(min(width, MAX_WIDTH_FACTOR * kind.width)))
     if not kind.is_gang:
@@ -92,4 +98,5 @@
     per_worker = min(
         capacity.cpu // need.cpu, capacity.mem_mb // need.mem_mb, capacity.gpu // need.gpu
     )
-    return min(count, load.workers_per_rack // 2 * per_worker)
+    max_workers = load.max_gang_workers or load.workers_per_rack // 2
+    return min(count, max_workers * per_worker)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -84,9 +84,13 @@
     workers_per_rack: int = 8
     capacity: Resources = WORKER_CAPACITY
     """The capacity of every worker."""
+    max_gang_workers: int = 0
+    """How many workers a gang needs at most; 0 for half of a rack."""
     teams: int = 4
     zones: int = 3
     """The number of availability zones from which jobs are submitted."""
+    team_weights: tuple[float, ...] = ()
+    """How many jobs each team submits, relative to the others; empty for equal teams."""
     guaranteed_share: float = 0.62
     """The share of all accelerators that is guaranteed to teams, in equal parts."""
     duration_s: float = 36.0
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -7,7 +7,7 @@
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerAllocation
-from agateferry_jobs.planning.options import DEFAULT_OPTIONS
+from agateferry_jobs.planning.options import DEFAULT_OPTIONS, ScarceOrder
 
 
 class Policy(Protocol):
@@ -75,6 +75,20 @@
 
 
 POLICIES: dict[str, Policy] = {"leader": LeaderPolicy(), "first-fit": FirstFit()}
+SCARCE_ORDERS: dict[str, Policy] = {
+    "priority-alone": LeaderPolicy(
+        orders_by_lateness=False,
+        orders_by_slack=False,
+        late_work_yields=False,
+        values_victims=False,
+        shares_fairly=False,
+    ),
+    "earliest-deadline": LeaderPolicy(scarce_order=ScarceOrder.DEADLINE),
+    "least-work-first": LeaderPolicy(scarce_order=ScarceOrder.LEAST_WORK),
+    "earned-value": LeaderPolicy(scarce_order=ScarceOrder.VALUE),
+    "aged-value": LeaderPolicy(scarce_order=ScarceOrder.AGED_VALUE),
+}
+"""Orders to compare the leader's policy with where capacity is scarce."""
 ABLATIONS: dict[str, Policy] = {
     "declared-durations": LeaderPolicy(learns_durations=False),
     "no-order-by-lateness": LeaderPolicy(orders_by_lateness=False),
@@ -87,5 +101,11 @@
     "no-rack-wait": LeaderPolicy(waits_for_rack=False),
     "no-data-rack-wait": LeaderPolicy(waits_for_data_rack=False),
     "no-checkpoint-value": LeaderPolicy(values_checkpoints=False),
+    "late-work-by-rank": LeaderPolicy(late_work_yields=False),
+    "victims-by-rank": LeaderPolicy(values_victims=False),
+    "no-preemption-limit": LeaderPolicy(max_preemption_cost=math.inf),
+    "no-fair-shares": LeaderPolicy(shares_fairly=False),
+    "room-policy": LeaderPolicy(late_work_yields=False, values_victims=False, shares_fairly=False),
 }
 """The leader's policy without one of its parts each."""
+ALL_POLICIES = POLICIES | SCARCE_ORDERS | ABLATIONS
