Compute the loss of runs that started together once in a plan

Values are compared with open jobs only, the loss is kept by job, step and start, and a job's slack is kept for the plan.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
@@ -6,7 +6,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable
 from functools import cached_property
 
 from agateferry_core.clock import MS_PER_S
@@ -24,10 +24,13 @@
 
 
 class JobValues:
-    """The values of jobs at one moment; each is computed once, when it is first asked for."""
+    """The values of jobs at one moment; each is computed once, when it is first asked for.
 
-    def __init__(self, jobs: Sequence[Job], timing: Timing, now_ms: int) -> None:
-        self._jobs = jobs
+    Jobs are compared with those that are not over.
+    """
+
+    def __init__(self, jobs: Iterable[Job], timing: Timing, now_ms: int) -> None:
+        self._jobs = [job for job in jobs if not job.is_over]
         self._timing = timing
         self._now_ms = now_ms
         self._core_seconds: dict[str, float] = {}
@@ -99,7 +102,7 @@
 
     @cached_property
     def worth_per_core_second(self) -> float:
-        """Return what all known jobs earn in time, by their work; 0 if no duration is known."""
+        """Return what the jobs earn in time for their work; 0 if no duration is known."""
         work = sum(map(self.core_seconds, self._jobs))
         return sum(map(self.worth, self._jobs)) / work if work else 0.0
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -86,7 +86,7 @@
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
-        self._values = JobValues(list(ledger.jobs.values()), self._timing, now_ms)
+        self._values = JobValues(ledger.jobs.values(), self._timing, now_ms)
         self._is_scarce = False
         self._cost = PreemptionCost(self._ranks, now_ms, options)
         self._preemptible = FutureCapacity(self._cost)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -119,6 +119,7 @@
     ) -> None:
         super().__init__(ranks, now_ms, options)
         self._values = values
+        self._losses: dict[tuple[str, int, int], float] = {}
 
     def is_worthwhile(self, job: Job, runs: Iterable[AllocatedRun]) -> bool:
         """Return whether a job gains enough by the ends of these runs; a gang ends as a whole.
@@ -132,6 +133,15 @@
         return self.of_runs(list(victims.values())) <= self._options.max_preemption_cost * gain
 
     def _compute(self, allocated_run: AllocatedRun) -> float:
+        """Return what is lost with a run; the same for runs of one step that started together."""
+        job, name = allocated_run.job, allocated_run.subtask
+        key = (job.id, step_number(name), job.subtasks[name].started_ms)
+        loss = self._losses.get(key)
+        if loss is None:
+            loss = self._losses[key] = self._compute_loss(allocated_run)
+        return loss
+
+    def _compute_loss(self, allocated_run: AllocatedRun) -> float:
         """Return what is lost with a run and the rest of its gang."""
         lost_work = self._lost_core_s(allocated_run) * self._values.worth_per_core_second
         return lost_work + self._lost_earnings(allocated_run)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -31,6 +31,7 @@
         self._learns_durations = learns_durations
         self._durations: dict[tuple[str, int], int] = {}
         self._critical_paths: dict[str, int] = {}
+        self._slacks_ms: dict[str, float] = {}
 
     def expected_duration_ms(self, job: Job, step: int) -> int:
         """Return how long a subtask of the step with this number is expected to run."""
@@ -56,6 +57,12 @@
 
     def slack_ms(self, job: Job) -> float:
         """Return how long a job may wait in total and still end within its objective."""
+        slack_ms = self._slacks_ms.get(job.id)
+        if slack_ms is None:
+            slack_ms = self._slacks_ms[job.id] = self._compute_slack_ms(job)
+        return slack_ms
+
+    def _compute_slack_ms(self, job: Job) -> float:
         manifest = self._ledger.manifest
         queue = manifest.queue_named(job.queue) if manifest is not None else None
         if queue is None:
