--- a/packages/agateferry-jobs/agateferry_jobs/planning/job_order.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/job_order.py
@@ -73,8 +73,13 @@
         return values.remaining_slack_ms(job)
 
     def _share(self, planned: PlannedJob, shares: DominantShares) -> float:
-        """Return the share of a job's team before this job starts, and add the job to it."""
+        """Return the share of a job's team before this job starts, and add the job to it.
+
+        Work within the guarantee is not counted.
+        """
         job, all_ready = planned
+        if self._ranks[job.id] == GUARANTEED_RANK:
+            return 0.0
         share = shares.of_team(job.team)
         for ready in all_ready:
             shares.add(job.team, ready.step.need, len(ready.names))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_scarce_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_scarce_capacity.py
@@ -137,3 +137,9 @@
         self.submit("owed", priority=0, team="team")
         self.submit("other", priority=0, team="small")
         self.assertEqual(["owed"], self.start(100))
+
+    def test_work_within_the_guarantee_does_not_count_against_its_team(self):
+        self.submit("owed", priority=0, team="team", need=HALF_WORKER)
+        self.submit("beyond", priority=2, team="team", need=HALF_WORKER)
+        self.submit("other", at_ms=1, team="small", need=HALF_WORKER)
+        self.assertEqual(["owed", "beyond"], self.start(1_500))
