--- a/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
@@ -14,10 +14,10 @@
 from agateferry_jobs.planning.timing import Lateness, Timing, first_unfinished_occurrence
 from agateferry_jobs.size_weight import size_weight
 
-PRIORITY_WEIGHTS = (4.0, 3.0, 1.0)
-"""The worth of a mean job by its priority; the last one holds for all lower priorities."""
+PRIORITY_FACTOR = 2.0
+"""How many times as much a mean job counts as one of the next lower priority."""
 EARNED_SHARES = {Lateness.IN_TIME: 1.0, Lateness.LATE: 0.3, Lateness.HOPELESS: 0.0}
-"""The share of its worth that a job earns; callers value late jobs at a tenth to a half."""
+"""The share of its worth that a job earns; a late result is still of some use to most callers."""
 AGING = 3.0
 """By how much of itself the density of a job has grown at the end of its slack."""
 MIN_CORE_SECONDS = 0.001
@@ -52,7 +52,7 @@
 
     def worth(self, job: Job) -> float:
         """Return what a job earns in time."""
-        weight = PRIORITY_WEIGHTS[min(job.priority, len(PRIORITY_WEIGHTS) - 1)]
+        weight = PRIORITY_FACTOR**-job.priority
         mean = self._mean_core_seconds.get(job.queue, 0.0)
         return weight * size_weight(self.core_seconds(job), mean) if mean else weight
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -198,9 +198,8 @@
 
     def _place(self, ready: ReadySubtasks) -> None:
         queue = self._queue_of(ready.job)
-        service = queue.service if queue is not None else ready.job.service
         regions = queue.allowed_regions if queue is not None else ()
-        candidates = self._fleet.candidates(service, ready.step, regions)
+        candidates = self._fleet.candidates(self._service_of(ready.job), ready.step, regions)
         selector = self._selector(candidates, ready)
         if ready.step.is_gang:
             workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
@@ -221,6 +220,10 @@
         selector = TrialSelector if ready.is_suspect else WorkerSelector
         return selector(candidates, ready, self._ranks, self._options, trials)
 
+    def _service_of(self, job: Job) -> str:
+        queue = self._queue_of(job)
+        return queue.service if queue is not None else job.service
+
     def _queue_of(self, job: Job) -> Queue | None:
         manifest = self._ledger.manifest
         return manifest.queue_named(job.queue) if manifest is not None else None
