--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -17,6 +17,11 @@
     "job given up because workers crashed under one of its subtasks",
     "See crashes, and 7333 of each worker for what else ran there; the caller should mend the job.",
 )
+JOB_WAITS = Event(
+    7315,
+    "job waits",
+    "See the reason in docs/OPERATIONS.md, why a job waits; 7320 follows once it is placed.",
+)
 RUN_STARTED = Event(7320, "run placed", "Nothing to do; 7321 says how the run ended.")
 RUN_ENDED = Event(7321, "run ended", "Unless how is done, see the worker's own log.")
 RUN_STOPPING = Event(
@@ -40,9 +45,35 @@
     "worker crashed; another incarnation took its place",
     "A job whose subtasks stand in several such lines may be the cause; see the worker's own log.",
 )
+WORKER_PACE = Event(
+    7334,
+    "estimate of a worker's pace changed",
+    "Nothing to do; its runs take this many times as long as usual, urgent work avoids slow ones.",
+)
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
+ZONE_EVACUATED = Event(
+    7360,
+    "zone evacuated",
+    "Nothing starts there until 7361; see docs/OPERATIONS.md for how to watch it become empty.",
+)
+ZONE_READMITTED = Event(7361, "zone readmitted", "Nothing to do; its workers get new runs again.")
+GUARANTEES_UNMET = Event(
+    7362,
+    "teams' guarantees exceed the accelerators of ready workers",
+    "Readmit a zone, add workers or lower the guarantees; urgent work may wait until then.",
+)
+GUARANTEES_MET = Event(
+    7363,
+    "teams' guarantees can be met again",
+    "Nothing to do unless it follows 7362 often.",
+)
+EVACUATION_OUTDATED = Event(
+    7364,
+    "call to evacuate or readmit a zone came late and had no effect",
+    "Nothing to do; a newer call for the zone was handled, and a caller that waits sends it again.",
+)
 PROPOSAL_FAILED = Event(
     7350,
     "command not committed or its outcome unknown",
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -9,6 +9,7 @@
 from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.planning.paces import Progress
 from agateferry_jobs.workers.lease import Lease, max_local_ms
 from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.session import (
@@ -50,7 +51,8 @@
 class WorkerSessions(SessionListener):
     """Track the runs on all workers, each through the session with its worker.
 
-    `on_replaced` is called for an incarnation at whose address another one answers.
+    `on_replaced` is called for an incarnation at whose address another one answers. A worker
+    refuses a start order that arrives more than `max_start_ms` after it was sent.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         lease_ms: int,
         max_report_age_ms: int | None,
         hooks: LeaderHooks,
+        max_start_ms: int | None = None,
     ) -> None:
         self.by_id: dict[str, WorkerSession] = {}
         self.on_replaced: Callable[[WorkerIncarnation], None] = lambda _: None
@@ -70,6 +73,7 @@
         self._lease_ms = lease_ms
         self._max_report_age_ms = max_report_age_ms
         self._hooks = hooks
+        self._max_start_ms = max_start_ms
 
     def of(self, incarnation: WorkerIncarnation) -> WorkerSession | None:
         """Return the session with an incarnation, or None if there is none."""
@@ -135,6 +139,18 @@
             if tracked.is_stopping
         }
 
+    def progress(self, wall_offset_ms: int) -> dict[RunKey, Progress]:
+        """Return how far the runs were when their progress last changed.
+
+        `wall_offset_ms` is the wall-clock time less the monotonic clock's.
+        """
+        return {
+            key: Progress(tracked.run, tracked.percent, tracked.last_progress_ms + wall_offset_ms)
+            for session in self.by_id.values()
+            for key, tracked in session.runs.items()
+            if tracked.percent > 0 and not tracked.is_stopping
+        }
+
     def knows_all(self) -> bool:
         """Return whether each worker has answered a poll of this leader, or failed to."""
         return all(session.is_known for session in self.by_id.values())
@@ -174,6 +190,20 @@
         """Make a new plan soon."""
         self._hooks.request_planning()
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether a zone is evacuated now, so that no start order may be sent there."""
+        return zone in self._ledger.state.evacuations
+
+    def is_obsolete(self, key: RunKey) -> bool:
+        """Return whether a subtask is done or its job is over, so that it must not start."""
+        job = self._ledger.jobs.get(key[0])
+        subtask = job.subtasks.get(key[1]) if job is not None else None
+        return job is None or subtask is None or job.is_over or subtask.is_done
+
+    def runs_in(self, zone: str) -> int:
+        """Return how many runs are tracked on the workers of a zone."""
+        return sum(len(s.runs) for s in self.by_id.values() if s.incarnation.zone == zone)
+
     def poll_wait_ms(self) -> int:
         """Return how long a worker may delay the answer to a poll; longer with more workers."""
         wait_ms = len(self.by_id) * MS_PER_S // MAX_IDLE_POLLS_PER_S
@@ -201,7 +231,7 @@
     def _open_session(
         self, incarnation: WorkerIncarnation, earlier_leases_until_ms: int, reported_ms: int | None
     ) -> None:
-        lease = Lease(self._lease_ms, earlier_leases_until_ms)
+        lease = Lease(self._lease_ms, earlier_leases_until_ms, self._max_start_ms)
         reports = ReportAge(self._max_report_age_ms, reported_ms)
         self.by_id[incarnation.id] = WorkerSession(
             incarnation, self._make_port(incarnation), self, self._clock, lease, reports
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -1,9 +1,10 @@
-"""Counters and histograms of jobs, runs and calls; each reason is a label value."""
+"""Counters, gauges and histograms of jobs, runs, calls and zones; each reason is a label value."""
 
-from prometheus_client import Counter, Histogram
+from prometheus_client import Counter, Gauge, Histogram
 
 START_BUCKETS_S = (0.02, 0.05, 0.1, 0.3, 1.0, 3.6, 10.0, 30.0)
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
+PACE_BUCKETS = (0.4, 0.6, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5, 5.0)
 LOOP_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
 
 REPLIES = Counter(
@@ -29,6 +30,11 @@
     ["priority"],
     buckets=START_BUCKETS_S,
 )
+PASSED_OVER = Counter(
+    "agateferry_jobs_passed_over",
+    "Jobs that a plan could not start, by reason; counted once until the reason changes.",
+    ["reason"],
+)
 COMMANDS_FAILED = Counter(
     "agateferry_jobs_commands_failed",
     "Commands of the ledger that met an unexpected error and were skipped.",
@@ -51,6 +57,23 @@
 ROWS_UNREADABLE = Counter(
     "agateferry_jobs_rows_unreadable", "Rows in workers' lists of runs that could not be read."
 )
+ZONES_EVACUATED = Gauge(
+    "agateferry_jobs_zones_evacuated", "Evacuated zones; 0 on a host that does not lead."
+)
+RUNS_IN_EVACUATED_ZONES = Gauge(
+    "agateferry_jobs_runs_in_evacuated_zones",
+    "Runs on workers of evacuated zones; 0 on a host that does not lead.",
+)
+GUARANTEED_GPUS_MISSING = Gauge(
+    "agateferry_jobs_guaranteed_gpus_missing",
+    "Accelerators that the teams' guarantees exceed those of ready workers outside evacuated zones"
+    " by; 0 on a host that does not lead.",
+)
+WORKER_PACE = Histogram(
+    "agateferry_jobs_worker_pace",
+    "Estimated paces of workers when they changed considerably; 1 is usual, 2 is twice as long.",
+    buckets=PACE_BUCKETS,
+)
 PLAN_SECONDS = Histogram(
     "agateferry_jobs_plan_seconds",
     "Time that a plan holds the leader's event loop.",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -1,5 +1,6 @@
 """The workers as the planner sees them: what is free now and once all stopping runs have ended."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -9,9 +10,13 @@
 from agateferry_jobs.ledger.specs import Resources, StepSpec
 from agateferry_jobs.ledger.state import gang_of
 
+WorkerKey = tuple[str, int]
+"""The id and `born` of a worker's incarnation."""
 RunKey = tuple[str, str]
 """A job's id and a subtask's name."""
 NOTHING = Resources()
+PACE_CLASS_WIDTH = 0.2
+"""Workers whose log paces differ by less count as equal, so that placement packs them as usual."""
 UNLIMITED_SUBTASKS = 2**31
 """More subtasks than any worker holds, for a resource that a subtask does not need."""
 
@@ -28,6 +33,8 @@
     reports_soon: bool = False
     """Whether such a report is still awaited, from a worker that has just begun to answer."""
     is_suspect: bool = False
+    is_cold: bool = False
+    """Whether the worker has started lately, so that runs are slow on it for now."""
     unexpected_runs: tuple[RunKey, ...] = ()
     """Runs that the worker reports but the ledger does not place there; they use resources too."""
 
@@ -45,6 +52,8 @@
     subtask: str
     step: StepSpec
     is_stopping: bool
+    pace: float = 1.0
+    """The pace of its worker."""
 
 
 @dataclass(slots=True)
@@ -63,21 +72,36 @@
     largest_capacity: Resources
     """The largest capacity that the worker has reported; it may be smaller for a while."""
     runs: list[AllocatedRun] = field(default_factory=list)
+    is_evacuated: bool = False
+    """Whether the worker's zone is evacuated."""
+    region: str = ""
+    """The region of the worker's zone; empty if it is not known."""
     trial_job: str = ""
     """The id of a suspected job that runs here; until it has shown to be safe, no other starts."""
+    pace: float = 1.0
+    """How many times as long as usual its runs take; 1 where paces are not known to differ."""
+    pace_class: int = 0
+    """The logarithm of the pace in steps of `PACE_CLASS_WIDTH`."""
     version: int = 0
     """Grows with each change of the runs or of what is free."""
 
     @property
     def is_ready(self) -> bool:
         """Return whether this worker may get new runs, provided that it answers."""
-        return self.incarnation.state is WorkerState.READY
+        return self.incarnation.state is WorkerState.READY and not self.is_evacuated
 
     @property
     def slots_after_stops(self) -> int:
         """Return the free slots once all stopping runs have ended."""
         return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
 
+    def set_pace(self, pace: float) -> None:
+        """Set the pace of the worker and of the runs on it."""
+        self.pace = pace
+        self.pace_class = round(math.log(pace) / PACE_CLASS_WIDTH)
+        for run in self.runs:
+            run.pace = pace
+
     def can_ever_run(self, step: StepSpec) -> bool:
         """Return whether a subtask would fit here if the worker were empty and at its largest."""
         if step.required_label and step.required_label not in self.incarnation.labels:
@@ -142,8 +166,10 @@
         )
 
 
-CandidateKey = tuple[str, Resources, str]
-"""A service, what a subtask needs, and the label that its worker must have."""
+ShapeKey = tuple[str, Resources, str, tuple[str, ...]]
+"""A service, what a subtask needs, its worker's label, and the allowed regions (empty: all)."""
+CandidateKey = tuple[str, Resources, str, tuple[str, ...], float]
+"""The same, and a limit of the worker's pace."""
 
 
 class CandidateWorkers:
@@ -153,13 +179,30 @@
     grouped by rack. `awaited` ones will be usable once they have reported.
     """
 
-    def __init__(self, key: CandidateKey, feasible: list[WorkerAllocation]) -> None:
-        self.key = key
+    def __init__(
+        self,
+        key: ShapeKey,
+        feasible: list[WorkerAllocation],
+        pace_limit: float = math.inf,
+    ) -> None:
+        self.key: CandidateKey = (*key, pace_limit)
+        self._within_pace: dict[float, CandidateWorkers] = {}
         self.service = key[0]
+        self.is_paced = pace_limit < math.inf
+        """Whether slower workers are left out, so that a rack may hold more than it shows here."""
         self.feasible = feasible
         self.usable = [worker for worker in feasible if worker.health.may_start_runs]
         self.awaited = [worker for worker in feasible if worker.health.reports_soon]
 
+    def within_pace(self, limit: float) -> "CandidateWorkers":
+        """Return those of the workers whose runs take up to `limit` times as long as usual."""
+        found = self._within_pace.get(limit)
+        if found is None:
+            workers = [worker for worker in self.feasible if worker.pace <= limit]
+            found = CandidateWorkers(self.key[:4], workers, limit)
+            self._within_pace[limit] = found
+        return found
+
     @cached_property
     def feasible_racks(self) -> list[list[WorkerAllocation]]:
         """Return the feasible workers of each rack; only gangs that prefer one rack ask for it."""
@@ -174,13 +217,15 @@
 class Fleet:
     """All workers of all services at one moment."""
 
-    def __init__(self, workers: Iterable[WorkerAllocation]) -> None:
+    def __init__(self, workers: Iterable[WorkerAllocation], knows_regions: bool = False) -> None:
+        self._knows_regions = knows_regions
         self.by_service: dict[str, list[WorkerAllocation]] = defaultdict(list)
         self._by_id: dict[str, WorkerAllocation] = {}
         for worker in workers:
             self.by_service[worker.incarnation.service].append(worker)
             self._by_id[worker.incarnation.id] = worker
-        self._candidates: dict[CandidateKey, CandidateWorkers] = {}
+        self._candidates: dict[ShapeKey, CandidateWorkers] = {}
+        self.slowest_pace = self.fastest_pace = 1.0
         self._trials: Counter[str] = Counter()
 
     @classmethod
@@ -189,9 +234,14 @@
         ledger: Ledger,
         health: Mapping[str, WorkerHealth],
         stopping: Collection[RunKey],
+        zone_regions: Mapping[str, str] | None = None,
     ) -> "Fleet":
-        """Return the fleet of a ledger, with the health of each worker and the stopping runs."""
+        """Return the fleet of a ledger, with the health of each worker and the stopping runs.
+
+        `zone_regions` maps zones to regions. Where none are known, queues may use all workers.
+        """
         unknown = WorkerHealth(answers=False)
+        evacuations, regions = ledger.state.evacuations, zone_regions or {}
         workers = {
             incarnation.id: WorkerAllocation(
                 incarnation,
@@ -200,23 +250,48 @@
                 incarnation.capacity,
                 incarnation.slots,
                 ledger.largest_capacity(incarnation),
+                is_evacuated=incarnation.zone in evacuations,
+                region=regions.get(incarnation.zone, ""),
             )
             for incarnation in ledger.workers.values()
         }
         for id, runs in _runs_by_worker(ledger, workers, stopping).items():
             workers[id].add_runs(runs)
-        return cls(workers.values())
+        return cls(workers.values(), knows_regions=bool(regions))
 
-    def candidates(self, service: str, step: StepSpec) -> CandidateWorkers:
-        """Return the workers of a service that may run a step's subtasks."""
-        key = (service, step.need, step.required_label)
+    def candidates(
+        self, service: str, step: StepSpec, allowed_regions: tuple[str, ...] = ()
+    ) -> CandidateWorkers:
+        """Return the workers of a service that may run a step's subtasks.
+
+        Empty `allowed_regions` allow all.
+        """
+        regions = allowed_regions if self._knows_regions else ()
+        key = (service, step.need, step.required_label, regions)
         found = self._candidates.get(key)
         if found is None:
             workers = self.by_service.get(service, [])
+            if regions:
+                workers = [each for each in workers if each.region in regions]
             feasible = [each for each in workers if each.is_ready and each.can_ever_run(step)]
             found = self._candidates[key] = CandidateWorkers(key, feasible)
         return found
 
+    def set_paces(self, paces: Mapping[WorkerKey, float]) -> None:
+        """Set the paces of the incarnations in `paces`, and 1 for all others."""
+        if not paces and not self.has_paces:
+            return
+        for worker in self._by_id.values():
+            incarnation = worker.incarnation
+            worker.set_pace(paces.get((incarnation.id, incarnation.born), 1.0))
+        values = [worker.pace for worker in self._by_id.values()]
+        self.slowest_pace, self.fastest_pace = max(values, default=1.0), min(values, default=1.0)
+
+    @property
+    def has_paces(self) -> bool:
+        """Return whether the workers are known to differ in pace."""
+        return self.slowest_pace > self.fastest_pace
+
     def mark_trials(self, trials: Iterable[tuple[Job, str, Run]]) -> None:
         """Keep the workers of suspects on trial from other work; stopping runs end soon."""
         for job, subtask, run in trials:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -1,5 +1,6 @@
 """How long a job may wait and still meet its objective, by the expected duration of its steps."""
 
+import math
 from enum import IntEnum
 
 from agateferry_jobs.ledger import Job, Ledger
@@ -31,6 +32,7 @@
         self._learns_durations = learns_durations
         self._durations: dict[tuple[str, int], int] = {}
         self._critical_paths: dict[str, int] = {}
+        self._slacks_ms: dict[str, float] = {}
 
     def expected_duration_ms(self, job: Job, step: int) -> int:
         """Return how long a subtask of the step with this number is expected to run."""
@@ -56,6 +58,12 @@
 
     def slack_ms(self, job: Job) -> float:
         """Return how long a job may wait in total and still end within its objective."""
+        slack_ms = self._slacks_ms.get(job.id)
+        if slack_ms is None:
+            slack_ms = self._slacks_ms[job.id] = self._compute_slack_ms(job)
+        return slack_ms
+
+    def _compute_slack_ms(self, job: Job) -> float:
         manifest = self._ledger.manifest
         queue = manifest.queue_named(job.queue) if manifest is not None else None
         if queue is None:
@@ -82,6 +90,11 @@
         slack = self.slack_ms(job)
         return slack + (LATE_FACTOR - 1) * (slack + self.critical_path_ms(job))
 
+    def pace_limit(self, job: Job, waited_ms: int) -> float:
+        """Return the largest pace at which a job that has waited this long can end in time."""
+        path_ms = self.critical_path_ms(job)
+        return 1 + (self.slack_ms(job) - waited_ms) / path_ms if path_ms else math.inf
+
     def lateness(self, job: Job, waited_ms: int) -> Lateness:
         """Return whether a job that has waited this long can still end in time or late."""
         if waited_ms <= self.slack_ms(job):
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -6,11 +6,12 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.cell.leader import TICK_MS
-from agateferry_jobs.ledger import Ledger, WorkerIncarnation, commands
+from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.ledger.state import gang_of
-from agateferry_jobs.manifest import Manifest, Queue, Service, Team
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.planning.paces import PaceTracker, Progress
+from agateferry_jobs.simulation.cell_setup import setup_commands
 from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import FaultSchedule
 from agateferry_jobs.simulation.loads import Load
@@ -24,8 +25,8 @@
 """How long the simulation goes on after the last arrivals, so that late jobs can end."""
 REFUSAL_DELAY_RANGE_MS = (500, 1_200)
 """After how long the leader knows that a start without an answer will not be carried out."""
-CALL_TIMEOUT_MS = 3_000
-"""The time limit of callers' calls, which the manifest requires; a simulation has no calls."""
+POLL_INTERVAL_MS = 1_500
+"""How often workers report the progress of their runs."""
 CROSS_RACK_SLOWDOWN = 3
 """How many times as long a gang takes that needs one rack but spans several."""
 
@@ -65,6 +66,9 @@
         self._policy = policy
         self._rng = random.Random(seed)
         self._ledger = Ledger()
+        self._paces = PaceTracker(self._ledger)
+        self._progress: dict[RunKey, Progress] = {}
+        """What the workers have reported of the runs."""
         self._groups: list[RunningGroup] = []
         self._failed: dict[str, int] = {}
         self._unreported: list[tuple[RunningGroup, commands.RunOutcome]] = []
@@ -86,18 +90,24 @@
         self._faults = FaultSchedule(
             self._racks, load.slowness, load.outages, load.absences, load.evacuations, load.zones
         )
+        speed_rng = random.Random(seed)
+        self._own_speeds = {id: speed_rng.choice(load.worker_speeds) for id in self._racks}
 
     def run(self) -> DayResult:
         """Simulate the day and return its result."""
-        self._set_up()
+        for command in setup_commands(self._load, self._racks):
+            self._apply(command)
         end_ms = round((self._load.duration_s + TAIL_S) * MS_PER_S)
         is_changed = True
         for self._now_ms in range(0, end_ms, TIME_STEP_MS):
             is_changed |= self._update_faults()
             is_changed |= self._submit_due_jobs()
             is_changed |= self._advance_all()
+            if self._now_ms % POLL_INTERVAL_MS == 0:
+                self._poll()
             if self._has_leader and (is_changed or self._now_ms % TICK_MS == 0):
                 self._report_ends()
+                self._update_evacuations()
                 self._plan()
                 is_changed = False
         return DayResult(
@@ -116,15 +126,6 @@
     def _apply(self, command: commands.Command) -> None:
         self._ledger.apply(1, commands.encode(command))
 
-    def _set_up(self) -> None:
-        self._apply(commands.PutManifest(_manifest(self._load)))
-        for id, rack in self._racks.items():
-            capacity, labels = self._load.capacity, ("kind", rack)
-            incarnation = WorkerIncarnation(
-                id, 1, "pool", id, "zone", capacity, labels, capacity.gpu
-            )
-            self._apply(commands.NoteWorker(incarnation))
-
     def _submit_due_jobs(self) -> bool:
         if not self._has_leader:
             return False
@@ -149,18 +150,36 @@
     def _update_faults(self) -> bool:
         """Update what the faults of this moment affect; return whether the leader may notice."""
         before = (self._unreachable, self._has_leader, self._evacuated)
-        self._speeds = self._faults.speeds(self._now_ms)
+        speeds = self._faults.speeds(self._now_ms)
+        self._speeds = {id: speed * self._own_speeds[id] for id, speed in speeds.items()}
         self._unreachable = self._faults.unreachable(self._now_ms)
         self._has_leader = self._faults.has_leader(self._now_ms)
-        self._evacuated = self._faults.evacuated(self._now_ms)
+        self._evacuated = self._faults.evacuated_zones(self._now_ms)
         return before != (self._unreachable, self._has_leader, self._evacuated)
 
+    def _update_evacuations(self) -> None:
+        """Evacuate and readmit zones, which only a cell with a leader can do."""
+        recorded = set(self._ledger.state.evacuations)
+        for zone in sorted(self._evacuated - recorded):
+            self._apply(commands.EvacuateZone(zone, self._now_ms))
+        for zone in sorted(recorded - self._evacuated):
+            self._apply(commands.ReadmitZone(zone, self._now_ms))
+
     def _advance_all(self) -> bool:
         """Advance all running groups by one time step; return whether any ended."""
         ended = [group for group in self._groups if self._advance(group)]
         self._groups = [group for group in self._groups if group not in ended]
         return bool(ended)
 
+    def _poll(self) -> None:
+        """Learn the progress of all runs on workers that can be reached."""
+        self._progress = {
+            (group.job.id, name): Progress(run, 100 * group.done_ms / group.work_ms, self._now_ms)
+            for group in self._groups
+            for name, run in group.members.items()
+            if group.stops_at_ms is None and run.worker not in self._unreachable
+        }
+
     def _advance(self, group: RunningGroup) -> bool:
         """Advance a group by one time step; return whether it ended."""
         workers = {run.worker for run in group.members.values()}
@@ -211,11 +230,15 @@
             if group.stops_at_ms is not None
             for name in group.members
         }
+        cold = self._faults.cold(self._now_ms)
         health = {
-            id: WorkerHealth(id not in self._unreachable, id not in self._evacuated)
+            id: WorkerHealth(answers=id not in self._unreachable, is_cold=id in cold)
             for id in self._racks
         }
         fleet = Fleet.from_ledger(self._ledger, health, stopping)
+        if self._paces.is_due(self._now_ms):
+            self._paces.update(self._progress, self._now_ms)
+        fleet.set_paces(self._paces.paces)
         plan = self._policy.plan(self._ledger, fleet, self._now_ms)
         if self._now_ms % MS_PER_S == 0 and self._future_jobs:
             self._stranded.sample(self._ledger, fleet, plan)
@@ -263,27 +286,3 @@
         if not share or self._rng.random() >= share:
             return None
         return self._now_ms + self._rng.randint(*REFUSAL_DELAY_RANGE_MS)
-
-
-def _manifest(load: Load) -> Manifest:
-    """Return a manifest with a queue for each kind of job, and teams with equal guarantees."""
-    queues = tuple(
-        Queue(
-            name=kind.name,
-            host="host",
-            prefix=f"/{kind.name}/",
-            service="pool",
-            timeout_ms=CALL_TIMEOUT_MS,
-            target_ms=kind.target_ms,
-            priority=kind.priority,
-            attempts=kind.attempts,
-            stretch=kind.stretch,
-        )
-        for kind in load.kinds
-    )
-    guaranteed = int(load.guaranteed_share * load.workers * load.capacity.gpu / load.teams)
-    teams = tuple(
-        Team(f"team-{number}", (f"key-{number}",), reserved_gpus=guaranteed)
-        for number in range(load.teams)
-    )
-    return Manifest(1, queues, (Service("pool"),), teams)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
@@ -8,12 +8,10 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
-from agateferry_jobs.simulation.loads import JobKind, Load
+from agateferry_jobs.simulation.loads import JobKind, Load, WorkSpread
 
 MAX_WIDTH_FACTOR = 6
 """The largest width as a multiple of its kind's mean, so that one job does not dominate a day."""
-RACK_GANG_RACKS = 0.5
-"""The share of a rack that a gang fills at most that needs one rack."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,26 +65,51 @@
     same_rack = kind.is_gang and rng.random() < kind.same_rack_share
     count = _width(kind, rng)
     if kind.is_gang:
-        racks = RACK_GANG_RACKS if same_rack else load.wide_gang_racks
+        racks = load.rack_gang_racks if same_rack else load.wide_gang_racks
         count = min(count, _max_gang(load, need, racks))
-    duration_ms = max(300.0, rng.gauss(1.0, 0.3) * kind.work_ms)
-    spread = 0.0 if kind.is_gang else 0.15
-    work_ms = tuple(round(duration_ms * (1 + rng.uniform(-spread, spread))) for _ in range(count))
-    declared_ms = duration_ms * (1 + rng.uniform(-kind.estimate_error, kind.estimate_error))
+    work_ms, declared_ms = _work_ms(kind, count, rng)
     step = StepSpec(
         count,
         need,
-        estimated_ms=round(declared_ms),
+        estimated_ms=declared_ms,
         is_gang=kind.is_gang,
         same_rack=same_rack,
         saves_checkpoints=rng.random() < kind.saves_share,
     )
     fails = (rng.random(),) if rng.random() < kind.failing_share else ()
     id = f"{rng.getrandbits(64):016x}"
-    team = f"team-{rng.randrange(load.teams)}"
+    team = f"team-{_team(load, rng)}"
     return SimulatedJob(id, kind, team, arrival_ms, JobSpec("payload", (step,)), work_ms, fails)
 
 
+def _work_ms(kind: JobKind, count: int, rng: random.Random) -> tuple[tuple[int, ...], int]:
+    """Draw the work of each subtask, and the duration that the caller declares."""
+    if kind.spread is not None:
+        return _log_normal_work_ms(kind.work_ms, kind.spread, count, rng)
+    duration_ms = max(300.0, rng.gauss(1.0, 0.3) * kind.work_ms)
+    spread = 0.0 if kind.is_gang else 0.15
+    work_ms = tuple(round(duration_ms * (1 + rng.uniform(-spread, spread))) for _ in range(count))
+    declared_ms = duration_ms * (1 + rng.uniform(-kind.estimate_error, kind.estimate_error))
+    return work_ms, round(declared_ms)
+
+
+def _log_normal_work_ms(
+    mean_ms: float, spread: WorkSpread, count: int, rng: random.Random
+) -> tuple[tuple[int, ...], int]:
+    median_ms = mean_ms * rng.lognormvariate(-(spread.jobs**2) / 2, spread.jobs)
+    declared_ms = round(median_ms * rng.lognormvariate(0.0, spread.declared))
+    if rng.random() < spread.outlier_share:
+        median_ms *= spread.outlier_factor
+    work_ms = (median_ms * rng.lognormvariate(0.0, spread.subtasks) for _ in range(count))
+    return tuple(max(300, round(each)) for each in work_ms), max(1, declared_ms)
+
+
+def _team(load: Load, rng: random.Random) -> int:
+    if not load.team_weights:
+        return rng.randrange(load.teams)
+    return rng.choices(range(load.teams), load.team_weights)[0]
+
+
 def _width(kind: JobKind, rng: random.Random) -> int:
     """Draw the number of subtasks of a job."""
     width = rng.lognormvariate(0.0, 0.8) * kind.width * 0.73
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/faults.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/faults.py
@@ -94,13 +94,18 @@
                 speeds |= dict.fromkeys(self._in_zone(evacuation.zone), 1 / evacuation.slowdown)
         return speeds
 
-    def evacuated(self, now_ms: int) -> set[str]:
-        """Return the workers on which nothing may start."""
-        active = [each for each in self._evacuations if _is_active(each, now_ms)]
+    def evacuated_zones(self, now_ms: int) -> set[str]:
+        """Return the names of the zones in which nothing may start."""
+        return {zone_name(each.zone) for each in self._evacuations if _is_active(each, now_ms)}
+
+    def cold(self, now_ms: int) -> set[str]:
+        """Return the workers that are cold after an evacuation."""
+        active = [each for each in self._evacuations if _is_active(each.coldness, now_ms)]
         return {id for each in active for id in self._in_zone(each.zone)}
 
     def _in_zone(self, zone: int) -> set[str]:
-        return {id for id, rack in self._racks.items() if int(rack[1:]) % self._zones == zone}
+        name = zone_name(zone)
+        return {id for id, rack in self._racks.items() if zone_of(rack, self._zones) == name}
 
     def unreachable(self, now_ms: int) -> set[str]:
         """Return the workers that the leader cannot reach."""
@@ -126,6 +131,16 @@
         return set(random.Random(seed).sample(ids, round(share * len(ids))))
 
 
+def zone_name(number: int) -> str:
+    """Return the name of a zone, for example `z1`."""
+    return f"z{number}"
+
+
+def zone_of(rack: str, zones: int) -> str:
+    """Return the name of the zone in which a rack lies."""
+    return zone_name(int(rack[1:]) % zones)
+
+
 def _is_active(fault: Fault, now_ms: int) -> bool:
     start_ms = fault.start_s * MS_PER_S
     return start_ms <= now_ms < start_ms + fault.duration_s * MS_PER_S
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -13,6 +13,19 @@
 """The capacity of a simulated worker where the load states no other."""
 
 
+@dataclass(frozen=True, slots=True)
+class WorkSpread:
+    """How the work of the jobs of one kind spreads, as standard deviations of its logarithm."""
+
+    jobs: float = 0.4
+    subtasks: float = 0.15
+    declared: float = 0.6
+    """The spread of declared durations around the work of the job."""
+    outlier_share: float = 0.03
+    outlier_factor: float = 7.0
+    """How many times as long as others the jobs in `outlier_share` take."""
+
+
 @dataclass(frozen=True, slots=True)
 class JobKind:
     """A kind of jobs: how many arrive, what they need and what they are worth.
@@ -42,6 +55,8 @@
     saves_share: float = 0.0
     failing_share: float = 0.0
     estimate_error: float = 0.5
+    spread: WorkSpread | None = None
+    """How the work spreads where it does so as a log-normal; without it the spread is 30 %."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,10 +102,13 @@
     teams: int = 4
     zones: int = 3
     """The number of availability zones: jobs are submitted from them, and each rack lies in one."""
+    team_weights: tuple[float, ...] = ()
+    """How many jobs each team submits, relative to the others; empty for equal teams."""
     guaranteed_share: float = 0.62
     """The share of all accelerators that is guaranteed to teams, in equal parts."""
+    rack_gang_racks: float = 0.5
+    """How many racks a gang fills at most that prefers one rack; `wide_gang_racks` for others."""
     wide_gang_racks: float = 0.5
-    """How many racks a gang fills at most that needs no single rack; others fill half of one."""
     duration_s: float = 36.0
     surges: tuple[Surge, ...] = ()
     slowness: tuple[Slowness, ...] = ()
@@ -101,6 +119,8 @@
     """The share of start orders that get no answer; the run is known as refused later."""
     stop_duration_ms: tuple[int, int] = (100, 900)
     """The least and the longest time from the order to stop a run to its end."""
+    worker_speeds: tuple[float, ...] = (1.0,)
+    """The speeds from which each worker gets its own, which is stated nowhere."""
     restore_ms: int = 600
     """How long a run that starts from a checkpoint restores it before it makes progress."""
     goal: Goal = DEFAULT_GOAL
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -32,13 +32,13 @@
     worst_team: float
     waste_price: float
     by_kind: dict[str, float]
+    in_time: dict[str, float]
+    """By kind, the share of the jobs that ended within their objective."""
     wasted_gpu_s: float
     stops: int
     cross_rack_starts: int
     wasted_core_s: float
     stranded_gpus: float
-    in_time: dict[str, float]
-    """The share of the jobs of each kind that ended within their objective."""
 
     @property
     def score(self) -> float:
@@ -68,16 +68,16 @@
         min(_shares_by(day.outcomes, lambda job: job.team), default=1.0),
         goal.waste_price * day.wasted_core_s / worth if worth else 0.0,
         shares,
+        _in_time_shares(day.outcomes),
         day.wasted_gpu_s,
         day.stops,
         day.cross_rack_starts,
         day.wasted_core_s,
         day.stranded_gpus,
-        in_time_shares(day.outcomes),
     )
 
 
-def in_time_shares(outcomes: Iterable[JobOutcome]) -> dict[str, float]:
+def _in_time_shares(outcomes: Iterable[JobOutcome]) -> dict[str, float]:
     """Return the share of the jobs of each kind that ended within their objective."""
     by_kind: dict[str, list[bool]] = {}
     for outcome in outcomes:
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/stranded.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/stranded.py
@@ -30,7 +30,8 @@
 
 
 def _stranded(worker: WorkerAllocation, steps: list[StepSpec]) -> int:
-    if not worker.health.may_start_runs or any(worker.fits_now(step) for step in steps):
+    may_start = worker.is_ready and worker.health.may_start_runs
+    if not may_start or any(worker.fits_now(step) for step in steps):
         return 0
     return max(0, worker.free.gpu)
 
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_evacuation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_evacuation.py
@@ -4,7 +4,7 @@
 
 from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.simulation.day_simulation import TIME_STEP_MS
-from agateferry_jobs.simulation.faults import FaultSchedule, ZoneEvacuation
+from agateferry_jobs.simulation.faults import FaultSchedule, ZoneEvacuation, zone_of
 from agateferry_jobs.simulation.tests.test_day_simulation import LOAD, ended, job
 
 RACKS = {"w0": "r0", "w1": "r1", "w2": "r2", "w3": "r3"}
@@ -17,17 +17,23 @@
 
 
 class EvacuationScheduleTests(testtools.TestCase):
-    def test_a_zone_holds_every_so_many_racks_and_is_evacuated_for_a_time(self):
+    def test_a_zone_holds_every_so_many_racks(self):
+        zones = {id: zone_of(rack, zones=2) for id, rack in RACKS.items()}
+        self.assertEqual({"w0": "z0", "w1": "z1", "w2": "z0", "w3": "z1"}, zones)
+
+    def test_a_zone_is_evacuated_for_a_time(self):
         schedule = FaultSchedule(RACKS, (), (), (), (EVACUATION,), zones=2)
         times_ms = (999, 1_000, 4_999, 5_000)
-        found = [schedule.evacuated(now_ms) for now_ms in times_ms]
-        self.assertEqual([set(), {"w1", "w3"}, {"w1", "w3"}, set()], found)
+        found = [schedule.evacuated_zones(now_ms) for now_ms in times_ms]
+        self.assertEqual([set(), {"z1"}, {"z1"}, set()], found)
 
     def test_the_zone_is_cold_after_its_evacuation_only(self):
         schedule = FaultSchedule(RACKS, (), (), (), (EVACUATION,), zones=2)
         speeds = [schedule.speeds(now_ms)["w1"] for now_ms in (4_999, 5_000, 6_999, 7_000)]
         self.assertEqual([1.0, 0.25, 0.25, 1.0], speeds)
         self.assertEqual(1.0, schedule.speeds(5_000)["w0"])
+        cold = [schedule.cold(now_ms) for now_ms in (4_999, 5_000, 6_999, 7_000)]
+        self.assertEqual([set(), {"w1", "w3"}, {"w1", "w3"}, set()], cold)
 
 
 class EvacuatedZoneTests(testtools.TestCase):
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_uneven_teams.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_uneven_teams.py
@@ -5,6 +5,7 @@
 from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.simulation.day_simulation import DaySimulation
 from agateferry_jobs.simulation.drawing import draw_jobs
+from agateferry_jobs.simulation.faults import ZoneEvacuation
 from agateferry_jobs.simulation.loads import GANGS
 from agateferry_jobs.simulation.policies import LeaderPolicy
 from agateferry_jobs.simulation.tests.test_day_simulation import LOAD, job
@@ -42,3 +43,11 @@
         load = replace(LOAD, workers=1, duration_s=2.0)
         need = Resources(load.capacity.cpu, load.capacity.mem_mb, gpu=1)
         self.assertEqual(0, self.mean(load, job("a", need=need, work_ms=5_000)))
+
+    def test_a_worker_of_an_evacuated_zone_is_left_out(self):
+        """Guards against counting what is free on workers on which nothing may start."""
+        evacuation = ZoneEvacuation(0.5, 9.0, zone=0)
+        load = replace(LOAD, workers=1, duration_s=2.0, evacuations=(evacuation,))
+        need = Resources(load.capacity.cpu, load.capacity.mem_mb, gpu=1)
+        jobs = [job(id, kind=GANGS, need=need, work_ms=5_000) for id in ("a", "b")]
+        self.assertEqual((load.capacity.gpu - 1) / 2, self.mean(load, *jobs))
