--- a/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/__main__.py
@@ -10,8 +10,10 @@
 from agateferry_jobs.simulation.policies import ALL_POLICIES, POLICIES
 from agateferry_jobs.simulation.report import Summary, summarize
 from agateferry_jobs.simulation.scarce_loads import SCARCE_LOADS
+from agateferry_jobs.simulation.uneven_teams import UNEVEN_TEAMS_LOADS
+from agateferry_jobs.simulation.uneven_workers import UNEVEN_WORKERS_LOADS
 
-ALL_LOADS = LOADS | SCARCE_LOADS
+ALL_LOADS = LOADS | SCARCE_LOADS | UNEVEN_TEAMS_LOADS | UNEVEN_WORKERS_LOADS
 
 
 def simulate(*, load: str = "surge", policy: str = "", seeds: int = 10) -> None:
@@ -44,8 +46,7 @@
     )
     in_time = " ".join(
         f"{name}={mean(day.in_time[name] for day in days if name in day.in_time):.3f}"
-        for name in names
-        if "," not in name
+        for name in sorted({name for day in days for name in day.in_time})
     )
     return (
         f"score={mean(scores):.3f} spread={spread:.3f} "
@@ -55,6 +56,8 @@
         f"waste_price={mean(day.waste_price for day in days):.3f} "
         f"wasted_gpu_s={mean(day.wasted_gpu_s for day in days):.0f} "
         f"stops={mean(day.stops for day in days):.1f} "
+        f"wasted_core_s={mean(day.wasted_core_s for day in days):.0f} "
+        f"stranded_gpus={mean(day.stranded_gpus for day in days):.1f} "
         f"far_starts={mean(day.cross_rack_starts for day in days):.1f} {kinds} "
         f"in time: {in_time}"
     )
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -6,17 +6,18 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.cell.leader import TICK_MS
-from agateferry_jobs.ledger import Ledger, WorkerIncarnation, commands
+from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.ledger.state import gang_of
-from agateferry_jobs.manifest import Manifest, Queue, Service, Team
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
 from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.planning.paces import PaceTracker, Progress
+from agateferry_jobs.simulation.cell_setup import setup_commands
 from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import FaultSchedule
 from agateferry_jobs.simulation.loads import Load
 from agateferry_jobs.simulation.policies import Policy
 from agateferry_jobs.simulation.running_group import RunningGroup
+from agateferry_jobs.simulation.stranded import StrandedGpus
 
 TIME_STEP_MS = 50
 """The step of virtual time in which the simulation advances."""
@@ -26,8 +27,6 @@
 """After how long the leader knows that a start without an answer will not be carried out."""
 POLL_INTERVAL_MS = 1_500
 """How often workers report the progress of their runs."""
-CALL_TIMEOUT_MS = 3_000
-"""The time limit of callers' calls, which the manifest requires; a simulation has no calls."""
 CROSS_RACK_SLOWDOWN = 3
 """How many times as long a gang takes that needs one rack but spans several."""
 
@@ -45,7 +44,8 @@
     """The result of a simulated day.
 
     `wasted_gpu_s` is lost work in accelerator-seconds. `wasted_core_s` is the same in core-seconds,
-    in which an accelerator counts as several, see `Resources.weighted_cores`.
+    in which an accelerator counts as several, see `Resources.weighted_cores`. `stranded_gpus` is
+    the mean number of accelerators that no waiting subtask could use, see `StrandedGpus`.
     """
 
     outcomes: list[JobOutcome]
@@ -53,6 +53,7 @@
     stops: int
     cross_rack_starts: int
     wasted_core_s: float = 0.0
+    stranded_gpus: float = 0.0
 
 
 class DaySimulation:
@@ -79,18 +80,23 @@
         self._now_ms = 0
         self._speeds: dict[str, float] = {}
         self._unreachable: set[str] = set()
+        self._evacuated: set[str] = set()
+        self._stranded = StrandedGpus()
         self._has_leader = True
         self._racks = {
             f"w{number:03d}": f"r{number // load.workers_per_rack}"
             for number in range(load.workers)
         }
-        self._faults = FaultSchedule(self._racks, load.slowness, load.outages, load.absences)
+        self._faults = FaultSchedule(
+            self._racks, load.slowness, load.outages, load.absences, load.evacuations, load.zones
+        )
         speed_rng = random.Random(seed)
         self._own_speeds = {id: speed_rng.choice(load.worker_speeds) for id in self._racks}
 
     def run(self) -> DayResult:
         """Simulate the day and return its result."""
-        self._set_up()
+        for command in setup_commands(self._load, self._racks):
+            self._apply(command)
         end_ms = round((self._load.duration_s + TAIL_S) * MS_PER_S)
         is_changed = True
         for self._now_ms in range(0, end_ms, TIME_STEP_MS):
@@ -101,6 +107,7 @@
                 self._poll()
             if self._has_leader and (is_changed or self._now_ms % TICK_MS == 0):
                 self._report_ends()
+                self._update_evacuations()
                 self._plan()
                 is_changed = False
         return DayResult(
@@ -109,6 +116,7 @@
             self._stops,
             self._cross_rack_starts,
             self._wasted_core_s,
+            self._stranded.mean,
         )
 
     def _ended_ms(self, job: SimulatedJob) -> int | None:
@@ -118,15 +126,6 @@
     def _apply(self, command: commands.Command) -> None:
         self._ledger.apply(1, commands.encode(command))
 
-    def _set_up(self) -> None:
-        self._apply(commands.PutManifest(_manifest(self._load)))
-        for id, rack in self._racks.items():
-            capacity, labels = self._load.capacity, ("kind", rack)
-            incarnation = WorkerIncarnation(
-                id, 1, "pool", id, "zone", capacity, labels, capacity.gpu
-            )
-            self._apply(commands.NoteWorker(incarnation))
-
     def _submit_due_jobs(self) -> bool:
         if not self._has_leader:
             return False
@@ -150,12 +149,21 @@
 
     def _update_faults(self) -> bool:
         """Update what the faults of this moment affect; return whether the leader may notice."""
-        before = (self._unreachable, self._has_leader)
+        before = (self._unreachable, self._has_leader, self._evacuated)
         speeds = self._faults.speeds(self._now_ms)
         self._speeds = {id: speed * self._own_speeds[id] for id, speed in speeds.items()}
         self._unreachable = self._faults.unreachable(self._now_ms)
         self._has_leader = self._faults.has_leader(self._now_ms)
-        return before != (self._unreachable, self._has_leader)
+        self._evacuated = self._faults.evacuated_zones(self._now_ms)
+        return before != (self._unreachable, self._has_leader, self._evacuated)
+
+    def _update_evacuations(self) -> None:
+        """Evacuate and readmit zones, which only a cell with a leader can do."""
+        recorded = set(self._ledger.state.evacuations)
+        for zone in sorted(self._evacuated - recorded):
+            self._apply(commands.EvacuateZone(zone, self._now_ms))
+        for zone in sorted(recorded - self._evacuated):
+            self._apply(commands.ReadmitZone(zone, self._now_ms))
 
     def _advance_all(self) -> bool:
         """Advance all running groups by one time step; return whether any ended."""
@@ -222,12 +230,18 @@
             if group.stops_at_ms is not None
             for name in group.members
         }
-        health = {id: WorkerHealth(answers=id not in self._unreachable) for id in self._racks}
+        cold = self._faults.cold(self._now_ms)
+        health = {
+            id: WorkerHealth(answers=id not in self._unreachable, is_cold=id in cold)
+            for id in self._racks
+        }
         fleet = Fleet.from_ledger(self._ledger, health, stopping)
         if self._paces.is_due(self._now_ms):
             self._paces.update(self._progress, self._now_ms)
         fleet.set_paces(self._paces.paces)
         plan = self._policy.plan(self._ledger, fleet, self._now_ms)
+        if self._now_ms % MS_PER_S == 0 and self._future_jobs:
+            self._stranded.sample(self._ledger, fleet, plan)
         for stop in plan.stops:
             for group in self._groups:
                 if group.job.id == stop.key[0] and stop.key[1] in group.members:
@@ -272,27 +286,3 @@
         if not share or self._rng.random() >= share:
             return None
         return self._now_ms + self._rng.randint(*REFUSAL_DELAY_RANGE_MS)
-
-
-def _manifest(load: Load) -> Manifest:
-    """Return a manifest with a queue for each kind of job, and teams with equal guarantees."""
-    queues = tuple(
-        Queue(
-            name=kind.name,
-            host="host",
-            prefix=f"/{kind.name}/",
-            service="pool",
-            timeout_ms=CALL_TIMEOUT_MS,
-            target_ms=kind.target_ms,
-            priority=kind.priority,
-            attempts=kind.attempts,
-            stretch=kind.stretch,
-        )
-        for kind in load.kinds
-    )
-    guaranteed = int(load.guaranteed_share * load.workers * load.capacity.gpu / load.teams)
-    teams = tuple(
-        Team(f"team-{number}", (f"key-{number}",), reserved_gpus=guaranteed)
-        for number in range(load.teams)
-    )
-    return Manifest(1, queues, (Service("pool"),), teams)
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/drawing.py
@@ -63,7 +63,10 @@
 def _job(load: Load, kind: JobKind, arrival_ms: int, rng: random.Random) -> SimulatedJob:
     need = Resources(kind.cpu, kind.mem_mb, rng.choice(kind.gpus))
     same_rack = kind.is_gang and rng.random() < kind.same_rack_share
-    count = _width(load, kind, need, rng)
+    count = _width(kind, rng)
+    if kind.is_gang:
+        racks = load.rack_gang_racks if same_rack else load.wide_gang_racks
+        count = min(count, _max_gang(load, need, racks))
     work_ms, declared_ms = _work_ms(kind, count, rng)
     step = StepSpec(
         count,
@@ -107,15 +110,16 @@
     return rng.choices(range(load.teams), load.team_weights)[0]
 
 
-def _width(load: Load, kind: JobKind, need: Resources, rng: random.Random) -> int:
-    """Draw the number of subtasks of a job; a gang must fit into the workers that it may use."""
+def _width(kind: JobKind, rng: random.Random) -> int:
+    """Draw the number of subtasks of a job."""
     width = rng.lognormvariate(0.0, 0.8) * kind.width * 0.73
-    count = max(1, round(min(width, MAX_WIDTH_FACTOR * kind.width)))
-    if not kind.is_gang:
-        return count
+    return max(1, round(min(width, MAX_WIDTH_FACTOR * kind.width)))
+
+
+def _max_gang(load: Load, need: Resources, racks: float) -> int:
+    """Return how many members of a gang fit into this many empty racks."""
     capacity = load.capacity
     per_worker = min(
         capacity.cpu // need.cpu, capacity.mem_mb // need.mem_mb, capacity.gpu // need.gpu
     )
-    max_workers = load.max_gang_workers or load.workers_per_rack // 2
-    return min(count, max_workers * per_worker)
+    return int(load.workers_per_rack * racks) * per_worker
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/loads.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.simulation.faults import LeaderAbsence, Outage, Slowness
+from agateferry_jobs.simulation.faults import LeaderAbsence, Outage, Slowness, ZoneEvacuation
 
 WORKER_CAPACITY = Resources(cpu=64_000, mem_mb=262_000, gpu=8)
 """The capacity of a simulated worker where the load states no other."""
@@ -15,10 +15,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkSpread:
-    """How the work of the jobs of one kind spreads, as standard deviations of its logarithm.
-
-    A share of the jobs, `outlier_share`, takes `outlier_factor` times as long as others.
-    """
+    """How the work of the jobs of one kind spreads, as standard deviations of its logarithm."""
 
     jobs: float = 0.4
     subtasks: float = 0.15
@@ -26,6 +23,7 @@
     """The spread of declared durations around the work of the job."""
     outlier_share: float = 0.03
     outlier_factor: float = 7.0
+    """How many times as long as others the jobs in `outlier_share` take."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,20 +99,22 @@
     workers_per_rack: int = 8
     capacity: Resources = WORKER_CAPACITY
     """The capacity of every worker."""
-    max_gang_workers: int = 0
-    """How many workers a gang needs at most; 0 for half of a rack."""
     teams: int = 4
     zones: int = 3
-    """The number of availability zones from which jobs are submitted."""
+    """The number of availability zones: jobs are submitted from them, and each rack lies in one."""
     team_weights: tuple[float, ...] = ()
     """How many jobs each team submits, relative to the others; empty for equal teams."""
     guaranteed_share: float = 0.62
     """The share of all accelerators that is guaranteed to teams, in equal parts."""
+    rack_gang_racks: float = 0.5
+    """How many racks a gang fills at most that prefers one rack; `wide_gang_racks` for others."""
+    wide_gang_racks: float = 0.5
     duration_s: float = 36.0
     surges: tuple[Surge, ...] = ()
     slowness: tuple[Slowness, ...] = ()
     outages: tuple[Outage, ...] = ()
     absences: tuple[LeaderAbsence, ...] = ()
+    evacuations: tuple[ZoneEvacuation, ...] = ()
     refused_start_share: float = 0.0
     """The share of start orders that get no answer; the run is known as refused later."""
     stop_duration_ms: tuple[int, int] = (100, 900)
@@ -285,31 +285,7 @@
     refused_start_share=0.02,
 )
 
-UNEVEN = Load(
-    (
-        replace(URGENT, per_s=4.2, width=5.0, spread=WorkSpread(subtasks=0.0, declared=0.9)),
-        replace(GANGS, per_s=1.4, width=13.0, spread=WorkSpread(subtasks=0.0)),
-        replace(BATCH, per_s=2.6, width=39.0, spread=WorkSpread(0.3, 0.15, 0.5)),
-    ),
-    workers=176,
-    workers_per_rack=12,
-    teams=10,
-    duration_s=34.0,
-    stop_duration_ms=(100, 400),
-    surges=(Surge("urgent", 6.0, 5.0, 2.0),),
-    goal=Goal(0.5, 0.25, 0.25, window_s=2, waste_price=0.0005),
-    worker_speeds=(0.6, 1.0, 1.6),
-)
-"""Workers whose speeds differ by a factor of 2.7, and more work than they can do."""
-UNEVEN_QUIET = replace(
-    UNEVEN, kinds=tuple(replace(kind, per_s=kind.per_s * 0.3) for kind in UNEVEN.kinds), surges=()
-)
-
 LOADS = {
-    "uneven": UNEVEN,
-    "uneven-quiet": UNEVEN_QUIET,
-    "uneven-mild": replace(UNEVEN, worker_speeds=(0.8, 1.0, 1.25)),
-    "even": replace(UNEVEN, worker_speeds=(1.0,)),
     "calm": CALM,
     "surge": SURGE,
     "slow": SLOW,
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/report.py
@@ -37,6 +37,8 @@
     wasted_gpu_s: float
     stops: int
     cross_rack_starts: int
+    wasted_core_s: float
+    stranded_gpus: float
 
     @property
     def score(self) -> float:
@@ -66,13 +68,23 @@
         min(_shares_by(day.outcomes, lambda job: job.team), default=1.0),
         goal.waste_price * day.wasted_core_s / worth if worth else 0.0,
         shares,
-        {name: _in_time_share(outcomes) for name, outcomes in _by_kind(day.outcomes).items()},
+        _in_time_shares(day.outcomes),
         day.wasted_gpu_s,
         day.stops,
         day.cross_rack_starts,
+        day.wasted_core_s,
+        day.stranded_gpus,
     )
 
 
+def _in_time_shares(outcomes: Iterable[JobOutcome]) -> dict[str, float]:
+    """Return the share of the jobs of each kind that ended within their objective."""
+    by_kind: dict[str, list[bool]] = {}
+    for outcome in outcomes:
+        by_kind.setdefault(outcome.job.kind.name, []).append(_earned_share(outcome) == 1.0)
+    return {name: mean(each) for name, each in by_kind.items()}
+
+
 def _by_kind(outcomes: Iterable[JobOutcome]) -> dict[str, list[JobOutcome]]:
     kinds: dict[str, list[JobOutcome]] = {}
     for outcome in outcomes:
@@ -112,10 +124,6 @@
     return job.kind.worth * _size_weight(job)
 
 
-def _in_time_share(outcomes: Sequence[JobOutcome]) -> float:
-    return mean(_earned_share(outcome) == 1.0 for outcome in outcomes)
-
-
 def _earned_share(outcome: JobOutcome) -> float:
     """Return the share of its worth that a job earned: all in time, less if late, or none."""
     job, kind = outcome.job, outcome.job.kind
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_uneven_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_uneven_workers.py
@@ -5,8 +5,9 @@
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.simulation.day_simulation import DaySimulation
 from agateferry_jobs.simulation.drawing import SimulatedJob, draw_jobs
-from agateferry_jobs.simulation.loads import BATCH, LOADS, UNEVEN_QUIET, URGENT
+from agateferry_jobs.simulation.loads import BATCH, URGENT
 from agateferry_jobs.simulation.policies import ABLATIONS, LeaderPolicy
+from agateferry_jobs.simulation.uneven_workers import UNEVEN_QUIET, UNEVEN_WORKERS_LOADS
 
 SEEDS = range(1, 11)
 LOAD = replace(UNEVEN_QUIET, workers=12, teams=1, duration_s=12.0)
@@ -53,7 +54,7 @@
 class EqualWorkersTests(testtools.TestCase):
     def test_a_day_is_the_same_with_and_without_paces(self):
         """Guards against plans that follow chance differences on earlier deployments."""
-        load = replace(LOADS["even"], workers=48, duration_s=20.0)
+        load = replace(UNEVEN_WORKERS_LOADS["even"], workers=48, duration_s=20.0)
         kinds = tuple(replace(kind, per_s=kind.per_s * 0.3) for kind in load.kinds)
         load = replace(load, kinds=kinds)
         for seed in (1, 2, 3):
