Split the planner's modules by what they hold

The key of a worker's incarnation was defined three times (ledger/crashes.py, ledger/worker_speeds.py, planning/fleet.py).

Change: planning/plan.py has Plan and Stop. planning/candidates.py has CandidateWorkers with its keys. Since it needs WorkerAllocation and the fleet needs it, planning/worker_allocation.py has WorkerAllocation with its health and its runs, so that no imports form a cycle. WorkerKey and RunKey are in ledger/state.py. All imports follow, but for the simulation's: fleet.py and planner.py still let it import total_need, RunKey and Stop. No behavior changes.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
@@ -2,7 +2,7 @@
 
 from agateferry_jobs.ledger import Run, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import CrashReport, LossCause
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.workers.session import WorkerSession
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -26,8 +26,8 @@
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
 from agateferry_jobs.ledger import Job, Ledger, commands
+from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning import Fleet, Plan, Planner
-from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.protocols import Replica
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/run_stops.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/run_stops.py
@@ -7,7 +7,7 @@
 from agateferry_jobs.cell.suspects import SuspectWorkers
 from agateferry_jobs.cell.worker_sessions import WorkerSessions
 from agateferry_jobs.ledger import Ledger, Run
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey
 
 
 class RunStops:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/suspects.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/suspects.py
@@ -8,6 +8,8 @@
 
 from dataclasses import dataclass, field
 
+from agateferry_jobs.ledger.state import WorkerKey
+
 FAILED_JOBS_TO_EXCLUDE = 2
 """How many different jobs must fail on a worker, with no success in between, to exclude it."""
 EXCLUSION_MS = 8_000
@@ -24,7 +26,7 @@
     """Record failed runs by worker incarnation, that is by a worker's id and `born`."""
 
     def __init__(self) -> None:
-        self._records: dict[tuple[str, int], _Record] = {}
+        self._records: dict[WorkerKey, _Record] = {}
 
     def record_success(self, worker: str, born: int) -> None:
         """Forget the failures recorded for a worker; called when a run ended as done."""
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_evacuation_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_evacuation_invariants.py
@@ -21,7 +21,7 @@
 from agateferry_jobs.ledger import WorkerState, commands, ledger
 from agateferry_jobs.ledger.specs import JobSpec, StepSpec
 from agateferry_jobs.ledger.state import gang_of
-from agateferry_jobs.planning.fleet import WorkerAllocation
+from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 from agateferry_jobs.settings import TimeLimits
 from agateferry_jobs.support import manifest, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
@@ -15,7 +15,7 @@
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.ledger import Ledger
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
-from agateferry_jobs.planning.fleet import WorkerAllocation
+from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import WORKER_CAPACITY
 from agateferry_jobs.workers.lease import Lease
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_shrinking_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_shrinking_invariants.py
@@ -19,7 +19,7 @@
     InvariantError,
 )
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.planning.fleet import WorkerAllocation
+from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 from agateferry_jobs.support import ModelWorker, worker
 from agateferry_jobs.workers.port import Confirmed
 from agateferry_jobs.workers.report_age import ReportAge
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_paces.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_paces.py
@@ -8,7 +8,7 @@
 from agateferry_jobs import metrics
 from agateferry_jobs.cell import events
 from agateferry_jobs.ledger import Ledger
-from agateferry_jobs.planning.fleet import RunKey, WorkerKey
+from agateferry_jobs.ledger.state import RunKey, WorkerKey
 from agateferry_jobs.planning.paces import PaceTracker, Progress
 
 LOG_INTERVAL_MS = 10 * MS_PER_S
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -18,6 +18,7 @@
 from agateferry_jobs.cell.worker_sessions import LeaderHooks, WorkerSessions
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import LossCause
+from agateferry_jobs.ledger.state import WorkerKey
 from agateferry_jobs.workers.session import (
     WorkerSession,
 )
@@ -39,7 +40,7 @@
         self._sessions = sessions
         self._hooks = hooks
         self._proposer = proposer
-        self._heartbeat_sequences: dict[tuple[str, int], int] = {}
+        self._heartbeat_sequences: dict[WorkerKey, int] = {}
         self._log = EventLogger()
         sessions.on_replaced = self._on_replaced
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -7,8 +7,8 @@
 from agateferry_jobs.cell.departures import lost_run_end
 from agateferry_jobs.ledger import Ledger, Run, WorkerIncarnation, commands
 from agateferry_jobs.ledger.commands import LossCause
+from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning import WorkerHealth
-from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.planning.paces import Progress
 from agateferry_jobs.workers.lease import Lease, max_local_ms
 from agateferry_jobs.workers.report_age import ReportAge
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
@@ -19,6 +19,7 @@
     RunCrash,
     WorkerCrash,
     WorkerIncarnation,
+    WorkerKey,
 )
 
 CRASH_RETENTION_MS = 600_000
@@ -37,9 +38,6 @@
 WIDE_FAILURE_RACK_SHARE = 0.5
 """The share of a rack's workers whose crashes together are a failure of the rack."""
 
-WorkerKey = tuple[str, int]
-"""The id and `born` of a worker's incarnation."""
-
 
 class WideFailures:
     """The failures that took many workers at about the same time, whatever these ran.
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -7,6 +7,11 @@
 
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 
+WorkerKey = tuple[str, int]
+"""The id and `born` of a worker's incarnation."""
+RunKey = tuple[str, str]
+"""A job's id and a subtask's name."""
+
 
 class JobState(StrEnum):
     """The state of a job, as its callers see it."""
@@ -63,8 +68,8 @@
     born: int
 
     @property
-    def worker_key(self) -> tuple[str, int]:
-        """Return the id and `born` of the incarnation that it runs on."""
+    def worker_key(self) -> WorkerKey:
+        """Return the key of the incarnation that it runs on."""
         return self.worker, self.born
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/worker_speeds.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/worker_speeds.py
@@ -33,9 +33,7 @@
     observation,
     robust_works,
 )
-
-WorkerKey = tuple[str, int]
-"""The id and `born` of a worker's incarnation."""
+from agateferry_jobs.ledger.state import WorkerKey
 
 RunningSteps = Mapping[str, tuple[Reference, Sequence[tuple[WorkerKey, float]]]]
 """By step, its reference and the log durations to expect of the runs on each worker."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -1,217 +1,14 @@
-"""The workers as the planner sees them: what is free now and once all stopping runs have ended."""
+"""All workers as the planner sees them, with the runs that the ledger places on them."""
 
-import math
 from collections import Counter, defaultdict
-from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
-from functools import cached_property
+from collections.abc import Collection, Iterable, Mapping
 
-from agateferry_jobs.ledger import Job, Ledger, Run, WorkerIncarnation, WorkerState
-from agateferry_jobs.ledger.specs import Resources, StepSpec
-from agateferry_jobs.ledger.state import gang_of
-
-WorkerKey = tuple[str, int]
-"""The id and `born` of a worker's incarnation."""
-RunKey = tuple[str, str]
-"""A job's id and a subtask's name."""
-NOTHING = Resources()
-PACE_CLASS_WIDTH = 0.2
-"""Workers whose log paces differ by less count as equal, so that placement packs them as usual."""
-UNLIMITED_SUBTASKS = 2**31
-"""More subtasks than any worker holds, for a resource that a subtask does not need."""
-
-
-@dataclass(frozen=True, slots=True)
-class WorkerHealth:
-    """What calls to a worker showed: whether it answers, and whether its runs fail or hang."""
-
-    answers: bool = True
-    accepts_starts: bool = True
-    """Whether the worker has not rejected a start just now."""
-    has_recent_report: bool = True
-    """Whether the worker has reported its capacity lately enough to start work by it."""
-    reports_soon: bool = False
-    """Whether such a report is still awaited, from a worker that has just begun to answer."""
-    is_suspect: bool = False
-    is_cold: bool = False
-    """Whether the worker has started lately, so that runs are slow on it for now."""
-    unexpected_runs: tuple[RunKey, ...] = ()
-    """Runs that the worker reports but the ledger does not place there; they use resources too."""
-
-    @property
-    def may_start_runs(self) -> bool:
-        """Return whether new runs may be ordered from the worker now."""
-        return self.answers and self.accepts_starts and self.has_recent_report
-
-
-@dataclass(slots=True)
-class AllocatedRun:
-    """A run that holds resources of a worker."""
-
-    job: Job
-    subtask: str
-    step: StepSpec
-    is_stopping: bool
-    pace: float = 1.0
-    """The pace of its worker."""
-
-
-@dataclass(slots=True)
-class WorkerAllocation:
-    """One worker: its incarnation, its free resources, and the runs that hold the rest.
-
-    `free` is free now. `free_after_stops` is what is free once all stopping runs have ended, less
-    what the planner has reserved for waiting jobs.
-    """
-
-    incarnation: WorkerIncarnation
-    health: WorkerHealth
-    free: Resources
-    free_after_stops: Resources
-    free_slots: int
-    largest_capacity: Resources
-    """The largest capacity that the worker has reported; it may be smaller for a while."""
-    runs: list[AllocatedRun] = field(default_factory=list)
-    is_evacuated: bool = False
-    """Whether the worker's zone is evacuated."""
-    region: str = ""
-    """The region of the worker's zone; empty if it is not known."""
-    trial_job: str = ""
-    """The id of a suspected job that runs here; until it has shown to be safe, no other starts."""
-    pace: float = 1.0
-    """How many times as long as usual its runs take; 1 where paces are not known to differ."""
-    pace_class: int = 0
-    """The logarithm of the pace in steps of `PACE_CLASS_WIDTH`."""
-    version: int = 0
-    """Grows with each change of the runs or of what is free."""
-
-    @property
-    def is_ready(self) -> bool:
-        """Return whether this worker may get new runs, provided that it answers."""
-        return self.incarnation.state is WorkerState.READY and not self.is_evacuated
-
-    @property
-    def slots_after_stops(self) -> int:
-        """Return the free slots once all stopping runs have ended."""
-        return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
-
-    def set_pace(self, pace: float) -> None:
-        """Set the pace of the worker and of the runs on it."""
-        self.pace = pace
-        self.pace_class = round(math.log(pace) / PACE_CLASS_WIDTH)
-        for run in self.runs:
-            run.pace = pace
-
-    def can_ever_run(self, step: StepSpec) -> bool:
-        """Return whether a subtask would fit here if the worker were empty and at its largest."""
-        if step.required_label and step.required_label not in self.incarnation.labels:
-            return False
-        return step.need.fits(self.largest_capacity)
-
-    def is_open_to(self, job: Job) -> bool:
-        """Return whether runs of a job may start here, as far as suspects are concerned."""
-        return self.trial_job in ("", job.id)
-
-    def fits_now(self, step: StepSpec) -> bool:
-        """Return whether a subtask of this step fits into the free resources."""
-        return self.free_slots > 0 and step.need.fits(self.free)
-
-    def count_subtasks(self, job: Job, gang: str) -> int:
-        """Return how many subtasks of one step and occurrence run here, named `OCCURRENCE.STEP`."""
-        return sum(1 for run in self.runs if run.job is job and gang_of(run.subtask) == gang)
-
-    def max_subtasks(self, step: StepSpec, available: Resources, job: Job, gang: str) -> int:
-        """Return how many subtasks of a step fit into `available`; slots are not counted."""
-        if not NOTHING.fits(available):
-            return 0
-        need = step.need
-        fitting = self.incarnation.slots
-        if need.cpu or need.mem_mb or need.gpu:
-            fitting = min(
-                available.cpu // need.cpu if need.cpu else UNLIMITED_SUBTASKS,
-                available.mem_mb // need.mem_mb if need.mem_mb else UNLIMITED_SUBTASKS,
-                available.gpu // need.gpu if need.gpu else UNLIMITED_SUBTASKS,
-            )
-        if step.max_per_worker:
-            fitting = min(fitting, step.max_per_worker - self.count_subtasks(job, gang))
-        return max(0, fitting)
-
-    def allocate(self, job: Job, subtask: str) -> None:
-        """Allocate resources to a run that is about to start."""
-        self.add_runs([AllocatedRun(job, subtask, job.step_of(subtask), is_stopping=False)])
-
-    def add_runs(self, runs: Sequence[AllocatedRun]) -> None:
-        """Allocate resources to runs; those of stopping ones count as free after stops."""
-        self.runs += runs
-        kept = [run for run in runs if not run.is_stopping]
-        self.free = self.free.minus(total_need(runs))
-        self.free_after_stops = self.free_after_stops.minus(total_need(kept))
-        self.free_slots -= len(runs)
-        self.version += 1
-
-    def mark_stopping(self, allocated_run: AllocatedRun) -> None:
-        """Record that a run is being stopped; its resources are free once it has ended."""
-        allocated_run.is_stopping = True
-        self.version += 1
-        self.free_after_stops = self.free_after_stops.plus(allocated_run.step.need)
-
-    def reserve(self, need: Resources) -> None:
-        """Reserve resources for a waiting job, so that jobs planned after it do not get them."""
-        self.version += 1
-        self.free_after_stops = self.free_after_stops.minus(need)
-        self.free = Resources(
-            min(self.free.cpu, self.free_after_stops.cpu),
-            min(self.free.mem_mb, self.free_after_stops.mem_mb),
-            min(self.free.gpu, self.free_after_stops.gpu),
-        )
-
-
-ShapeKey = tuple[str, Resources, str, tuple[str, ...]]
-"""A service, what a subtask needs, its worker's label, and the allowed regions (empty: all)."""
-CandidateKey = tuple[str, Resources, str, tuple[str, ...], float]
-"""The same, and a limit of the worker's pace."""
-
-
-class CandidateWorkers:
-    """The workers that may run subtasks of one shape.
-
-    `feasible` ones could if they were empty and answered; `usable` ones answer too. Both are also
-    grouped by rack. `awaited` ones will be usable once they have reported.
-    """
-
-    def __init__(
-        self,
-        key: ShapeKey,
-        feasible: list[WorkerAllocation],
-        pace_limit: float = math.inf,
-    ) -> None:
-        self.key: CandidateKey = (*key, pace_limit)
-        self._within_pace: dict[float, CandidateWorkers] = {}
-        self.service = key[0]
-        self.is_paced = pace_limit < math.inf
-        """Whether slower workers are left out, so that a rack may hold more than it shows here."""
-        self.feasible = feasible
-        self.usable = [worker for worker in feasible if worker.health.may_start_runs]
-        self.awaited = [worker for worker in feasible if worker.health.reports_soon]
-
-    def within_pace(self, limit: float) -> "CandidateWorkers":
-        """Return those of the workers whose runs take up to `limit` times as long as usual."""
-        found = self._within_pace.get(limit)
-        if found is None:
-            workers = [worker for worker in self.feasible if worker.pace <= limit]
-            found = CandidateWorkers(self.key[:4], workers, limit)
-            self._within_pace[limit] = found
-        return found
-
-    @cached_property
-    def feasible_racks(self) -> list[list[WorkerAllocation]]:
-        """Return the feasible workers of each rack; only gangs that prefer one rack ask for it."""
-        return _by_rack(self.feasible)
-
-    @cached_property
-    def usable_racks(self) -> list[list[WorkerAllocation]]:
-        """Return the usable workers of each rack."""
-        return _by_rack(self.usable)
+from agateferry_jobs.ledger import Job, Ledger, Run
+from agateferry_jobs.ledger.specs import StepSpec
+from agateferry_jobs.ledger.state import RunKey, WorkerKey
+from agateferry_jobs.planning.candidates import CandidateWorkers, ShapeKey
+from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation, WorkerHealth
+from agateferry_jobs.planning.worker_allocation import total_need as total_need
 
 
 class Fleet:
@@ -325,15 +122,6 @@
         return None
 
 
-def total_need(runs: Sequence[AllocatedRun]) -> Resources:
-    """Return what several runs need together."""
-    return Resources(
-        sum(run.step.need.cpu for run in runs),
-        sum(run.step.need.mem_mb for run in runs),
-        sum(run.step.need.gpu for run in runs),
-    )
-
-
 def _runs_by_worker(
     ledger: Ledger, workers: Mapping[str, WorkerAllocation], stopping: Collection[RunKey]
 ) -> dict[str, list[AllocatedRun]]:
@@ -363,10 +151,3 @@
         return job.step_of(name)
     except (ValueError, IndexError):
         return None
-
-
-def _by_rack(workers: Sequence[WorkerAllocation]) -> list[list[WorkerAllocation]]:
-    racks: dict[str, list[WorkerAllocation]] = defaultdict(list)
-    for worker in workers:
-        racks[worker.incarnation.rack].append(worker)
-    return list(racks.values())
--- a/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
@@ -4,9 +4,9 @@
 from collections.abc import Sequence
 
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.planning.fleet import AllocatedRun, WorkerAllocation
 from agateferry_jobs.planning.preemption_cost import CapacityCost
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
+from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation
 
 FuturePlacements = list[tuple[WorkerAllocation, list[AllocatedRun]]]
 """Workers for subtasks, each with the runs that must end before the subtask fits there."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/paces.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/paces.py
@@ -12,9 +12,7 @@
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.durations import DurationEstimate, Reference
 from agateferry_jobs.ledger.run_durations import is_current
-from agateferry_jobs.ledger.state import Subtask, gang_of
-from agateferry_jobs.ledger.worker_speeds import WorkerKey
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey, Subtask, WorkerKey, gang_of
 
 UPDATE_INTERVAL_MS = 1_000
 MIN_ELAPSED_MS = 1_000
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -7,33 +7,25 @@
 """
 
 from collections.abc import Collection, Iterator, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.specs import StepSpec
-from agateferry_jobs.ledger.state import gang_of
+from agateferry_jobs.ledger.state import RunKey, gang_of
 from agateferry_jobs.manifest import Queue
+from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fair_shares import shares_in_use
-from agateferry_jobs.planning.fleet import (
-    AllocatedRun,
-    CandidateWorkers,
-    Fleet,
-    RunKey,
-    WorkerAllocation,
-)
+from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
 from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
 from agateferry_jobs.planning.pace_limits import pace_limit, prefers_slow
-from agateferry_jobs.planning.preemption_cost import (
-    PreemptionCost,
-    ValuedPreemptionCost,
-    WaitCost,
-)
+from agateferry_jobs.planning.plan import Plan, Stop
+from agateferry_jobs.planning.preemption_cost import PreemptionCost, ValuedPreemptionCost, WaitCost
 from agateferry_jobs.planning.preemption_policy import PreemptionPolicy, PreemptionRules
 from agateferry_jobs.planning.ranks import GUARANTEED_RANK, rank_jobs
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
@@ -41,31 +33,10 @@
 from agateferry_jobs.planning.timing import Timing
 from agateferry_jobs.planning.trial_selection import TrialSelector, waits_for_trial
 from agateferry_jobs.planning.wait_reasons import WaitReason
+from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation
 from agateferry_jobs.planning.worker_selection import WorkerSelector
 
 
-@dataclass(frozen=True, slots=True)
-class Stop:
-    """A run to stop, and the id and the rank of the job that gets its resources."""
-
-    key: RunKey
-    run: Run
-    for_job: str
-    for_rank: int
-
-
-@dataclass(slots=True)
-class Plan:
-    """The runs to start and to stop, and the jobs that could not be planned."""
-
-    starts: list[RunStart] = field(default_factory=list)
-    stops: list[Stop] = field(default_factory=list)
-    waits: dict[str, WaitReason] = field(default_factory=dict)
-    """By job id, why subtasks that could start wait."""
-    errors: dict[str, str] = field(default_factory=dict)
-    """By job id, the unexpected error for which a job was left out; the others are planned."""
-
-
 class Planner:
     """Make one plan from the ledger and the fleet at one moment.
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -4,12 +4,12 @@
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.ledger import Job
-from agateferry_jobs.ledger.state import gang_of, step_number
-from agateferry_jobs.planning.fleet import AllocatedRun, RunKey
+from agateferry_jobs.ledger.state import RunKey, gang_of, step_number
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import LOWEST_RANK
 from agateferry_jobs.planning.timing import Timing
+from agateferry_jobs.planning.worker_allocation import AllocatedRun
 
 RANK_WEIGHT = 3
 """The factor by which lost work counts more for each rank nearer to the first."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/scarcity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/scarcity.py
@@ -4,8 +4,9 @@
 from collections.abc import Iterable
 
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.planning.fleet import NOTHING, Fleet
+from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
+from agateferry_jobs.planning.worker_allocation import NOTHING
 
 
 def is_capacity_scarce(waiting: Iterable[tuple[str, ReadySubtasks]], fleet: Fleet) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -7,11 +7,12 @@
 
 from collections.abc import Mapping
 
+from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.failed_searches import SearchKey
-from agateferry_jobs.planning.fleet import CandidateWorkers, WorkerAllocation
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import BORROWED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
+from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 from agateferry_jobs.planning.worker_selection import WorkerSelector
 
 TRIAL_WAIT_MS = 1_500
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -4,11 +4,12 @@
 from collections.abc import Mapping, Sequence
 
 from agateferry_jobs.ledger.specs import Resources
+from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.failed_searches import SearchKey
-from agateferry_jobs.planning.fleet import AllocatedRun, CandidateWorkers, WorkerAllocation
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
+from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation
 
 DATA_RACK_WAIT_FACTOR = 2.0
 """A subtask waits for its data's rack for up to this many times its expected duration.
--- a/packages/agateferry-jobs/agateferry_jobs/support/crashing_fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/crashing_fleet.py
@@ -15,8 +15,7 @@
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.ledger import Job, JobState, Ledger, WorkerIncarnation
 from agateferry_jobs.ledger.specs import JobSpec
-from agateferry_jobs.ledger.state import gang_of
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey, gang_of
 from agateferry_jobs.support.builders import manifest, worker
 from agateferry_jobs.support.model_worker import ModelWorker
 from agateferry_jobs.support.replica import MemoryReplica
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 
 from agateferry_core.clock import MS_PER_S, Clock
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.workers.port import (
     Answer,
     Confirmed,
--- a/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
@@ -2,7 +2,8 @@
 
 from agateferry_core.clock import Clock
 from agateferry_jobs.backoff import Backoff
-from agateferry_jobs.planning.fleet import RunKey, WorkerHealth
+from agateferry_jobs.ledger.state import RunKey
+from agateferry_jobs.planning.worker_allocation import WorkerHealth
 from agateferry_jobs.workers.report_age import ReportAge
 
 START_PAUSE_MS = 250
--- a/packages/agateferry-jobs/agateferry_jobs/workers/port.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/port.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import ClassVar, Protocol
 
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
@@ -4,7 +4,7 @@
 
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.workers.port import FinishedRun, RunLists
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -17,7 +17,8 @@
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome, RunStart
-from agateferry_jobs.planning.fleet import RunKey, WorkerHealth
+from agateferry_jobs.ledger.state import RunKey
+from agateferry_jobs.planning.worker_allocation import WorkerHealth
 from agateferry_jobs.workers import events
 from agateferry_jobs.workers.contact import WorkerContact
 from agateferry_jobs.workers.lease import Lease
