--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -5,9 +5,8 @@
 from typing import Any
 
 from expression import Result
-from msgspec import UNSET
 
-from agateferry_core.clock import MS_PER_S, Clock
+from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
 from agateferry_core.tasks import repeat, spawn
 from agateferry_jobs import metrics
@@ -17,6 +16,7 @@
 from agateferry_jobs.cell.call_handler import CallHandler
 from agateferry_jobs.cell.evacuations import ZoneEvacuations
 from agateferry_jobs.cell.guilty_jobs import GuiltyJobs
+from agateferry_jobs.cell.job_log import JobLog
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.run_stops import RunStops
@@ -25,7 +25,7 @@
 from agateferry_jobs.cell.worker_paces import WorkerPaces
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
 from agateferry_jobs.cell.worker_sessions import WorkerSessions, close_all
-from agateferry_jobs.ledger import Job, Ledger, commands
+from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.workers.session import PortFactory
@@ -61,6 +61,7 @@
         self._ledger = ledger
         self._clock = clock
         self._log = EventLogger()
+        self._job_log = JobLog(ledger)
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
         self._proposer = Proposer(replica)
         self._suspects = SuspectWorkers()
@@ -163,7 +164,7 @@
         for end in result.ok:
             self._on_run_ended(end)
         for id in {end.job for end in result.ok}:
-            self._log_job_end(id, at_ms)
+            self._job_log.job_ended(id, at_ms)
         self.request_planning()
         return True
 
@@ -226,7 +227,7 @@
         """Fail each job with a subtask that crashes its workers."""
         at_ms = self.now_ms
         for id in await self._guilty_jobs.give_up(at_ms):
-            self._log_job_end(id, at_ms)
+            self._job_log.job_ended(id, at_ms)
 
     def _make_plan(self) -> Plan:
         self._stops.stop_obsolete()
@@ -256,16 +257,8 @@
         if result.is_error() or not self._replica.is_leader or self._replica.term != term:
             return
         for start in result.ok:
-            self._log.info(
-                events.RUN_STARTED,
-                job=start.job,
-                subtask=start.subtask,
-                run=start.run.number,
-                worker=start.run.worker,
-            )
-            job = self._ledger.jobs[start.job]
-            self._observe_first_start(start, job)
-            self._sessions.start_run(start, job.spec.payload)
+            self._job_log.run_started(start, self.now_ms)
+            self._sessions.start_run(start, self._ledger.jobs[start.job].spec.payload)
 
     def _log_errors(self, plan: Plan) -> None:
         """Log each job that could not be planned, once for each leadership."""
@@ -273,44 +266,20 @@
             self._jobs_with_errors.add(id)
             self._log.error(events.JOB_NOT_PLANNED, job=id, detail=plan.errors[id])
 
-    def _observe_first_start(self, start: commands.RunStart, job: Job) -> None:
-        if start.subtask == "0.0.0" and start.run.number == 1:
-            waited_s = (self.now_ms - job.accepted_ms) / MS_PER_S
-            metrics.FIRST_START_SECONDS.labels(str(job.priority)).observe(waited_s)
-
     def _is_suspect(self, worker: str, born: int) -> bool:
         return self._suspects.is_suspect(worker, born, self._clock.now_ms())
 
     def _on_run_ended(self, end: commands.RunEnded) -> None:
-        run = end.run
-        self._log.info(
-            events.RUN_ENDED,
-            job=end.job,
-            subtask=end.subtask,
-            run=run.number,
-            worker=run.worker,
-            how=end.outcome,
-            saved=bool(end.checkpoint),
-            **({"loss": end.loss} if end.loss is not UNSET else {}),
-        )
-        metrics.RUNS_ENDED.labels(end.outcome.value).inc()
-        if end.loss is not UNSET:
-            metrics.RUNS_LOST.labels(end.loss.value).inc()
+        self._job_log.run_ended(end)
         key = (end.job, end.subtask)
         if end.outcome is commands.RunOutcome.REFUSED:
             self._refusals.record_failure(key, self._clock.now_ms())
         else:
             self._refusals.record_success(key)
         if end.outcome is commands.RunOutcome.DONE:
-            self._suspects.record_success(run.worker, run.born)
+            self._suspects.record_success(*end.run.worker_key)
         elif end.outcome is commands.RunOutcome.FAILED:
             now_ms = self._clock.now_ms()
-            if self._suspects.record_failure(run.worker, run.born, end.job, now_ms):
-                self._log.warning(events.WORKER_SUSPECT, worker=run.worker, reason="failed runs")
-
-    def _log_job_end(self, id: str, at_ms: int) -> None:
-        """Log and count a job that ended by the command applied at `at_ms`."""
-        job = self._ledger.jobs.get(id)
-        if job is not None and job.is_over and job.ended_ms == at_ms:
-            metrics.ENDED.labels(job.state.value).inc()
-            self._log.info(events.JOB_ENDED, job=job.id, state=job.state)
+            if self._suspects.record_failure(*end.run.worker_key, end.job, now_ms):
+                worker = end.run.worker
+                self._log.warning(events.WORKER_SUSPECT, worker=worker, reason="failed runs")
