Name and describe paces, scarcity and waits as the code has them

Cause: some doc comments were out of date or puzzled: ScarceOrder.VALUE named the scarcest resource while the code divides by core-seconds; the planner's own comment left out that late work goes last; "room" stood for free resources; constants had no meaning stated. Resources were added up in three places, and the function `belief` was hidden by variables of that name.

Change: comments corrected. specs.sum_of adds up resources. `belief` is now to_belief, is_paced is has_pace_limit, is_counted is is_repeated. The order by shares and the step that takes old evidence back are functions of their own, with the same operations in the same order. A candidate key is a shape with a limit. No behavior changes.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
@@ -206,7 +206,7 @@
 
 
 class EvacuationsRead(Struct, frozen=True, tag="evacuations"):
-    """The evacuated zones by name, and by zone its revision, which is 0 for a zone without one."""
+    """The evacuated zones by name, and the revision of each zone; one that is missing has 0."""
 
     label: ClassVar[str] = "EvacuationsRead"
 
@@ -215,7 +215,7 @@
 
 
 class Outdated(Struct, frozen=True, tag="outdated"):
-    """The call had no effect, since another call about the same was handled after its check."""
+    """The call had no effect, since another call for the same zone was handled after its check."""
 
     label: ClassVar[str] = "Outdated"
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/pace_evidence.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/pace_evidence.py
@@ -15,6 +15,7 @@
 BROAD_VARIANCE = 0.4**2
 """The variance of paces that is assumed as long as they are not known; speeds of 0.6 to 1.6."""
 MAX_LOG_PACE = math.log(8)
+"""How far from usual a log pace is believed at most, in both directions."""
 MAX_DEVIATIONS = 2.0
 """Evidence counts less if it deviates by more standard deviations, so that outliers move little."""
 FORGET_MS = 30 * MS_PER_S
@@ -47,7 +48,7 @@
     return math.exp((since_ms - at_ms) / FORGET_MS) if at_ms > since_ms else 1.0
 
 
-def belief(precision: float, weighted: float) -> Belief:
+def to_belief(precision: float, weighted: float) -> Belief:
     """Return the mean and the variance of a log pace under the broad prior."""
     total = precision + 1 / BROAD_VARIANCE
     return weighted / total, 1 / total
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/run_durations.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/run_durations.py
@@ -23,16 +23,20 @@
 
 
 def record_run(state: DurationState, job: Job, end: RunEnded, duration_ms: int, at_ms: int) -> None:
-    """Record the duration of a run that ended as done."""
+    """Record the duration of a run that ended as done.
+
+    A gang shows the pace of its workers once, at the end that completes it, and only while all of
+    its members still have a run.
+    """
     step = job.step_of(end.subtask)
     runs = _runs_of_gang(job, step, end)
     estimate = state.durations.setdefault(job.queue, DurationEstimate())
     reference = estimate.reference(step.estimated_ms)
     log_pace = max(state.speeds.log_pace(run.worker_key, at_ms) for run in runs)
     estimate.record(step.estimated_ms, duration_ms / math.exp(log_pace))
-    is_counted = step.is_gang and (job.subtasks[end.subtask].is_done or len(runs) < step.count)
+    is_repeated = step.is_gang and (job.subtasks[end.subtask].is_done or len(runs) < step.count)
     is_known = all(is_current(run, state.workers) for run in runs)
-    if reference is None or is_counted or not is_known:
+    if reference is None or is_repeated or not is_known:
         return
     if not _is_at_full_speed(step, runs, state.workers):
         return
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
@@ -1,6 +1,6 @@
 """What a caller submits: a job's steps and when they run."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from msgspec import Struct, field
 
@@ -40,6 +40,16 @@
         return Resources(self.cpu - other.cpu, self.mem_mb - other.mem_mb, self.gpu - other.gpu)
 
 
+def sum_of(amounts: Iterable[Resources]) -> Resources:
+    """Return the sum of several amounts of resources."""
+    cpu = mem_mb = gpu = 0
+    for each in amounts:
+        cpu += each.cpu
+        mem_mb += each.mem_mb
+        gpu += each.gpu
+    return Resources(cpu, mem_mb, gpu)
+
+
 class StepSpec(Struct, frozen=True):
     """A step of a job: `count` equal subtasks; see docs/design/platform.md for each field."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/worker_speeds.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/worker_speeds.py
@@ -26,12 +26,12 @@
     BROAD_VARIANCE,
     Belief,
     Work,
-    belief,
     clamp,
     gang_observations,
     kept_share,
     observation,
     robust_works,
+    to_belief,
 )
 from agateferry_jobs.ledger.state import WorkerKey
 
@@ -47,6 +47,7 @@
 SPREAD_INTERVAL_MS = 250
 """How often the spread of the paces is computed at most."""
 MIN_WORKERS = 4
+"""How many workers must have enough evidence before their paces count as different."""
 MIN_SPREAD = 0.25
 """A smaller standard deviation of log paces is not acted upon.
 
@@ -159,7 +160,7 @@
             return
         observed = math.log(duration_ms) - reference.mean_log
         variance = reference.variance + RUN_VARIANCE + GROUP_VARIANCE
-        beliefs = [belief(each.precision, each.weighted) for each in evidence]
+        beliefs = [to_belief(each.precision, each.weighted) for each in evidence]
         gains = gang_observations(observed, variance, beliefs)
         for each, (precision, weighted) in zip(evidence, gains, strict=True):
             each.precision += precision
@@ -216,17 +217,7 @@
 
     def _update_step(self, step: StepEvidence, at_ms: int) -> None:
         """Replace what a step told about each of its workers."""
-        known: list[tuple[StepRuns, WorkerEvidence, Belief]] = []
-        for id, runs in list(step.workers.items()):
-            evidence = self.workers.get(id)
-            if evidence is None or evidence.born != runs.born:
-                del step.workers[id]
-                continue
-            evidence.forget(at_ms)
-            kept = kept_share(runs.at_ms, at_ms)
-            evidence.precision = max(0.0, evidence.precision - kept * runs.precision)
-            evidence.weighted -= kept * runs.weighted
-            known.append((runs, evidence, belief(evidence.precision, evidence.weighted)))
+        known = self._without_step(step, at_ms)
         works = [
             Work(runs.mean_log - pace, 1 / (runs.variance + variance))
             for runs, _, (pace, variance) in known
@@ -245,6 +236,26 @@
             evidence.precision += runs.precision
             evidence.weighted += runs.weighted
 
+    def _without_step(
+        self, step: StepEvidence, at_ms: int
+    ) -> list[tuple[StepRuns, WorkerEvidence, Belief]]:
+        """Take back what a step told before; return its workers with what is left of each.
+
+        Runs on incarnations that are no longer known are dropped from the step.
+        """
+        known: list[tuple[StepRuns, WorkerEvidence, Belief]] = []
+        for id, runs in list(step.workers.items()):
+            evidence = self.workers.get(id)
+            if evidence is None or evidence.born != runs.born:
+                del step.workers[id]
+                continue
+            evidence.forget(at_ms)
+            kept = kept_share(runs.at_ms, at_ms)
+            evidence.precision = max(0.0, evidence.precision - kept * runs.precision)
+            evidence.weighted -= kept * runs.weighted
+            known.append((runs, evidence, to_belief(evidence.precision, evidence.weighted)))
+        return known
+
     def _update_spread(self, at_ms: int) -> None:
         """Estimate the variance of the paces between workers (DerSimonian and Laird 1986).
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/candidates.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/candidates.py
@@ -10,8 +10,8 @@
 
 ShapeKey = tuple[str, Resources, str, tuple[str, ...]]
 """A service, what a subtask needs, its worker's label, and the allowed regions (empty: all)."""
-CandidateKey = tuple[str, Resources, str, tuple[str, ...], float]
-"""The same, and a limit of the worker's pace."""
+CandidateKey = tuple[ShapeKey, float]
+"""The shape, and the largest pace of its workers (infinite: any)."""
 
 
 class CandidateWorkers:
@@ -27,10 +27,10 @@
         feasible: list[WorkerAllocation],
         pace_limit: float = math.inf,
     ) -> None:
-        self.key: CandidateKey = (*key, pace_limit)
+        self.key: CandidateKey = (key, pace_limit)
         self._within_pace: dict[float, CandidateWorkers] = {}
         self.service = key[0]
-        self.is_paced = pace_limit < math.inf
+        self.has_pace_limit = pace_limit < math.inf
         """Whether slower workers are left out, so that a rack may hold more than it shows here."""
         self.feasible = feasible
         self.usable = [worker for worker in feasible if worker.health.may_start_runs]
@@ -40,8 +40,9 @@
         """Return those of the workers whose runs take up to `limit` times as long as usual."""
         found = self._within_pace.get(limit)
         if found is None:
+            shape, _ = self.key
             workers = [worker for worker in self.feasible if worker.pace <= limit]
-            found = CandidateWorkers(self.key[:4], workers, limit)
+            found = CandidateWorkers(shape, workers, limit)
             self._within_pace[limit] = found
         return found
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fair_shares.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fair_shares.py
@@ -8,13 +8,13 @@
 from collections import defaultdict
 from collections.abc import Mapping
 
-from agateferry_jobs.ledger.specs import Resources
+from agateferry_jobs.ledger.specs import Resources, sum_of
 from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.ranks import GUARANTEED_RANK, LOWEST_RANK
 
 
 class DominantShares:
-    """The dominant shares of teams of one total amount of resources.
+    """The dominant shares that teams have of one total amount of resources, from 0 to 1.
 
     While jobs are put in order, each adds its need to the share of its team. So the jobs of two
     teams alternate, by what they need.
@@ -43,13 +43,7 @@
 def shares_in_use(fleet: Fleet, ranks: Mapping[str, int]) -> DominantShares:
     """Return what teams use of a fleet beyond their guarantees, without the stopping runs."""
     workers = [worker for workers in fleet.by_service.values() for worker in workers]
-    capacities = [worker.incarnation.capacity for worker in workers]
-    total = Resources(
-        sum(each.cpu for each in capacities),
-        sum(each.mem_mb for each in capacities),
-        sum(each.gpu for each in capacities),
-    )
-    shares = DominantShares(total)
+    shares = DominantShares(sum_of(worker.incarnation.capacity for worker in workers))
     for worker in workers:
         for run in worker.runs:
             if not run.is_stopping and ranks.get(run.job.id, LOWEST_RANK) > GUARANTEED_RANK:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/job_order.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/job_order.py
@@ -14,7 +14,7 @@
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 
 Group = tuple[int, int, int]
-"""How late a job would be where capacity is scarce, its rank, and how late it would be."""
+"""The sort key of jobs: lateness where late work yields, rank, lateness within the rank."""
 PlannedJob = tuple[Job, Sequence[ReadySubtasks]]
 """A job and its subtasks that may start now."""
 
@@ -40,14 +40,26 @@
         """Return the jobs in their order."""
         keyed = [(self._group(job), self._order(job), job.id, (job, ready)) for job, ready in jobs]
         keyed.sort(key=lambda each: each[:3])
+        in_order = [(group, planned) for group, _, _, planned in keyed]
         if self._shares is not None:
-            shares = [self._share(each[3], self._shares) for each in keyed]
-            numbers = range(len(keyed))
-            by_share = sorted(numbers, key=lambda each: (keyed[each][0], shares[each], each))
-            keyed = [keyed[number] for number in by_share]
-        return [planned for _, _, _, planned in keyed]
+            in_order = self._by_share(in_order, self._shares)
+        return [planned for _, planned in in_order]
+
+    def _by_share(
+        self, in_order: list[tuple[Group, PlannedJob]], shares: DominantShares
+    ) -> list[tuple[Group, PlannedJob]]:
+        """Return the jobs of each group by the shares of their teams, otherwise as they are."""
+        with_shares = [
+            (self._share(planned, shares), group, planned) for group, planned in in_order
+        ]
+        with_shares.sort(key=lambda each: (each[1], each[0]))
+        return [(group, planned) for _, group, planned in with_shares]
 
     def _group(self, job: Job) -> Group:
+        """Return the sort key that precedes shares and `_order`; guaranteed work goes first.
+
+        Where scarce capacity is given by anything but rank, all other ranks count as one.
+        """
         rank = self._ranks[job.id]
         if rank == GUARANTEED_RANK:
             return (0, rank, 0)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
@@ -21,6 +21,7 @@
 AGING = 3.0
 """By how much of itself the density of a job has grown at the end of its slack."""
 MIN_CORE_SECONDS = 0.001
+"""A floor, so that the density of a job whose duration is not known is finite."""
 
 
 class JobValues:
@@ -85,7 +86,7 @@
         return density * (1 + AGING * self.waited_ms(job) / max(1.0, self._timing.slack_ms(job)))
 
     def gain_of_start(self, job: Job) -> float:
-        """Return what a job that can be in time earns more than if it ends late."""
+        """Return how much more a job earns if it starts now than if it ends late."""
         shares = EARNED_SHARES
         return self.worth(job) * (shares[self.lateness(job)] - shares[Lateness.LATE])
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -13,13 +13,13 @@
     """How jobs beyond a guarantee that are equally late are ordered where capacity is scarce."""
 
     RANK = auto()
-    """By their rank, then as on a day with room."""
+    """By their rank, then as where capacity is not scarce."""
     DEADLINE = auto()
     """By the time that is left to their objective."""
     LEAST_WORK = auto()
     """By their work, the least first."""
     VALUE = auto()
-    """By what they can still earn for each worker-second of the resource that they need most of."""
+    """By what they can still earn for each core-second of their work, the most first."""
     AGED_VALUE = auto()
     """As by value, which grows with the share of its slack that a job has waited."""
 
@@ -58,7 +58,6 @@
     """Whether placement and preemption respect the paces of workers that are known to differ."""
     waits_for_pace: bool = True
     """Whether urgent work preempts on fast workers rather than start where it would be late."""
-
     late_work_yields: bool = True
     """Whether, where capacity is scarce, late work goes last and preempts none, but for rank 0."""
     values_victims: bool = True
--- a/packages/agateferry-jobs/agateferry_jobs/planning/pace_limits.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/pace_limits.py
@@ -32,9 +32,10 @@
 
 
 def prefers_slow(job: Job, rank: int, waited_ms: int, fleet: Fleet, timing: Timing) -> bool:
-    """Return whether a job leaves fast workers to urgent work.
+    """Return whether a job leaves fast workers to others.
 
-    Other jobs do so where they can be in time on all workers, and where they are late on all.
+    Urgent work never does. Other work does where it can be in time on all workers, and where it is
+    late on all.
     """
     if not fleet.has_paces or rank <= BORROWED_RANK:
         return False
--- a/packages/agateferry-jobs/agateferry_jobs/planning/paces.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/paces.py
@@ -18,6 +18,7 @@
 MIN_ELAPSED_MS = 1_000
 """A run that has worked for less shows no pace; the start itself takes up to 100 ms."""
 MIN_PERCENT = 3.0
+"""A run that has done less of its work shows no pace either."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -1,9 +1,9 @@
 """The planner: which waiting subtasks start where, and which runs are preempted for urgent ones.
 
-Jobs are planned by rank, then by whether they can still meet their objective. A gang starts whole
-or not at all. Urgent work that cannot start preempts runs of lower rank, whole gangs at a time, at
-the least loss of work. The resources that become free are reserved for it, so that jobs planned
-later do not get them.
+Jobs are planned by rank, then by whether they can still meet their objective; where capacity is
+scarce, late work goes last (see `job_order`). A gang starts whole or not at all. Urgent work that
+cannot start preempts runs of lower rank, whole gangs at a time, at the least loss of work. The
+resources that become free are reserved for it, so that jobs planned later do not get them.
 """
 
 from collections.abc import Collection, Iterator, Sequence
@@ -185,7 +185,7 @@
         self._place_on(candidates, ready)
 
     def _place_on(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> tuple[str, ...]:
-        """Start subtasks on these workers, or reserve room there; return those left without any."""
+        """Start subtasks on these workers or reserve resources there; return those left without."""
         selector = self._selector(candidates, ready)
         if ready.step.is_gang:
             workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
@@ -236,7 +236,7 @@
         return max(saved, key=lambda subtask: subtask.last_run).checkpoint if saved else ""
 
     def _wait(self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]) -> bool:
-        """Record why subtasks wait; return whether all of them have room that becomes free."""
+        """Record why subtasks wait; return whether resources that become free are kept for them."""
         reason = self._reserve_or_preempt(ready, selector, names)
         self._plan.waits[ready.job.id] = reason
         return reason in (WaitReason.RESERVED, WaitReason.PREEMPTING)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_cost.py
@@ -88,7 +88,7 @@
         return self._lost_core_s(allocated_run) * RANK_WEIGHT**ranks_above_lowest
 
     def is_worthwhile(self, job: Job, runs: Iterable[AllocatedRun]) -> bool:
-        """Return whether a job may have these runs stopped, which it always may by rank."""
+        """Return whether a job gains enough by the ends of these runs; here its rank suffices."""
         return True
 
     def _lost_core_s(self, allocated_run: AllocatedRun) -> float:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/preemption_policy.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/preemption_policy.py
@@ -13,8 +13,11 @@
     """What ready subtasks that cannot start may do to other work."""
 
     WAIT = auto()
+    """Nothing: they take what is free in a later plan."""
     RESERVE = auto()
+    """Reserve resources that become free as other runs end."""
     PREEMPT = auto()
+    """Preempt runs of lower rank, and reserve what becomes free."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/scarcity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/scarcity.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from agateferry_jobs.ledger.specs import Resources
+from agateferry_jobs.ledger.specs import Resources, sum_of
 from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.worker_allocation import NOTHING
@@ -34,13 +34,8 @@
 
 
 def _free(fleet: Fleet, service: str) -> Resources:
-    free = [
+    return sum_of(
         worker.free_after_stops.max(NOTHING)
         for worker in fleet.by_service.get(service, ())
         if worker.is_ready and worker.health.may_start_runs
-    ]
-    return Resources(
-        sum(each.cpu for each in free),
-        sum(each.mem_mb for each in free),
-        sum(each.gpu for each in free),
     )
--- a/packages/agateferry-jobs/agateferry_jobs/planning/wait_reasons.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/wait_reasons.py
@@ -7,9 +7,9 @@
     """Why subtasks that may start were passed over."""
 
     NO_ROOM = "no-room"
-    """Nothing fits now, and the job may not make room."""
+    """The subtasks fit nowhere now, and the job gets no resources that become free."""
     LATE = "late"
-    """Nothing is free, and the job is too late to reserve resources or to preempt."""
+    """The same, for a job that is too late to reserve resources or to preempt."""
     RESERVED = "reserved"
     """Resources that become free are reserved for it."""
     PREEMPTING = "preempting"
@@ -21,4 +21,4 @@
     TRIAL = "trial"
     """It is suspected of crashing workers and waits for one of its own."""
     REPORT = "report"
-    """A worker with room has yet to report its capacity."""
+    """A worker on which a subtask fits has yet to report its capacity."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from agateferry_jobs.ledger import Job, WorkerIncarnation, WorkerState
-from agateferry_jobs.ledger.specs import Resources, StepSpec
+from agateferry_jobs.ledger.specs import Resources, StepSpec, sum_of
 from agateferry_jobs.ledger.state import RunKey, gang_of
 
 NOTHING = Resources()
@@ -162,8 +162,4 @@
 
 def total_need(runs: Sequence[AllocatedRun]) -> Resources:
     """Return what several runs need together."""
-    return Resources(
-        sum(run.step.need.cpu for run in runs),
-        sum(run.step.need.mem_mb for run in runs),
-        sum(run.step.need.gpu for run in runs),
-    )
+    return sum_of(run.step.need for run in runs)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -96,7 +96,7 @@
         in_data_rack = [worker for worker in fitting if self._is_in_data_rack(worker)]
         if (
             not in_data_rack
-            and (self._waits_for_rack or self._candidates.is_paced)
+            and (self._waits_for_rack or self._candidates.has_pace_limit)
             and any(self._is_in_data_rack(worker) for worker in self._candidates.feasible)
         ):
             return None
@@ -148,7 +148,7 @@
                     sum(self._sort_key(worker)[1] for worker in distinct(workers)),
                 ),
             )
-        if self._candidates.is_paced:
+        if self._candidates.has_pace_limit:
             return None
         racks = (
             self._candidates.feasible_racks if self._is_rack_gang else [self._candidates.feasible]
@@ -159,7 +159,7 @@
         return None
 
     def awaits_report(self) -> bool:
-        """Return whether a worker has room that can be used once it has reported its capacity."""
+        """Return whether a subtask fits on a worker that has yet to report its capacity."""
         return any(worker.fits_now(self._step) for worker in self._candidates.awaited)
 
     def future_groups(self) -> list[list[WorkerAllocation]]:
