Describe evacuations without "closed" and "open" for zones

Run: the tests of scheduling, service, command line and platform passed, without those that start processes; the lint passed.

--- a/packages/agateferry-cli/agateferry_cli/verbs/evacuation.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/evacuation.py
@@ -1,4 +1,4 @@
-"""`agateferry evacuate`, `readmit` and `evacuations`: close zones to new work, and open them."""
+"""`agateferry evacuate`, `readmit` and `evacuations`: stop new work in a zone, allow it again."""
 
 from datetime import UTC, datetime
 from getpass import getuser
--- a/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
+++ b/packages/agateferry-scheduling/agateferry_scheduling/scheduler/scheduler.py
@@ -166,7 +166,7 @@
             self._vacate_unschedulable_workers()
 
     def _set_evacuated(self, evacuated: bool) -> None:
-        """Close or open all workers; running work gets its team's cells back once they are open."""
+        """Evacuate or readmit the zone; readmitted, running work gets its team's cells back."""
         self.zone.topology.set_evacuated(evacuated)
         if not evacuated:
             self.zone.layout.adopt_running_allocations()
--- a/packages/agateferry-service/agateferry_service/cell/evacuation.py
+++ b/packages/agateferry-service/agateferry_service/cell/evacuation.py
@@ -2,6 +2,7 @@
 
 from datetime import UTC, datetime
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_service.cell import events
 from agateferry_service.cell.context import CellContext
 from agateferry_service.cell.refusals import EVACUATED_RETRY_AFTER_MS, RefusalReason, refusal
@@ -10,8 +11,6 @@
 from agateferry_service.rpc import cell_pb2, commands_pb2
 from agateferry_state.records import EvacuationRecord
 
-MS_PER_S = 1_000
-
 
 class EvacuationNotice:
     """Log when the zone is evacuated or readmitted, once for each change that a leader sees."""
--- a/packages/agateferry-service/agateferry_service/operators/evacuations.py
+++ b/packages/agateferry-service/agateferry_service/operators/evacuations.py
@@ -33,6 +33,7 @@
 CELL_QUERY_TIMEOUT_MS = 1_500
 MAX_REQUESTED_BY_CHARS = 64
 MAX_CONFLICTS = 8
+"""How many times a change is tried while other operators change the same record."""
 
 
 class EvacuationBody(BaseModel):
@@ -175,7 +176,7 @@
         return reply
 
     async def _state_of_zone(self, zone: str) -> dict[str, Any]:
-        """Return whether a zone's cell obeys and what is left there; None where it is unknown."""
+        """Return whether the evacuation is in force in a zone, and what is left there, if known."""
         message = pb.QueryRequest(what="evacuation")
         reply = await self._zones.router(zone).call(
             self._cell_calls.query, message, CELL_QUERY_TIMEOUT_MS
