--- a/packages/agateferry-jobs/agateferry_jobs/planning/paces.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/paces.py
@@ -12,14 +12,13 @@
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.durations import DurationEstimate, Reference
 from agateferry_jobs.ledger.run_durations import is_current
-from agateferry_jobs.ledger.state import Subtask, gang_of
-from agateferry_jobs.ledger.worker_speeds import WorkerKey
-from agateferry_jobs.planning.fleet import RunKey
+from agateferry_jobs.ledger.state import RunKey, Subtask, WorkerKey, gang_of
 
 UPDATE_INTERVAL_MS = 1_000
 MIN_ELAPSED_MS = 1_000
 """A run that has worked for less shows no pace; the start itself takes up to 100 ms."""
 MIN_PERCENT = 3.0
+"""A run that has done less of its work shows no pace either."""
 
 
 @dataclass(frozen=True, slots=True)
