Give the runs that a plan starts the pace of their worker

Cause: a run allocated in a plan had pace 1 until the next plan, so its end was expected too early on a slow worker, and its loss counted wrongly; a reading of the merged code found it. The simulation imported names from where they were before the planner's modules were split. Measured: the new test fails without the change; the tests of the jobs package pass.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -8,7 +8,6 @@
 from agateferry_jobs.ledger.state import RunKey, WorkerKey
 from agateferry_jobs.planning.candidates import CandidateWorkers, ShapeKey
 from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation, WorkerHealth
-from agateferry_jobs.planning.worker_allocation import total_need as total_need
 
 
 class Fleet:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_paces.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_paces.py
@@ -135,6 +135,18 @@
         self.assertEqual(["other"], [stop.key[0] for stop in stops])
 
 
+class AllocationTests(PaceCase):
+    def test_a_run_that_a_plan_starts_has_the_pace_of_its_worker(self):
+        """At pace 1 the same plan would expect the end of a run on a slow worker too early."""
+        self.add("w1", 2.0)
+        self.submit("j")
+        fleet = Fleet.from_ledger(self.ledger, {}, ())
+        fleet.set_paces(self.paces)
+        (allocation,) = fleet.by_service["pool"]
+        allocation.allocate(self.ledger.jobs["j"], "0.0.0")
+        self.assertEqual([2.0], [run.pace for run in allocation.runs])
+
+
 class RackTests(PaceCase):
     def test_a_gang_does_not_span_racks_for_fast_workers(self):
         """Guards against a gang that takes three times as long since no rack is fast enough."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -132,7 +132,8 @@
 
     def allocate(self, job: Job, subtask: str) -> None:
         """Allocate resources to a run that is about to start."""
-        self.add_runs([AllocatedRun(job, subtask, job.step_of(subtask), is_stopping=False)])
+        step = job.step_of(subtask)
+        self.add_runs([AllocatedRun(job, subtask, step, is_stopping=False, pace=self.pace)])
 
     def add_runs(self, runs: Sequence[AllocatedRun]) -> None:
         """Allocate resources to runs; those of stopping ones count as free after stops."""
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/day_simulation.py
@@ -7,9 +7,8 @@
 from agateferry_core.clock import MS_PER_S
 from agateferry_jobs.cell.leader import TICK_MS
 from agateferry_jobs.ledger import Ledger, commands
-from agateferry_jobs.ledger.state import gang_of
+from agateferry_jobs.ledger.state import RunKey, gang_of
 from agateferry_jobs.planning import Fleet, Plan, WorkerHealth
-from agateferry_jobs.planning.fleet import RunKey
 from agateferry_jobs.planning.paces import PaceTracker, Progress
 from agateferry_jobs.simulation.cell_setup import setup_commands
 from agateferry_jobs.simulation.drawing import SimulatedJob
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_day_simulation.py
@@ -4,7 +4,7 @@
 
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.planning import Plan
-from agateferry_jobs.planning.planner import Stop
+from agateferry_jobs.planning.plan import Stop
 from agateferry_jobs.simulation.day_simulation import TIME_STEP_MS, DaySimulation
 from agateferry_jobs.simulation.drawing import SimulatedJob
 from agateferry_jobs.simulation.faults import LeaderAbsence, Slowness
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_scarce_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/tests/test_scarce_capacity.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from agateferry_jobs.planning.fleet import total_need
 from agateferry_jobs.planning.timing import LATE_FACTOR
+from agateferry_jobs.planning.worker_allocation import total_need
 from agateferry_jobs.simulation.day_simulation import DaySimulation
 from agateferry_jobs.simulation.drawing import draw_jobs
 from agateferry_jobs.simulation.policies import ALL_POLICIES, LeaderPolicy
