Log for how long a job has been idle, beside how much room, and by which choice

Cause: the leader's log told the reason of a wait (7315), but not since when nothing of the job runs, nor how much room there was. So it could not tell a wait by choice from a wait for room, nor from a run that the leader only believes to be there.

Change: the ledger keeps when a subtask's newest run ended. A plan names the jobs that are idle while most of their service's capacity is free (under 0.6 in use, of the workers that answer), with the room that there would be without reservations and the choices that may hold the job back. 7315 carries these, 7316 warns once of a job that fits and is idle for 3 s, and agateferry_jobs_idle counts such jobs. No decision changes.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -22,6 +22,11 @@
     "job waits",
     "See the reason in docs/OPERATIONS.md, why a job waits; 7320 follows once it is placed.",
 )
+JOB_IDLE = Event(
+    7316,
+    "job has been idle for 3 s although it fits and most of the capacity is free",
+    "A fault unless the job waits for a reason of its own; see its choices and 7315 of the job.",
+)
 RUN_STARTED = Event(7320, "run placed", "Nothing to do; 7321 says how the run ended.")
 RUN_ENDED = Event(7321, "run ended", "Unless how is done, see the worker's own log.")
 RUN_STOPPING = Event(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -28,6 +28,7 @@
 from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning import Fleet, Plan, Planner
+from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.protocols import Replica
 
@@ -75,6 +76,7 @@
             ledger, self._sessions, self._proposer, self.request_planning
         )
         self._paces = WorkerPaces(ledger)
+        self._free_capacity = FreeCapacity()
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
@@ -239,7 +241,9 @@
         )
         fleet.set_paces(self._paces.current)
         held = self._refusals.held(self._clock.now_ms())
-        return Planner(self._ledger, fleet, self.now_ms, held=held).plan()
+        now_ms = self.now_ms
+        free_since_ms = self._free_capacity.observe(fleet, now_ms)
+        return Planner(self._ledger, fleet, now_ms, held=held, free_since_ms=free_since_ms).plan()
 
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
@@ -1,9 +1,10 @@
 import testtools
 
 from agateferry_jobs import metrics
-from agateferry_jobs.cell.waiting_jobs import LOG_INTERVAL_MS, WaitingJobs
+from agateferry_jobs.cell.waiting_jobs import IDLE_LIMIT_MS, LOG_INTERVAL_MS, WaitingJobs
 from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.planning import Plan
+from agateferry_jobs.planning.idle_jobs import IdleJob, WaitChoice
 from agateferry_jobs.planning.wait_reasons import WaitReason
 from agateferry_jobs.support import job_command
 
@@ -15,6 +16,8 @@
     def info(self, event, **fields):
         self.lines.append((event.number, fields))
 
+    warning = info
+
 
 class WaitingJobsTests(testtools.TestCase):
     def setUp(self):
@@ -50,3 +53,33 @@
         self.observe(100, None)
         self.observe(200, WaitReason.NO_ROOM)
         self.assertEqual(2, len(self.log.lines))
+
+
+class IdleJobTests(WaitingJobsTests):
+    """A job was lost to its caller beside free workers, and no log line said that it waited."""
+
+    def observe_idle(self, now_ms, idle_ms, room=10):
+        idle = IdleJob(idle_ms, room, 5, (WaitChoice.RACK,))
+        self.waiting.observe(Plan(waits={"j": WaitReason.LATE}, idle={"j": idle}), now_ms)
+
+    def numbers(self):
+        return [number for number, _ in self.log.lines]
+
+    def test_the_room_and_the_choices_are_logged_with_the_reason(self):
+        self.observe_idle(500, idle_ms=300)
+        number, fields = self.log.lines[0]
+        self.assertEqual(7315, number)
+        self.assertEqual((300, 10, 5), (fields["idle_ms"], fields["room"], fields["needed"]))
+        self.assertEqual(["rack"], fields["choices"])
+
+    def test_a_job_that_is_idle_for_too_long_is_warned_of_once_and_counted(self):
+        for now_ms in (0, 100):
+            self.observe_idle(now_ms, IDLE_LIMIT_MS)
+        self.assertEqual([7315, 7316], self.numbers())
+        self.assertEqual(1, metrics.IDLE_JOBS._value.get())
+        self.observe(200, None)
+        self.assertEqual(0, metrics.IDLE_JOBS._value.get())
+
+    def test_a_job_that_fits_nowhere_is_not_warned_of(self):
+        self.observe_idle(0, IDLE_LIMIT_MS, room=4)
+        self.assertEqual([7315], self.numbers())
--- a/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
@@ -1,12 +1,17 @@
 """Log and count why jobs wait."""
 
+from typing import Any
+
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.cell import events
 from agateferry_jobs.ledger import Ledger
 from agateferry_jobs.planning import Plan
+from agateferry_jobs.planning.idle_jobs import IdleJob
 from agateferry_jobs.planning.wait_reasons import WaitReason
 
+IDLE_LIMIT_MS = 3_000
+"""The platform counts a job as lost that is idle for this long beside twice the room it needs."""
 LOG_INTERVAL_MS = 2_000
 """How often a changed reason of one job is logged at most; the counter takes every change."""
 
@@ -18,6 +23,7 @@
         self._ledger = ledger
         self._reasons: dict[str, WaitReason] = {}
         self._logged_ms: dict[str, int] = {}
+        self._idle: set[str] = set()
         self._log = EventLogger()
 
     def observe(self, plan: Plan, now_ms: int) -> None:
@@ -29,11 +35,24 @@
             logged_ms = self._logged_ms.get(id)
             if logged_ms is None or now_ms - logged_ms >= LOG_INTERVAL_MS:
                 self._logged_ms[id] = now_ms
-                self._log_wait(id, reason, now_ms)
+                self._log_wait(id, reason, plan.idle.get(id), now_ms)
         self._reasons = dict(plan.waits)
         self._logged_ms = {id: at for id, at in self._logged_ms.items() if id in plan.waits}
+        self._observe_idle(plan)
+
+    def _observe_idle(self, plan: Plan) -> None:
+        """Warn of each job that has been idle for too long although it would fit; count them."""
+        too_long = {
+            id for id, idle in plan.idle.items() if idle.could_run and idle.idle_ms >= IDLE_LIMIT_MS
+        }
+        metrics.IDLE_JOBS.set(len(too_long))
+        for id in too_long - self._idle:
+            self._log.warning(
+                events.JOB_IDLE, job=id, reason=plan.waits[id], **_idle_fields(plan.idle[id])
+            )
+        self._idle = too_long
 
-    def _log_wait(self, id: str, reason: WaitReason, now_ms: int) -> None:
+    def _log_wait(self, id: str, reason: WaitReason, idle: IdleJob | None, now_ms: int) -> None:
         job = self._ledger.jobs.get(id)
         if job is None:
             return
@@ -44,4 +63,15 @@
             waited_ms=now_ms - job.accepted_ms,
             priority=job.priority,
             team=job.team,
+            **(_idle_fields(idle) if idle is not None else {}),
         )
+
+
+def _idle_fields(idle: IdleJob) -> dict[str, Any]:
+    """Return the log fields that tell how an idle job compares to the room there is."""
+    return {
+        "idle_ms": idle.idle_ms,
+        "room": idle.room,
+        "needed": idle.needed,
+        "choices": list(idle.choices),
+    }
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -35,6 +35,10 @@
     "Jobs that a plan could not start, by reason; counted once until the reason changes.",
     ["reason"],
 )
+IDLE_JOBS = Gauge(
+    "agateferry_jobs_idle",
+    "Jobs with nothing running for 3 s that would fit while most of the capacity is free.",
+)
 COMMANDS_FAILED = Counter(
     "agateferry_jobs_commands_failed",
     "Commands of the ledger that met an unexpected error and were skipped.",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/plan.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/plan.py
@@ -5,6 +5,7 @@
 from agateferry_jobs.ledger import Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.state import RunKey
+from agateferry_jobs.planning.idle_jobs import IdleJob
 from agateferry_jobs.planning.wait_reasons import WaitReason
 
 
@@ -26,5 +27,7 @@
     stops: list[Stop] = field(default_factory=list)
     waits: dict[str, WaitReason] = field(default_factory=dict)
     """By job id, why subtasks that could start wait."""
+    idle: dict[str, IdleJob] = field(default_factory=dict)
+    """By job id, jobs with nothing running while most of the capacity is free."""
     errors: dict[str, str] = field(default_factory=dict)
     """By job id, the unexpected error for which a job was left out; the others are planned."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -6,7 +6,7 @@
 resources that become free are reserved for it, so that jobs planned later do not get them.
 """
 
-from collections.abc import Collection, Iterator, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from dataclasses import replace
 
 from agateferry_jobs.ledger import Job, Ledger, Run
@@ -19,7 +19,9 @@
 from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fair_shares import shares_in_use
 from agateferry_jobs.planning.fleet import Fleet
+from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
+from agateferry_jobs.planning.idle_jobs import IdleJob, room_for
 from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
@@ -40,7 +42,8 @@
 class Planner:
     """Make one plan from the ledger and the fleet at one moment.
 
-    The subtasks in `held` are left out.
+    The subtasks in `held` are left out. `free_since_ms` says since when most of the capacity of a
+    service is free, as `FreeCapacity` observes it; without it, that counts as long ago.
     """
 
     def __init__(
@@ -50,12 +53,16 @@
         now_ms: int,
         options: PolicyOptions = DEFAULT_OPTIONS,
         held: Collection[RunKey] = (),
+        free_since_ms: Mapping[str, int] | None = None,
     ) -> None:
         self._ledger = ledger
         self._fleet = fleet
         self._now_ms = now_ms
         self._options = options
         self._held = held
+        if free_since_ms is None:
+            free_since_ms = FreeCapacity().observe(fleet, 0)
+        self._free_since_ms = free_since_ms
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
@@ -135,6 +142,7 @@
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
             return
         waited = self._timing.waited_ms(job, occurrence, self._now_ms)
+        idle_ms = self._idle_ms(job, occurrence, names if step.is_long_running else ())
         ready = ReadySubtasks(
             job,
             gang,
@@ -145,10 +153,25 @@
             waited_ms=waited,
             hopeless_after_ms=self._timing.hopeless_after_ms(job),
             waited_slack_share=waited / max(1.0, self._timing.slack_ms(job)),
+            idle_ms=idle_ms,
             prefers_slow=prefers_slow(job, self._ranks[job.id], waited, self._fleet, self._timing),
         )
         yield from self._split_suspects(ready)
 
+    def _idle_ms(self, job: Job, occurrence: int, long_running: Sequence[str]) -> int:
+        """Return for how long a job has been idle while most of its service's capacity was free.
+
+        It is idle as long as nothing of it runs, or one of the given long-running subtasks.
+        """
+        free_since_ms = self._free_since_ms.get(self._service_of(job))
+        if free_since_ms is None:
+            return 0
+        since_ms = job.idle_since_ms(occurrence)
+        if long_running:
+            due_ms = max(job.accepted_ms, job.spec.due_ms(occurrence))
+            since_ms = max(due_ms, min(job.subtasks[name].ended_ms for name in long_running))
+        return max(0, self._now_ms - max(since_ms, free_since_ms)) if since_ms is not None else 0
+
     def _must_wait(self, job: Job, name: str) -> bool:
         """Return whether a subtask is about to be given up, or was refused just now."""
         return self._suspects.is_guilty(job, name) or (job.id, name) in self._held
@@ -172,9 +195,7 @@
         yield replace(ready, names=suspects, trial_wait_ms=self._now_ms - since_ms)
 
     def _place(self, ready: ReadySubtasks) -> None:
-        queue = self._queue_of(ready.job)
-        regions = queue.allowed_regions if queue is not None else ()
-        candidates = self._fleet.candidates(self._service_of(ready.job), ready.step, regions)
+        candidates = self._candidates(ready)
         limit = pace_limit(ready, self._fleet, self._timing, self._options)
         if limit is not None:
             left = self._place_on(candidates.within_pace(limit), ready)
@@ -182,8 +203,14 @@
                 return
             ready = replace(ready, names=left)
             self._plan.waits.pop(ready.job.id, None)
+            self._plan.idle.pop(ready.job.id, None)
         self._place_on(candidates, ready)
 
+    def _candidates(self, ready: ReadySubtasks) -> CandidateWorkers:
+        queue = self._queue_of(ready.job)
+        regions = queue.allowed_regions if queue is not None else ()
+        return self._fleet.candidates(self._service_of(ready.job), ready.step, regions)
+
     def _place_on(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> tuple[str, ...]:
         """Start subtasks on these workers or reserve resources there; return those left without."""
         selector = self._selector(candidates, ready)
@@ -239,6 +266,8 @@
         """Record why subtasks wait; return whether resources that become free are kept for them."""
         reason = self._reserve_or_preempt(ready, selector, names)
         self._plan.waits[ready.job.id] = reason
+        if ready.idle_ms:
+            self._plan.idle[ready.job.id] = self._idle_job(ready, selector)
         return reason in (WaitReason.RESERVED, WaitReason.PREEMPTING)
 
     def _reserve_or_preempt(
@@ -269,6 +298,11 @@
         self._keep(placements, ready, preempts)
         return WaitReason.PREEMPTING if preempts else WaitReason.RESERVED
 
+    def _idle_job(self, ready: ReadySubtasks, selector: WorkerSelector) -> IdleJob:
+        needed = len(ready.names) if ready.step.is_gang else 1
+        room = room_for(ready, self._candidates(ready).usable)
+        return IdleJob(ready.idle_ms, room, needed, selector.choices())
+
     def _is_worthwhile(self, ready: ReadySubtasks, placements: FuturePlacements) -> bool:
         """Return whether a preemption gains more than it costs; guaranteed work always may."""
         if ready.rank == GUARANTEED_RANK:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
@@ -21,6 +21,8 @@
     """The wait after which the job is hopeless, so that it would not even end late."""
     waited_slack_share: float
     """The wait as a share of the job's slack; it is above 1 for a job that is late."""
+    idle_ms: int = 0
+    """How long nothing of the job has been running while most of the capacity was free."""
     prefers_slow: bool = False
     """Whether the subtasks leave fast workers to others, since they do not need them."""
     trial_wait_ms: int | None = None
--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -9,6 +9,7 @@
 
 from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.failed_searches import SearchKey
+from agateferry_jobs.planning.idle_jobs import WaitChoice
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import BORROWED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
@@ -54,6 +55,12 @@
         """Return None, since the result depends on the job."""
         return None
 
+    def choices(self) -> tuple[WaitChoice, ...]:
+        """Return the choices that may keep the suspects waiting although they fit somewhere."""
+        others = [each for each in super().choices() if each is not WaitChoice.TRIAL]
+        is_on_trial = self._has_trials or waits_for_trial(self._ready)
+        return (*others, WaitChoice.TRIAL) if is_on_trial else tuple(others)
+
     def _open(self, workers: list[WorkerAllocation]) -> list[WorkerAllocation]:
         """Return the workers for suspects: empty ones, or their own, while these may wait."""
         others_kept = super()._open(workers)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -66,6 +66,8 @@
     largest_capacity: Resources
     """The largest capacity that the worker has reported; it may be smaller for a while."""
     runs: list[AllocatedRun] = field(default_factory=list)
+    held_back: Resources = NOTHING
+    """What the reservations for waiting jobs take of the free resources."""
     is_evacuated: bool = False
     """Whether the worker's zone is evacuated."""
     region: str = ""
@@ -89,6 +91,11 @@
         """Return the free slots once all stopping runs have ended."""
         return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
 
+    @property
+    def unreserved(self) -> Resources:
+        """Return what would be free now without reservations."""
+        return self.free.plus(self.held_back)
+
     def set_pace(self, pace: float) -> None:
         """Set the pace of the worker and of the runs on it."""
         self.pace = pace
@@ -154,11 +161,13 @@
         """Reserve resources for a waiting job, so that jobs planned after it do not get them."""
         self.version += 1
         self.free_after_stops = self.free_after_stops.minus(need)
+        unreserved = self.unreserved
         self.free = Resources(
             min(self.free.cpu, self.free_after_stops.cpu),
             min(self.free.mem_mb, self.free_after_stops.mem_mb),
             min(self.free.gpu, self.free_after_stops.gpu),
         )
+        self.held_back = unreserved.minus(self.free)
 
 
 def total_need(runs: Sequence[AllocatedRun]) -> Resources:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -6,10 +6,11 @@
 from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.failed_searches import SearchKey
+from agateferry_jobs.planning.idle_jobs import WaitChoice
 from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
-from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation
+from agateferry_jobs.planning.worker_allocation import NOTHING, AllocatedRun, WorkerAllocation
 
 DATA_RACK_WAIT_FACTOR = 2.0
 """A subtask waits for its data's rack for up to this many times its expected duration.
@@ -158,6 +159,19 @@
             return self._pack(self._candidates.usable, count)
         return None
 
+    def choices(self) -> tuple[WaitChoice, ...]:
+        """Return the choices that may keep the subtasks waiting although they fit somewhere."""
+        has_reservations = any(worker.held_back != NOTHING for worker in self._candidates.usable)
+        active = {
+            WaitChoice.RACK: self._is_rack_gang and self._waits_for_rack,
+            WaitChoice.DATA_RACK: bool(self._step.data_rack) and self._waits_for_rack,
+            WaitChoice.PACE: self._candidates.has_pace_limit,
+            WaitChoice.TRIAL: self._has_trials,
+            WaitChoice.HEADROOM: self._shares_only_with_peers and not self._step.is_gang,
+            WaitChoice.RESERVATION: has_reservations,
+        }
+        return tuple(choice for choice, is_active in active.items() if is_active)
+
     def awaits_report(self) -> bool:
         """Return whether a subtask fits on a worker that has yet to report its capacity."""
         return any(worker.fits_now(self._step) for worker in self._candidates.awaited)
