Bound how long a job stays idle by choice while most of the capacity is free

Cause: each choice of the planner to wait for a better place (one rack, the data's rack, a pace, a worker of one's own, workers left empty, resources reserved for others) had a limit of its own or none. Nothing limited their sum, and none asked how much was free. A class of fault: local waits without a common deadline.

Change: one bound over all choices. A job with nothing running for 2 s while under 0.6 of its service's capacity is in use takes what fits, the best place first: in its rack or where its data lie, then elsewhere, then where something is kept for others. Reservations that wait for runs to end yield to it; those that preempt do not. Where most capacity is in use, the waits are as before, and large gangs keep their reservations.

Two tests of the planner asserted long waits in fleets that were half empty. Their fleets now have workers in use, so they check the same waits where these still hold; test_idle_jobs.py checks the half-empty ones.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/free_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/free_capacity.py
@@ -38,7 +38,7 @@
     def observe(self, fleet: Fleet, now_ms: int) -> Mapping[str, int]:
         """Return since when most is free, by service; a service that is mostly used is left out."""
         self._since_ms = {
-            service: self._since_ms.get(service, now_ms)
+            service: min(now_ms, self._since_ms.get(service, now_ms))
             for service in fleet.by_service
             if share_in_use(fleet, service) < MOSTLY_FREE_BELOW
         }
--- a/packages/agateferry-jobs/agateferry_jobs/planning/idle_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/idle_jobs.py
@@ -7,6 +7,13 @@
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 
+MAX_IDLE_BY_CHOICE_MS = 2_000
+"""How long a job is left idle by choice while most of its service's capacity is free.
+
+This is over all choices together. The platform counts a job as lost that could run and stays idle
+for 3 s; a second is left for the plan, the order, and what the leader learns late.
+"""
+
 
 class WaitChoice(StrEnum):
     """Why subtasks may be left waiting although they would fit somewhere."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/options.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/options.py
@@ -48,6 +48,8 @@
     """Whether a gang that prefers one rack waits for one, instead of starting across racks."""
     waits_for_data_rack: bool = True
     """Whether a subtask waits for the rack that holds its data."""
+    limits_idle_jobs: bool = True
+    """Whether a job that is idle while most capacity is free stops waiting for a better place."""
     values_checkpoints: bool = True
     """Whether a run with a checkpoint counts as cheaper to preempt."""
     checkpoint_loss_s: float = 1.5
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -21,7 +21,7 @@
 from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
-from agateferry_jobs.planning.idle_jobs import IdleJob, room_for
+from agateferry_jobs.planning.idle_jobs import MAX_IDLE_BY_CHOICE_MS, IdleJob, room_for
 from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
@@ -154,6 +154,8 @@
             hopeless_after_ms=self._timing.hopeless_after_ms(job),
             waited_slack_share=waited / max(1.0, self._timing.slack_ms(job)),
             idle_ms=idle_ms,
+            may_wait_by_choice=not self._options.limits_idle_jobs
+            or idle_ms < MAX_IDLE_BY_CHOICE_MS,
             prefers_slow=prefers_slow(job, self._ranks[job.id], waited, self._fleet, self._timing),
         )
         yield from self._split_suspects(ready)
@@ -197,7 +199,7 @@
     def _place(self, ready: ReadySubtasks) -> None:
         candidates = self._candidates(ready)
         limit = pace_limit(ready, self._fleet, self._timing, self._options)
-        if limit is not None:
+        if limit is not None and ready.may_wait_by_choice:
             left = self._place_on(candidates.within_pace(limit), ready)
             if not left:
                 return
@@ -315,7 +317,7 @@
             if preempts:
                 for victim in runs:
                     self._preempt(victim, ready)
-            worker.reserve(ready.step.need)
+            worker.reserve(ready.step.need, yields=not preempts)
             self._failures.record_change()
 
     def _preempt(self, victim: AllocatedRun, ready: ReadySubtasks) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
@@ -23,6 +23,8 @@
     """The wait as a share of the job's slack; it is above 1 for a job that is late."""
     idle_ms: int = 0
     """How long nothing of the job has been running while most of the capacity was free."""
+    may_wait_by_choice: bool = True
+    """Whether the subtasks may wait for a better place although they fit somewhere."""
     prefers_slow: bool = False
     """Whether the subtasks leave fast workers to others, since they do not need them."""
     trial_wait_ms: int | None = None
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -8,7 +8,7 @@
 from agateferry_jobs.planning import Fleet, Planner, WorkerHealth
 from agateferry_jobs.planning.worker_selection import GUARANTEED_RACK_WAIT_MS
 from agateferry_jobs.support import job_command, manifest, start_of, worker
-from agateferry_jobs.support.builders import SUBTASK_RESOURCES
+from agateferry_jobs.support.builders import SUBTASK_RESOURCES, WORKER_CAPACITY
 
 ANY_WORKER_AFTER_MS = 201
 """The wait after which the least urgent work uses any worker; its slack is 1000 ms here."""
@@ -43,6 +43,16 @@
         self.apply(commands.StartRuns(tuple(starts)))
         return {(s.job, s.subtask): s.run.worker for s in starts}
 
+    def fill_rack(self, rack, workers):
+        """Add workers whose urgent runs hold all their resources for long."""
+        for number in range(1, workers + 1):
+            id = f"{rack}{number}"
+            self.add(worker(id, rack=rack))
+            whole = StepSpec(1, WORKER_CAPACITY, estimated_ms=600_000)
+            run = job_command(f"long-{id}", whole, priority=0)
+            self.apply(msgspec.structs.replace(run, team="owner"))
+            self.apply(commands.StartRuns((start_of(f"long-{id}", "0.0.0", on=id),)))
+
 
 class CapacityTests(PlannerCase):
     def test_no_worker_gets_more_than_it_has(self):
@@ -156,7 +166,11 @@
         self.assertEqual({"a1", "b1"}, set(self.placed().values()))
 
     def test_a_gang_waits_for_a_rack_with_an_unreachable_worker(self):
-        """The worker is likely to be back soon; across racks a gang takes three times as long."""
+        """The worker is likely to be back soon; across racks a gang takes three times as long.
+
+        Most of the capacity is in use; where most is free, the wait is short (test_idle_jobs.py).
+        """
+        self.fill_rack("c", workers=3)
         self.add(worker("a1", rack="a"), worker("b1", rack="b"))
         self.add(worker("b2", rack="b"), answers=False)
         step = StepSpec(2, WHOLE_WORKER, is_gang=True, same_rack=True, estimated_ms=9000)
@@ -306,7 +320,9 @@
         """A gang across racks takes three times as long, so it waits for one until it is hopeless.
 
         When no rack was free for 0.8 s, a gang once started across racks at once and ended late.
+        Most of the capacity is in use here.
         """
+        self.fill_rack("c", workers=3)
         self.add(worker("a1", rack="a"), worker("a2", rack="a"))
         self.add(worker("b1", rack="b"), worker("b2", rack="b"))
         self.apply(job_command("a", StepSpec(1, WHOLE_WORKER, required_label="a"), priority=1))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -25,7 +25,9 @@
 
 def waits_for_trial(ready: ReadySubtasks) -> bool:
     """Return whether suspects still wait for workers of their own, and preempt nothing."""
-    return ready.trial_wait_ms is not None and ready.trial_wait_ms < TRIAL_WAIT_MS
+    if ready.trial_wait_ms is None or not ready.may_wait_by_choice:
+        return False
+    return ready.trial_wait_ms < TRIAL_WAIT_MS
 
 
 class TrialSelector(WorkerSelector):
@@ -82,4 +84,5 @@
         """Return the sort key of workers: those where a crash would cost the least go first."""
         ranks = [self._ranks.get(run.job.id, LOWEST_RANK) for run in worker.runs]
         dear = sum(rank <= BORROWED_RANK for rank in ranks)
-        return (worker.health.is_suspect, not worker.trial_job, dear, len(ranks), worker.free.gpu)
+        last_choice = worker.health.is_suspect + self._kept_for_others(worker)
+        return (last_choice, not worker.trial_job, dear, len(ranks), worker.free.gpu)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -67,7 +67,7 @@
     """The largest capacity that the worker has reported; it may be smaller for a while."""
     runs: list[AllocatedRun] = field(default_factory=list)
     held_back: Resources = NOTHING
-    """What the reservations for waiting jobs take of the free resources."""
+    """What reservations that yield to idle jobs take of the free resources."""
     is_evacuated: bool = False
     """Whether the worker's zone is evacuated."""
     region: str = ""
@@ -93,7 +93,7 @@
 
     @property
     def unreserved(self) -> Resources:
-        """Return what would be free now without reservations."""
+        """Return what would be free now without the reservations that yield to idle jobs."""
         return self.free.plus(self.held_back)
 
     def set_pace(self, pace: float) -> None:
@@ -157,8 +157,11 @@
         self.version += 1
         self.free_after_stops = self.free_after_stops.plus(allocated_run.step.need)
 
-    def reserve(self, need: Resources) -> None:
-        """Reserve resources for a waiting job, so that jobs planned after it do not get them."""
+    def reserve(self, need: Resources, yields: bool) -> None:
+        """Reserve resources for a waiting job, so that jobs planned after it do not get them.
+
+        A reservation that yields is passed over for jobs that have been idle for too long.
+        """
         self.version += 1
         self.free_after_stops = self.free_after_stops.minus(need)
         unreserved = self.unreserved
@@ -167,7 +170,8 @@
             min(self.free.mem_mb, self.free_after_stops.mem_mb),
             min(self.free.gpu, self.free_after_stops.gpu),
         )
-        self.held_back = unreserved.minus(self.free)
+        if yields:
+            self.held_back = unreserved.minus(self.free)
 
 
 def total_need(runs: Sequence[AllocatedRun]) -> Resources:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -23,6 +23,8 @@
 The platform requires its start 2.9 s after submission at the earliest, and a preemption on another
 rack takes up to 0.9 s of that.
 """
+KEPT_FOR_OTHERS = 4
+"""The weight, in the order of workers, of one that is kept for other jobs."""
 
 
 class WorkerSelector:
@@ -45,7 +47,8 @@
         self._candidates = candidates
         self._ranks = ranks
         self._has_trials = trials > 0
-        self._waits_for_rack = ready.waited_ms < self._max_rack_wait_ms()
+        self._may_wait = ready.may_wait_by_choice
+        self._waits_for_rack = self._may_wait and ready.waited_ms < self._max_rack_wait_ms()
 
     def _max_rack_wait_ms(self) -> float:
         """Return how long the subtasks wait for a rack before they may start outside it.
@@ -70,7 +73,8 @@
         if self._step.max_per_worker:
             return None
         peers = self._ready.rank if self._shares_only_with_peers else None
-        inputs = (self._candidates.key, self._step.data_rack, self._waits_for_rack, peers)
+        waits = (self._may_wait, self._waits_for_rack)
+        inputs = (self._candidates.key, self._step.data_rack, waits, peers)
         return SearchKey(inputs, is_final=peers is None)
 
     def gang_key(self) -> SearchKey | None:
@@ -78,7 +82,8 @@
         if self._step.max_per_worker:
             return None
         count = len(self._ready.names)
-        inputs = (self._candidates.key, count, self._step.same_rack, self._waits_for_rack)
+        waits = (self._may_wait, self._waits_for_rack)
+        inputs = (self._candidates.key, count, self._step.same_rack, waits)
         return SearchKey(inputs, is_final=True)
 
     def future_key(self, count: int, preempts: bool) -> SearchKey | None:
@@ -87,12 +92,13 @@
             return None
         rank = self._ready.rank if preempts else None
         is_in_rack = self._step.same_rack and self._step.is_gang
-        inputs = (self._candidates.key, count, rank, is_in_rack, self._waits_for_rack)
+        waits = (self._may_wait, self._waits_for_rack)
+        inputs = (self._candidates.key, count, rank, is_in_rack, waits)
         return SearchKey(inputs, is_final=False)
 
     def select_for_subtask(self) -> WorkerAllocation | None:
         """Return the worker for one subtask, or None if it should wait."""
-        fitting = [worker for worker in self._eligible_workers() if worker.fits_now(self._step)]
+        fitting = [worker for worker in self._eligible_workers() if self._fits(worker)]
         fitting = [worker for worker in fitting if self._is_below_worker_limit(worker)]
         in_data_rack = [worker for worker in fitting if self._is_in_data_rack(worker)]
         if (
@@ -121,14 +127,14 @@
         return peers_only + empty if len(empty) > headroom else peers_only
 
     def _open(self, workers: list[WorkerAllocation]) -> list[WorkerAllocation]:
-        """Return the workers that are not kept for suspected jobs."""
-        if not self._has_trials:
+        """Return the workers that are not kept for suspected jobs; all, for idle jobs."""
+        if not self._has_trials or not self._may_wait:
             return workers
         return [worker for worker in workers if worker.is_open_to(self._ready.job)]
 
     @property
     def _shares_only_with_peers(self) -> bool:
-        is_least_urgent = self._ready.rank > BORROWED_RANK + 1
+        is_least_urgent = self._ready.rank > BORROWED_RANK + 1 and self._may_wait
         has_waited = self._ready.waited_slack_share > self._options.share_workers_after
         return is_least_urgent and not has_waited
 
@@ -199,7 +205,8 @@
         """Return a worker of a group for each of `count` subtasks, the fullest workers first."""
         chosen: list[WorkerAllocation] = []
         for worker in sorted(self._open(group), key=self._order):
-            fitting = min(self._max_subtasks(worker, worker.free), worker.free_slots)
+            available = self._available(worker)
+            fitting = min(self._max_subtasks(worker, available), worker.free_slots)
             chosen += [worker] * min(fitting, count - len(chosen))
         return tuple(chosen) if len(chosen) == count else None
 
@@ -215,6 +222,13 @@
             >= count
         )
 
+    def _available(self, worker: WorkerAllocation) -> Resources:
+        """Return what the subtasks may use now; idle jobs pass over reservations that yield."""
+        return worker.free if self._may_wait else worker.unreserved
+
+    def _fits(self, worker: WorkerAllocation) -> bool:
+        return worker.free_slots > 0 and self._step.need.fits(self._available(worker))
+
     def _max_subtasks(self, worker: WorkerAllocation, available: Resources) -> int:
         return worker.max_subtasks(self._step, available, self._ready.job, self._ready.gang)
 
@@ -237,11 +251,19 @@
     def _sort_key(self, worker: WorkerAllocation) -> tuple[float, ...]:
         """Return the sort key of workers: not suspect, warm for urgent work, then by what is free.
 
-        The first element tells the two apart: a cold worker is better than a suspect one.
+        The first element tells the two apart: a cold worker is better than a suspect one. Idle jobs
+        may use workers that are kept for others, if there are no better ones.
         """
         last_choice = 2 * worker.health.is_suspect + self._is_too_cold(worker)
+        last_choice += KEPT_FOR_OTHERS * self._kept_for_others(worker)
         return (last_choice, worker.free.gpu, worker.free.cpu)
 
+    def _kept_for_others(self, worker: WorkerAllocation) -> int:
+        """Return 2 for a worker kept for a suspect, and 1 where something is reserved; else 0."""
+        if self._may_wait:
+            return 0
+        return 2 * (not worker.is_open_to(self._ready.job)) + (worker.held_back != NOTHING)
+
     def _is_too_cold(self, worker: WorkerAllocation) -> bool:
         """Return whether a worker is cold and the work urgent."""
         return worker.health.is_cold and self._ready.rank <= BORROWED_RANK
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -7,6 +7,7 @@
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerAllocation
+from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, ScarceOrder
 
 
@@ -22,10 +23,12 @@
 
     def __init__(self, **options: Any) -> None:
         self._options = replace(DEFAULT_OPTIONS, **options)
+        self._free_capacity = FreeCapacity()
 
     def plan(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> Plan:
         """Return the leader's plan."""
-        return Planner(ledger, fleet, now_ms, self._options).plan()
+        free_since_ms = self._free_capacity.observe(fleet, now_ms)
+        return Planner(ledger, fleet, now_ms, self._options, free_since_ms=free_since_ms).plan()
 
 
 class FirstFit:
@@ -100,6 +103,7 @@
     "no-borrowed-preemption": LeaderPolicy(borrowed_work_preempts=False),
     "no-rack-wait": LeaderPolicy(waits_for_rack=False),
     "no-data-rack-wait": LeaderPolicy(waits_for_data_rack=False),
+    "no-idle-limit": LeaderPolicy(limits_idle_jobs=False),
     "no-paces": LeaderPolicy(uses_paces=False),
     "no-pace-wait": LeaderPolicy(waits_for_pace=False),
     "no-checkpoint-value": LeaderPolicy(values_checkpoints=False),
