Count a service as mostly free below half, and log jobs that come to be held back

Change: below half in use, as the platform counts, with silent workers counted up to a quarter of the others, since those that are only cut off count for the platform. 7315 is logged again when a job comes to fit.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
@@ -83,3 +83,9 @@
     def test_a_job_that_fits_nowhere_is_not_warned_of(self):
         self.observe_idle(0, IDLE_LIMIT_MS, room=4)
         self.assertEqual([7315], self.numbers())
+
+    def test_a_job_that_comes_to_fit_is_logged_again_for_the_same_reason(self):
+        """A gang waited for its rack while workers became free, and its last line was old."""
+        self.observe_idle(0, idle_ms=0, room=4)
+        self.observe_idle(LOG_INTERVAL_MS, idle_ms=1000)
+        self.assertEqual([7315, 7315], self.numbers())
--- a/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
@@ -23,20 +23,29 @@
         self._ledger = ledger
         self._reasons: dict[str, WaitReason] = {}
         self._logged_ms: dict[str, int] = {}
+        self._held_logged: set[str] = set()
         self._idle: set[str] = set()
         self._log = EventLogger()
 
     def observe(self, plan: Plan, now_ms: int) -> None:
-        """Count the reasons that are new in a plan, and log those of jobs not logged just now."""
+        """Count the reasons that are new in a plan, and log those of jobs not logged just now.
+
+        A job that is held back from now on although it fits is logged again.
+        """
+        held = {id for id, idle in plan.idle.items() if idle.could_run}
         for id, reason in plan.waits.items():
-            if self._reasons.get(id) is reason:
+            is_new = self._reasons.get(id) is not reason
+            if is_new:
+                metrics.PASSED_OVER.labels(reason.value).inc()
+            elif id not in held or id in self._held_logged:
                 continue
-            metrics.PASSED_OVER.labels(reason.value).inc()
             logged_ms = self._logged_ms.get(id)
             if logged_ms is None or now_ms - logged_ms >= LOG_INTERVAL_MS:
                 self._logged_ms[id] = now_ms
                 self._log_wait(id, reason, plan.idle.get(id), now_ms)
+                self._held_logged |= {id} & held
         self._reasons = dict(plan.waits)
+        self._held_logged &= held
         self._logged_ms = {id: at for id, at in self._logged_ms.items() if id in plan.waits}
         self._observe_idle(plan)
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/free_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/free_capacity.py
@@ -1,32 +1,39 @@
 """Since when most of a service's capacity is free, which bounds how long jobs wait by choice."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from types import MappingProxyType
 
 from agateferry_jobs.ledger.specs import sum_of
 from agateferry_jobs.planning.fleet import Fleet
+from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 
-MOSTLY_FREE_BELOW = 0.6
-"""The share in use below which most of a service's capacity counts as free.
+MOSTLY_FREE_BELOW = 0.5
+"""The share in use below which most of a service's capacity is free, as the platform counts."""
+MAX_SILENT_SHARE = 0.25
+"""How much silent workers count at most, as a share of the capacity of those that answer.
 
-The platform counts from half on. It also sees workers that are up but cut off from the leader, so
-that its share is lower than the one computed here.
+The platform counts workers that are up but cut off from the leader, whose runs have lapsed. The
+leader cannot tell them from those that are down.
 """
 
 
 def share_in_use(fleet: Fleet, service: str) -> float:
     """Return the share of the capacity of a service's workers that runs hold, in weighted cores.
 
-    Workers that do not answer are left out with their runs, draining and evacuated ones too.
+    The runs of silent workers do not count; draining and evacuated workers are left out.
     """
-    workers = [
-        worker
-        for worker in fleet.by_service.get(service, ())
-        if worker.is_ready and worker.health.answers
-    ]
-    capacity = sum_of(worker.incarnation.capacity for worker in workers).weighted_cores
-    used = sum_of(run.step.need for worker in workers for run in worker.runs).weighted_cores
-    return used / capacity if capacity else 1.0
+    workers = [worker for worker in fleet.by_service.get(service, ()) if worker.is_ready]
+    answering = [worker for worker in workers if worker.health.answers]
+    capacity = _weighted_capacity(answering)
+    if not capacity:
+        return 1.0
+    silent = _weighted_capacity(workers) - capacity
+    used = sum_of(run.step.need for worker in answering for run in worker.runs).weighted_cores
+    return used / (capacity + min(silent, MAX_SILENT_SHARE * capacity))
+
+
+def _weighted_capacity(workers: Sequence[WorkerAllocation]) -> float:
+    return sum_of(worker.incarnation.capacity for worker in workers).weighted_cores
 
 
 class FreeCapacity:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_free_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_free_capacity.py
@@ -18,12 +18,19 @@
 class ShareInUseTests(FreeCapacityCase):
     def test_runs_hold_a_share_of_the_workers_that_answer(self):
         self.add(worker("w1"), worker("w2"))
-        self.add(worker("dark"), answers=False)
         self.add(worker("draining", state=WorkerState.DRAINING))
         self.apply(job_command("j", StepSpec(1, WHOLE_WORKER)))
         self.placed()
         self.assertEqual(0.5, share_in_use(self.fleet(), "pool"))
 
+    def test_silent_workers_count_up_to_a_quarter_of_the_others(self):
+        """The platform counts workers that are cut off; many silent ones are down, however."""
+        self.add(worker("w1"), worker("w2"))
+        self.apply(job_command("j", StepSpec(1, WHOLE_WORKER)))
+        self.placed()
+        self.add(*(worker(f"silent-{number}") for number in range(3)), answers=False)
+        self.assertEqual(0.4, share_in_use(self.fleet(), "pool"))
+
     def test_a_service_without_workers_has_nothing_free(self):
         self.assertEqual(1.0, share_in_use(self.fleet(), "pool"))
 
