Wait for a rack only as long as its workers may return

What callers saw: with many workers lost, gangs waited until they were hopeless for racks that could not hold them, and subtasks for a data rack that was down, also where the rest of the fleet was busy.

Cause: whether a rack is possible was judged by all workers that the ledger knows. Workers that are lost for good never leave it.

Change: a worker that has been silent for 10 s is not waited for. A gang that no rack can hold any more starts across racks, and reserves there.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/candidates.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/candidates.py
@@ -17,8 +17,9 @@
 class CandidateWorkers:
     """The workers that may run subtasks of one shape.
 
-    `feasible` ones could if they were empty and answered; `usable` ones answer too. Both are also
-    grouped by rack. `awaited` ones will be usable once they have reported.
+    `feasible` ones could if they were empty and answered, `expected` ones answer or may do so soon,
+    `usable` ones may start runs now. The last two are also grouped by rack. `awaited` ones will be
+    usable once they have reported.
     """
 
     def __init__(
@@ -33,6 +34,7 @@
         self.has_pace_limit = pace_limit < math.inf
         """Whether slower workers are left out, so that a rack may hold more than it shows here."""
         self.feasible = feasible
+        self.expected = [worker for worker in feasible if worker.health.is_expected]
         self.usable = [worker for worker in feasible if worker.health.may_start_runs]
         self.awaited = [worker for worker in feasible if worker.health.reports_soon]
 
@@ -47,9 +49,9 @@
         return found
 
     @cached_property
-    def feasible_racks(self) -> list[list[WorkerAllocation]]:
-        """Return the feasible workers of each rack; only gangs that prefer one rack ask for it."""
-        return _by_rack(self.feasible)
+    def expected_racks(self) -> list[list[WorkerAllocation]]:
+        """Return the expected workers of each rack; only gangs that prefer one rack ask for it."""
+        return _by_rack(self.expected)
 
     @cached_property
     def usable_racks(self) -> list[list[WorkerAllocation]]:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -6,6 +6,7 @@
 from agateferry_jobs.ledger import Ledger, WorkerState, commands
 from agateferry_jobs.ledger.specs import Resources, StepSpec
 from agateferry_jobs.planning import Fleet, Planner, WorkerHealth
+from agateferry_jobs.planning.wait_reasons import WaitReason
 from agateferry_jobs.planning.worker_selection import GUARANTEED_RACK_WAIT_MS
 from agateferry_jobs.support import job_command, manifest, start_of, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES, WORKER_CAPACITY
@@ -178,6 +179,39 @@
         self.assertEqual({}, self.placed(74_999))
         self.assertEqual({"a1", "b1"}, set(self.placed(75_000).values()))
 
+    def test_a_gang_does_not_wait_for_a_rack_whose_workers_are_gone(self):
+        """Workers that were lost for good stay known, and gangs waited for their racks."""
+        for rack in ("c", "d", "e"):
+            self.fill_rack(rack, workers=1)
+        self.add(worker("a1", rack="a"), worker("b1", rack="b"))
+        self.add(worker("b2", rack="b"), answers=False, may_return=False)
+        step = StepSpec(2, WHOLE_WORKER, is_gang=True, same_rack=True, estimated_ms=9000)
+        self.apply(job_command("j", step))
+        self.assertEqual({"a1", "b1"}, set(self.placed().values()))
+
+    def test_a_gang_that_no_rack_can_hold_reserves_workers_in_several(self):
+        """It got no reservation, as if only workers in one rack could become free for it."""
+        for rack in ("c", "d", "e"):
+            self.fill_rack(rack, workers=1)
+        self.add(worker("a1", rack="a"), worker("b1", rack="b"))
+        self.add(worker("b2", rack="b"), answers=False, may_return=False)
+        self.apply(job_command("small", StepSpec(1, WHOLE_WORKER, estimated_ms=9000)))
+        self.placed()
+        step = StepSpec(2, WHOLE_WORKER, is_gang=True, same_rack=True, estimated_ms=9000)
+        self.apply(job_command("j", step))
+        waits = self.plan(now_ms=5000).waits
+        self.assertIs(WaitReason.RESERVED, waits["j"])
+
+
+class DataRackTests(PlannerCase):
+    def test_a_subtask_does_not_wait_for_workers_that_are_gone(self):
+        """Workers that were lost for good stay known, and subtasks waited for their data there."""
+        self.add(worker("a1", rack="a"))
+        self.add(worker("b1", rack="b"), answers=False, may_return=False)
+        step = StepSpec(1, WHOLE_WORKER, data_rack="b", estimated_ms=9000)
+        self.apply(job_command("j", step))
+        self.assertEqual({"a1"}, set(self.placed().values()))
+
 
 class LeastUrgentTests(PlannerCase):
     def test_it_uses_an_empty_worker_only_after_a_wait(self):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -20,6 +20,8 @@
     """What calls to a worker showed: whether it answers, and whether its runs fail or hang."""
 
     answers: bool = True
+    may_return: bool = True
+    """Whether a worker that does not answer has been silent so briefly that it may be back soon."""
     accepts_starts: bool = True
     """Whether the worker has not rejected a start just now."""
     has_recent_report: bool = True
@@ -32,6 +34,11 @@
     unexpected_runs: tuple[RunKey, ...] = ()
     """Runs that the worker reports but the ledger does not place there; they use resources too."""
 
+    @property
+    def is_expected(self) -> bool:
+        """Return whether the worker answers or may do so again in time for work that waits."""
+        return self.answers or self.may_return
+
     @property
     def may_start_runs(self) -> bool:
         """Return whether new runs may be ordered from the worker now."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Mapping, Sequence
+from functools import cached_property
 
 from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.planning.candidates import CandidateWorkers
@@ -104,7 +105,7 @@
         if (
             not in_data_rack
             and (self._waits_for_rack or self._candidates.has_pace_limit)
-            and any(self._is_in_data_rack(worker) for worker in self._candidates.feasible)
+            and any(self._is_in_data_rack(worker) for worker in self._candidates.expected)
         ):
             return None
         return min(in_data_rack or fitting, key=self._order, default=None)
@@ -157,14 +158,23 @@
             )
         if self._candidates.has_pace_limit:
             return None
-        racks = (
-            self._candidates.feasible_racks if self._is_rack_gang else [self._candidates.feasible]
-        )
-        is_rack_possible = any(self._fits_when_empty(rack, count) for rack in racks)
-        if self._step.same_rack and (not self._waits_for_rack or not is_rack_possible):
+        if self._is_rack_gang and self._may_span_racks:
             return self._pack(self._candidates.usable, count)
         return None
 
+    @cached_property
+    def _may_span_racks(self) -> bool:
+        """Return whether a gang that prefers one rack need not wait for one.
+
+        It need not if no rack holds it with the workers that answer or may do so soon. Slower
+        workers, which a pace limit leaves out, may be in its rack too.
+        """
+        if not self._waits_for_rack or self._candidates.has_pace_limit:
+            return not self._waits_for_rack
+        count = len(self._ready.names)
+        racks = self._candidates.expected_racks
+        return not any(self._fits_when_empty(rack, count) for rack in racks)
+
     def choices(self) -> tuple[WaitChoice, ...]:
         """Return the choices that may keep the subtasks waiting although they fit somewhere."""
         has_reservations = any(worker.held_back != NOTHING for worker in self._candidates.usable)
@@ -185,7 +195,7 @@
     def future_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers of which one is to hold the subtasks later."""
         groups = self._usable_groups()
-        if not self._waits_for_rack:
+        if not self._waits_for_rack or (self._is_rack_gang and self._may_span_racks):
             groups = [*groups, self._candidates.usable]
         return [self._open(group) for group in groups]
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
@@ -11,6 +11,11 @@
 """The limits of how long a worker that rejects starts gets no new ones; the pause doubles."""
 REPORT_WAIT_MS = 2_000
 """A worker that answers again sends its next heartbeat within this time."""
+RETURN_WAIT_MS = 10_000
+"""A worker that is silent for longer is not waited for.
+
+A worker that crashed is replaced after about 3 s, and single workers are seldom cut off for longer.
+"""
 HEARTBEAT_SILENCE_MS = 5000
 """A worker that is silent for three heartbeat intervals gets no new runs."""
 
@@ -34,12 +39,14 @@
     def health(self, is_suspect: bool, unexpected_runs: tuple[RunKey, ...]) -> WorkerHealth:
         """Return the worker's health for the planner."""
         now_ms = self._clock.now_ms()
-        is_silent = now_ms - self._last_contact_ms >= HEARTBEAT_SILENCE_MS
+        silent_ms = now_ms - self._last_contact_ms
+        is_silent = silent_ms >= HEARTBEAT_SILENCE_MS
         answers = self.has_answered and not self.is_failing and not is_silent
         has_recent_report = self._reports.is_recent(now_ms)
         has_just_answered = now_ms - self._answering_since_ms <= REPORT_WAIT_MS
         return WorkerHealth(
             answers=answers,
+            may_return=silent_ms < RETURN_WAIT_MS,
             accepts_starts=not self._starts.is_held(None, now_ms),
             has_recent_report=has_recent_report,
             reports_soon=answers and not has_recent_report and has_just_answered,
