Test that work does not wait for a rack whose workers have shrunk

Since the planner judged whether a rack is possible by the largest capacity that a worker had shown. A gang then waited for a rack that had shrunk until it was hopeless, a subtask with its data there for twice its duration.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_jobs.py
@@ -177,6 +177,24 @@
                 waits_ms[priority, team, work_ms] = self.wait_of(play, "j")
         self.assert_in_time(waits_ms)
 
+    def test_work_does_not_wait_for_a_rack_whose_workers_have_shrunk(self):
+        """Guards against a wait until the job is hopeless, for capacity that was there once."""
+        waits_ms = {}
+        gang = StepSpec(5, WHOLE_WORKER, estimated_ms=8_500, is_gang=True, same_rack=True)
+        subtask = StepSpec(1, WHOLE_WORKER, estimated_ms=8_500, data_rack="a")
+        for name, step in (("gang", gang), ("subtask", subtask)):
+            play = self.new_play("abcd", 10)
+            for rack in "abcd":
+                for number in range(0 if rack == "a" else 4, 10):
+                    shrunken = worker(f"{rack}{number}", rack)
+                    shrunken.capacity = Resources(cpu=8_000, mem_mb=5_000, gpu=4)
+                    play.add(shrunken)
+            if step.is_gang:
+                play.add(worker("a0", "a"), worker("a1", "a"))
+            self.submit(play, "j", step, 1)
+            waits_ms[name] = self.wait_of(play, "j")
+        self.assert_in_time(waits_ms)
+
     def test_a_small_job_starts_beside_a_gang_that_cannot(self):
         """Guards against room that is kept for a gang while nothing shows when the rest is free.
 
