Split what may start now off the planner, and name a job's queue once

A job's queue was looked up in two places.

Change: readiness.py finds them; the ledger tells a job's queue and service. No behaviour changes: the planning tests pass unchanged.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -42,7 +42,7 @@
     gang_of,
 )
 from agateferry_jobs.ledger.worker_speeds import WorkerSpeeds
-from agateferry_jobs.manifest import Manifest
+from agateferry_jobs.manifest import Manifest, Queue
 from agateferry_state.replica.protocols import NotApplied
 
 ENDED_JOB_RETENTION_MS = 300_000
@@ -104,6 +104,15 @@
         """Return the newest incarnation of each worker by id."""
         return self.state.workers
 
+    def queue_of(self, job: Job) -> Queue | None:
+        """Return the queue of a job, or None if the manifest no longer names it."""
+        return self.manifest.queue_named(job.queue) if self.manifest is not None else None
+
+    def service_of(self, job: Job) -> str:
+        """Return the service whose workers run a job: its queue's, else that of its acceptance."""
+        queue = self.queue_of(job)
+        return queue.service if queue is not None else job.service
+
     def expected_duration_ms(self, queue: str, declared_ms: int) -> int:
         """Return how long a subtask of a queue is expected to run, given its declared duration."""
         estimate = self.state.durations.get(queue)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -6,14 +6,12 @@
 resources that become free are reserved for it, so that jobs planned later do not get them.
 """
 
-from collections.abc import Collection, Iterator, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import replace
 
-from agateferry_jobs.ledger import Job, Ledger, Run
+from agateferry_jobs.ledger import Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
-from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.ledger.state import RunKey, gang_of
-from agateferry_jobs.manifest import Queue
 from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
@@ -21,15 +19,16 @@
 from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
-from agateferry_jobs.planning.idle_jobs import MAX_IDLE_BY_CHOICE_MS, IdleJob, room_for
+from agateferry_jobs.planning.idle_jobs import IdleJob, room_for
 from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
-from agateferry_jobs.planning.pace_limits import pace_limit, prefers_slow
+from agateferry_jobs.planning.pace_limits import pace_limit
 from agateferry_jobs.planning.plan import Plan, Stop
 from agateferry_jobs.planning.preemption_cost import PreemptionCost, ValuedPreemptionCost, WaitCost
 from agateferry_jobs.planning.preemption_policy import PreemptionPolicy, PreemptionRules
 from agateferry_jobs.planning.ranks import GUARANTEED_RANK, rank_jobs
+from agateferry_jobs.planning.readiness import Readiness
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.scarcity import is_capacity_scarce
 from agateferry_jobs.planning.timing import Timing
@@ -59,10 +58,6 @@
         self._fleet = fleet
         self._now_ms = now_ms
         self._options = options
-        self._held = held
-        if free_since_ms is None:
-            free_since_ms = FreeCapacity().observe(fleet, 0)
-        self._free_since_ms = free_since_ms
         self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
         self._timing = Timing(ledger, options.learns_durations)
@@ -72,10 +67,23 @@
         self._preemptible = FutureCapacity(self._cost)
         self._ending = FutureCapacity(WaitCost(self._timing, now_ms))
         self._failures = FailedSearches()
-        self._suspects = CrashSuspects(ledger, now_ms)
         if not options.uses_paces:
             fleet.set_paces({})
-        fleet.mark_trials(self._suspects.on_trial())
+        suspects = CrashSuspects(ledger, now_ms)
+        fleet.mark_trials(suspects.on_trial())
+        if free_since_ms is None:
+            free_since_ms = FreeCapacity().observe(fleet, 0)
+        self._readiness = Readiness(
+            ledger,
+            fleet,
+            now_ms,
+            options,
+            self._ranks,
+            self._timing,
+            suspects,
+            held,
+            free_since_ms,
+        )
 
     def plan(self) -> Plan:
         """Return the starts and stops that are due now."""
@@ -99,7 +107,7 @@
             if job.is_over:
                 continue
             try:
-                all_ready = tuple(self._ready_subtasks(job))
+                all_ready = tuple(self._readiness.ready_subtasks(job))
             except Exception as exc:
                 self._plan.errors[job.id] = repr(exc)
                 continue
@@ -110,7 +118,9 @@
     def _judge_capacity(self, waiting: Sequence[PlannedJob]) -> None:
         """Find out whether capacity is scarce; if it is, preemptions cost what callers lose."""
         needs = [
-            (self._service_of(job), ready) for job, all_ready in waiting for ready in all_ready
+            (self._ledger.service_of(job), ready)
+            for job, all_ready in waiting
+            for ready in all_ready
         ]
         self._is_scarce = is_capacity_scarce(needs, self._fleet)
         options, values = self._options, self._values
@@ -118,84 +128,6 @@
             self._cost = ValuedPreemptionCost(self._ranks, self._now_ms, options, values)
             self._preemptible = FutureCapacity(self._cost)
 
-    def _ready_subtasks(self, job: Job) -> Iterator[ReadySubtasks]:
-        for occurrence in range(job.spec.occurrences):
-            due_ms = job.spec.due_ms(occurrence)
-            if due_ms > self._now_ms:
-                return
-            for number, step in enumerate(job.spec.steps):
-                yield from self._ready_of_step(job, occurrence, number, step)
-
-    def _ready_of_step(
-        self, job: Job, occurrence: int, number: int, step: StepSpec
-    ) -> Iterator[ReadySubtasks]:
-        gang = f"{occurrence}.{number}"
-        names = tuple(
-            name
-            for name in job.members(gang)
-            if not job.subtasks[name].is_done and job.subtasks[name].active is None
-        )
-        if job.crashes or self._held:
-            names = tuple(name for name in names if not self._must_wait(job, name))
-        if not names or (step.is_gang and len(names) < step.count):
-            return
-        if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
-            return
-        waited = self._timing.waited_ms(job, occurrence, self._now_ms)
-        idle_ms = self._idle_ms(job, occurrence, names if step.is_long_running else ())
-        ready = ReadySubtasks(
-            job,
-            gang,
-            step,
-            names,
-            rank=self._ranks[job.id],
-            expected_duration_ms=self._timing.expected_duration_ms(job, number),
-            waited_ms=waited,
-            hopeless_after_ms=self._timing.hopeless_after_ms(job),
-            waited_slack_share=waited / max(1.0, self._timing.slack_ms(job)),
-            idle_ms=idle_ms,
-            may_wait_by_choice=not self._options.limits_idle_jobs
-            or idle_ms < MAX_IDLE_BY_CHOICE_MS,
-            prefers_slow=prefers_slow(job, self._ranks[job.id], waited, self._fleet, self._timing),
-        )
-        yield from self._split_suspects(ready)
-
-    def _idle_ms(self, job: Job, occurrence: int, long_running: Sequence[str]) -> int:
-        """Return for how long a job has been idle while most of its service's capacity was free.
-
-        It is idle as long as nothing of it runs, or one of the given long-running subtasks.
-        """
-        free_since_ms = self._free_since_ms.get(self._service_of(job))
-        if free_since_ms is None:
-            return 0
-        since_ms = job.idle_since_ms(occurrence)
-        if long_running:
-            due_ms = max(job.accepted_ms, job.spec.due_ms(occurrence))
-            since_ms = max(due_ms, min(job.subtasks[name].ended_ms for name in long_running))
-        return max(0, self._now_ms - max(since_ms, free_since_ms)) if since_ms is not None else 0
-
-    def _must_wait(self, job: Job, name: str) -> bool:
-        """Return whether a subtask is about to be given up, or was refused just now."""
-        return self._suspects.is_guilty(job, name) or (job.id, name) in self._held
-
-    def _split_suspects(self, ready: ReadySubtasks) -> Iterator[ReadySubtasks]:
-        """Tell the suspects from the others; a gang with one suspect is suspected as a whole."""
-        job = ready.job
-        if not self._suspects.has_suspects(job):
-            yield ready
-            return
-        suspects = tuple(name for name in ready.names if self._suspects.is_suspect(job, name))
-        if not suspects:
-            yield ready
-            return
-        since_ms = max(self._suspects.suspected_since_ms(job, name) for name in suspects)
-        if ready.step.is_gang:
-            suspects = ready.names
-        others = tuple(name for name in ready.names if name not in suspects)
-        if others:
-            yield replace(ready, names=others)
-        yield replace(ready, names=suspects, trial_wait_ms=self._now_ms - since_ms)
-
     def _place(self, ready: ReadySubtasks) -> None:
         candidates = self._candidates(ready)
         limit = pace_limit(ready, self._fleet, self._timing, self._options)
@@ -209,9 +141,9 @@
         self._place_on(candidates, ready)
 
     def _candidates(self, ready: ReadySubtasks) -> CandidateWorkers:
-        queue = self._queue_of(ready.job)
+        queue = self._ledger.queue_of(ready.job)
         regions = queue.allowed_regions if queue is not None else ()
-        return self._fleet.candidates(self._service_of(ready.job), ready.step, regions)
+        return self._fleet.candidates(self._ledger.service_of(ready.job), ready.step, regions)
 
     def _place_on(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> tuple[str, ...]:
         """Start subtasks on these workers or reserve resources there; return those left without."""
@@ -235,14 +167,6 @@
         selector = TrialSelector if ready.is_suspect else WorkerSelector
         return selector(candidates, ready, self._ranks, self._options, trials)
 
-    def _service_of(self, job: Job) -> str:
-        queue = self._queue_of(job)
-        return queue.service if queue is not None else job.service
-
-    def _queue_of(self, job: Job) -> Queue | None:
-        manifest = self._ledger.manifest
-        return manifest.queue_named(job.queue) if manifest is not None else None
-
     def _start(
         self, ready: ReadySubtasks, names: Sequence[str], workers: Sequence[WorkerAllocation]
     ) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/timing.py
@@ -64,8 +64,7 @@
         return slack_ms
 
     def _compute_slack_ms(self, job: Job) -> float:
-        manifest = self._ledger.manifest
-        queue = manifest.queue_named(job.queue) if manifest is not None else None
+        queue = self._ledger.queue_of(job)
         if queue is None:
             return 0.0
         return (queue.stretch - 1) * self.critical_path_ms(job) + queue.target_ms
