Count idle time in the leader, where there is room, and for long-running subtasks always

A review of the bound found six cases, each with a test that failed: - Long-running subtasks: the platform counts each for itself, however full the service is. The bound held only where most capacity was free; data's rack 20 s, a rack over 45 s, headroom 24 s, reservation 38 s. - The ledger's times come from leaders whose clocks differ; with one that was 10 s ahead a gang waited for 12 s. - A gang that fitted exactly once went across racks although its rack was free a second later: the bound did not ask for room.

Change: the leader keeps for how long each waiting step has fitted one and a half times over with nothing of its job running (IdleTimes); a new leader begins anew, and the ledger's time of the last end is gone again. The time for which a refused start is held back counts too: with it and a wait for a rack a job of the scenarios was idle for 3.2 s. Room is counted once per shape and plan.

Result: the six tests and the scenarios pass.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -28,7 +28,7 @@
 from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning import Fleet, Plan, Planner
-from agateferry_jobs.planning.free_capacity import FreeCapacity
+from agateferry_jobs.planning.idle_jobs import IdleTimes
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.protocols import Replica
 
@@ -76,7 +76,7 @@
             ledger, self._sessions, self._proposer, self.request_planning
         )
         self._paces = WorkerPaces(ledger)
-        self._free_capacity = FreeCapacity()
+        self._idle_times = IdleTimes()
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
@@ -197,6 +197,7 @@
         self._jobs_with_errors.clear()
         self._refusals.clear()
         self._has_taken_over = False
+        self._idle_times = IdleTimes()
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
         self._sessions.open_all(self._replica.leader_contact)
@@ -241,9 +242,8 @@
         )
         fleet.set_paces(self._paces.current)
         held = self._refusals.held(self._clock.now_ms())
-        now_ms = self.now_ms
-        free_since_ms = self._free_capacity.observe(fleet, now_ms)
-        return Planner(self._ledger, fleet, now_ms, held=held, free_since_ms=free_since_ms).plan()
+        idle_times = self._idle_times
+        return Planner(self._ledger, fleet, self.now_ms, held=held, idle_times=idle_times).plan()
 
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
@@ -32,7 +32,7 @@
 
         A job that is held back from now on although it fits is logged again.
         """
-        held = {id for id, idle in plan.idle.items() if idle.could_run}
+        held = plan.idle.keys()
         for id, reason in plan.waits.items():
             is_new = self._reasons.get(id) is not reason
             if is_new:
@@ -51,9 +51,7 @@
 
     def _observe_idle(self, plan: Plan) -> None:
         """Warn of each job that has been idle for too long although it would fit; count them."""
-        too_long = {
-            id for id, idle in plan.idle.items() if idle.could_run and idle.idle_ms >= IDLE_LIMIT_MS
-        }
+        too_long = {id for id, idle in plan.idle.items() if idle.idle_ms >= IDLE_LIMIT_MS}
         metrics.IDLE_JOBS.set(len(too_long))
         for id in too_long - self._idle:
             self._log.warning(
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -298,8 +298,6 @@
         was_active = subtask.active == end.run
         if was_active:
             subtask.active = None
-            if end.outcome is not commands.RunOutcome.REFUSED:
-                subtask.ended_ms = at_ms
             self._record_duration(job, subtask, end, at_ms)
         if end.checkpoint and end.run.number == subtask.last_run:
             subtask.checkpoint = end.checkpoint
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -127,8 +127,6 @@
     checkpoint: str = ""
     active: Run | None = None
     started_ms: int = 0
-    ended_ms: int = 0
-    """When the newest run that worked ended; 0 before that, a refused start doesn't count."""
     is_cold: bool = False
     """Whether the newest run started on a cold worker."""
 
@@ -180,18 +178,6 @@
             return JobState.FAILED
         return JobState.RUNNING if self.has_started else JobState.QUEUED
 
-    def idle_since_ms(self, occurrence: int) -> int | None:
-        """Return since when nothing of the job runs though this occurrence is due.
-
-        None means that a subtask runs.
-        """
-        since_ms = max(self.accepted_ms, self.spec.due_ms(occurrence))
-        for subtask in self.subtasks.values():
-            if subtask.active is not None and not subtask.is_done:
-                return None
-            since_ms = max(since_ms, subtask.ended_ms)
-        return since_ms
-
     def step_of(self, name: str) -> StepSpec:
         """Return the step that a subtask belongs to."""
         return self.spec.steps[step_number(name)]
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -37,7 +37,7 @@
 )
 IDLE_JOBS = Gauge(
     "agateferry_jobs_idle",
-    "Jobs with nothing running for 3 s that would fit while most of the capacity is free.",
+    "Jobs that have been idle by choice for 3 s although they fit; 0 unless there is a fault.",
 )
 COMMANDS_FAILED = Counter(
     "agateferry_jobs_commands_failed",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/idle_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/idle_jobs.py
@@ -1,17 +1,26 @@
-"""Jobs that have nothing running although they are due and most of the capacity is free."""
+"""Jobs that are left idle by choice although there is room for them, and for how long."""
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
 
+from agateferry_jobs.ledger import Job
+from agateferry_jobs.planning.fleet import Fleet
+from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.worker_allocation import WorkerAllocation
 
 MAX_IDLE_BY_CHOICE_MS = 2_000
-"""How long a job is left idle by choice while most of its service's capacity is free.
+"""How long a job is left idle by choice, over all choices together.
 
-This is over all choices together. The platform counts a job as lost that could run and stays idle
-for 3 s; a second is left for the plan, the order, and what the leader learns late.
+The platform counts a job as lost that could run and stays idle for 3 s; a second is left for the
+plan, the order, and what the leader learns late.
+"""
+ROOM_FACTOR = 1.5
+"""How many times over a job must fit before it counts as idle by choice.
+
+The platform asks for twice; it may see room that the leader does not. A job that just fits may wait
+for a better place.
 """
 
 
@@ -34,9 +43,9 @@
 
 @dataclass(frozen=True, slots=True)
 class IdleJob:
-    """A job that a plan left idle while most of its service's capacity was free.
+    """A job that a plan left idle although it fits.
 
-    `idle_ms` is for how long both has been so. `room` is how many subtasks of the step that waits
+    `idle_ms` is for how long it has been so. `room` is how many subtasks of the step that waits
     would fit if nothing were kept for a better use, and `needed` is how many it takes.
     """
 
@@ -45,10 +54,54 @@
     needed: int
     choices: tuple[WaitChoice, ...]
 
-    @property
-    def could_run(self) -> bool:
-        """Return whether the job would fit if no choice kept it waiting."""
-        return self.room >= self.needed
+
+class IdleTimes:
+    """For how long jobs have been left idle although they fit, from one plan to the next.
+
+    A leader keeps one and a new leader begins anew, since the clocks of two hosts may differ. With
+    `counts_from_acceptance` jobs count as idle since they were accepted, for plans made alone.
+    """
+
+    def __init__(self, counts_from_acceptance: bool = False) -> None:
+        self._counts_from_acceptance = counts_from_acceptance
+        self._free_capacity = FreeCapacity()
+        self._since_ms: dict[tuple[str, str], int] = {}
+        self._seen_ms: dict[tuple[str, str], int] = {}
+        self._now_ms = 0
+
+    def begin_plan(self, fleet: Fleet, now_ms: int) -> None:
+        """Begin a plan; a job that it does not find idle again is not idle any more."""
+        self._free_capacity.observe(fleet)
+        self._now_ms = now_ms
+        self._since_ms, self._seen_ms = self._seen_ms, {}
+
+    def may_count(self, ready: ReadySubtasks, service: str) -> bool:
+        """Return whether a wait counts as idle time, provided that there is room.
+
+        It does while nothing of the job runs and most of the service's capacity is free. Of a
+        long-running step each subtask counts for itself, however full the service is.
+        """
+        if ready.step.is_long_running:
+            return True
+        return self._free_capacity.is_mostly_free(service) and not _has_runs(ready.job)
+
+    def idle_ms(self, ready: ReadySubtasks) -> int:
+        """Return for how long subtasks have been idle, which the plan has found them to be."""
+        key = (ready.job.id, ready.gang)
+        since_ms = self._since_ms.get(key, self._now_ms)
+        if self._counts_from_acceptance:
+            since_ms = ready.job.accepted_ms
+        self._seen_ms[key] = since_ms
+        return max(0, self._now_ms - since_ms)
+
+
+def _has_runs(job: Job) -> bool:
+    return any(each.active is not None and not each.is_done for each in job.subtasks.values())
+
+
+def needed_room(ready: ReadySubtasks) -> int:
+    """Return how many subtasks must fit for a start: all of a gang, or one."""
+    return len(ready.names) if ready.step.is_gang else 1
 
 
 def room_for(ready: ReadySubtasks, workers: Iterable[WorkerAllocation]) -> int:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/plan.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/plan.py
@@ -28,6 +28,6 @@
     waits: dict[str, WaitReason] = field(default_factory=dict)
     """By job id, why subtasks that could start wait."""
     idle: dict[str, IdleJob] = field(default_factory=dict)
-    """By job id, jobs with nothing running while most of the capacity is free."""
+    """By job id, the jobs that are left idle by choice although they fit."""
     errors: dict[str, str] = field(default_factory=dict)
     """By job id, the unexpected error for which a job was left out; the others are planned."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -6,20 +6,26 @@
 resources that become free are reserved for it, so that jobs planned later do not get them.
 """
 
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import replace
 
 from agateferry_jobs.ledger import Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.state import RunKey, gang_of
-from agateferry_jobs.planning.candidates import CandidateWorkers
+from agateferry_jobs.planning.candidates import CandidateKey, CandidateWorkers
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fair_shares import shares_in_use
 from agateferry_jobs.planning.fleet import Fleet
-from agateferry_jobs.planning.free_capacity import FreeCapacity
 from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
-from agateferry_jobs.planning.idle_jobs import IdleJob, room_for
+from agateferry_jobs.planning.idle_jobs import (
+    MAX_IDLE_BY_CHOICE_MS,
+    ROOM_FACTOR,
+    IdleJob,
+    IdleTimes,
+    needed_room,
+    room_for,
+)
 from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
@@ -41,8 +47,8 @@
 class Planner:
     """Make one plan from the ledger and the fleet at one moment.
 
-    The subtasks in `held` are left out. `free_since_ms` says since when most of the capacity of a
-    service is free, as `FreeCapacity` observes it; without it, that counts as long ago.
+    The subtasks in `held` are left out. `idle_times` are those of the plans before; without them,
+    jobs count as idle since they were accepted.
     """
 
     def __init__(
@@ -52,7 +58,7 @@
         now_ms: int,
         options: PolicyOptions = DEFAULT_OPTIONS,
         held: Collection[RunKey] = (),
-        free_since_ms: Mapping[str, int] | None = None,
+        idle_times: IdleTimes | None = None,
     ) -> None:
         self._ledger = ledger
         self._fleet = fleet
@@ -71,18 +77,18 @@
             fleet.set_paces({})
         suspects = CrashSuspects(ledger, now_ms)
         fleet.mark_trials(suspects.on_trial())
-        if free_since_ms is None:
-            free_since_ms = FreeCapacity().observe(fleet, 0)
+        self._idle_times = idle_times or IdleTimes(counts_from_acceptance=True)
+        self._idle_times.begin_plan(fleet, now_ms)
+        self._rooms: dict[CandidateKey, int] = {}
+        self._started: set[str] = set()
         self._readiness = Readiness(
             ledger,
             fleet,
             now_ms,
-            options,
             self._ranks,
             self._timing,
             suspects,
             held,
-            free_since_ms,
         )
 
     def plan(self) -> Plan:
@@ -121,6 +127,7 @@
             (self._ledger.service_of(job), ready)
             for job, all_ready in waiting
             for ready in all_ready
+            if not ready.is_held
         ]
         self._is_scarce = is_capacity_scarce(needs, self._fleet)
         options, values = self._options, self._values
@@ -130,14 +137,16 @@
 
     def _place(self, ready: ReadySubtasks) -> None:
         candidates = self._candidates(ready)
+        if ready.is_held:
+            self._hold(ready, candidates)
+            return
         limit = pace_limit(ready, self._fleet, self._timing, self._options)
-        if limit is not None and ready.may_wait_by_choice:
+        if limit is not None:
             left = self._place_on(candidates.within_pace(limit), ready)
             if not left:
                 return
             ready = replace(ready, names=left)
             self._plan.waits.pop(ready.job.id, None)
-            self._plan.idle.pop(ready.job.id, None)
         self._place_on(candidates, ready)
 
     def _candidates(self, ready: ReadySubtasks) -> CandidateWorkers:
@@ -151,17 +160,64 @@
         if ready.step.is_gang:
             workers = self._failures.search(selector.gang_key(), selector.select_for_gang)
             if workers is None:
-                return () if self._wait(ready, selector, ready.names) else ready.names
+                return self._leave(ready, selector)
             self._start(ready, ready.names, workers)
             return ()
         for position, name in enumerate(ready.names):
             worker = self._failures.search(selector.subtask_key(), selector.select_for_subtask)
             if worker is None:
-                names = ready.names[position:]
-                return () if self._wait(ready, selector, names) else names
+                return self._leave(replace(ready, names=ready.names[position:]), selector)
             self._start(ready, (name,), (worker,))
         return ()
 
+    def _hold(self, ready: ReadySubtasks, candidates: CandidateWorkers) -> None:
+        """Record that subtasks are held back, which counts as idle time too."""
+        idle = self._idle_job(ready, self._selector(candidates, ready))
+        if idle is not None:
+            self._plan.idle[ready.job.id] = idle
+        self._plan.waits[ready.job.id] = WaitReason.REFUSED
+
+    def _leave(self, ready: ReadySubtasks, selector: WorkerSelector) -> tuple[str, ...]:
+        """Handle subtasks that did not start; return those that may start on other workers.
+
+        They start wherever they fit if they have been idle by choice for too long. Otherwise they
+        wait for resources that become free, if any are kept for them.
+        """
+        idle = self._idle_job(ready, selector)
+        if idle is not None:
+            if self._options.limits_idle_jobs and idle.idle_ms >= MAX_IDLE_BY_CHOICE_MS:
+                return self._place_on(
+                    self._candidates(ready), replace(ready, may_wait_by_choice=False)
+                )
+            self._plan.idle[ready.job.id] = idle
+        return () if self._wait(ready, selector) else ready.names
+
+    def _idle_job(self, ready: ReadySubtasks, selector: WorkerSelector) -> IdleJob | None:
+        """Return how subtasks are idle by choice, or None if they are not."""
+        has_started = ready.job.id in self._started and not ready.step.is_long_running
+        if has_started or not ready.may_wait_by_choice:
+            return None
+        if not self._idle_times.may_count(ready, selector.candidates.service):
+            return None
+        room, needed = self._room_for(ready, selector.candidates), needed_room(ready)
+        if room < ROOM_FACTOR * needed:
+            return None
+        return IdleJob(self._idle_times.idle_ms(ready), room, needed, selector.choices())
+
+    def _room_for(self, ready: ReadySubtasks, candidates: CandidateWorkers) -> int:
+        """Return how many subtasks fit if nothing is kept for a better use.
+
+        It is counted once in a plan for each shape, so that it may be too large later on.
+        """
+        if candidates.has_pace_limit:
+            candidates = self._candidates(ready)
+        if ready.step.max_per_worker:
+            return room_for(ready, candidates.usable)
+        room = self._rooms.get(candidates.key)
+        if room is None:
+            room = self._rooms[candidates.key] = room_for(ready, candidates.usable)
+        return room
+
     def _selector(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> WorkerSelector:
         trials = self._fleet.count_trials(candidates.service)
         selector = TrialSelector if ready.is_suspect else WorkerSelector
@@ -171,6 +227,7 @@
         self, ready: ReadySubtasks, names: Sequence[str], workers: Sequence[WorkerAllocation]
     ) -> None:
         job = ready.job
+        self._started.add(job.id)
         number = 1 + max(job.subtasks[name].last_run for name in names)
         checkpoint = self._checkpoint(ready, names)
         for name, worker in zip(names, workers, strict=True):
@@ -188,17 +245,13 @@
         saved = [subtask for subtask in subtasks if subtask.checkpoint]
         return max(saved, key=lambda subtask: subtask.last_run).checkpoint if saved else ""
 
-    def _wait(self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]) -> bool:
+    def _wait(self, ready: ReadySubtasks, selector: WorkerSelector) -> bool:
         """Record why subtasks wait; return whether resources that become free are kept for them."""
-        reason = self._reserve_or_preempt(ready, selector, names)
+        reason = self._reserve_or_preempt(ready, selector)
         self._plan.waits[ready.job.id] = reason
-        if ready.idle_ms:
-            self._plan.idle[ready.job.id] = self._idle_job(ready, selector)
         return reason in (WaitReason.RESERVED, WaitReason.PREEMPTING)
 
-    def _reserve_or_preempt(
-        self, ready: ReadySubtasks, selector: WorkerSelector, names: Sequence[str]
-    ) -> WaitReason:
+    def _reserve_or_preempt(self, ready: ReadySubtasks, selector: WorkerSelector) -> WaitReason:
         """Reserve resources for subtasks that cannot start; preempt if the policy allows it.
 
         Return why they wait.
@@ -214,8 +267,8 @@
         preempts = policy is PreemptionPolicy.PREEMPT
         capacity = self._preemptible if preempts else self._ending
         placements = self._failures.search(
-            selector.future_key(len(names), preempts),
-            lambda: capacity.cheapest(selector.future_groups(), ready, len(names)),
+            selector.future_key(len(ready.names), preempts),
+            lambda: capacity.cheapest(selector.future_groups(), ready, len(ready.names)),
         )
         if not placements:
             return WaitReason.NOTHING_TO_STOP if preempts else WaitReason.NO_ROOM
@@ -224,11 +277,6 @@
         self._keep(placements, ready, preempts)
         return WaitReason.PREEMPTING if preempts else WaitReason.RESERVED
 
-    def _idle_job(self, ready: ReadySubtasks, selector: WorkerSelector) -> IdleJob:
-        needed = len(ready.names) if ready.step.is_gang else 1
-        room = room_for(ready, self._candidates(ready).usable)
-        return IdleJob(ready.idle_ms, room, needed, selector.choices())
-
     def _is_worthwhile(self, ready: ReadySubtasks, placements: FuturePlacements) -> bool:
         """Return whether a preemption gains more than it costs; guaranteed work always may."""
         if ready.rank == GUARANTEED_RANK:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/readiness.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/readiness.py
@@ -1,6 +1,6 @@
 """Which subtasks may start now, and what decides where and when they start."""
 
-from collections.abc import Collection, Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, replace
 
 from agateferry_jobs.ledger import Job, Ledger
@@ -8,8 +8,6 @@
 from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.fleet import Fleet
-from agateferry_jobs.planning.idle_jobs import MAX_IDLE_BY_CHOICE_MS
-from agateferry_jobs.planning.options import PolicyOptions
 from agateferry_jobs.planning.pace_limits import prefers_slow
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.timing import Timing
@@ -17,20 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Readiness:
-    """Find the subtasks that may start as of one plan.
-
-    Those in `held` may not. `free_since_ms` is as for the `Planner`.
-    """
+    """Find the subtasks that may start as of one plan, and those in `held`, which may not yet."""
 
     ledger: Ledger
     fleet: Fleet
     now_ms: int
-    options: PolicyOptions
     ranks: Mapping[str, int]
     timing: Timing
     suspects: CrashSuspects
     held: Collection[RunKey]
-    free_since_ms: Mapping[str, int]
 
     def ready_subtasks(self, job: Job) -> Iterator[ReadySubtasks]:
         """Return the subtasks of a job that may start now, by step and occurrence."""
@@ -50,14 +43,13 @@
             for name in job.members(gang)
             if not job.subtasks[name].is_done and job.subtasks[name].active is None
         )
-        if job.crashes or self.held:
-            names = tuple(name for name in names if not self._must_wait(job, name))
+        if job.crashes:
+            names = tuple(name for name in names if not self.suspects.is_guilty(job, name))
         if not names or (step.is_gang and len(names) < step.count):
             return
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
             return
         waited = self.timing.waited_ms(job, occurrence, self.now_ms)
-        idle_ms = self._idle_ms(job, occurrence, names if step.is_long_running else ())
         ready = ReadySubtasks(
             job,
             gang,
@@ -68,29 +60,23 @@
             waited_ms=waited,
             hopeless_after_ms=self.timing.hopeless_after_ms(job),
             waited_slack_share=waited / max(1.0, self.timing.slack_ms(job)),
-            idle_ms=idle_ms,
-            may_wait_by_choice=not self.options.limits_idle_jobs or idle_ms < MAX_IDLE_BY_CHOICE_MS,
             prefers_slow=prefers_slow(job, self.ranks[job.id], waited, self.fleet, self.timing),
         )
-        yield from self._split_suspects(ready)
-
-    def _idle_ms(self, job: Job, occurrence: int, long_running: Sequence[str]) -> int:
-        """Return for how long a job has been idle while most of its service's capacity was free.
+        for each in self._split_held(ready):
+            yield from self._split_suspects(each)
 
-        It is idle as long as nothing of it runs, or one of the given long-running subtasks.
-        """
-        free_since_ms = self.free_since_ms.get(self.ledger.service_of(job))
-        if free_since_ms is None:
-            return 0
-        since_ms = job.idle_since_ms(occurrence)
-        if long_running:
-            due_ms = max(job.accepted_ms, job.spec.due_ms(occurrence))
-            since_ms = max(due_ms, min(job.subtasks[name].ended_ms for name in long_running))
-        return max(0, self.now_ms - max(since_ms, free_since_ms)) if since_ms is not None else 0
-
-    def _must_wait(self, job: Job, name: str) -> bool:
-        """Return whether a subtask is about to be given up, or was refused just now."""
-        return self.suspects.is_guilty(job, name) or (job.id, name) in self.held
+    def _split_held(self, ready: ReadySubtasks) -> Iterator[ReadySubtasks]:
+        """Tell the held subtasks from the others; a gang with a held member is held as a whole."""
+        held = tuple(name for name in ready.names if (ready.job.id, name) in self.held)
+        if not held:
+            yield ready
+            return
+        if ready.step.is_gang:
+            held = ready.names
+        others = tuple(name for name in ready.names if name not in held)
+        if others:
+            yield replace(ready, names=others)
+        yield replace(ready, names=held, is_held=True)
 
     def _split_suspects(self, ready: ReadySubtasks) -> Iterator[ReadySubtasks]:
         """Tell the suspects from the others; a gang with one suspect is suspected as a whole."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
@@ -21,8 +21,8 @@
     """The wait after which the job is hopeless, so that it would not even end late."""
     waited_slack_share: float
     """The wait as a share of the job's slack; it is above 1 for a job that is late."""
-    idle_ms: int = 0
-    """How long nothing of the job has been running while most of the capacity was free."""
+    is_held: bool = False
+    """Whether starts of the subtasks were refused just now, so that they may not start yet."""
     may_wait_by_choice: bool = True
     """Whether the subtasks may wait for a better place although they fit somewhere."""
     prefers_slow: bool = False
--- a/packages/agateferry-jobs/agateferry_jobs/planning/wait_reasons.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/wait_reasons.py
@@ -20,5 +20,7 @@
     """Preempting would cost other callers more than the job gains."""
     TRIAL = "trial"
     """It is suspected of crashing workers and waits for one of its own."""
+    REFUSED = "refused"
+    """Its start was refused just now, for a reason of the job; it is tried again soon."""
     REPORT = "report"
     """A worker on which a subtask fits has yet to report its capacity."""
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -45,7 +45,7 @@
         self._ready = ready
         self._options = options
         self._step = ready.step
-        self._candidates = candidates
+        self.candidates = candidates
         self._ranks = ranks
         self._has_trials = trials > 0
         self._may_wait = ready.may_wait_by_choice
@@ -75,7 +75,7 @@
             return None
         peers = self._ready.rank if self._shares_only_with_peers else None
         waits = (self._may_wait, self._waits_for_rack)
-        inputs = (self._candidates.key, self._step.data_rack, waits, peers)
+        inputs = (self.candidates.key, self._step.data_rack, waits, peers)
         return SearchKey(inputs, is_final=peers is None)
 
     def gang_key(self) -> SearchKey | None:
@@ -84,7 +84,7 @@
             return None
         count = len(self._ready.names)
         waits = (self._may_wait, self._waits_for_rack)
-        inputs = (self._candidates.key, count, self._step.same_rack, waits)
+        inputs = (self.candidates.key, count, self._step.same_rack, waits)
         return SearchKey(inputs, is_final=True)
 
     def future_key(self, count: int, preempts: bool) -> SearchKey | None:
@@ -94,7 +94,7 @@
         rank = self._ready.rank if preempts else None
         is_in_rack = self._step.same_rack and self._step.is_gang
         waits = (self._may_wait, self._waits_for_rack)
-        inputs = (self._candidates.key, count, rank, is_in_rack, waits)
+        inputs = (self.candidates.key, count, rank, is_in_rack, waits)
         return SearchKey(inputs, is_final=False)
 
     def select_for_subtask(self) -> WorkerAllocation | None:
@@ -104,8 +104,8 @@
         in_data_rack = [worker for worker in fitting if self._is_in_data_rack(worker)]
         if (
             not in_data_rack
-            and (self._waits_for_rack or self._candidates.has_pace_limit)
-            and any(self._is_in_data_rack(worker) for worker in self._candidates.expected)
+            and (self._waits_for_rack or self.candidates.has_pace_limit)
+            and any(self._is_in_data_rack(worker) for worker in self.candidates.expected)
         ):
             return None
         return min(in_data_rack or fitting, key=self._order, default=None)
@@ -117,7 +117,7 @@
         preempted. So the least urgent work shares workers only with its peers and leaves some
         workers empty, until it has waited for a part of its slack.
         """
-        usable = self._open(self._candidates.usable)
+        usable = self._open(self.candidates.usable)
         if not self._shares_only_with_peers:
             return usable
         empty = [worker for worker in usable if not worker.runs]
@@ -151,15 +151,16 @@
             return min(
                 found,
                 key=lambda workers: (
+                    sum(self._kept_for_others(worker) for worker in distinct(workers)),
                     sum(self._is_too_cold(worker) for worker in distinct(workers)),
                     max(map(self._pace_key, workers)),
                     sum(self._sort_key(worker)[1] for worker in distinct(workers)),
                 ),
             )
-        if self._candidates.has_pace_limit:
+        if self.candidates.has_pace_limit:
             return None
         if self._is_rack_gang and self._may_span_racks:
-            return self._pack(self._candidates.usable, count)
+            return self._pack(self.candidates.usable, count)
         return None
 
     @cached_property
@@ -169,19 +170,19 @@
         It need not if no rack holds it with the workers that answer or may do so soon. Slower
         workers, which a pace limit leaves out, may be in its rack too.
         """
-        if not self._waits_for_rack or self._candidates.has_pace_limit:
+        if not self._waits_for_rack or self.candidates.has_pace_limit:
             return not self._waits_for_rack
         count = len(self._ready.names)
-        racks = self._candidates.expected_racks
+        racks = self.candidates.expected_racks
         return not any(self._fits_when_empty(rack, count) for rack in racks)
 
     def choices(self) -> tuple[WaitChoice, ...]:
         """Return the choices that may keep the subtasks waiting although they fit somewhere."""
-        has_reservations = any(worker.held_back != NOTHING for worker in self._candidates.usable)
+        has_reservations = any(worker.held_back != NOTHING for worker in self.candidates.usable)
         active = {
             WaitChoice.RACK: self._is_rack_gang and self._waits_for_rack,
             WaitChoice.DATA_RACK: bool(self._step.data_rack) and self._waits_for_rack,
-            WaitChoice.PACE: self._candidates.has_pace_limit,
+            WaitChoice.PACE: self.candidates.has_pace_limit,
             WaitChoice.TRIAL: self._has_trials,
             WaitChoice.HEADROOM: self._shares_only_with_peers and not self._step.is_gang,
             WaitChoice.RESERVATION: has_reservations,
@@ -190,13 +191,13 @@
 
     def awaits_report(self) -> bool:
         """Return whether a subtask fits on a worker that has yet to report its capacity."""
-        return any(worker.fits_now(self._step) for worker in self._candidates.awaited)
+        return any(worker.fits_now(self._step) for worker in self.candidates.awaited)
 
     def future_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers of which one is to hold the subtasks later."""
         groups = self._usable_groups()
         if not self._waits_for_rack or (self._is_rack_gang and self._may_span_racks):
-            groups = [*groups, self._candidates.usable]
+            groups = [*groups, self.candidates.usable]
         return [self._open(group) for group in groups]
 
     @property
@@ -206,8 +207,8 @@
     def _usable_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers that may hold one gang: each rack, or all of them together."""
         if self._is_rack_gang:
-            return self._candidates.usable_racks
-        return [self._candidates.usable]
+            return self.candidates.usable_racks
+        return [self.candidates.usable]
 
     def _pack(
         self, group: list[WorkerAllocation], count: int
--- a/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
+++ b/packages/agateferry-jobs/agateferry_jobs/simulation/policies.py
@@ -7,7 +7,7 @@
 from agateferry_jobs.ledger import Job, Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerAllocation
-from agateferry_jobs.planning.free_capacity import FreeCapacity
+from agateferry_jobs.planning.idle_jobs import IdleTimes
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, ScarceOrder
 
 
@@ -23,12 +23,11 @@
 
     def __init__(self, **options: Any) -> None:
         self._options = replace(DEFAULT_OPTIONS, **options)
-        self._free_capacity = FreeCapacity()
+        self._idle_times = IdleTimes()
 
     def plan(self, ledger: Ledger, fleet: Fleet, now_ms: int) -> Plan:
         """Return the leader's plan."""
-        free_since_ms = self._free_capacity.observe(fleet, now_ms)
-        return Planner(ledger, fleet, now_ms, self._options, free_since_ms=free_since_ms).plan()
+        return Planner(ledger, fleet, now_ms, self._options, idle_times=self._idle_times).plan()
 
 
 class FirstFit:
--- a/packages/agateferry-jobs/agateferry_jobs/support/planning_play.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/planning_play.py
@@ -26,6 +26,7 @@
 from agateferry_jobs.manifest import Manifest
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerHealth
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
+from agateferry_jobs.planning.idle_jobs import IdleTimes
 from agateferry_jobs.support.builders import manifest
 
 PLAN_INTERVAL_MS = 200
@@ -50,6 +51,7 @@
         """The newest plan."""
         self.pending_changes = 0
         """How many scheduled changes, other than ends of runs, are still to come."""
+        self._idle_times = IdleTimes()
         self._stop_delay_ms = stop_delay_ms
         self._run_ms: dict[str, int] = {}
         self._stopping: dict[RunKey, Run] = {}
@@ -122,7 +124,8 @@
         fleet = Fleet.from_ledger(self.ledger, self.health, self._stopping)
         fleet.set_paces(self.paces)
         held = self.refusals.held(self.now_ms)
-        self.plan = Planner(self.ledger, fleet, self.now_ms, held=held).plan()
+        planner = Planner(self.ledger, fleet, self.now_ms, held=held, idle_times=self._idle_times)
+        self.plan = planner.plan()
         for stop in self.plan.stops:
             self._stop(stop.key, stop.run)
         self._start(self.plan.starts, self.now_ms)
