Spread heartbeats of many workers over the cell, in batches

Cause: all workers sent their heartbeats to the leader, at 0.8 to 1.1 ms of processor time each. With 1,000 workers and about 0.7 cores for the leader none was answered within a second after 8 s; workers then repeated them on new connections, and an operator's read of the manifest timed out as well. More than 2,000 open connections make uvicorn answer 503 to every call.

Change: with more than 300 workers each host names itself for later heartbeats, and followers forward theirs in one call for each 150 ms (20 ms for a change of a worker). Up to 300 workers nothing changes. A leader of the release before cannot read a batch; its workers are answered 503 until it is replaced.

With 3,000 workers that join within 5 s the leader is still overrun.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/messages.py
@@ -66,6 +66,14 @@
     cold_remaining_ms: int = 0
 
 
+class HeartbeatBatch(Struct, frozen=True, tag="beats"):
+    """Report the states of several workers; the reply is `HeartbeatReplies`."""
+
+    label: ClassVar[str] = "Beats"
+
+    heartbeats: tuple[Heartbeat, ...]
+
+
 class Deregister(Struct, frozen=True, tag="leave"):
     """Report that a worker shuts down."""
 
@@ -129,6 +137,7 @@
     | GetStatus
     | Cancel
     | Heartbeat
+    | HeartbeatBatch
     | Deregister
     | InstallManifest
     | ReadManifest
@@ -245,8 +254,21 @@
     reason: str
 
 
+HeartbeatReply = Done | NotLeader | OutcomeUnknown
+"""The reply to one heartbeat."""
+
+
+class HeartbeatReplies(Struct, frozen=True, tag="beats-noted"):
+    """The replies to the heartbeats of a batch, in their order."""
+
+    label: ClassVar[str] = "BeatsNoted"
+
+    replies: tuple[HeartbeatReply, ...]
+
+
 Reply = (
     Done
+    | HeartbeatReplies
     | JobStatus
     | QueueDepth
     | UnknownQueue
--- a/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_messages.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_messages.py
@@ -73,6 +73,11 @@
     (messages.GetStatus(TARGET), "Look", {"type": "look", "place": TARGET_WIRE}),
     (messages.Cancel(TARGET), "Cancel", {"type": "cancel", "place": TARGET_WIRE}),
     (messages.Heartbeat(WORKER, 5, 6, 7), "Beat", {"type": "beat"} | HEARTBEAT_WIRE),
+    (
+        messages.HeartbeatBatch((messages.Heartbeat(WORKER, 5, 6, 7),)),
+        "Beats",
+        {"type": "beats", "heartbeats": [{"type": "beat"} | HEARTBEAT_WIRE]},
+    ),
     (messages.Deregister("w"), "Leave", {"type": "leave", "worker": "w"}),
     (
         messages.InstallManifest(Manifest(7, source=b"src")),
@@ -95,6 +100,14 @@
 ]
 REPLIES = [
     (messages.Done(), "Done", {"type": "done"}),
+    (
+        messages.HeartbeatReplies((messages.Done(), messages.OutcomeUnknown("why"))),
+        "BeatsNoted",
+        {
+            "type": "beats-noted",
+            "replies": [{"type": "done"}, {"type": "uncertain", "reason": "why"}],
+        },
+    ),
     (messages.JobStatus(JobState.QUEUED), "Shown", {"type": "shown", "state": "queued"}),
     (
         messages.JobStatus(JobState.FAILED, "why"),
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -129,10 +129,8 @@
                 return self._call_handler.get_status(call)
             case messages.Cancel():
                 return await self._call_handler.cancel(call, self.now_ms)
-            case messages.Heartbeat():
-                return await self._registry.on_heartbeat(call)
-            case messages.Deregister(worker):
-                return await self._registry.on_deregister(worker)
+            case messages.Heartbeat() | messages.HeartbeatBatch() | messages.Deregister():
+                return await self._registry.handle(call)
             case messages.InstallManifest(manifest):
                 return await self._call_handler.install(manifest)
             case messages.ReadManifest():
--- a/packages/agateferry-jobs/agateferry_jobs/cell/proposing.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/proposing.py
@@ -44,7 +44,7 @@
         return Error(error)
 
 
-def reply_for_error(error: ProposeError) -> messages.Reply:
+def reply_for_error(error: ProposeError) -> messages.NotLeader | messages.OutcomeUnknown:
     """Return the reply to a call whose command failed with `error`."""
     if error.kind is ProposeErrorKind.UNKNOWN:
         return messages.OutcomeUnknown(error.detail or error.kind)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
@@ -10,6 +10,7 @@
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import WORKER_CAPACITY
+from agateferry_state.replica.protocols import ProposeErrorKind
 from agateferry_state.replication import LeaderContact
 
 SHRUNK = Resources(cpu=1000, mem_mb=100, gpu=1)
@@ -196,3 +197,41 @@
             self.assertEqual(0, self.started())
 
         self.play(scenario)
+
+
+class HeartbeatBatchTests(LeaderCase):
+    def heartbeats(self, *ids):
+        return tuple(messages.Heartbeat(worker(id), 1) for id in ids)
+
+    def test_the_workers_of_a_batch_are_registered(self):
+        async def scenario():
+            reply = await self.call(messages.HeartbeatBatch(self.heartbeats("w1", "w2")))
+            self.assertEqual(messages.HeartbeatReplies((messages.Done(),) * 2), reply)
+            self.assertEqual({"w1", "w2"}, {*self.ledger.workers})
+
+        self.check(scenario)
+
+    def test_a_heartbeat_that_meets_an_error_keeps_no_other_from_being_acknowledged(self):
+        async def scenario():
+            registry = self.leader._registry
+            on_heartbeat = registry.on_heartbeat
+
+            async def fail_for_one(heartbeat):
+                if heartbeat.worker.id == "w1":
+                    raise ValueError("unexpected")
+                return await on_heartbeat(heartbeat)
+
+            registry.on_heartbeat = fail_for_one
+            reply = await self.call(messages.HeartbeatBatch(self.heartbeats("w1", "w2")))
+            unknown = messages.OutcomeUnknown("ValueError")
+            self.assertEqual(messages.HeartbeatReplies((unknown, messages.Done())), reply)
+
+        self.check(scenario)
+
+    def test_a_heartbeat_whose_change_is_not_stored_is_not_acknowledged(self):
+        async def scenario():
+            self.replica.error_for = lambda _: ProposeErrorKind.UNKNOWN
+            reply = await self.call(messages.HeartbeatBatch(self.heartbeats("w1")))
+            self.assertIsInstance(reply.replies[0], messages.OutcomeUnknown)
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -42,9 +42,34 @@
         self._proposer = proposer
         self._heartbeat_sequences: dict[WorkerKey, int] = {}
         self._log = EventLogger()
+        self._log_failure = self._log.on_exception(events.TASK_FAILED)
         sessions.on_replaced = self._on_replaced
 
-    async def on_heartbeat(self, heartbeat: messages.Heartbeat) -> messages.Reply:
+    async def handle(
+        self, call: messages.Heartbeat | messages.HeartbeatBatch | messages.Deregister
+    ) -> messages.Reply:
+        """Handle a call of a worker, or a batch of them."""
+        match call:
+            case messages.Heartbeat():
+                return await self.on_heartbeat(call)
+            case messages.HeartbeatBatch(heartbeats):
+                return await self.on_heartbeats(heartbeats)
+            case messages.Deregister(worker):
+                return await self.on_deregister(worker)
+
+    async def on_heartbeats(
+        self, heartbeats: tuple[messages.Heartbeat, ...]
+    ) -> messages.HeartbeatReplies:
+        """Handle the heartbeats of a batch; the changes among them share a sync of the log.
+
+        One that meets an unexpected error must not keep the others from being acknowledged.
+        """
+        replies = await asyncio.gather(
+            *(self.on_heartbeat(each) for each in heartbeats), return_exceptions=True
+        )
+        return messages.HeartbeatReplies(tuple(map(self._checked_reply, replies)))
+
+    async def on_heartbeat(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatReply:
         """Register a worker, or record its new state; `Done` means that this is committed.
 
         A heartbeat with a lower sequence number than one handled before, one that arrives late, or
@@ -95,6 +120,14 @@
             return messages.OutcomeUnknown("not stored")
         return messages.Done()
 
+    def _checked_reply(
+        self, reply: messages.HeartbeatReply | BaseException
+    ) -> messages.HeartbeatReply:
+        if not isinstance(reply, BaseException):
+            return reply
+        self._log_failure(reply)
+        return messages.OutcomeUnknown(type(reply).__name__)
+
     def _on_replaced(self, incarnation: WorkerIncarnation) -> None:
         """Remove a replaced incarnation; the new one registers by its own heartbeat."""
         self._hooks.spawn(self._deregister(incarnation, cause_of_replacement(incarnation)))
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -11,6 +11,7 @@
 from agateferry_core.tasks import observe_loop_delay, repeat
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import LeaderClient, messages
+from agateferry_jobs.calls.heartbeat_batches import HeartbeatBatches
 from agateferry_jobs.calls.pings import PingResponder, ping_port
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.servicer import LeaderServicer
@@ -45,6 +46,8 @@
 
 It is longer than a network partition of 6 s, so that runs survive one.
 """
+MAX_WORKERS_AT_LEADER = 300
+"""With more workers, each host takes the heartbeats of those that report to it."""
 DISCOVERY_TIMEOUT_MS = 1_000
 """How long a host that joins a running cell tries its seeds to learn the current hosts."""
 RECOVERY_INTERVAL_MS = 1_000
@@ -62,6 +65,7 @@
         self.ledger = Ledger()
         self.client = LeaderClient(clock, cfg.internal_port)
         self.client.add_hosts(cfg.seeds)
+        self._heartbeat_batches = HeartbeatBatches(self.client.call)
         self._clock = clock
         self._rng = random.Random()
         self._make_port = make_port
@@ -104,6 +108,7 @@
         if self._leader is not None:
             await self._leader.close()
         self._ping_responder.close()
+        self._heartbeat_batches.close()
         if self._server is not None:
             await self._server.stop(RPC_GRACE_S)
         await self._transport.close()
@@ -133,8 +138,24 @@
         if not isinstance(answer.reply, messages.NotLeader):
             return answer.reply
         self.client.add_hosts(answer.hosts)
+        if isinstance(call, messages.Heartbeat) and self._has_many_workers:
+            is_change = self.ledger.workers.get(call.worker.id) != call.worker
+            return await self._heartbeat_batches.send(call, is_change)
         return await self.client.call(call, timeout_ms)
 
+    @property
+    def heartbeat_host(self) -> str | None:
+        """Return the host to which a worker that reports here sends its later heartbeats.
+
+        That is the leader, which needs no further call between hosts, as long as it can take the
+        heartbeats of all workers.
+        """
+        return self.cfg.ip if self._has_many_workers else self.leader_host
+
+    @property
+    def _has_many_workers(self) -> bool:
+        return len(self.ledger.workers) > MAX_WORKERS_AT_LEADER
+
     @property
     def leader_host(self) -> str | None:
         """Return the name of the leader, or None if this host knows none."""
