Contact many workers in turn, and keep no connections to idle ones

Cause: a new leader polled all workers at the same time. Sending the polls of 1,000 workers took longer than their timeout of 400 ms; a poll that finds its own process held up was repeated at once, so that all were sent together again and again. The leader's loop was held for longer than its lease. A session whose poll ended with a timeout instead of its cancellation went on for good, and the close of all others waited for it. The connections to 3,000 workers and their heartbeats are more than a host's 3,896 descriptors.

Change: a poll of a worker that has not answered yet, did not answer the last one, or whose answer this process was too busy to read waits for one of 300 slots; workers with runs come first. Up to 300 workers none waits. A closed session polls no more. With more than 1,000 workers, connections to a worker without runs are closed.

--- a/packages/agateferry-core/agateferry_core/logs/logs.py
+++ b/packages/agateferry-core/agateferry_core/logs/logs.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Any, TextIO, cast
 
 import structlog
@@ -41,7 +42,12 @@
     """Write events with their numbers, and with fields that all its lines have in common."""
 
     def __init__(self, **bound: Any) -> None:
-        self._log = structlog.get_logger().bind(**bound)
+        self._bound = bound
+
+    @cached_property
+    def _log(self) -> Any:
+        """Return the bound logger, made for the first line; many of these never write one."""
+        return structlog.get_logger().bind(**self._bound)
 
     def info(self, event: Event, **fields: Any) -> None:
         """Log an event of normal operation."""
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -1,6 +1,8 @@
 """The leader's sessions with workers: one for the current incarnation of each."""
 
+import asyncio
 from collections.abc import Callable, Coroutine, Sequence
+from contextlib import AbstractAsyncContextManager
 from typing import Any, Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
@@ -23,6 +25,16 @@
 
 MAX_IDLE_POLLS_PER_S = 60
 """How many polls a second the leader sends at most to workers where no run ends."""
+MAX_IDLE_CONNECTIONS = 1_000
+"""With more workers, no connections are kept to those without runs.
+
+A host has about 3,900 descriptors, also for the heartbeats and for its connections to other hosts.
+"""
+MAX_CONTACT_POLLS = 300
+"""How many workers that have not answered yet, or do not answer, are polled at the same time.
+
+The polls of a fleet of this size take up to a third of the leader's lease to send.
+"""
 
 
 class LeaderHooks(Protocol):
@@ -66,6 +78,7 @@
         max_start_ms: int | None = None,
     ) -> None:
         self.by_id: dict[str, WorkerSession] = {}
+        self._contact_slots = asyncio.Semaphore(MAX_CONTACT_POLLS)
         self.on_replaced: Callable[[WorkerIncarnation], None] = lambda _: None
         self._ledger = ledger
         self._clock = clock
@@ -97,7 +110,7 @@
         max_age_ms = self._max_report_age_ms or 0
         has_reports = contact is not None and contact.duration_ms >= max_age_ms
         reported_ms = contact.last_ms if contact is not None and has_reports else None
-        for incarnation in self._ledger.workers.values():
+        for incarnation in self._workers_with_runs_first():
             self._open_session(incarnation, earlier_leases_until_ms, reported_ms)
         lost = self._adopt_all()
         if lost:
@@ -204,11 +217,19 @@
         """Return how many runs are tracked on the workers of a zone."""
         return sum(len(s.runs) for s in self.by_id.values() if s.incarnation.zone == zone)
 
+    def keeps_idle_connections(self) -> bool:
+        """Return whether a connection is kept to a worker without runs, for its next order."""
+        return len(self.by_id) <= MAX_IDLE_CONNECTIONS
+
     def poll_wait_ms(self) -> int:
         """Return how long a worker may delay the answer to a poll; longer with more workers."""
         wait_ms = len(self.by_id) * MS_PER_S // MAX_IDLE_POLLS_PER_S
         return min(MAX_POLL_WAIT_MS, max(MIN_POLL_WAIT_MS, wait_ms))
 
+    def contact_slot(self) -> AbstractAsyncContextManager[None]:
+        """Return what a poll waits for where the last one got no answer or there was none."""
+        return self._contact_slots
+
     def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
         """Handle that another incarnation runs at the worker's address, so this one has ended."""
         self.on_replaced(incarnation)
@@ -237,6 +258,16 @@
             incarnation, self._make_port(incarnation), self, self._clock, lease, reports
         )
 
+    def _workers_with_runs_first(self) -> list[WorkerIncarnation]:
+        """Return the workers in the order in which a new leader contacts them."""
+        with_runs = {
+            subtask.active.worker
+            for job in self._ledger.jobs.values()
+            for subtask in job.subtasks.values()
+            if subtask.active is not None
+        }
+        return sorted(self._ledger.workers.values(), key=lambda each: each.id not in with_runs)
+
     def _adopt_all(self) -> tuple[commands.RunEnded, ...]:
         """Have a session track each active run; return ends for runs of incarnations that ended.
 
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -55,6 +55,7 @@
     starts: list[tuple[RunKey, int]] = field(default_factory=list)
     progress_percent: float = 0.0
     first_outcome: str = ""
+    releases: int = 0
 
     async def start(self, order: StartOrder, timeout_ms: int) -> Answer:
         """Execute a start order, unless this worker is unreachable, loses the order or is full."""
@@ -144,5 +145,9 @@
         self.last_end_number += 1
         self.ends.append(FinishedRun(self.last_end_number, key, run, outcome, checkpoint))
 
+    async def release(self) -> None:
+        """Count the release."""
+        self.releases += 1
+
     async def close(self) -> None:
         """Do nothing."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/port.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/port.py
@@ -144,5 +144,8 @@
     ) -> RunLists | Rejected | IncarnationMismatch | NoAnswer:
         """Extend the lease and return the worker's lists of runs."""
 
+    async def release(self) -> None:
+        """Close all connections if no order is in flight; the next order opens new ones."""
+
     async def close(self) -> None:
         """Close all connections."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import AbstractAsyncContextManager
 from typing import Any, Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
@@ -84,9 +85,15 @@
     def is_obsolete(self, key: RunKey) -> bool:
         """Return whether a subtask is done or its job is over, so that it must not start."""
 
+    def keeps_idle_connections(self) -> bool:
+        """Return whether a connection is kept to a worker without runs, for its next order."""
+
     def poll_wait_ms(self) -> int:
         """Return how long a worker may delay the answer to a poll while no run ends."""
 
+    def contact_slot(self) -> AbstractAsyncContextManager[None]:
+        """Return what a poll waits for where the last one got no answer or there was none."""
+
 
 class WorkerSession:
     """Send orders and polls to one worker incarnation while this host leads.
@@ -113,6 +120,9 @@
         self._lease = lease
         self._token = listener.next_token()
         self._poll_number = 0
+        self._is_closed = False
+        self._was_held_up = False
+        """Whether this process did not run when the last poll's time was over."""
         self._last_worker_clock_ms = -1
         self._committed_cursor = 0
         self._acknowledged_cursor = 0
@@ -209,7 +219,12 @@
             del self.runs[key]
 
     async def close(self) -> None:
-        """Cancel all tasks and close the connections to the worker."""
+        """Cancel all tasks and close the connections to the worker.
+
+        A poll whose timeout fires together with the cancellation ends with the timeout instead, so
+        the loop also looks at `_is_closed`.
+        """
+        self._is_closed = True
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -219,17 +234,16 @@
         spawn(coro, self._tasks, self._log_failure)
 
     async def _poll_forever(self) -> None:
-        while True:
+        while not self._is_closed:
             if not self._needs_poll():
                 self._wake.clear()
+                if not self._listener.keeps_idle_connections():
+                    await self._port.release()
                 await self._wake.wait()
                 continue
-            if not self._listener.may_send_orders():
-                await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
-                continue
             was_failing = self._contact.is_failing
             try:
-                succeeded = await self._poll_once()
+                succeeded = await self._poll_in_turn()
             except Exception as exc:
                 self._log_failure(exc)
                 succeeded = False
@@ -237,6 +251,17 @@
             if not succeeded and not has_just_failed:
                 await asyncio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
+    async def _poll_in_turn(self) -> bool:
+        """Poll once, after waiting for a contact slot if the last poll got no answer.
+
+        Without the wait, polls that are sent all at once may each time take longer to send than
+        their timeout, so that none is ever answered.
+        """
+        if self._contact.has_answered and not self._contact.is_failing and not self._was_held_up:
+            return await self._poll_once()
+        async with self._listener.contact_slot():
+            return await self._poll_once()
+
     def _needs_poll(self) -> bool:
         is_poll_due = (
             bool(self.runs or self.unexpected_runs)
@@ -245,6 +270,8 @@
         return is_poll_due or not self._contact.has_answered or self._contact.is_failing
 
     async def _poll_once(self) -> bool:
+        if not self._listener.may_send_orders():
+            return False
         now_ms = self._clock.now_ms()
         is_urgent = not self._contact.has_answered or bool(self.unexpected_runs)
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
@@ -256,6 +283,7 @@
         order = PollOrder(deadline_ms, token, cursor, wait_ms)
         answer = await self._port.poll(order, wait_ms + POLL_TIMEOUT_MARGIN_MS)
         metrics.POLLS.labels(answer.label).inc()
+        self._was_held_up = isinstance(answer, NoAnswer) and answer.is_own_delay
         match answer:
             case RunLists():
                 self._acknowledged_cursor = max(self._acknowledged_cursor, cursor)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -1,4 +1,5 @@
 import asyncio
+from contextlib import nullcontext
 from dataclasses import replace
 
 import testtools
@@ -26,6 +27,8 @@
         self.stores = True
         self.evacuated_zones = set()
         self.obsolete = set()
+        self.keeps_idle = True
+        self.slots_taken = 0
 
     def next_token(self):
         self.tokens += 1
@@ -51,6 +54,13 @@
     def is_obsolete(self, key):
         return key in self.obsolete
 
+    def keeps_idle_connections(self):
+        return self.keeps_idle
+
+    def contact_slot(self):
+        self.slots_taken += 1
+        return nullcontext()
+
     def poll_wait_ms(self):
         return MIN_POLL_WAIT_MS
 
@@ -412,3 +422,88 @@
     def test_a_silent_worker_and_another_incarnation_are_not(self):
         self.assertFalse(self.is_present(lambda: setattr(self.worker, "polls_to_lose", 9)))
         self.assertFalse(self.is_present(lambda: setattr(self.worker, "is_replaced", True)))
+
+
+class HeldUpWorker(ModelWorker):
+    """A worker the answer of which this process was too busy to read, for its third poll."""
+
+    polls = 0
+
+    async def poll(self, order, timeout_ms):
+        self.polls += 1
+        if self.polls == 3:
+            return NoAnswer("this process was held up", is_own_delay=True)
+        return await super().poll(order, timeout_ms)
+
+
+class HeldUpPollTests(SessionCase):
+    """Polls that found this process held up were once repeated at once, those of all workers.
+
+    Sending them took longer than their timeout, so it went on: a new leader of 1,000 workers did
+    not know them after 20 s.
+    """
+
+    make_worker = HeldUpWorker
+
+    def test_a_poll_that_was_held_up_waits_for_a_slot_before_it_is_repeated(self):
+        async def scenario():
+            self.assertEqual(1, self.listener.slots_taken)
+            self.worker.running[KEY] = 1
+            self.session.adopt(KEY, start_of(*KEY).run)
+            await self.until(lambda: self.worker.polls >= 5, "held up, then polled again, twice")
+            self.assertEqual(2, self.listener.slots_taken)
+
+        self.check(scenario)
+
+
+class IdleConnectionTests(SessionCase):
+    """With a connection kept to each worker, 3,000 of them use up a host's descriptors."""
+
+    def test_connections_of_an_idle_worker_are_released_where_they_are_not_kept(self):
+        async def scenario():
+            self.listener.keeps_idle = False
+            self.session.start_run(start_of(*KEY), "payload")
+            await self.until(lambda: KEY in self.worker.running, "start")
+            self.assertEqual(0, self.worker.releases)
+            self.worker.end(KEY, "done")
+            await self.until(lambda: self.worker.releases == 1, "released")
+            self.assertEqual([RunOutcome.DONE], self.outcomes())
+
+        self.check(scenario)
+
+    def test_connections_of_an_idle_worker_of_a_small_fleet_are_kept(self):
+        async def scenario():
+            await asyncio.sleep(0.1)
+            self.assertEqual(0, self.worker.releases)
+
+        self.check(scenario)
+
+
+class CancellationIgnoringWorker(ModelWorker):
+    """A worker whose poll ends with its timeout although it is cancelled."""
+
+    async def poll(self, order, timeout_ms):
+        try:
+            return await super().poll(order, timeout_ms)
+        except asyncio.CancelledError:
+            return NoAnswer("timeout")
+
+
+class CloseTests(SessionCase):
+    """An HTTP client's timeout that fires together with a cancellation takes its place.
+
+    A session that went on polling held up the close of all others, and fenced off the session of a
+    later leadership of the same host.
+    """
+
+    make_worker = CancellationIgnoringWorker
+
+    def test_a_session_is_closed_although_a_poll_ignores_its_cancellation(self):
+        async def scenario():
+            self.worker.running[KEY] = 1
+            self.session.adopt(KEY, start_of(*KEY).run)
+            await asyncio.sleep(0.1)
+            await asyncio.wait_for(self.session.close(), 2)
+            self.assertEqual(set(), self.session._tasks)
+
+        self.check(scenario)
