Bound the batches of heartbeats in flight

Cause: where many workers joined within seconds, a batch of new workers took the leader longer than the timeout; its workers sent new heartbeats, each of which the leader recorded again, beside the batches before. Beside a load of 19 on 8 cores, 2,400 workers that joined within 6 s still got 2,000 answers 503 a second after 16 s.

Change: a host has two batches in flight at most, and the newest heartbeat of each worker waits.

--- a/packages/agateferry-jobs/agateferry_jobs/calls/heartbeat_batches.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/heartbeat_batches.py
@@ -20,6 +20,9 @@
 BATCH_TIMEOUT_MS = 800 - BATCH_DELAY_MS
 """How long the leader's reply is waited for."""
 
+MAX_CALLS_IN_FLIGHT = 2
+"""A leader that is slow to register new workers must not get more and more calls meanwhile."""
+
 SendCall = Callable[[messages.Call, int], Awaitable[messages.Reply]]
 
 
@@ -32,13 +35,15 @@
 class HeartbeatBatches:
     """Collect heartbeats and send them to the leader with `send_call`.
 
-    A batch is sent as soon as the shortest wait of its heartbeats is over. Several batches may be
-    on their way, so that one without a reply delays no other.
+    A batch is sent as soon as the shortest wait of its heartbeats is over, while fewer than
+    `MAX_CALLS_IN_FLIGHT` are in flight. A worker whose heartbeat waits for too long sends a new
+    one, which takes its place.
     """
 
     def __init__(self, send_call: SendCall) -> None:
         self._send_call = send_call
-        self._waiting: list[_Waiting] = []
+        self._waiting: dict[str, _Waiting] = {}
+        """By worker, its newest heartbeat."""
         self._timer: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._log_failure = EventLogger().on_exception(events.BATCH_FAILED)
@@ -47,7 +52,10 @@
         """Send a heartbeat with others; return `Done` once the leader has recorded it."""
         loop = asyncio.get_running_loop()
         waiting = _Waiting(heartbeat, loop.create_future())
-        self._waiting.append(waiting)
+        replaced = self._waiting.pop(heartbeat.worker.id, None)
+        if replaced is not None:
+            _resolve([replaced], messages.OutcomeUnknown("replaced by a newer heartbeat"))
+        self._waiting[heartbeat.worker.id] = waiting
         self._schedule(loop, CHANGE_DELAY_MS if is_change else BATCH_DELAY_MS)
         return await waiting.reply
 
@@ -69,11 +77,13 @@
 
     def _send_batch(self) -> None:
         self._timer = None
+        if not self._waiting or len(self._tasks) >= MAX_CALLS_IN_FLIGHT:
+            return
         spawn(self._send_all(self._take_waiting()), self._tasks, self._log_failure)
 
     def _take_waiting(self) -> list[_Waiting]:
-        taken, self._waiting = self._waiting, []
-        return taken
+        taken, self._waiting = self._waiting, {}
+        return list(taken.values())
 
     async def _send_all(self, batch: list[_Waiting]) -> None:
         reply: messages.Reply = messages.OutcomeUnknown("not sent")
@@ -82,6 +92,8 @@
             reply = await self._send_call(call, BATCH_TIMEOUT_MS)
         finally:
             _resolve(batch, reply)
+            if self._waiting and self._timer is None:
+                self._schedule(asyncio.get_running_loop(), CHANGE_DELAY_MS)
 
 
 def _resolve(batch: list[_Waiting], reply: messages.Reply) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_heartbeat_batches.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/tests/test_heartbeat_batches.py
@@ -9,6 +9,7 @@
     BATCH_DELAY_MS,
     BATCH_TIMEOUT_MS,
     CHANGE_DELAY_MS,
+    MAX_CALLS_IN_FLIGHT,
     HeartbeatBatches,
 )
 from agateferry_jobs.support import worker
@@ -120,6 +121,34 @@
 
         self.check(scenario)
 
+    def test_a_slow_leader_gets_few_calls_at_a_time_and_the_newest_heartbeat_of_each_worker(self):
+        """New workers that repeated their heartbeats kept the leader from registering any."""
+        calls = []
+
+        async def reply_late(call, timeout_ms):
+            calls.append(call)
+            in_flight.append(len(calls) - len(finished))
+            await asyncio.sleep(timeout_ms / MS_PER_S)
+            finished.append(call)
+            return messages.HeartbeatReplies(tuple(messages.Done() for _ in call.heartbeats))
+
+        in_flight, finished = [], []
+
+        async def scenario():
+            self.batches = HeartbeatBatches(reply_late)
+            sent = []
+            for sequence in range(100):
+                repeated = messages.Heartbeat(worker("w1"), sequence)
+                sent.append(asyncio.create_task(self.batches.send(repeated, is_change=True)))
+                await asyncio.sleep(2 * CHANGE_DELAY_MS / MS_PER_S)
+            replies = await asyncio.gather(*sent)
+            self.assertEqual(MAX_CALLS_IN_FLIGHT, max(in_flight))
+            self.assertTrue(all(len(call.heartbeats) == 1 for call in calls))
+            self.assertEqual(len(calls), replies.count(messages.Done()))
+            self.assertEqual(99, calls[-1].heartbeats[0].sequence)
+
+        self.check(scenario)
+
     def test_close_gives_up_what_waits_and_what_is_on_its_way(self):
         async def hang(call, timeout_ms):
             await asyncio.sleep(60)
