--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -170,6 +170,10 @@
         """Make a new plan soon; requests made meanwhile share one plan."""
         self._plan_loop.request()
 
+    def knows_all_workers(self) -> bool:
+        """Return whether each worker has answered a poll of this leader, or failed to."""
+        return self._sessions.knows_all()
+
     def may_plan(self) -> bool:
         """Return whether this host leads and its workers have told what ended before it did.
 
@@ -179,7 +183,7 @@
             return False
         if not self._has_taken_over:
             waited_ms = self._clock.now_ms() - self._leading_since_ms
-            self._has_taken_over = self._sessions.knows_all() or waited_ms >= TAKEOVER_WAIT_MS
+            self._has_taken_over = self.knows_all_workers() or waited_ms >= TAKEOVER_WAIT_MS
         return self._has_taken_over
 
     def _on_leadership(self, is_leader: bool, term: int) -> None:
