--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -131,10 +131,8 @@
                 return self._call_handler.get_status(call)
             case messages.Cancel():
                 return await self._call_handler.cancel(call, self.now_ms)
-            case messages.Heartbeat():
-                return await self._registry.on_heartbeat(call)
-            case messages.Deregister(worker):
-                return await self._registry.on_deregister(worker)
+            case messages.Heartbeat() | messages.HeartbeatBatch() | messages.Deregister():
+                return await self._registry.handle(call)
             case messages.InstallManifest(manifest):
                 return await self._call_handler.install(manifest)
             case messages.ReadManifest():
@@ -174,6 +172,10 @@
         """Make a new plan soon; requests made meanwhile share one plan."""
         self._plan_loop.request()
 
+    def knows_all_workers(self) -> bool:
+        """Return whether each worker has answered a poll of this leader, or failed to."""
+        return self._sessions.knows_all()
+
     def may_plan(self) -> bool:
         """Return whether this host leads and its workers have told what ended before it did.
 
@@ -183,7 +185,7 @@
             return False
         if not self._has_taken_over:
             waited_ms = self._clock.now_ms() - self._leading_since_ms
-            self._has_taken_over = self._sessions.knows_all() or waited_ms >= TAKEOVER_WAIT_MS
+            self._has_taken_over = self.knows_all_workers() or waited_ms >= TAKEOVER_WAIT_MS
         return self._has_taken_over
 
     def _on_leadership(self, is_leader: bool, term: int) -> None:
