Start nothing on an incarnation of a worker without a session

What callers see: while a worker that started again under its id was being registered, jobs were started on it and lost again, plan after plan. A job that needs such a worker, or that the planner places there first, has nothing running although most workers are free.

Cause: the sessions' health was returned by worker id alone. The session with the incarnation before, which still counted as answering, made the new one in the ledger look usable. Each start found no session with it, so it ended as lost, which requested the next plan. Nothing held it back.

The health is now returned only for incarnations that have a session.

--- /dev/null
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_registration.py
@@ -0,0 +1,98 @@
+import asyncio
+
+import testtools
+
+from agateferry_core.clock import MS_PER_S
+from agateferry_core.support import run_virtual
+from agateferry_jobs.calls import messages
+from agateferry_jobs.cell.leader import Leader
+from agateferry_jobs.ledger import Ledger
+from agateferry_jobs.ledger.specs import JobSpec, StepSpec
+from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
+from agateferry_jobs.support.builders import SUBTASK_RESOURCES
+
+JOB = JobSpec("payload", (StepSpec(1, SUBTASK_RESOURCES),))
+ID = "5c0e7a21d94b36f8"
+LEASE_MS = 8_000
+HEARTBEAT_MS = 1_500
+CALL_TIMEOUT_MS = 350
+"""When another host of the cell abandons its first call to the leader."""
+COMMIT_MS = 5
+
+
+class SlowReplica(MemoryReplica):
+    """A replica that applies and acknowledges commands late, as with a slow disk.
+
+    A proposal whose caller has gone is applied all the same.
+    """
+
+    commit_ms = COMMIT_MS
+
+    async def propose(self, command):
+        return await asyncio.shield(self._propose(command, self.commit_ms))
+
+    async def _propose(self, command, commit_ms):
+        await asyncio.sleep(commit_ms / MS_PER_S)
+        return await super().propose(command)
+
+
+class RegistrationTests(testtools.TestCase):
+    """Runs were started and lost again, many a second, on an incarnation without a session."""
+
+    def check(self, scenario):
+        async def main(loop):
+            self.loop = loop
+            self.ports = {}
+            self.ledger = Ledger()
+            self.replica = SlowReplica(self.ledger)
+            self.leader = Leader(self.replica, self.ledger, loop, self.open_port, LEASE_MS)
+            self.replica.lead()
+            await self.leader.handle(messages.InstallManifest(manifest()))
+            try:
+                await scenario()
+            finally:
+                await self.leader.close()
+
+        run_virtual(main)
+
+    def open_port(self, incarnation):
+        port = ModelWorker(self.loop, incarnation.born)
+        self.ports.setdefault((incarnation.id, incarnation.born), []).append(port)
+        return port
+
+    async def forwarded(self, call, timeout_ms=CALL_TIMEOUT_MS):
+        """Handle a call as the gRPC server does, which cancels it when its caller gives up."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await self.leader.handle(call)
+        except TimeoutError:
+            return None
+
+    async def heartbeats(self, incarnation, count, first_sequence=1):
+        """Send some heartbeats; return whether the last one was acknowledged."""
+        reply = None
+        for sequence in range(first_sequence, first_sequence + count):
+            reply = await self.forwarded(messages.Heartbeat(incarnation, sequence))
+            await asyncio.sleep(HEARTBEAT_MS / MS_PER_S)
+        return reply == messages.Done()
+
+    async def submit(self):
+        target = messages.CallTarget("host", f"/jobs/{ID}", "key")
+        await self.leader.handle(messages.Submit(target, JOB))
+
+    async def register_slowly(self, incarnation):
+        """Send a first heartbeat whose commit takes longer than the call lasts."""
+        self.replica.commit_ms = 2 * CALL_TIMEOUT_MS
+        await self.heartbeats(incarnation, 1)
+        self.replica.commit_ms = COMMIT_MS
+        self.assertEqual(incarnation, self.ledger.workers[incarnation.id])
+
+    def test_nothing_starts_on_an_incarnation_without_a_session(self):
+        async def scenario():
+            await self.heartbeats(worker("w1"), 2)
+            await self.register_slowly(worker("w1", born=2))
+            await self.submit()
+            await asyncio.sleep(1)
+            self.assertEqual(0, self.ledger.jobs[ID].subtasks["0.0.0"].last_run)
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -156,10 +156,14 @@
         return all(session.is_known for session in self.by_id.values())
 
     def health(self, is_suspect: Callable[[str, int], bool]) -> dict[str, WorkerHealth]:
-        """Return each worker's health for the planner, by worker id."""
+        """Return each worker's health for the planner, by worker id.
+
+        A session with an earlier incarnation tells nothing about the one in the ledger.
+        """
         return {
-            id: session.health(is_suspect(id, session.incarnation.born))
-            for id, session in self.by_id.items()
+            incarnation.id: session.health(is_suspect(incarnation.id, incarnation.born))
+            for incarnation in self._ledger.workers.values()
+            if (session := self.of(incarnation)) is not None
         }
 
     async def end_lost_runs(self) -> None:
