Open the missing session of a worker at its next heartbeat

What callers see: workers that report and are idle get no work until another host leads, so jobs wait although there is room for them.

Cause: only the heartbeat that changed the ledger opened the session. If its call ended between the two, the worker was in the ledger, each later heartbeat found nothing new, and no session was opened. A heartbeat that another host forwards is cancelled by gRPC when that host gives up, after 350 ms at the first attempt. The proposal is committed all the same, as with a slow disk or right after an election. The same holds for a proposal with an unknown outcome, and for two incarnations that register at once.

A gRPC handler was seen to be cancelled at the client's deadline.

Now the state decides: each heartbeat of the newest incarnation in the ledger opens its session if there is none. Whether it is still missing is checked again after the older ones were closed, since calls overlap.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_registration.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_registration.py
@@ -10,6 +10,7 @@
 from agateferry_jobs.ledger.specs import JobSpec, StepSpec
 from agateferry_jobs.support import MemoryReplica, ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
+from agateferry_state.replica.protocols import ProposeErrorKind
 
 JOB = JobSpec("payload", (StepSpec(1, SUBTASK_RESOURCES),))
 ID = "5c0e7a21d94b36f8"
@@ -37,7 +38,10 @@
 
 
 class RegistrationTests(testtools.TestCase):
-    """Runs were started and lost again, many a second, on an incarnation without a session."""
+    """A worker in the ledger without a session got no work until another host led.
+
+    Runs were started and lost again, many a second, where an earlier incarnation had one.
+    """
 
     def check(self, scenario):
         async def main(loop):
@@ -80,6 +84,12 @@
         target = messages.CallTarget("host", f"/jobs/{ID}", "key")
         await self.leader.handle(messages.Submit(target, JOB))
 
+    def assert_runs(self):
+        """Check that the job's first run is going on."""
+        run = self.ledger.jobs[ID].subtasks["0.0.0"].active
+        self.assertIsNotNone(run)
+        self.assertEqual(1, run.number)
+
     async def register_slowly(self, incarnation):
         """Send a first heartbeat whose commit takes longer than the call lasts."""
         self.replica.commit_ms = 2 * CALL_TIMEOUT_MS
@@ -96,3 +106,60 @@
             self.assertEqual(0, self.ledger.jobs[ID].subtasks["0.0.0"].last_run)
 
         self.check(scenario)
+
+    def test_a_worker_whose_first_heartbeat_was_abandoned_gets_work(self):
+        async def scenario():
+            await self.register_slowly(worker("w1"))
+            await self.submit()
+            self.assertTrue(await self.heartbeats(worker("w1"), 2, first_sequence=2))
+            self.assert_runs()
+
+        self.check(scenario)
+
+    def test_a_worker_whose_registration_had_an_unknown_outcome_gets_work(self):
+        async def scenario():
+            self.replica.error_for = lambda _: ProposeErrorKind.UNKNOWN
+            await self.heartbeats(worker("w1"), 1)
+            self.replica.error_for = lambda _: None
+            await self.submit()
+            self.assertTrue(await self.heartbeats(worker("w1"), 2, first_sequence=2))
+            self.assert_runs()
+
+        self.check(scenario)
+
+    def test_a_worker_that_started_again_and_whose_first_heartbeat_was_abandoned_gets_work(self):
+        async def scenario():
+            await self.heartbeats(worker("w1"), 2)
+            await self.register_slowly(worker("w1", born=2))
+            await self.submit()
+            self.assertTrue(await self.heartbeats(worker("w1", born=2), 2, first_sequence=2))
+            self.assert_runs()
+
+        self.check(scenario)
+
+    def test_heartbeats_that_overlap_open_one_session(self):
+        async def scenario():
+            self.replica.commit_ms = 100
+            calls = [self.forwarded(messages.Heartbeat(worker("w1"), n)) for n in (1, 2)]
+            await asyncio.gather(*calls)
+            await self.submit()
+            await asyncio.sleep(1)
+            self.assert_runs()
+            self.assertEqual(1, len(self.ports["w1", 1]))
+
+        self.check(scenario)
+
+    def test_incarnations_that_register_at_once_leave_a_session_with_the_newest(self):
+        async def scenario():
+            await self.heartbeats(worker("w1"), 1)
+            self.replica.commit_ms = 50
+            old = messages.Heartbeat(worker("w1", born=2), 1)
+            new = messages.Heartbeat(worker("w1", born=3), 1)
+            await asyncio.gather(self.forwarded(old), self.forwarded(new))
+            self.replica.commit_ms = COMMIT_MS
+            await self.submit()
+            await self.heartbeats(worker("w1", born=3), 2, first_sequence=2)
+            self.assert_runs()
+            self.assertEqual(3, self.ledger.jobs[ID].subtasks["0.0.0"].active.born)
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -48,7 +48,9 @@
         """Register a worker, or record its new state; `Done` means that this is committed.
 
         A heartbeat with a lower sequence number than one handled before, one that arrives late, or
-        of an incarnation that is outdated, records nothing.
+        of an incarnation that is outdated, records nothing. Each one opens a session that is
+        missing: the heartbeat that registered the worker may have been abandoned by its caller, or
+        have had an unknown outcome.
         """
         incarnation = heartbeat.worker
         key = (incarnation.id, incarnation.born)
@@ -70,7 +72,9 @@
                     state=incarnation.state,
                     rack=incarnation.rack,
                 )
-                await self._register(incarnation)
+                self._update_session(incarnation)
+        if self._is_without_session(incarnation):
+            await self._register(incarnation)
         self._heartbeat_sequences[key] = heartbeat.sequence
         session = self._sessions.of(incarnation)
         if session is not None:
@@ -111,16 +115,26 @@
             for other in self._ledger.workers.values()
         )
 
+    def _update_session(self, incarnation: WorkerIncarnation) -> None:
+        """Replace the recorded state of an incarnation that has a session."""
+        session = self._sessions.of(incarnation)
+        if session is not None:
+            session.incarnation = incarnation
+            self._hooks.request_planning()
+
+    def _is_without_session(self, incarnation: WorkerIncarnation) -> bool:
+        """Return whether an incarnation is the newest of its worker and has no session."""
+        known = self._ledger.workers.get(incarnation.id)
+        if known is None or known.born != incarnation.born:
+            return False
+        return self._sessions.of(incarnation) is None and not self._is_outdated(incarnation)
+
     async def _register(self, incarnation: WorkerIncarnation) -> None:
-        """Open a session for a new incarnation and remove the older ones at its address.
+        """Open a session for an incarnation and remove the older ones at its address.
 
-        If the incarnation has a session already, only its recorded state is replaced.
+        Another call may have opened it meanwhile, or recorded a newer incarnation.
         """
         session = self._sessions.by_id.get(incarnation.id)
-        if session is not None and session.incarnation.born == incarnation.born:
-            session.incarnation = incarnation
-            self._hooks.request_planning()
-            return
         if session is not None:
             cause = cause_of_replacement(session.incarnation)
             self._log_departure(session.incarnation, cause)
@@ -128,7 +142,8 @@
         for other in list(self._ledger.workers.values()):
             if other.address == incarnation.address and other.born < incarnation.born:
                 await self._deregister(other, cause_of_replacement(other))
-        self._sessions.open_new(incarnation)
+        if self._is_without_session(incarnation):
+            self._sessions.open_new(incarnation)
 
     async def _deregister_unless_present(self, session: WorkerSession) -> None:
         await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
