Try other workers at once after one has rejected a start

What callers see: a job has nothing running beside free workers, without end, while at least four other workers answer polls and reject starts.

Cause: each rejection paused the worker for 250 ms to 2 s and also held the subtask back, for 20 ms to 2 s, although only the worker was at fault. Once the subtask was held for 2 s, the pauses of the rejecting workers were over each time that it could start. They are always free, so the planner chose them again.

Evidence: test_many_rejecting_workers_do_not_hold_a_job_back failed before with 4 of 8 workers.

A subtask is no longer held back where its worker is paused for the rejection; it still is where the rejection is about the job. A worker that rejected its last start is the last choice, like one on which runs fail, until it accepts one or 8 s after its pause.

--- a/packages/agateferry-jobs/agateferry_jobs/backoff.py
+++ b/packages/agateferry-jobs/agateferry_jobs/backoff.py
@@ -34,6 +34,11 @@
         failure = self._failures.get(key)
         return failure is not None and now_ms < failure[1]
 
+    def has_failed(self, key: KeyT, now_ms: int) -> bool:
+        """Return whether a key failed of late and has not succeeded since."""
+        failure = self._failures.get(key)
+        return failure is not None and failure[1] > self._oldest_ms(now_ms)
+
     def held(self, now_ms: int) -> set[KeyT]:
         """Return the keys that are held back now."""
         return {key for key, failure in self._failures.items() if now_ms < failure[1]}
@@ -44,5 +49,9 @@
 
     def _forget_old(self, now_ms: int) -> None:
         """Forget the keys that have not failed again for much longer than they were held back."""
-        oldest_ms = now_ms - RETENTION_FACTOR * self._max_ms
+        oldest_ms = self._oldest_ms(now_ms)
         self._failures = {key: each for key, each in self._failures.items() if each[1] > oldest_ms}
+
+    def _oldest_ms(self, now_ms: int) -> int:
+        """Return the time up to which keys were held back whose failures are forgotten now."""
+        return now_ms - RETENTION_FACTOR * self._max_ms
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -269,13 +269,20 @@
     def _is_suspect(self, worker: str, born: int) -> bool:
         return self._suspects.is_suspect(worker, born, self._clock.now_ms())
 
+    def _record_refusal(self, key: RunKey, end: commands.RunEnded) -> None:
+        """Hold back a subtask whose start was refused, unless its worker is held back for that.
+
+        Other workers may be tried at once then.
+        """
+        if end.outcome is not commands.RunOutcome.REFUSED:
+            self._refusals.record_success(key)
+        elif not self._sessions.is_paused(end.run):
+            self._refusals.record_failure(key, self._clock.now_ms())
+
     def _on_run_ended(self, end: commands.RunEnded) -> None:
         self._job_log.run_ended(end)
         key = (end.job, end.subtask)
-        if end.outcome is commands.RunOutcome.REFUSED:
-            self._refusals.record_failure(key, self._clock.now_ms())
-        else:
-            self._refusals.record_success(key)
+        self._record_refusal(key, end)
         if end.outcome is commands.RunOutcome.DONE:
             self._suspects.record_success(*end.run.worker_key)
         elif end.outcome is commands.RunOutcome.FAILED:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_rejected_starts.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_rejected_starts.py
@@ -8,6 +8,8 @@
 
 SINGLE = JobSpec("payload", (StepSpec(1, Resources(cpu=1000, mem_mb=100, gpu=1)),))
 JOB = "a" * 16
+MAX_IDLE_MS = 3_000
+"""The platform allows a job that has room no longer without a run."""
 MAX_STARTS_IN_10_S = 20
 """At the longest pause of 2 s about 9 starts fit into 10 s."""
 
@@ -47,6 +49,20 @@
 
             self.check(scenario, machines=3)
 
+    def test_many_rejecting_workers_do_not_hold_a_job_back(self):
+        """A job waited without end beside free workers while four others rejected it in turn."""
+        for rejecting in (4, 20):
+
+            async def scenario(rejecting=rejecting):
+                for machine in self.fleet.machines[:rejecting]:
+                    self.reject(machine, "503")
+                await self.fleet.submit(JOB, SINGLE)
+                await self.fleet.sleep_ms(MAX_IDLE_MS)
+                begun = self.fleet.starts[JOB, "0.0.0"]
+                self.assertEqual(1, len(begun), f"{rejecting} rejecting workers")
+
+            self.check(scenario, machines=2 * rejecting)
+
     def test_a_worker_that_goes_on_rejecting_is_asked_seldom(self):
         async def scenario():
             self.reject(self.fleet.machines[0], "503")
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -130,6 +130,12 @@
         session.stop_run(key)
         return True
 
+    def is_paused(self, run: Run) -> bool:
+        """Return whether the worker of a run gets no new starts, since it rejected one just now."""
+        session = self.by_id.get(run.worker)
+        is_it = session is not None and session.incarnation.born == run.born
+        return session is not None and is_it and not session.accepts_starts
+
     def stopping_runs(self) -> set[RunKey]:
         """Return the keys of runs that are being stopped."""
         return {
--- a/packages/agateferry-jobs/agateferry_jobs/tests/test_backoff.py
+++ b/packages/agateferry-jobs/agateferry_jobs/tests/test_backoff.py
@@ -22,6 +22,13 @@
         self.assertFalse(self.backoff.is_held("key", 0))
         self.assertEqual(100, self.held_for_ms(0))
 
+    def test_a_failure_counts_until_a_success_or_until_it_is_old(self):
+        self.held_for_ms(0)
+        self.assertTrue(self.backoff.has_failed("key", 200))
+        self.assertFalse(self.backoff.has_failed("key", RETENTION_FACTOR * 400 + 100))
+        self.backoff.record_success("key")
+        self.assertFalse(self.backoff.has_failed("key", 200))
+
     def test_keys_are_held_apart(self):
         self.backoff.record_failure("key", 0)
         self.assertFalse(self.backoff.is_held("other", 0))
--- a/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
@@ -32,7 +32,11 @@
         self._cold_until_ms = 0
 
     def health(self, is_suspect: bool, unexpected_runs: tuple[RunKey, ...]) -> WorkerHealth:
-        """Return the worker's health for the planner."""
+        """Return the worker's health for the planner.
+
+        A worker that rejected its last start is as suspect as one on which runs fail: it is always
+        free, so it would be chosen again as soon as its pause is over.
+        """
         now_ms = self._clock.now_ms()
         is_silent = now_ms - self._last_contact_ms >= HEARTBEAT_SILENCE_MS
         answers = self.has_answered and not self.is_failing and not is_silent
@@ -40,14 +44,19 @@
         has_just_answered = now_ms - self._answering_since_ms <= REPORT_WAIT_MS
         return WorkerHealth(
             answers=answers,
-            accepts_starts=not self._starts.is_held(None, now_ms),
+            accepts_starts=self.accepts_starts,
             has_recent_report=has_recent_report,
             reports_soon=answers and not has_recent_report and has_just_answered,
-            is_suspect=is_suspect,
+            is_suspect=is_suspect or self._starts.has_failed(None, now_ms),
             is_cold=now_ms < self._cold_until_ms,
             unexpected_runs=unexpected_runs,
         )
 
+    @property
+    def accepts_starts(self) -> bool:
+        """Return whether the worker has not rejected a start just now."""
+        return not self._starts.is_held(None, self._clock.now_ms())
+
     @property
     def is_known(self) -> bool:
         """Return whether the worker has answered a poll, or failed to."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -126,6 +126,11 @@
         """Return the worker's health for the planner."""
         return self._contact.health(is_suspect, tuple(self.unexpected_runs))
 
+    @property
+    def accepts_starts(self) -> bool:
+        """Return whether the worker has not rejected a start just now."""
+        return self._contact.accepts_starts
+
     @property
     def is_known(self) -> bool:
         """Return whether the worker has answered a poll, or failed to."""
