Hold back a worker that leaves a start order unanswered

What callers see: a job has nothing running beside free workers, without end, while one worker answers polls and no start orders.

Cause: an unanswered start was resolved by the next poll as refused, and only the subtask was held back for it, for up to 2 s. The worker was as eligible as before and always free, so the planner chose it each time.

An unanswered start now counts as a rejected one: the worker is paused, and is the last choice until it accepts a start.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_rejected_starts.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_rejected_starts.py
@@ -7,6 +7,7 @@
 from agateferry_jobs.workers.port import Rejected
 
 SINGLE = JobSpec("payload", (StepSpec(1, Resources(cpu=1000, mem_mb=100, gpu=1)),))
+GANG = JobSpec("payload", (StepSpec(5, Resources(1000, 100, 8), 1_000, is_gang=True),))
 JOB = "a" * 16
 MAX_IDLE_MS = 3_000
 """The platform allows a job that has room no longer without a run."""
@@ -63,6 +64,22 @@
 
             self.check(scenario, machines=2 * rejecting)
 
+    def test_workers_that_leave_starts_unanswered_do_not_hold_work_back(self):
+        """A job waited without end for one worker that answered polls but no start orders."""
+        for spec in (SINGLE, GANG):
+            count = spec.steps[0].count
+
+            async def scenario(spec=spec, count=count):
+                self.fleet.run_ms = 10_000
+                for machine in self.fleet.machines[:3]:
+                    machine.port.orders_to_lose = 1_000
+                await self.fleet.submit(JOB, spec)
+                await self.fleet.sleep_ms(MAX_IDLE_MS)
+                running = sum(len(machine.port.running) for machine in self.fleet.machines)
+                self.assertEqual(count, running)
+
+            self.check(scenario, machines=12)
+
     def test_a_worker_that_goes_on_rejecting_is_asked_seldom(self):
         async def scenario():
             self.reject(self.fleet.machines[0], "503")
--- a/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
@@ -34,8 +34,8 @@
     def health(self, is_suspect: bool, unexpected_runs: tuple[RunKey, ...]) -> WorkerHealth:
         """Return the worker's health for the planner.
 
-        A worker that rejected its last start is as suspect as one on which runs fail: it is always
-        free, so it would be chosen again as soon as its pause is over.
+        A worker that did not accept its last start is as suspect as one on which runs fail: it is
+        always free, so it would be chosen again as soon as its pause is over.
         """
         now_ms = self._clock.now_ms()
         is_silent = now_ms - self._last_contact_ms >= HEARTBEAT_SILENCE_MS
@@ -99,7 +99,10 @@
         return True
 
     def record_rejection(self) -> None:
-        """Record that the worker rejected a start; it gets no new ones for a while."""
+        """Record that the worker rejected a start or did not answer it.
+
+        It gets no new ones for a while.
+        """
         self._starts.record_failure(None, self._clock.now_ms())
 
     def record_start(self) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -409,7 +409,11 @@
         return True
 
     def _mark_uncertain(self, tracked: TrackedRun) -> None:
-        """Let the next poll show whether a run began; its new token blocks late start orders."""
+        """Let the next poll show whether a run began; its new token blocks late start orders.
+
+        A worker may answer polls and leave starts unanswered, so it gets no new ones for a while.
+        """
+        self._contact.record_rejection()
         self._token = self._listener.next_token()
         tracked.phase = Phase.UNCERTAIN
         tracked.phase_since_poll = self._poll_number
