End lost runs between plans, also while one follows the other

What callers see: while the leader's commits are slow and work keeps coming, a job whose only run was on a worker that is gone or silent has nothing running long after the worker's lease is over.

Cause: lost runs were ended by a tick each 250 ms, and only if no plan was being made or executed at that moment, as the ledger has runs then that no session tracks. A plan is under way for as long as its commit takes. If that is most of the time, most ticks found one.

The plan loop now ends lost runs itself before it makes a plan, once in 250 ms at most, so there is always a moment for it.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -86,8 +86,14 @@
         self._leading_since_ms = 0
         self._waiting_jobs = WaitingJobs(ledger)
         self._plan_loop = PlanLoop(
-            clock, ledger, self, make=lambda: self._make_plan(), execute=self._execute
+            clock,
+            ledger,
+            self,
+            prepare=self._end_lost_runs,
+            make=lambda: self._make_plan(),
+            execute=self._execute,
         )
+        self._lost_runs_due_ms = 0
         self._jobs_with_errors: set[str] = set()
         replica.on_leadership(self._on_leadership)
 
@@ -215,14 +221,23 @@
     async def _tick(self) -> None:
         if not self._replica.is_leader:
             return
-        if not self._plan_loop.is_planning:
-            await self._sessions.end_lost_runs()
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
         self._evacuations.check()
         self._paces.update(lambda: self._sessions.progress(self._wall_offset_ms), self.now_ms)
         self.request_planning()
 
+    async def _end_lost_runs(self) -> None:
+        """End lost runs, once in each tick at most.
+
+        This happens between plans only: while a plan is executed, the ledger has runs that no
+        session tracks yet.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._lost_runs_due_ms:
+            self._lost_runs_due_ms = now_ms + TICK_MS
+            await self._sessions.end_lost_runs()
+
     async def _give_up_guilty_jobs(self) -> None:
         """Fail each job with a subtask that crashes its workers."""
         at_ms = self.now_ms
--- a/packages/agateferry-jobs/agateferry_jobs/cell/plan_loop.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/plan_loop.py
@@ -28,21 +28,21 @@
 
 
 class PlanLoop:
-    """Make and execute plans while they are requested."""
+    """Make and execute plans while they are requested; `prepare` is called before each."""
 
     def __init__(
         self,
         clock: Clock,
         ledger: Ledger,
         hooks: PlanningHooks,
+        prepare: Callable[[], Awaitable[None]],
         make: Callable[[], Plan],
         execute: Callable[[Plan], Awaitable[None]],
     ) -> None:
-        self.is_planning = False
-        """Whether a plan is being made or executed."""
         self._clock = clock
         self._ledger = ledger
         self._hooks = hooks
+        self._prepare = prepare
         self._make = make
         self._execute = execute
         self._is_due = False
@@ -60,12 +60,10 @@
         try:
             while self._is_due and self._hooks.may_plan():
                 self._is_due = False
-                self.is_planning = True
+                await self._prepare()
                 took_ms = await self._plan_once()
-                self.is_planning = False
                 await asyncio.sleep(PLAN_PAUSE_FACTOR * took_ms / MS_PER_S)
         finally:
-            self.is_planning = False
             self._has_task = False
 
     async def _plan_once(self) -> int:
