Request plans even if a periodic check fails

What callers see: if one of the leader's periodic checks raises each time, a job whose time comes, or whose wait by choice ends, does not start until something else requests a plan, such as the end of another run. With nothing else to do that is never.

Cause: the tick requested the plan last, so an error before that skipped it. It is the only request for all that time alone makes due.

Evidence: test_a_job_that_becomes_due_starts_while_a_check_fails failed before. No input was found with which a check raises.

The request is now made whatever the checks did.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -221,11 +221,16 @@
     async def _tick(self) -> None:
         if not self._replica.is_leader:
             return
+        try:
+            await self._check()
+        finally:
+            self.request_planning()
+
+    async def _check(self) -> None:
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
         self._evacuations.check()
         self._paces.update(lambda: self._sessions.progress(self._wall_offset_ms), self.now_ms)
-        self.request_planning()
 
     async def _end_lost_runs(self) -> None:
         """End lost runs, once in each tick at most.
