Open no session with a worker once this host has stopped leading

What callers see: after a host lost and regained the leadership, runs on one worker are stopped moments after their start, again and again, so a job that is placed there has nothing running while workers are free.

Cause: a heartbeat that registers a worker opened its session after the commit, also if the host had stopped leading meanwhile. A follower applies the entry that it proposed as leader, so the commit succeeds. That session was in no list when all were closed. Once the host led again it polled beside the proper one, took each run for an unexpected one, raised its fencing token above the other's and stopped the run.

Evidence: test_a_host_that_stopped_leading_opens_no_session failed before.

The registration checks that this host leads before it opens a session. The next leadership opens those of all workers in the ledger.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_registration.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_registration.py
@@ -163,3 +163,22 @@
             self.assertEqual(3, self.ledger.jobs[ID].subtasks["0.0.0"].active.born)
 
         self.check(scenario)
+
+    def test_a_host_that_stopped_leading_opens_no_session(self):
+        """Such a session stayed beside the one of the host's next term, and stopped its runs."""
+
+        async def scenario():
+            self.replica.commit_ms = 100
+            call = asyncio.ensure_future(self.forwarded(messages.Heartbeat(worker("w1"), 1)))
+            await asyncio.sleep(0.05)
+            self.replica.lead(False)
+            await call
+            self.assertEqual({}, self.ports)
+            self.replica.commit_ms = COMMIT_MS
+            self.replica.lead()
+            await self.submit()
+            self.assertTrue(await self.heartbeats(worker("w1"), 2, first_sequence=2))
+            self.assert_runs()
+            self.assertEqual(1, len(self.ports["w1", 1]))
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -123,7 +123,12 @@
             self._hooks.request_planning()
 
     def _is_without_session(self, incarnation: WorkerIncarnation) -> bool:
-        """Return whether an incarnation is the newest of its worker and has no session."""
+        """Return whether an incarnation is the newest of its worker and has no session.
+
+        A host that has stopped leading since the call came has none, and needs none.
+        """
+        if not self._hooks.may_send_orders():
+            return False
         known = self._ledger.workers.get(incarnation.id)
         if known is None or known.born != incarnation.born:
             return False
