--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -143,6 +143,12 @@
         session.stop_run(key)
         return True
 
+    def is_paused(self, run: Run) -> bool:
+        """Return whether the worker of a run gets no new starts, since it rejected one just now."""
+        session = self.by_id.get(run.worker)
+        is_it = session is not None and session.incarnation.born == run.born
+        return session is not None and is_it and not session.accepts_starts
+
     def stopping_runs(self) -> set[RunKey]:
         """Return the keys of runs that are being stopped."""
         return {
@@ -169,10 +175,14 @@
         return all(session.is_known for session in self.by_id.values())
 
     def health(self, is_suspect: Callable[[str, int], bool]) -> dict[str, WorkerHealth]:
-        """Return each worker's health for the planner, by worker id."""
+        """Return each worker's health for the planner, by worker id.
+
+        A session with an earlier incarnation tells nothing about the one in the ledger.
+        """
         return {
-            id: session.health(is_suspect(id, session.incarnation.born))
-            for id, session in self.by_id.items()
+            incarnation.id: session.health(is_suspect(incarnation.id, incarnation.born))
+            for incarnation in self._ledger.workers.values()
+            if (session := self.of(incarnation)) is not None
         }
 
     async def end_lost_runs(self) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -136,6 +136,11 @@
         """Return the worker's health for the planner."""
         return self._contact.health(is_suspect, tuple(self.unexpected_runs))
 
+    @property
+    def accepts_starts(self) -> bool:
+        """Return whether the worker has not rejected a start just now."""
+        return self._contact.accepts_starts
+
     @property
     def is_known(self) -> bool:
         """Return whether the worker has answered a poll, or failed to."""
@@ -432,7 +437,11 @@
         return True
 
     def _mark_uncertain(self, tracked: TrackedRun) -> None:
-        """Let the next poll show whether a run began; its new token blocks late start orders."""
+        """Let the next poll show whether a run began; its new token blocks late start orders.
+
+        A worker may answer polls and leave starts unanswered, so it gets no new ones for a while.
+        """
+        self._contact.record_rejection()
         self._token = self._listener.next_token()
         tracked.phase = Phase.UNCERTAIN
         tracked.phase_since_poll = self._poll_number
