Plan beside a job whose priority is very negative

What callers see: no job starts any more, without end. Cause: the weight of a priority of -2000, which a manifest may hold, overflowed outside the part of a plan that is made job by job. Such priorities now weigh as 0 does.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/job_value.py
@@ -53,7 +53,7 @@
 
     def worth(self, job: Job) -> float:
         """Return what a job earns in time."""
-        weight = PRIORITY_FACTOR**-job.priority
+        weight = PRIORITY_FACTOR ** -max(0, job.priority)
         mean = self._mean_core_seconds.get(job.queue, 0.0)
         return weight * size_weight(self.core_seconds(job), mean) if mean else weight
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -438,3 +438,14 @@
             plan = self.plan()
         self.assertEqual(["j", "l"], sorted(start.job for start in plan.starts))
         self.assertEqual({"k": "RuntimeError('unexpected')"}, plan.errors)
+
+
+class UnusualInputTests(PlannerCase):
+    """Values that a manifest or a worker may hold must not stop the plans of all jobs."""
+
+    def test_a_very_negative_priority_does_not_stop_all_plans(self):
+        """The weight of such a job overflowed, and no job was planned any more."""
+        self.add(worker("w1"))
+        self.apply(job_command("odd", StepSpec(1, WHOLE_WORKER, estimated_ms=1), priority=-2000))
+        self.apply(job_command("usual", StepSpec(1, WHOLE_WORKER, estimated_ms=1)))
+        self.assertEqual(1, len(self.plan().starts))
