Plan at most 1,000 subtasks for one worker

What callers see: the leader hangs, so that no call is answered. Cause: the search for resources that become free goes through all slots of a worker for subtasks that need next to nothing, and a worker may report any number of slots; with 2**53 the search did not end. It now stops at 1,000.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
@@ -10,6 +10,8 @@
 
 FuturePlacements = list[tuple[WorkerAllocation, list[AllocatedRun]]]
 """Workers for subtasks, each with the runs that must end before the subtask fits there."""
+MAX_PLACEMENTS = 1_000
+"""How many subtasks one worker is planned for at most, whatever slots it reports."""
 WorkerPlacements = list[tuple[float, list[AllocatedRun]]]
 """The placements on one worker in their order: what each costs and which runs must end for it.
 
@@ -93,6 +95,7 @@
         remaining = iter(self._ending_runs(worker, ready.rank))
         free, slots = worker.free_after_stops, worker.slots_after_stops
         limit = worker.max_subtasks(ready.step, worker.incarnation.capacity, ready.job, ready.gang)
+        limit = min(limit, MAX_PLACEMENTS)
         placements: WorkerPlacements = []
         ended: list[AllocatedRun] = []
         while len(placements) < limit:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -6,6 +6,10 @@
 from agateferry_jobs.ledger import Ledger, WorkerState, commands
 from agateferry_jobs.ledger.specs import Resources, StepSpec
 from agateferry_jobs.planning import Fleet, Planner, WorkerHealth
+from agateferry_jobs.planning.future_capacity import MAX_PLACEMENTS, FutureCapacity
+from agateferry_jobs.planning.options import DEFAULT_OPTIONS
+from agateferry_jobs.planning.preemption_cost import PreemptionCost
+from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.wait_reasons import WaitReason
 from agateferry_jobs.planning.worker_selection import GUARANTEED_RACK_WAIT_MS
 from agateferry_jobs.support import job_command, manifest, start_of, worker
@@ -449,3 +453,20 @@
         self.apply(job_command("odd", StepSpec(1, WHOLE_WORKER, estimated_ms=1), priority=-2000))
         self.apply(job_command("usual", StepSpec(1, WHOLE_WORKER, estimated_ms=1)))
         self.assertEqual(1, len(self.plan().starts))
+
+    def test_a_worker_that_reports_very_many_slots_does_not_hold_up_the_plan(self):
+        """The search for resources that become free went through all slots of the worker."""
+        incarnation = worker("w1")
+        incarnation.slots = 10_000_000
+        self.add(incarnation)
+        gang = StepSpec(2, Resources(), estimated_ms=1, is_gang=True, required_label="r1")
+        self.apply(job_command("load", StepSpec(1, WHOLE_WORKER)))
+        self.placed()
+        capacity = FutureCapacity(PreemptionCost({}, 0, DEFAULT_OPTIONS))
+        fleet = Fleet.from_ledger(self.ledger, self.health, set())
+        self.apply(job_command("gang", gang))
+        job = self.ledger.jobs["gang"]
+        ready = ReadySubtasks(job, "0.0", gang, ("0.0.0", "0.0.1"), 2, 1, 0, 0, 0)
+        self.assertEqual(2, len(capacity.cheapest([fleet.by_service["pool"]], ready, 2)))
+        kept = capacity._kept_placements.values()
+        self.assertTrue(all(len(placements) <= MAX_PLACEMENTS for _, placements in kept))
