--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_invariants.py
@@ -41,7 +41,7 @@
 class FaultScenario:
     """Three workers and one leader, with random faults from a seed."""
 
-    worker_ids = ("w0", "w1", "w2")
+    worker_ids: tuple[str, ...] = ("w0", "w1", "w2")
     steps = STEPS
 
     def __init__(self, loop, seed):
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -25,7 +25,6 @@
 
 WAIT_STEP_MS = 10
 """How often a waiting poll checks whether a run ended."""
-WAIT_STEP_S = WAIT_STEP_MS / 1000
 
 
 @dataclass
@@ -54,6 +53,7 @@
     delayed_orders: list[StartOrder] = field(default_factory=list)
     starts: list[tuple[RunKey, int]] = field(default_factory=list)
     progress_percent: float = 0.0
+    wait_step_ms: int = WAIT_STEP_MS
     first_outcome: str = ""
 
     async def start(self, order: StartOrder, timeout_ms: int) -> Answer:
@@ -112,15 +112,15 @@
             self.polls_to_lose -= 1
             await asyncio.sleep(timeout_ms / MS_PER_S)
             return NoAnswer("lost")
-        await asyncio.sleep(WAIT_STEP_S)
-        for _ in range(order.wait_ms // WAIT_STEP_MS):
+        await asyncio.sleep(WAIT_STEP_MS / MS_PER_S)
+        for _ in range(order.wait_ms // self.wait_step_ms):
             if (
                 self.is_unreachable
                 or self.is_replaced
                 or any(e.number > order.cursor for e in self.ends)
             ):
                 break
-            await asyncio.sleep(WAIT_STEP_S)
+            await asyncio.sleep(self.wait_step_ms / MS_PER_S)
         if self.is_unreachable:
             return NoAnswer("cut")
         if self.is_replaced:
--- a/packages/agateferry-jobs/agateferry_jobs/support/planning_play.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/planning_play.py
@@ -45,7 +45,7 @@
         self.refusing: set[str] = set()
         """The ids of the workers that refuse each start."""
         self.refusals = Backoff[RunKey](REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
-        self.now_ms = START_MS
+        self.start_ms = self.now_ms = START_MS
         self.plan = Plan()
         """The newest plan."""
         self.pending_changes = 0
@@ -142,6 +142,15 @@
             self.advance()
         return None
 
+    @property
+    def workers(self) -> Mapping[str, WorkerIncarnation]:
+        """Return the workers by their ids."""
+        return self.ledger.workers
+
+    def active_runs(self) -> Iterable[tuple[Job, str, Run]]:
+        """Return the runs that the ledger knows, with their job and subtask."""
+        return active_runs(self.ledger)
+
     def is_running(self, job: str) -> bool:
         """Return whether a job has a run."""
         subtasks = self.ledger.jobs[job].subtasks.values()
