Let reservations that preempt nothing yield to idle jobs

What callers saw: a job was idle for 3.4 to 3.9 s beside free workers. Cause: urgent work that may preempt, but waits by choice for its data's rack, reserved workers that were free already, and such reservations held against idle jobs too. So two waits by choice added up. Now only those that stop runs hold, for as long as the stops take.

Evidence: test_urgent_work_that_waits_for_its_data_does_not_keep_another_ job_idle failed before (3.4 s).

--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -284,12 +284,16 @@
         return self._cost.is_worthwhile(ready.job, [run for _, runs in placements for run in runs])
 
     def _keep(self, placements: FuturePlacements, ready: ReadySubtasks, preempts: bool) -> None:
-        """Reserve placements for ready subtasks, and preempt the runs that are in their way."""
+        """Reserve placements for ready subtasks, and preempt the runs that are in their way.
+
+        Without such runs the subtasks only wait by choice, so idle jobs may have what is reserved.
+        """
+        has_victims = preempts and any(runs for _, runs in placements)
         for worker, runs in placements:
             if preempts:
                 for victim in runs:
                     self._preempt(victim, ready)
-            worker.reserve(ready.step.need, yields=not preempts)
+            worker.reserve(ready.step.need, yields=not has_victims)
             self._failures.record_change()
 
     def _preempt(self, victim: AllocatedRun, ready: ReadySubtasks) -> None:
