Preempt for a subtask that waits for its data only where these lie

Cause: the search for victims went over all workers, the one for free resources over the rack.

Evidence: the test of DataRackTests stopped a run on the other rack before.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -216,6 +216,17 @@
         self.apply(job_command("j", step))
         self.assertEqual({"a1"}, set(self.placed().values()))
 
+    def test_urgent_work_preempts_where_its_data_lie_only_while_it_waits_for_them(self):
+        """Runs on other racks were stopped, where the work then did not start."""
+        self.add(worker("a1", rack="a"), worker("b1", rack="b"))
+        for id, cores in (("a1", 16_000), ("b1", 1_000)):
+            step = StepSpec(1, Resources(cpu=cores, gpu=8), estimated_ms=600_000)
+            self.apply(job_command(f"batch-{id}", step, priority=2))
+            self.apply(commands.StartRuns((start_of(f"batch-{id}", "0.0.0", on=id),)))
+        step = StepSpec(1, WHOLE_WORKER, data_rack="a", estimated_ms=9000)
+        self.apply(msgspec.structs.replace(job_command("u", step, priority=0), team="other"))
+        self.assertEqual(["batch-a1"], [stop.key[0] for stop in self.plan().stops])
+
 
 class LeastUrgentTests(PlannerCase):
     def test_it_uses_an_empty_worker_only_after_a_wait(self):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -94,7 +94,7 @@
         rank = self._ready.rank if preempts else None
         is_in_rack = self._step.same_rack and self._step.is_gang
         waits = (self._may_wait, self._waits_for_rack)
-        inputs = (self.candidates.key, count, rank, is_in_rack, waits)
+        inputs = (self.candidates.key, count, rank, is_in_rack, self._step.data_rack, waits)
         return SearchKey(inputs, is_final=False)
 
     def select_for_subtask(self) -> WorkerAllocation | None:
@@ -102,14 +102,18 @@
         fitting = [worker for worker in self._eligible_workers() if self._fits(worker)]
         fitting = [worker for worker in fitting if self._is_below_worker_limit(worker)]
         in_data_rack = [worker for worker in fitting if self._is_in_data_rack(worker)]
-        if (
-            not in_data_rack
-            and (self._waits_for_rack or self.candidates.has_pace_limit)
-            and any(self._is_in_data_rack(worker) for worker in self.candidates.expected)
-        ):
+        if not in_data_rack and self._waits_for_data:
             return None
         return min(in_data_rack or fitting, key=self._order, default=None)
 
+    @cached_property
+    def _waits_for_data(self) -> bool:
+        """Return whether a subtask waits for workers in the rack of its data, as some may come."""
+        if not self._step.data_rack or self._step.is_gang:
+            return False
+        may_wait = self._waits_for_rack or self.candidates.has_pace_limit
+        return may_wait and any(map(self._is_in_data_rack, self.candidates.expected))
+
     def _eligible_workers(self) -> list[WorkerAllocation]:
         """Return the workers that these subtasks may use.
 
@@ -196,6 +200,8 @@
     def future_groups(self) -> list[list[WorkerAllocation]]:
         """Return the sets of workers of which one is to hold the subtasks later."""
         groups = self._usable_groups()
+        if self._waits_for_data:
+            groups = [list(filter(self._is_in_data_rack, self.candidates.usable))]
         if not self._waits_for_rack or (self._is_rack_gang and self._may_span_racks):
             groups = [*groups, self.candidates.usable]
         return [self._open(group) for group in groups]
