Rename what newcomers confuse, and bring texts on idle jobs up to date

One word stood for several things (held, held back, IdleJob, IdleScenario), comments lagged behind the code, and two test files were named by nothing that they test.

--- a/packages/agateferry-jobs/agateferry_jobs/backoff.py
+++ b/packages/agateferry-jobs/agateferry_jobs/backoff.py
@@ -35,7 +35,7 @@
         return failure is not None and now_ms < failure[1]
 
     def has_failed(self, key: KeyT, now_ms: int) -> bool:
-        """Return whether a key failed of late and has not succeeded since."""
+        """Return whether a key failed recently and has not succeeded since."""
         failure = self._failures.get(key)
         return failure is not None and failure[1] > self._oldest_ms(now_ms)
 
--- a/packages/agateferry-jobs/agateferry_jobs/calls/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/events.py
@@ -10,13 +10,13 @@
 REPLY_UNREADABLE = Event(
     7202, "reply of another host not understood", "Run the same release on all hosts."
 )
-BATCH_FAILED = Event(
-    7204,
-    "a batch of heartbeats met an unexpected error",
-    "Report it with the log; the workers send their heartbeats again.",
-)
 PINGS_UNAVAILABLE = Event(
     7203,
     "the port for pings cannot be opened",
     "Free the port and restart; until then entries ping by calls, which cost more.",
 )
+BATCH_FAILED = Event(
+    7204,
+    "a batch of heartbeats met an unexpected error",
+    "Report it with the log; the workers send their heartbeats again.",
+)
--- a/packages/agateferry-jobs/agateferry_jobs/calls/heartbeat_batches.py
+++ b/packages/agateferry-jobs/agateferry_jobs/calls/heartbeat_batches.py
@@ -17,9 +17,10 @@
 """How long a heartbeat waits for others; its worker gives up after one second."""
 CHANGE_DELAY_MS = 20
 """The same for a heartbeat that changes what is known of its worker."""
-BATCH_TIMEOUT_MS = 800 - BATCH_DELAY_MS
+HEARTBEAT_TIMEOUT_MS = 800
+"""How long a host takes for a heartbeat at most, so that it replies before the worker gives up."""
+BATCH_TIMEOUT_MS = HEARTBEAT_TIMEOUT_MS - BATCH_DELAY_MS
 """How long the leader's reply is waited for."""
-
 MAX_CALLS_IN_FLIGHT = 2
 """A leader that is slow to register new workers must not get more and more calls meanwhile."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -227,11 +227,12 @@
         if not self._replica.is_leader:
             return
         try:
-            await self._check()
+            await self._run_checks()
         finally:
             self.request_planning()
 
-    async def _check(self) -> None:
+    async def _run_checks(self) -> None:
+        """Run the checks that are due in each tick."""
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
         self._evacuations.check()
@@ -295,10 +296,10 @@
     def _is_suspect(self, worker: str, born: int) -> bool:
         return self._suspects.is_suspect(worker, born, self._clock.now_ms())
 
-    def _record_refusal(self, key: RunKey, end: commands.RunEnded) -> None:
-        """Hold back a subtask whose start was refused, unless its worker is held back for that.
+    def _update_refusals(self, key: RunKey, end: commands.RunEnded) -> None:
+        """Hold back a subtask whose start was refused; forget its refusals after any other end.
 
-        Other workers may be tried at once then.
+        If its worker is held back for the refusal, others may be tried at once.
         """
         if end.outcome is not commands.RunOutcome.REFUSED:
             self._refusals.record_success(key)
@@ -308,7 +309,7 @@
     def _on_run_ended(self, end: commands.RunEnded) -> None:
         self._job_log.run_ended(end)
         key = (end.job, end.subtask)
-        self._record_refusal(key, end)
+        self._update_refusals(key, end)
         if end.outcome is commands.RunOutcome.DONE:
             self._suspects.record_success(*end.run.worker_key)
         elif end.outcome is commands.RunOutcome.FAILED:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_idle_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_idle_invariants.py
@@ -100,7 +100,7 @@
                 yield self.ledger.jobs[job], name, Run(number, id, port.born)
 
 
-class IdleScenario(FaultScenario):
+class IdleFaultScenario(FaultScenario):
     """Workers in three racks with many kinds of jobs, first with faults and then without."""
 
     worker_ids = ()
@@ -395,7 +395,7 @@
 
 def run(seed):
     """Run a seed; return the watch of its jobs."""
-    return run_virtual(lambda loop: IdleScenario(loop, seed).run())
+    return run_virtual(lambda loop: IdleFaultScenario(loop, seed).run())
 
 
 def first_found(seeds=PLANTED_SEEDS):
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_many_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_many_workers.py
@@ -73,7 +73,7 @@
         self.most_in_flight = max(self.most_in_flight, self.polls_in_flight)
 
     async def until_known(self):
-        while not self.leader._sessions.knows_all():
+        while not self.leader.knows_all_workers():
             await asyncio.sleep(0.001)
 
     def now_ms(self):
@@ -136,7 +136,9 @@
             self.replica.lead()
             for number in range(silent_count):
                 self.ports[f"w{number}"].is_unreachable = True
-            answering = [self.leader._sessions.by_id[f"w{n}"] for n in range(silent_count, 3_000)]
+            answering = [
+                self.leader._sessions.by_id[f"w{n}"] for n in range(silent_count, MANY_WORKERS)
+            ]
             while not all(session.is_known for session in answering):
                 await asyncio.sleep(0.001)
             rounds = silent_count // MAX_CONTACT_POLLS + 1
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
@@ -19,7 +19,7 @@
     warning = info
 
 
-class WaitingJobsTests(testtools.TestCase):
+class WaitingJobsCase(testtools.TestCase):
     def setUp(self):
         super().setUp()
         ledger = Ledger()
@@ -34,7 +34,10 @@
     def counted(self, reason):
         return metrics.PASSED_OVER.labels(reason.value)._value.get()
 
+
+class WaitingJobsTests(WaitingJobsCase):
     def test_a_reason_is_logged_and_counted_once(self):
+        """Guards against a log line and a count for each plan."""
         before = self.counted(WaitReason.LATE)
         for now_ms in (500, 600):
             self.observe(now_ms, WaitReason.LATE)
@@ -55,7 +58,7 @@
         self.assertEqual(2, len(self.log.lines))
 
 
-class IdleJobTests(WaitingJobsTests):
+class IdleJobTests(WaitingJobsCase):
     """A job was lost to its caller beside free workers, and no log line said that it waited."""
 
     def observe_idle(self, now_ms, idle_ms):
--- a/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
@@ -23,29 +23,29 @@
         self._ledger = ledger
         self._reasons: dict[str, WaitReason] = {}
         self._logged_ms: dict[str, int] = {}
-        self._held_logged: set[str] = set()
-        self._idle: set[str] = set()
+        self._logged_as_idle: set[str] = set()
+        self._warned: set[str] = set()
         self._log = EventLogger()
 
     def observe(self, plan: Plan, now_ms: int) -> None:
         """Count the reasons that are new in a plan, and log those of jobs not logged just now.
 
-        A job that is held back from now on although it fits is logged again.
+        A job that is idle from now on although it fits is logged again.
         """
-        held = plan.idle.keys()
+        idle = plan.idle.keys()
         for id, reason in plan.waits.items():
             is_new = self._reasons.get(id) is not reason
             if is_new:
                 metrics.PASSED_OVER.labels(reason.value).inc()
-            elif id not in held or id in self._held_logged:
+            elif id not in idle or id in self._logged_as_idle:
                 continue
             logged_ms = self._logged_ms.get(id)
             if logged_ms is None or now_ms - logged_ms >= LOG_INTERVAL_MS:
                 self._logged_ms[id] = now_ms
                 self._log_wait(id, reason, plan.idle.get(id), now_ms)
-                self._held_logged |= {id} & held
+                self._logged_as_idle |= {id} & idle
         self._reasons = dict(plan.waits)
-        self._held_logged &= held
+        self._logged_as_idle &= idle
         self._logged_ms = {id: at for id, at in self._logged_ms.items() if id in plan.waits}
         self._observe_idle(plan)
 
@@ -53,11 +53,11 @@
         """Warn of each job that has been idle for too long although it would fit; count them."""
         too_long = {id for id, idle in plan.idle.items() if idle.idle_ms >= IDLE_LIMIT_MS}
         metrics.IDLE_JOBS.set(len(too_long))
-        for id in too_long - self._idle:
+        for id in too_long - self._warned:
             self._log.warning(
                 events.JOB_IDLE, job=id, reason=plan.waits[id], **_idle_fields(plan.idle[id])
             )
-        self._idle = too_long
+        self._warned = too_long
 
     def _log_wait(self, id: str, reason: WaitReason, idle: IdleJob | None, now_ms: int) -> None:
         job = self._ledger.jobs.get(id)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -144,10 +144,11 @@
         return True
 
     def is_paused(self, run: Run) -> bool:
-        """Return whether the worker of a run gets no new starts, since it rejected one just now."""
+        """Return whether the worker of a run gets no new starts, since one failed just now."""
         session = self.by_id.get(run.worker)
-        is_it = session is not None and session.incarnation.born == run.born
-        return session is not None and is_it and not session.accepts_starts
+        if session is None or session.incarnation.born != run.born:
+            return False
+        return not session.accepts_starts
 
     def stopping_runs(self) -> set[RunKey]:
         """Return the keys of runs that are being stopped."""
@@ -237,7 +238,7 @@
         return min(MAX_POLL_WAIT_MS, max(MIN_POLL_WAIT_MS, wait_ms))
 
     def contact_slot(self) -> AbstractAsyncContextManager[None]:
-        """Return what a poll waits for where the last one got no answer or there was none."""
+        """Return the slot that a poll needs if it is the first or the last one had no answer."""
         return self._contact_slots
 
     def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/future_capacity.py
@@ -10,13 +10,13 @@
 
 FuturePlacements = list[tuple[WorkerAllocation, list[AllocatedRun]]]
 """Workers for subtasks, each with the runs that must end before the subtask fits there."""
-MAX_PLACEMENTS = 1_000
-"""How many subtasks one worker is planned for at most, whatever slots it reports."""
 WorkerPlacements = list[tuple[float, list[AllocatedRun]]]
 """The placements on one worker in their order: what each costs and which runs must end for it.
 
 Each one counts on the ends that those before it wait for.
 """
+MAX_PLACEMENTS = 1_000
+"""How many subtasks one worker is planned for at most, whatever slots it reports."""
 
 
 class FutureCapacity:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/idle_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/idle_jobs.py
@@ -25,7 +25,10 @@
 
 
 class WaitChoice(StrEnum):
-    """Why subtasks may be left waiting although they would fit somewhere."""
+    """A better use of the room for which subtasks that fit somewhere may be left waiting.
+
+    `WaitReason` is what one plan found; a choice may be behind several of its values.
+    """
 
     RACK = "rack"
     """A gang waits for one rack that holds it."""
@@ -85,8 +88,8 @@
             return True
         return self._free_capacity.is_mostly_free(service) and not _has_runs(ready.job)
 
-    def idle_ms(self, ready: ReadySubtasks) -> int:
-        """Return for how long subtasks have been idle, which the plan has found them to be."""
+    def record(self, ready: ReadySubtasks) -> int:
+        """Record that the plan finds subtasks idle; return for how many ms they have been so."""
         key = (ready.job.id, ready.gang)
         since_ms = self._since_ms.get(key, self._now_ms)
         if self._counts_from_acceptance:
@@ -108,7 +111,7 @@
     """Return how many subtasks of a step fit on workers if nothing is kept for a better use."""
     return sum(
         min(
-            worker.max_subtasks(ready.step, worker.unreserved, ready.job, ready.gang),
+            worker.max_subtasks(ready.step, worker.free_for_idle_jobs, ready.job, ready.gang),
             max(0, worker.free_slots),
         )
         for worker in workers
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -47,8 +47,8 @@
 class Planner:
     """Make one plan from the ledger and the fleet at one moment.
 
-    The subtasks in `held` are left out. `idle_times` are those of the plans before; without them,
-    jobs count as idle since they were accepted.
+    The subtasks in `held` do not start, but count as idle if they would fit. `idle_times` are those
+    of the plans before; without them, jobs count as idle since they were accepted.
     """
 
     def __init__(
@@ -171,7 +171,7 @@
         return ()
 
     def _hold(self, ready: ReadySubtasks, candidates: CandidateWorkers) -> None:
-        """Record that subtasks are held back, which counts as idle time too."""
+        """Record that subtasks wait since their start was refused, which counts as idle time."""
         idle = self._idle_job(ready, self._selector(candidates, ready))
         if idle is not None:
             self._plan.idle[ready.job.id] = idle
@@ -202,7 +202,7 @@
         room, needed = self._room_for(ready, selector.candidates), needed_room(ready)
         if room < ROOM_FACTOR * needed:
             return None
-        return IdleJob(self._idle_times.idle_ms(ready), room, needed, selector.choices())
+        return IdleJob(self._idle_times.record(ready), room, needed, selector.choices())
 
     def _room_for(self, ready: ReadySubtasks, candidates: CandidateWorkers) -> int:
         """Return how many subtasks fit if nothing is kept for a better use.
@@ -286,7 +286,7 @@
     def _keep(self, placements: FuturePlacements, ready: ReadySubtasks, preempts: bool) -> None:
         """Reserve placements for ready subtasks, and preempt the runs that are in their way.
 
-        Without such runs the subtasks only wait by choice, so idle jobs may have what is reserved.
+        If no run is preempted, the reservation yields to idle jobs: it may last for long.
         """
         has_victims = preempts and any(runs for _, runs in placements)
         for worker, runs in placements:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_free_capacity.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_free_capacity.py
@@ -21,6 +21,7 @@
         return share_in_use(self.fleet().by_service["pool"])
 
     def test_runs_hold_a_share_of_the_workers_that_answer(self):
+        """Guards against a share that leaves out runs, or counts them against other capacity."""
         self.add(worker("w1"), worker("w2"))
         self.occupy("j", 1)
         self.assertEqual(0.5, self.share())
@@ -33,6 +34,7 @@
         self.assertEqual(0.4, self.share())
 
     def test_a_service_without_workers_has_nothing_free(self):
+        """Guards against a division by zero, which would stop all plans."""
         self.assertEqual(1.0, self.share())
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_beside_others.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_busy_data_rack.py
@@ -1,4 +1,4 @@
-"""Whether a job is kept idle by what other jobs wait for, or by workers that take no new runs.
+"""Whether a job whose data lie in a busy rack is kept idle by reservations or draining workers.
 
 The rule is that of `support/idle_watch.py`.
 """
@@ -18,7 +18,7 @@
 """When the second job arrives: shortly before the first one would start in any rack."""
 
 
-class IdleBesideOthersTests(testtools.TestCase):
+class BusyDataRackTests(testtools.TestCase):
     """All workers of the data's rack are in use."""
 
     def setUp(self):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_job_limits.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_conditions.py
@@ -1,4 +1,4 @@
-"""Cases beside those of `test_idle_jobs.py` in which a job is kept idle beside room for it."""
+"""When the bound on waits by choice applies: by load, by the clocks of leaders and by the room."""
 
 from agateferry_jobs.ledger.specs import Resources, StepSpec
 from agateferry_jobs.planning.tests.test_idle_jobs import (
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_times.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_times.py
@@ -1,3 +1,5 @@
+"""For how long the planner finds a job idle, and what it tells the log about that."""
+
 from agateferry_jobs.ledger import commands
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.planning import Fleet, Planner
@@ -35,11 +37,12 @@
         self.add(*(worker(f"c{number}", "c") for number in range(3)), **health)
 
     def test_a_job_that_fits_once_is_not_idle_by_choice(self):
-        """Across racks it takes three times as long, and may find a rack soon."""
+        """Guards against runs of three times the length for a gang that may find a rack soon."""
         self.plan(0)
         self.assertEqual(({}, []), (self.plan(5_000).idle, self.plan(5_000).starts))
 
-    def test_it_tells_the_room_and_what_holds_the_job_back(self):
+    def test_it_tells_the_room_and_what_the_job_waits_for(self):
+        """Guards against log lines that name too little room, or not the choice."""
         self.add_room()
         self.plan(0)
         idle = self.plan(300).idle["j"]
@@ -47,6 +50,7 @@
         self.assertEqual((WaitChoice.RACK,), idle.choices)
 
     def test_the_time_begins_anew_after_a_plan_without_room(self):
+        """Guards against times that add up although the rule did not hold in between."""
         self.add_room()
         self.plan(0)
         self.add_room(answers=False)
@@ -55,6 +59,7 @@
         self.assertEqual(0, self.plan(1_500).idle["j"].idle_ms)
 
     def test_a_job_with_a_run_is_not_idle(self):
+        """Guards against runs far from their data for the rest of a job that has begun."""
         self.add_room()
         self.apply(
             job_command("k", StepSpec(2, WHOLE_WORKER, estimated_ms=9_000, data_rack="gone"))
@@ -66,7 +71,7 @@
         self.assertNotIn("k", self.plan(0).idle)
 
     def test_the_time_for_which_a_start_is_held_back_counts(self):
-        """A job whose start was refused waited for that, and then for its rack."""
+        """Guards against a wait after a refused start and a whole one for a rack after it."""
         self.add_room()
         self.held = {("j", "0.0.0")}
         self.assertIs(WaitReason.REFUSED, self.plan(0).waits["j"])
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -23,7 +23,7 @@
     may_return: bool = True
     """Whether a worker that does not answer has been silent so briefly that it may be back soon."""
     accepts_starts: bool = True
-    """Whether the worker has not rejected a start just now."""
+    """Whether the worker has neither rejected a start nor left one unanswered just now."""
     has_recent_report: bool = True
     """Whether the worker has reported its capacity lately enough to start work by it."""
     reports_soon: bool = False
@@ -73,7 +73,7 @@
     largest_capacity: Resources
     """The largest capacity that the worker has reported; it may be smaller for a while."""
     runs: list[AllocatedRun] = field(default_factory=list)
-    held_back: Resources = NOTHING
+    yielding: Resources = NOTHING
     """What reservations that yield to idle jobs take of the free resources."""
     is_evacuated: bool = False
     """Whether the worker's zone is evacuated."""
@@ -99,9 +99,9 @@
         return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
 
     @property
-    def unreserved(self) -> Resources:
+    def free_for_idle_jobs(self) -> Resources:
         """Return what would be free now without the reservations that yield to idle jobs."""
-        return self.free.plus(self.held_back)
+        return self.free.plus(self.yielding)
 
     def set_pace(self, pace: float) -> None:
         """Set the pace of the worker and of the runs on it."""
@@ -171,14 +171,14 @@
         """
         self.version += 1
         self.free_after_stops = self.free_after_stops.minus(need)
-        unreserved = self.unreserved
+        free_for_idle_jobs = self.free_for_idle_jobs
         self.free = Resources(
             min(self.free.cpu, self.free_after_stops.cpu),
             min(self.free.mem_mb, self.free_after_stops.mem_mb),
             min(self.free.gpu, self.free_after_stops.gpu),
         )
         if yields:
-            self.held_back = unreserved.minus(self.free)
+            self.yielding = free_for_idle_jobs.minus(self.free)
 
 
 def total_need(runs: Sequence[AllocatedRun]) -> Resources:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -24,8 +24,8 @@
 The platform requires its start 2.9 s after submission at the earliest, and a preemption on another
 rack takes up to 0.9 s of that.
 """
-KEPT_FOR_OTHERS = 4
-"""The weight, in the order of workers, of one that is kept for other jobs."""
+KEPT_FOR_OTHERS_WEIGHT = 4
+"""Sorts each worker that is kept for other jobs after all that are suspect or cold."""
 
 
 class WorkerSelector:
@@ -174,15 +174,17 @@
         It need not if no rack holds it with the workers that answer or may do so soon. Slower
         workers, which a pace limit leaves out, may be in its rack too.
         """
-        if not self._waits_for_rack or self.candidates.has_pace_limit:
-            return not self._waits_for_rack
+        if not self._waits_for_rack:
+            return True
+        if self.candidates.has_pace_limit:
+            return False
         count = len(self._ready.names)
         racks = self.candidates.expected_racks
         return not any(self._fits_when_empty(rack, count) for rack in racks)
 
     def choices(self) -> tuple[WaitChoice, ...]:
         """Return the choices that may keep the subtasks waiting although they fit somewhere."""
-        has_reservations = any(worker.held_back != NOTHING for worker in self.candidates.usable)
+        has_reservations = any(worker.yielding != NOTHING for worker in self.candidates.usable)
         active = {
             WaitChoice.RACK: self._is_rack_gang and self._waits_for_rack,
             WaitChoice.DATA_RACK: bool(self._step.data_rack) and self._waits_for_rack,
@@ -241,7 +243,7 @@
 
     def _available(self, worker: WorkerAllocation) -> Resources:
         """Return what the subtasks may use now; idle jobs pass over reservations that yield."""
-        return worker.free if self._may_wait else worker.unreserved
+        return worker.free if self._may_wait else worker.free_for_idle_jobs
 
     def _fits(self, worker: WorkerAllocation) -> bool:
         return worker.free_slots > 0 and self._step.need.fits(self._available(worker))
@@ -272,14 +274,14 @@
         may use workers that are kept for others, if there are no better ones.
         """
         last_choice = 2 * worker.health.is_suspect + self._is_too_cold(worker)
-        last_choice += KEPT_FOR_OTHERS * self._kept_for_others(worker)
+        last_choice += KEPT_FOR_OTHERS_WEIGHT * self._kept_for_others(worker)
         return (last_choice, worker.free.gpu, worker.free.cpu)
 
     def _kept_for_others(self, worker: WorkerAllocation) -> int:
         """Return 2 for a worker kept for a suspect, and 1 where something is reserved; else 0."""
         if self._may_wait:
             return 0
-        return 2 * (not worker.is_open_to(self._ready.job)) + (worker.held_back != NOTHING)
+        return 2 * (not worker.is_open_to(self._ready.job)) + (worker.yielding != NOTHING)
 
     def _is_too_cold(self, worker: WorkerAllocation) -> bool:
         """Return whether a worker is cold and the work urgent."""
--- a/packages/agateferry-jobs/agateferry_jobs/support/idle_watch.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/idle_watch.py
@@ -2,6 +2,7 @@
 
 A job must not have nothing running for `IDLE_LIMIT_MS` on end while a subtask of it may start, the
 workers that may start runs have room for it twice over, and under half of the service is in use.
+The watch shares no limit or count with the planner, so that it finds what is wrong there.
 """
 
 from collections import defaultdict
@@ -55,7 +56,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class IdleJob:
+class IdleViolation:
     """A job that was kept idle for too long; times are in ms, `since_ms` from the start."""
 
     job: str
@@ -81,14 +82,14 @@
     def __init__(self, cell: ObservedCell) -> None:
         self._cell = cell
         self._since_ms: dict[str, int] = {}
-        self._found: dict[tuple[str, int], IdleJob] = {}
+        self._found: dict[tuple[str, int], IdleViolation] = {}
         self.has_waiting = False
         """Whether a job had a subtask that might start and nothing running, when last observed."""
         self.longest_idle_ms = 0
         """The longest time for which a job was kept idle."""
 
     @property
-    def found(self) -> list[IdleJob]:
+    def found(self) -> list[IdleViolation]:
         """Return the jobs that were kept idle, once for each time."""
         return list(self._found.values())
 
@@ -118,7 +119,7 @@
     ) -> None:
         plan, since_ms = self._cell.plan, self._since_ms[id]
         others = [step for other, ready in waiting.items() if other != id for _, step in ready]
-        self._found[id, since_ms] = IdleJob(
+        self._found[id, since_ms] = IdleViolation(
             id,
             shape_of(self._cell.ledger.jobs[id], step),
             since_ms - self._cell.start_ms,
--- a/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/contact.py
@@ -8,7 +8,7 @@
 
 START_PAUSE_MS = 250
 MAX_START_PAUSE_MS = 2_000
-"""The limits of how long a worker that rejects starts gets no new ones; the pause doubles."""
+"""The limits of how long a worker that accepts no starts gets no new ones; the pause doubles."""
 REPORT_WAIT_MS = 2_000
 """A worker that answers again sends its next heartbeat within this time."""
 RETURN_WAIT_MS = 10_000
@@ -61,7 +61,7 @@
 
     @property
     def accepts_starts(self) -> bool:
-        """Return whether the worker has not rejected a start just now."""
+        """Return whether the worker has neither rejected nor left unanswered a start just now."""
         return not self._starts.is_held(None, self._clock.now_ms())
 
     @property
@@ -105,7 +105,7 @@
         self._answering_since_ms = self._clock.now_ms()
         return True
 
-    def record_rejection(self) -> None:
+    def record_failed_start(self) -> None:
         """Record that the worker rejected a start or did not answer it.
 
         It gets no new ones for a while.
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -92,7 +92,7 @@
         """Return how long a worker may delay the answer to a poll while no run ends."""
 
     def contact_slot(self) -> AbstractAsyncContextManager[None]:
-        """Return what a poll waits for where the last one got no answer or there was none."""
+        """Return the slot that a poll needs if it is the first or the last one had no answer."""
 
 
 class WorkerSession:
@@ -122,7 +122,7 @@
         self._poll_number = 0
         self._is_closed = False
         self._was_held_up = False
-        """Whether this process did not run when the last poll's time was over."""
+        """Whether the last poll timed out because this process was busy with other work."""
         self._last_worker_clock_ms = -1
         self._committed_cursor = 0
         self._acknowledged_cursor = 0
@@ -138,7 +138,7 @@
 
     @property
     def accepts_starts(self) -> bool:
-        """Return whether the worker has not rejected a start just now."""
+        """Return whether the worker has neither rejected nor left unanswered a start just now."""
         return self._contact.accepts_starts
 
     @property
@@ -428,7 +428,7 @@
             return
         if reason == "fence":
             self._token = self._listener.next_token()
-        self._contact.record_rejection()
+        self._contact.record_failed_start()
 
     async def _end_as_refused(self, key: RunKey, tracked: TrackedRun) -> bool:
         if not await self._listener.commit_run_ends((run_ended(key, tracked, RunOutcome.REFUSED),)):
@@ -441,7 +441,7 @@
 
         A worker may answer polls and leave starts unanswered, so it gets no new ones for a while.
         """
-        self._contact.record_rejection()
+        self._contact.record_failed_start()
         self._token = self._listener.next_token()
         tracked.phase = Phase.UNCERTAIN
         tracked.phase_since_poll = self._poll_number
