Keep a job that starts nowhere in the log of idle jobs

Cause: a job that had been idle for 2 s left the plan's list of idle jobs before it was placed, also if it was not. So 7316 and agateferry_jobs_idle could not show the fault that they are for; found by a newcomer's reading. Now it leaves the list when it starts.

Evidence: test_a_job_that_starts_nowhere_stays_idle_in_the_log failed before: the list was empty from 2 s on.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -24,7 +24,7 @@
 )
 JOB_IDLE = Event(
     7316,
-    "job has been idle for 3 s although it fits and most of the capacity is free",
+    "job has been idle for 3 s although it fits",
     "A fault unless the job waits for a reason of its own; see its choices and 7315 of the job.",
 )
 RUN_STARTED = Event(7320, "run placed", "Nothing to do; 7321 says how the run ended.")
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -185,11 +185,11 @@
         """
         idle = self._idle_job(ready, selector)
         if idle is not None:
+            self._plan.idle[ready.job.id] = idle
             if self._options.limits_idle_jobs and idle.idle_ms >= MAX_IDLE_BY_CHOICE_MS:
                 return self._place_on(
                     self._candidates(ready), replace(ready, may_wait_by_choice=False)
                 )
-            self._plan.idle[ready.job.id] = idle
         return () if self._wait(ready, selector) else ready.names
 
     def _idle_job(self, ready: ReadySubtasks, selector: WorkerSelector) -> IdleJob | None:
@@ -228,6 +228,7 @@
     ) -> None:
         job = ready.job
         self._started.add(job.id)
+        self._plan.idle.pop(job.id, None)
         number = 1 + max(job.subtasks[name].last_run for name in names)
         checkpoint = self._checkpoint(ready, names)
         for name, worker in zip(names, workers, strict=True):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_times.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_idle_times.py
@@ -1,11 +1,14 @@
 """For how long the planner finds a job idle, and what it tells the log about that."""
 
+from unittest import mock
+
 from agateferry_jobs.ledger import commands
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.planning import Fleet, Planner
 from agateferry_jobs.planning.idle_jobs import MAX_IDLE_BY_CHOICE_MS, IdleTimes, WaitChoice
 from agateferry_jobs.planning.tests.test_planner import WHOLE_WORKER, PlannerCase
 from agateferry_jobs.planning.wait_reasons import WaitReason
+from agateferry_jobs.planning.worker_selection import WorkerSelector
 from agateferry_jobs.support import job_command, start_of, worker
 
 
@@ -78,3 +81,17 @@
         self.held = set()
         self.assertEqual([], self.plan(MAX_IDLE_BY_CHOICE_MS - 1).starts)
         self.assertEqual(4, len(self.plan(MAX_IDLE_BY_CHOICE_MS).starts))
+
+    def test_a_job_that_starts_nowhere_stays_idle_in_the_log(self):
+        """Guards against a fault of the placement that ends the warning that it is there for."""
+        self.add_room()
+        with mock.patch.object(WorkerSelector, "select_for_gang", lambda selector: None):
+            idle_ms = [self.plan(now_ms).idle["j"].idle_ms for now_ms in (0, 2_000, 4_000)]
+        self.assertEqual([0, 2_000, 4_000], idle_ms)
+
+    def test_a_job_that_starts_is_not_idle_in_the_log(self):
+        """Guards against a warning of a job that started in the same plan."""
+        self.add_room()
+        self.plan(0)
+        plan = self.plan(MAX_IDLE_BY_CHOICE_MS)
+        self.assertEqual((4, {}), (len(plan.starts), plan.idle))
