Commit no late end while the order of the next run is under way

A worker was cut off as its run ended as done. The run was given up as lost when the lease had expired, and the subtask was placed on a second worker, whose start order was held up. Then the first worker answered again and its end was committed: the subtask was done, and the order that arrived later, within its deadline, began it again.

Such an end now waits, not acknowledged, until the later run is listed or its order can no longer be executed: it is fenced off, or the worker's lease has expired. A start that is being committed counts as under way. Other ends of the same worker are committed meanwhile, and the subtask is not placed again. A job that such an end completes is completed later, by the lease of the second worker at most if that one is cut off.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -263,7 +263,7 @@
             self._zone_regions,
         )
         fleet.set_paces(self._paces.current)
-        held = self._refusals.held(self._clock.now_ms())
+        held = self._refusals.held(self._clock.now_ms()) | self._sessions.held_ends()
         idle_times = self._idle_times
         return Planner(self._ledger, fleet, self.now_ms, held=held, idle_times=idle_times).plan()
 
@@ -277,9 +277,9 @@
         if not plan.starts:
             return
         term = self._replica.term
-        result: Result[Any, Any] = await self._proposer.propose(
-            commands.StartRuns(tuple(plan.starts), self.now_ms)
-        )
+        command = commands.StartRuns(tuple(plan.starts), self.now_ms)
+        with self._sessions.committing_starts(plan.starts):
+            result: Result[Any, Any] = await self._proposer.propose(command)
         if result.is_error() or not self._replica.is_leader or self._replica.term != term:
             return
         for start in result.ok:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -1,15 +1,15 @@
 """The leader's sessions with workers: one for the current incarnation of each."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
-from contextlib import AbstractAsyncContextManager
+from collections.abc import Callable, Coroutine, Iterator, Sequence
+from contextlib import AbstractAsyncContextManager, contextmanager
 from typing import Any, Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_jobs.cell.departures import lost_run_end
-from agateferry_jobs.ledger import Ledger, Run, WorkerIncarnation, commands
+from agateferry_jobs.ledger import Job, Ledger, Run, WorkerIncarnation, commands
 from agateferry_jobs.ledger.commands import LossCause
-from agateferry_jobs.ledger.state import RunKey
+from agateferry_jobs.ledger.state import RunKey, gang_of
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.paces import Progress
 from agateferry_jobs.workers.lease import Lease, max_local_ms
@@ -21,6 +21,7 @@
     SessionListener,
     WorkerSession,
 )
+from agateferry_jobs.workers.tracked_run import Phase
 from agateferry_state.replication import LeaderContact
 
 MAX_IDLE_POLLS_PER_S = 60
@@ -87,6 +88,7 @@
         self._max_report_age_ms = max_report_age_ms
         self._hooks = hooks
         self._max_start_ms = max_start_ms
+        self._committing_starts: set[RunKey] = set()
 
     def of(self, incarnation: WorkerIncarnation) -> WorkerSession | None:
         """Return the session with an incarnation, or None if there is none."""
@@ -121,6 +123,15 @@
         sessions, self.by_id = self.by_id, {}
         return list(sessions.values())
 
+    @contextmanager
+    def committing_starts(self, starts: Sequence[commands.RunStart]) -> Iterator[None]:
+        """Count the orders of runs as under way while their starts are being committed."""
+        self._committing_starts = {(start.job, start.subtask) for start in starts}
+        try:
+            yield
+        finally:
+            self._committing_starts = set()
+
     def start_run(self, start: commands.RunStart, payload: str) -> None:
         """Send the start order of a run whose start is committed.
 
@@ -223,6 +234,22 @@
         subtask = job.subtasks.get(key[1]) if job is not None else None
         return job is None or subtask is None or job.is_over or subtask.is_done
 
+    def may_later_run_begin(self, key: RunKey, run: int) -> bool:
+        """Return whether the order of a run later than `run` may still be under way.
+
+        For a member of a gang, this is about the runs of all members.
+        """
+        job = self._ledger.jobs.get(key[0])
+        if job is None or not self._has_later_start(job, key[1], run):
+            return False
+        is_gang = job.step_of(key[1]).is_gang
+        names = job.members(gang_of(key[1])) if is_gang else (key[1],)
+        return any(self._may_member_begin(job, name, run) for name in names)
+
+    def held_ends(self) -> set[RunKey]:
+        """Return the subtasks that are known to be done, although that is not committed yet."""
+        return {key for session in self.by_id.values() for key in session.held_ends()}
+
     def runs_in(self, zone: str) -> int:
         """Return how many runs are tracked on the workers of a zone."""
         return sum(len(s.runs) for s in self.by_id.values() if s.incarnation.zone == zone)
@@ -268,6 +295,28 @@
             incarnation, self._make_port(incarnation), self, self._clock, lease, reports
         )
 
+    def _has_later_start(self, job: Job, name: str, run: int) -> bool:
+        """Return whether a later run was started in a subtask's step, or is being started at all.
+
+        This spares most ends the look at all members of a gang.
+        """
+        gang = job.gangs.get(gang_of(name))
+        return bool(self._committing_starts) or (gang is not None and gang.last_run > run)
+
+    def _may_member_begin(self, job: Job, name: str, after: int) -> bool:
+        key = (job.id, name)
+        if key in self._committing_starts:
+            return True
+        subtask = job.subtasks.get(name)
+        run = subtask.active if subtask is not None else None
+        return run is not None and run.number > after and not self._has_begun(key, run)
+
+    def _has_begun(self, key: RunKey, run: Run) -> bool:
+        """Return whether a run is known to have begun."""
+        session = self.by_id.get(run.worker)
+        tracked = session.runs.get(key) if session is not None else None
+        return tracked is not None and tracked.run == run and tracked.phase is Phase.CONFIRMED
+
     def _workers_with_runs_first(self) -> list[WorkerIncarnation]:
         """Return the workers in the order in which a new leader contacts them."""
         with_runs = {
--- a/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
@@ -1,6 +1,6 @@
 """What a worker's lists of runs tell about how runs ended."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome
@@ -19,9 +19,9 @@
     return RunEnded(key[0], key[1], tracked.run, RunOutcome.LOST, tracked.checkpoint, cause)
 
 
-def listed_ends(lists: RunLists, after: int, incarnation: WorkerIncarnation) -> list[RunEnded]:
-    """Return the ends that the worker lists with numbers above `after`."""
-    return [_listed_end(each, incarnation) for each in lists.finished if each.number > after]
+def listed_ends(finished: Iterable[FinishedRun], incarnation: WorkerIncarnation) -> list[RunEnded]:
+    """Return the ends of runs that an incarnation lists as finished."""
+    return [_listed_end(each, incarnation) for each in finished]
 
 
 def _listed_end(finished: FinishedRun, incarnation: WorkerIncarnation) -> RunEnded:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -22,9 +22,11 @@
 from agateferry_jobs.planning.worker_allocation import WorkerHealth
 from agateferry_jobs.workers import events
 from agateferry_jobs.workers.contact import WorkerContact
+from agateferry_jobs.workers.end_cursor import EndCursor
 from agateferry_jobs.workers.lease import Lease
 from agateferry_jobs.workers.port import (
     Confirmed,
+    FinishedRun,
     IncarnationMismatch,
     NoAnswer,
     PollOrder,
@@ -85,6 +87,12 @@
     def is_obsolete(self, key: RunKey) -> bool:
         """Return whether a subtask is done or its job is over, so that it must not start."""
 
+    def may_later_run_begin(self, key: RunKey, run: int) -> bool:
+        """Return whether the order of a run later than `run` may still be under way.
+
+        For a member of a gang, this is about the runs of all members.
+        """
+
     def keeps_idle_connections(self) -> bool:
         """Return whether a connection is kept to a worker without runs, for its next order."""
 
@@ -124,7 +132,7 @@
         self._was_held_up = False
         """Whether this process did not run when the last poll's time was over."""
         self._last_worker_clock_ms = -1
-        self._committed_cursor = 0
+        self._ends = EndCursor()
         self._acknowledged_cursor = 0
         self._wake = asyncio.Event()
         self._log = EventLogger(worker=incarnation.id, born=incarnation.born)
@@ -209,6 +217,13 @@
         """Return for how long the worker has not answered; 0 if it does."""
         return self._contact.failing_for_ms()
 
+    def held_ends(self) -> set[RunKey]:
+        """Return the subtasks whose runs this worker, which answers, lists as done.
+
+        They are not committed yet, since the order of a later run may still be under way.
+        """
+        return set() if self._contact.is_failing else {each.key for each in self._ends.held}
+
     def uncertain_runs(self) -> tuple[RunKey, ...]:
         """Return the runs that are not known to have begun."""
         return tuple(key for key, tracked in self.runs.items() if tracked.may_not_have_begun)
@@ -269,8 +284,8 @@
 
     def _needs_poll(self) -> bool:
         is_poll_due = (
-            bool(self.runs or self.unexpected_runs)
-            or self._committed_cursor > self._acknowledged_cursor
+            bool(self.runs or self.unexpected_runs or self._ends.held)
+            or self._ends.position > self._acknowledged_cursor
         )
         return is_poll_due or not self._contact.has_answered or self._contact.is_failing
 
@@ -282,7 +297,7 @@
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
         wait_ms = 0 if is_urgent or not self.runs else self._listener.poll_wait_ms()
         deadline_ms = self._poll_deadline(now_ms)
-        cursor = self._committed_cursor
+        cursor = self._ends.position
         self._poll_number += 1
         poll_number, token = self._poll_number, self._token
         order = PollOrder(deadline_ms, token, cursor, wait_ms)
@@ -334,22 +349,32 @@
             return True
         self._last_worker_clock_ms = lists.clock_ms
         self._mark_answering(lists.clock_ms)
-        ends = listed_ends(lists, self._committed_cursor, self.incarnation)
+        new_ends = self._ends.take_new(lists.finished, self._is_held)
+        ends = listed_ends(new_ends, self.incarnation)
         self._update_running(lists)
         ends += inferred_ends(lists, self.runs, poll_number)
         if not await self._commit_ends(lists, ends):
             return False
         if self._contact.record_first_lists():
             self._listener.request_planning()
-        return True
+        return not self._ends.held
+
+    def _is_held(self, finished: FinishedRun) -> bool:
+        """Return whether an end must not be committed yet.
+
+        A subtask whose earlier run was given up as lost would be done while the order of its next
+        run is under way, and nothing can recall an order that the network holds up. It is settled
+        once the run is listed, the order fenced off or its worker's lease expired.
+        """
+        is_done = finished.outcome == RunOutcome.DONE
+        return is_done and self._listener.may_later_run_begin(finished.key, finished.run)
 
     async def _commit_ends(self, lists: RunLists, ends: list[RunEnded]) -> bool:
         if ends and not await self._listener.commit_run_ends(tuple(ends)):
             return False
         for end in ends:
             self.forget((end.job, end.subtask), end.run)
-        newest = max((f.number for f in lists.finished), default=0)
-        self._committed_cursor = max(self._committed_cursor, newest)
+        self._ends.advance(lists.finished)
         return True
 
     def _update_running(self, lists: RunLists) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -27,6 +27,7 @@
         self.stores = True
         self.evacuated_zones = set()
         self.obsolete = set()
+        self.later_runs = set()
         self.keeps_idle = True
         self.slots_taken = 0
 
@@ -54,6 +55,9 @@
     def is_obsolete(self, key):
         return key in self.obsolete
 
+    def may_later_run_begin(self, key, run):
+        return key in self.later_runs
+
     def keeps_idle_connections(self):
         return self.keeps_idle
 
