--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -175,7 +175,7 @@
         idle = self._idle_job(ready, self._selector(candidates, ready))
         if idle is not None:
             self._plan.idle[ready.job.id] = idle
-        self._plan.waits[ready.job.id] = WaitReason.REFUSED
+        self._plan.waits[ready.job.id] = WaitReason.HELD
 
     def _leave(self, ready: ReadySubtasks, selector: WorkerSelector) -> tuple[str, ...]:
         """Handle subtasks that did not start; return those that may start on other workers.
--- a/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ready_subtasks.py
@@ -22,7 +22,7 @@
     waited_slack_share: float
     """The wait as a share of the job's slack; it is above 1 for a job that is late."""
     is_held: bool = False
-    """Whether starts of the subtasks were refused just now, so that they may not start yet."""
+    """Whether the subtasks may not start yet, since a start was refused or one may be done."""
     may_wait_by_choice: bool = True
     """Whether the subtasks may wait for a better place although they fit somewhere."""
     prefers_slow: bool = False
