--- a/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/trial_selection.py
@@ -14,7 +14,7 @@
 from agateferry_jobs.planning.ranks import BORROWED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.worker_allocation import WorkerAllocation
-from agateferry_jobs.planning.worker_selection import WorkerSelector
+from agateferry_jobs.planning.worker_selection import KEPT_FOR_OTHERS_WEIGHT, WorkerSelector
 
 TRIAL_WAIT_MS = 1_500
 """How long a suspect waits for an empty worker; the platform wants it started within 3 s."""
@@ -84,5 +84,6 @@
         """Return the sort key of workers: those where a crash would cost the least go first."""
         ranks = [self._ranks.get(run.job.id, LOWEST_RANK) for run in worker.runs]
         dear = sum(rank <= BORROWED_RANK for rank in ranks)
-        last_choice = worker.health.is_suspect + self._kept_for_others(worker)
+        kept = KEPT_FOR_OTHERS_WEIGHT * self._kept_for_others(worker)
+        last_choice = worker.health.is_suspect + kept
         return (last_choice, not worker.trial_job, dear, len(ranks), worker.free.gpu)
