Keep a run placed that may have begun on a worker that started again

What callers saw: a subtask ran twice at the same time (TWICE). An idle worker crashed, started again under its id and got an order before its first report. It began the run; 0.4 s later the subtask started elsewhere.

Cause: an order names the worker's id, so the session with the earlier incarnation orders runs on the new one, which has seen no fencing token. The next poll shows another incarnation, and the leader ended all runs of the session as lost, also those that the new one had begun. The log of the case shows it: the first run ended with the loss "crashed" one poll after its order and 0.2 s before the new incarnation's first report.

Change: only runs that the old incarnation is known to have begun (listed, or its own clock in the answer) are lost with it. The session with the new one adopts the others, stops them if they are listed, and counts them as lost once a poll with a higher token doesn't list them; without a new one the longest lease is waited for. The same for a new leader. Polls acknowledge ends only where there are new ones. A crash accuses only what the crashed incarnation began. A late DELETE waits for the lease of a worker that is cut off.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/departures.py
@@ -18,16 +18,21 @@
 
 
 def crash_report(
-    incarnation: WorkerIncarnation, session: WorkerSession | None, now_ms: int
+    incarnation: WorkerIncarnation,
+    session: WorkerSession | None,
+    now_ms: int,
+    may_have_restarted: bool,
 ) -> CrashReport:
     """Report that an incarnation crashed; `session` is the one with it, `now_ms` the wall clock.
 
-    Without a session the crash may have been at any time up to now.
+    Without a session the crash may have been at any time up to now. If the worker may have started
+    again under its id, runs that the incarnation did not list may have begun on the new one.
     """
     if session is None:
         return CrashReport(incarnation.id, incarnation.born, now_ms)
     since_ms = now_ms - session.failing_for_ms()
-    return CrashReport(incarnation.id, incarnation.born, since_ms, session.uncertain_runs())
+    uncertain_runs = session.uncertain_runs(may_have_restarted)
+    return CrashReport(incarnation.id, incarnation.born, since_ms, uncertain_runs)
 
 
 def departed_record(incarnation: WorkerIncarnation) -> WorkerIncarnation:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -57,6 +57,7 @@
         max_report_age_ms: int | None = None,
         max_start_ms: int | None = None,
         zone_regions: Mapping[str, str] | None = None,
+        max_lease_ms: int | None = None,
     ) -> None:
         self._replica = replica
         self._ledger = ledger
@@ -69,7 +70,7 @@
         self._guilty_jobs = GuiltyJobs(ledger, self._proposer)
         self._refusals = Backoff[RunKey](REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
         self._sessions = WorkerSessions(
-            ledger, clock, make_port, lease_ms, max_report_age_ms, self, max_start_ms
+            ledger, clock, make_port, lease_ms, max_report_age_ms, self, max_start_ms, max_lease_ms
         )
         self._zone_regions = zone_regions or {}
         self._evacuations = ZoneEvacuations(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -43,7 +43,7 @@
         self._heartbeat_sequences: dict[WorkerKey, int] = {}
         self._log = EventLogger()
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
-        sessions.on_replaced = self._on_replaced
+        sessions.on_ended = self._on_ended
 
     async def handle(
         self, call: messages.Heartbeat | messages.HeartbeatBatch | messages.Deregister
@@ -85,7 +85,7 @@
         if known != incarnation and not self._is_outdated(incarnation):
             note = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
             if known is not None and self._has_crashed(known, incarnation):
-                note = self._with_crash(note, known)
+                note = self._with_crash(note, known, may_have_restarted=True)
             result = await self._proposer.propose(note)
             if result.is_error():
                 return reply_for_error(result.error)
@@ -120,7 +120,7 @@
         if incarnation.state is WorkerState.READY and session is not None:
             self._hooks.spawn(self._deregister_unless_present(session))
             return messages.Done()
-        if not await self._deregister(incarnation, LossCause.LEFT):
+        if not await self._deregister(incarnation, LossCause.LEFT, may_have_restarted=True):
             return messages.OutcomeUnknown("not stored")
         return messages.Done()
 
@@ -132,9 +132,10 @@
         self._log_failure(reply)
         return messages.OutcomeUnknown(type(reply).__name__)
 
-    def _on_replaced(self, incarnation: WorkerIncarnation) -> None:
-        """Remove a replaced incarnation; the new one registers by its own heartbeat."""
-        self._hooks.spawn(self._deregister(incarnation, cause_of_replacement(incarnation)))
+    def _on_ended(self, incarnation: WorkerIncarnation, has_restarted: bool) -> None:
+        """Remove an incarnation that has ended; the one after it registers by its own heartbeat."""
+        cause = cause_of_replacement(incarnation)
+        self._hooks.spawn(self._deregister(incarnation, cause, has_restarted))
 
     def _is_late(self, heartbeat: messages.Heartbeat) -> bool:
         """Return whether a heartbeat was held up on its way, so that it shows an earlier state."""
@@ -176,7 +177,7 @@
         if session is not None:
             cause = cause_of_replacement(session.incarnation)
             self._log_departure(session.incarnation, cause)
-            await self._sessions.close(session, cause)
+            await self._sessions.close(session, cause, may_have_restarted=True)
         for other in list(self._ledger.workers.values()):
             if other.address == incarnation.address and other.born < incarnation.born:
                 await self._deregister(other, cause_of_replacement(other))
@@ -184,15 +185,25 @@
             self._sessions.open_new(incarnation)
 
     async def _deregister_unless_present(self, session: WorkerSession) -> None:
-        await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
-        is_current = self._sessions.of(session.incarnation) is session
-        if is_current and not await session.is_present():
-            await self._deregister(session.incarnation, LossCause.LEFT)
+        """Remove a worker that doesn't answer, once none of its runs can be going on.
 
-    async def _deregister(self, incarnation: WorkerIncarnation, cause: LossCause) -> bool:
+        The call may be of an earlier incarnation, and this one may be cut off with its runs.
+        """
+        while True:
+            await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
+            is_current = self._sessions.of(session.incarnation) is session
+            if not is_current or await session.is_present():
+                return
+            if not session.runs or session.is_lease_expired():
+                await self._deregister(session.incarnation, LossCause.LEFT)
+                return
+
+    async def _deregister(
+        self, incarnation: WorkerIncarnation, cause: LossCause, may_have_restarted: bool = False
+    ) -> bool:
         note = commands.NoteWorker(departed_record(incarnation), self._hooks.now_ms)
         if cause is LossCause.CRASHED:
-            note = self._with_crash(note, incarnation)
+            note = self._with_crash(note, incarnation, may_have_restarted)
         result = await self._proposer.propose(note)
         if result.is_error():
             return False
@@ -200,17 +211,18 @@
             self._log_departure(incarnation, cause)
         session = self._sessions.of(incarnation)
         if session is not None:
-            await self._sessions.close(session, cause)
+            await self._sessions.close(session, cause, may_have_restarted)
         return True
 
     def _has_crashed(self, known: WorkerIncarnation, new: WorkerIncarnation) -> bool:
         return known.born < new.born and cause_of_replacement(known) is LossCause.CRASHED
 
     def _with_crash(
-        self, note: commands.NoteWorker, crashed: WorkerIncarnation
+        self, note: commands.NoteWorker, crashed: WorkerIncarnation, may_have_restarted: bool
     ) -> commands.NoteWorker:
         """Return a note that records the crash of an incarnation together with what it notes."""
-        report = crash_report(crashed, self._sessions.of(crashed), note.at_ms)
+        session = self._sessions.of(crashed)
+        report = crash_report(crashed, session, note.at_ms, may_have_restarted)
         return msgspec.structs.replace(note, crash=report)
 
     def _log_departure(self, incarnation: WorkerIncarnation, cause: LossCause) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -64,8 +64,9 @@
 class WorkerSessions(SessionListener):
     """Track the runs on all workers, each through the session with its worker.
 
-    `on_replaced` is called for an incarnation at whose address another one answers. A worker
-    refuses a start order that arrives more than `max_start_ms` after it was sent.
+    `on_ended` is called for an incarnation at whose address another one answers, and with whether
+    that is of the same worker. A worker refuses a start order that arrives more than `max_start_ms`
+    after it was sent, and shortens leases to `max_lease_ms`.
     """
 
     def __init__(
@@ -77,10 +78,11 @@
         max_report_age_ms: int | None,
         hooks: LeaderHooks,
         max_start_ms: int | None = None,
+        max_lease_ms: int | None = None,
     ) -> None:
         self.by_id: dict[str, WorkerSession] = {}
         self._contact_slots = asyncio.Semaphore(MAX_CONTACT_POLLS)
-        self.on_replaced: Callable[[WorkerIncarnation], None] = lambda _: None
+        self.on_ended: Callable[[WorkerIncarnation, bool], None] = lambda *_: None
         self._ledger = ledger
         self._clock = clock
         self._make_port = make_port
@@ -88,6 +90,9 @@
         self._max_report_age_ms = max_report_age_ms
         self._hooks = hooks
         self._max_start_ms = max_start_ms
+        self._max_lease_ms = max(lease_ms, max_lease_ms or lease_ms)
+        self._held_until_ms: dict[tuple[RunKey, Run], int] = {}
+        """Until when a run of an incarnation that ended may go on at its worker's next one."""
         self._committing_starts: set[RunKey] = set()
 
     def of(self, incarnation: WorkerIncarnation) -> WorkerSession | None:
@@ -108,6 +113,7 @@
         workers' reports up to the end of its `contact` with this host, if that was long enough for
         each worker to report.
         """
+        self._held_until_ms.clear()
         earlier_leases_until_ms = self._clock.now_ms() + max_local_ms(self._lease_ms)
         max_age_ms = self._max_report_age_ms or 0
         has_reports = contact is not None and contact.duration_ms >= max_age_ms
@@ -269,12 +275,24 @@
         return self._contact_slots
 
     def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
-        """Handle that another incarnation runs at the worker's address, so this one has ended."""
-        self.on_replaced(incarnation)
+        """Handle that another worker runs at the address, so this one and its runs have ended."""
+        self.on_ended(incarnation, False)
 
-    async def close(self, session: WorkerSession, cause: LossCause) -> None:
-        """Close the session of an incarnation that has ended, and end its runs as lost."""
-        ends = session.ends_as_lost(cause)
+    def on_worker_restarted(self, incarnation: WorkerIncarnation) -> None:
+        """Handle that the worker has started again under its id."""
+        self.on_ended(incarnation, True)
+
+    async def close(
+        self, session: WorkerSession, cause: LossCause, may_have_restarted: bool = False
+    ) -> None:
+        """Close the session of an incarnation that has ended, and end its runs as lost.
+
+        If the worker may have started again under its id, runs that may have begun on the new
+        incarnation go on until the session with that one, or the time, shows that they have ended.
+        """
+        ends = session.ends_as_lost(cause, may_have_restarted)
+        now_ms = self._clock.now_ms()
+        self._held_until_ms |= {((end.job, end.subtask), end.run): now_ms for end in ends}
         self.by_id.pop(session.incarnation.id, None)
         await session.close()
         await self._commit_lost_runs(ends)
@@ -290,7 +308,9 @@
     def _open_session(
         self, incarnation: WorkerIncarnation, earlier_leases_until_ms: int, reported_ms: int | None
     ) -> None:
-        lease = Lease(self._lease_ms, earlier_leases_until_ms, self._max_start_ms)
+        lease = Lease(
+            self._lease_ms, earlier_leases_until_ms, self._max_start_ms, self._max_lease_ms
+        )
         reports = ReportAge(self._max_report_age_ms, reported_ms)
         self.by_id[incarnation.id] = WorkerSession(
             incarnation, self._make_port(incarnation), self, self._clock, lease, reports
@@ -329,22 +349,32 @@
         return sorted(self._ledger.workers.values(), key=lambda each: each.id not in with_runs)
 
     def _adopt_all(self) -> tuple[commands.RunEnded, ...]:
-        """Have a session track each active run; return ends for runs of incarnations that ended.
+        """Have a session track each active run; return ends for runs that cannot go on any more.
 
         A run can be in the ledger although no order was sent: the outcome of committing its start
-        was unknown to the leader that proposed it.
+        was unknown to the leader that proposed it. The order of a run of an earlier incarnation may
+        have reached the worker's newest one, which the session with that one finds out. Without a
+        session it goes on for as long as a lease can last.
         """
         lost = []
+        now_ms = self._clock.now_ms()
+        held_until_ms: dict[tuple[RunKey, Run], int] = {}
         for job in self._ledger.jobs.values():
             for name, subtask in job.subtasks.items():
                 run = subtask.active
                 if run is None:
                     continue
+                key = (job.id, name)
                 session = self.by_id.get(run.worker)
-                if session is None or session.incarnation.born != run.born:
-                    lost.append(lost_run_end((job.id, name), run))
-                else:
-                    session.adopt((job.id, name), run)
+                if session is not None:
+                    session.adopt(key, run)
+                    continue
+                latest_ms = now_ms + max_local_ms(self._max_lease_ms)
+                until_ms = self._held_until_ms.get((key, run), latest_ms)
+                held_until_ms[key, run] = until_ms
+                if now_ms >= until_ms:
+                    lost.append(lost_run_end(key, run))
+        self._held_until_ms = held_until_ms
         return tuple(lost)
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -188,6 +188,7 @@
             self.cfg.bounds.max_report_age_ms,
             self.cfg.bounds.max_start_ms,
             self.cfg.zones,
+            self.cfg.bounds.max_lease_ms,
         )
         return replica
 
--- a/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/model_worker.py
@@ -43,6 +43,8 @@
     is_unreachable: bool = False
     is_full: bool = False
     is_replaced: bool = False
+    max_lease_ms: int = 1_000_000_000
+    """A longer lease is shortened to this."""
     token: int = 0
     deadline_ms: int = 0
     running: dict[RunKey, int] = field(default_factory=dict)
@@ -78,7 +80,7 @@
         self.token = order.token
         if order.deadline_ms <= now_ms:
             return Rejected("late", now_ms)
-        self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+        self._extend_lease(order.deadline_ms)
         if self.running.get(order.key) == order.run:
             return Confirmed(now_ms)
         if order.run <= self.ended_runs.get(order.key, 0):
@@ -130,13 +132,17 @@
             return Rejected("fence", self.clock.now_ms())
         self.token = order.token
         if order.deadline_ms is not None:
-            self.deadline_ms = max(self.deadline_ms, order.deadline_ms)
+            self._extend_lease(order.deadline_ms)
         self.ends = [end for end in self.ends if end.number > order.cursor]
         running = tuple(
             RunningRun(k, r, "", self.progress_percent) for k, r in self.running.items()
         )
         return RunLists(self.clock.now_ms(), self.born, running, tuple(self.ends))
 
+    def _extend_lease(self, deadline_ms: int) -> None:
+        latest_ms = self.clock.now_ms() + self.max_lease_ms
+        self.deadline_ms = max(self.deadline_ms, min(deadline_ms, latest_ms))
+
     def end(self, key: RunKey, outcome: str, checkpoint: str = "") -> None:
         """End a run with this outcome."""
         run = self.running.pop(key)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from dataclasses import dataclass
 
 MAX_CLOCK_DRIFT = 0.02
 """The share by which a worker's clock may run slow, as the platform's documentation states."""
@@ -14,18 +15,53 @@
 """Time waited beyond a lease's end, because the worker kills its runs a moment after it."""
 
 
+CLOCK_PROOF_MARGIN_MS = 2_000
+"""How much further an incarnation's clock must be than one that has started since could be.
+
+It covers the time for which this process or its machine stood still, which its clock may not count.
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class ClockReading:
+    """A reading of one incarnation's clock, and the local time at which it arrived."""
+
+    clock_ms: int
+    read_at_ms: int
+
+    def excludes(self, clock_ms: int) -> bool:
+        """Return whether a later answer with this clock is of another incarnation.
+
+        A clock never goes back; that of a new incarnation starts anew.
+        """
+        return clock_ms < self.clock_ms
+
+    def identifies(self, clock_ms: int, now_ms: int) -> bool:
+        """Return whether a later answer with this clock can only be of the same incarnation.
+
+        The clock of one that has started since then reads at most the time since the reading.
+        """
+        newest_other_ms = now_ms - self.read_at_ms + CLOCK_PROOF_MARGIN_MS
+        return not self.excludes(clock_ms) and clock_ms > newest_other_ms
+
+
 class Lease:
     """The latest deadline that one worker may have received.
 
     A lease lasts `duration_ms` from each order; `start_ms` is the same for start orders, if that is
     shorter. `earlier_leases_until_ms`, on the local clock, is when all leases that earlier leaders
-    may have granted have expired.
+    may have granted have expired. A worker shortens a longer lease to `max_ms`.
     """
 
     def __init__(
-        self, duration_ms: int, earlier_leases_until_ms: int, start_ms: int | None = None
+        self,
+        duration_ms: int,
+        earlier_leases_until_ms: int,
+        start_ms: int | None = None,
+        max_ms: int | None = None,
     ) -> None:
         self._duration_ms = duration_ms
+        self._max_ms = max(duration_ms, max_ms if max_ms is not None else duration_ms)
         self._start_ms = min(duration_ms, start_ms if start_ms is not None else duration_ms)
         self._earlier_leases_until_ms = earlier_leases_until_ms
         self._clock_ms: int | None = None
@@ -43,6 +79,13 @@
             self._clock_ms = clock_ms
             self._read_at_ms = now_ms
 
+    @property
+    def newest_reading(self) -> ClockReading | None:
+        """Return the newest reading of the worker's clock; None before the first one."""
+        if self._clock_ms is None:
+            return None
+        return ClockReading(self._clock_ms, self._read_at_ms)
+
     @property
     def newest_clock_ms(self) -> int:
         """Return the newest reading of the worker's clock; 0 before the first one."""
@@ -66,6 +109,14 @@
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
+    def assume_foreign_order(self, now_ms: int) -> None:
+        """Count the longest lease as granted, by an order that was sent to another incarnation.
+
+        Its deadline is on that incarnation's clock and may be far in the future on this one's.
+        """
+        until_ms = now_ms + max_local_ms(self._max_ms)
+        self._earlier_leases_until_ms = max(self._earlier_leases_until_ms, until_ms)
+
     def is_expired(self, now_ms: int) -> bool:
         """Return whether every lease granted so far has expired, so that no run can be going on."""
         expiry_ms = self._earlier_leases_until_ms
--- a/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
@@ -19,24 +19,40 @@
     return RunEnded(key[0], key[1], tracked.run, RunOutcome.LOST, tracked.checkpoint, cause)
 
 
-def listed_ends(finished: Iterable[FinishedRun], incarnation: WorkerIncarnation) -> list[RunEnded]:
-    """Return the ends of runs that an incarnation lists as finished."""
-    return [_listed_end(each, incarnation) for each in finished]
+def listed_ends(
+    finished: Iterable[FinishedRun],
+    incarnation: WorkerIncarnation,
+    runs: Mapping[RunKey, TrackedRun],
+) -> list[RunEnded]:
+    """Return the ends of runs that an incarnation lists as finished.
+
+    A tracked run may have been ordered from an earlier incarnation of the worker; the ledger knows
+    it by that one.
+    """
+    return [_listed_end(each, incarnation, runs.get(each.key)) for each in finished]
 
 
-def _listed_end(finished: FinishedRun, incarnation: WorkerIncarnation) -> RunEnded:
+def _listed_end(
+    finished: FinishedRun, incarnation: WorkerIncarnation, tracked: TrackedRun | None
+) -> RunEnded:
     run = Run(finished.run, incarnation.id, incarnation.born)
+    if tracked is not None and tracked.run.number == finished.run:
+        run = tracked.run
     job, subtask = finished.key
     return RunEnded(job, subtask, run, RunOutcome(finished.outcome), finished.checkpoint)
 
 
 def inferred_ends(
-    lists: RunLists, runs: Mapping[RunKey, TrackedRun], poll_number: int
+    lists: RunLists,
+    incarnation: WorkerIncarnation,
+    runs: Mapping[RunKey, TrackedRun],
+    poll_number: int,
 ) -> list[RunEnded]:
     """Return ends for runs missing from lists that would contain them had they begun.
 
     Only polls sent after a run reached its phase count. A run whose start is uncertain was refused;
-    a confirmed one is lost. Incomplete lists tell nothing about what is missing.
+    a confirmed one is lost. So is one ordered from an earlier incarnation, which may have begun it.
+    Incomplete lists tell nothing about what is missing.
     """
     if not lists.is_complete:
         return []
@@ -46,7 +62,9 @@
     for key, tracked in runs.items():
         if (key, tracked.run.number) in listed or tracked.phase_since_poll >= poll_number:
             continue
-        if tracked.phase is Phase.UNCERTAIN:
+        if tracked.run.born != incarnation.born:
+            ends.append(run_lost(key, tracked, LossCause.CRASHED))
+        elif tracked.phase is Phase.UNCERTAIN:
             ends.append(run_ended(key, tracked, RunOutcome.REFUSED))
         elif tracked.phase is Phase.CONFIRMED:
             ends.append(run_lost(key, tracked, LossCause.UNLISTED))
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -23,7 +23,7 @@
 from agateferry_jobs.workers import events
 from agateferry_jobs.workers.contact import WorkerContact
 from agateferry_jobs.workers.end_cursor import EndCursor
-from agateferry_jobs.workers.lease import Lease
+from agateferry_jobs.workers.lease import ClockReading, Lease
 from agateferry_jobs.workers.port import (
     Confirmed,
     FinishedRun,
@@ -76,7 +76,13 @@
         """Commit how runs ended; return whether that succeeded."""
 
     def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
-        """Handle that another incarnation runs at the worker's address, so this one has ended."""
+        """Handle that another worker runs at the address, so this one and its runs have ended."""
+
+    def on_worker_restarted(self, incarnation: WorkerIncarnation) -> None:
+        """Handle that the worker has started again under its id.
+
+        Orders to this incarnation may have been carried out by the new one.
+        """
 
     def request_planning(self) -> None:
         """Request a new plan, since the worker's health changed."""
@@ -155,10 +161,17 @@
         return self._contact.is_known
 
     def adopt(self, key: RunKey, run: Run) -> None:
-        """Track a run whose start order may have been sent, unless it is tracked already."""
+        """Track a run whose start order may have been sent, unless it is tracked already.
+
+        A run that was ordered from an earlier incarnation may have begun on this one. It is stopped
+        if it is listed; it is lost once a poll doesn't list it, since the poll's token is higher
+        than the order's.
+        """
         tracked = self.runs.get(key)
         if tracked is not None and tracked.run == run:
             return
+        if run.born != self.incarnation.born:
+            self._lease.assume_foreign_order(self._clock.now_ms())
         self.runs[key] = TrackedRun(
             run,
             Phase.UNCERTAIN,
@@ -199,7 +212,7 @@
     async def is_present(self) -> bool:
         """Ask the worker now whether this incarnation is still there; one answer says so."""
         for _ in range(PRESENCE_ATTEMPTS):
-            order = PollOrder(None, self._token, self._acknowledged_cursor, wait_ms=0)
+            order = PollOrder(None, self._token, cursor=0, wait_ms=0)
             match await self._port.poll(order, ORDER_TIMEOUT_MS):
                 case RunLists(born=born):
                     return born in (None, self.incarnation.born)
@@ -224,13 +237,31 @@
         """
         return set() if self._contact.is_failing else {each.key for each in self._ends.held}
 
-    def uncertain_runs(self) -> tuple[RunKey, ...]:
-        """Return the runs that are not known to have begun."""
-        return tuple(key for key, tracked in self.runs.items() if tracked.may_not_have_begun)
+    def uncertain_runs(self, may_have_restarted: bool) -> tuple[RunKey, ...]:
+        """Return the runs that are not known to have begun.
+
+        If the worker may have started again under its id, these are all that this incarnation is
+        not known to have begun.
+        """
+        return tuple(
+            key
+            for key, tracked in self.runs.items()
+            if tracked.may_not_have_begun or (may_have_restarted and not tracked.is_proven)
+        )
+
+    def ends_as_lost(
+        self, cause: LossCause, may_have_restarted: bool = False
+    ) -> tuple[RunEnded, ...]:
+        """Return ends, as lost, of all tracked runs, once the worker can no longer report them.
 
-    def ends_as_lost(self, cause: LossCause) -> tuple[RunEnded, ...]:
-        """Return ends, as lost, of all tracked runs, once the worker can no longer report them."""
-        return tuple(run_lost(key, tracked, cause) for key, tracked in self.runs.items())
+        If it may have started again under its id, these are the runs that this incarnation is known
+        to have begun; the others may have begun on the new one.
+        """
+        return tuple(
+            run_lost(key, tracked, cause)
+            for key, tracked in self.runs.items()
+            if tracked.is_proven or not may_have_restarted
+        )
 
     def forget(self, key: RunKey, run: Run) -> None:
         """Stop tracking a run whose end is committed."""
@@ -297,7 +328,7 @@
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
         wait_ms = 0 if is_urgent or not self.runs else self._listener.poll_wait_ms()
         deadline_ms = self._poll_deadline(now_ms)
-        cursor = self._ends.position
+        cursor = self._cursor_to_acknowledge()
         self._poll_number += 1
         poll_number, token = self._poll_number, self._token
         order = PollOrder(deadline_ms, token, cursor, wait_ms)
@@ -320,6 +351,16 @@
                 self._mark_failing(str(answer))
                 return False
 
+    def _cursor_to_acknowledge(self) -> int:
+        """Return the number of the end up to which a poll acknowledges ends, 0 for none.
+
+        A worker that has started again counts its ends anew, so an order for its earlier
+        incarnation must not acknowledge any without need.
+        """
+        position = self._ends.position
+        is_needed = position > self._acknowledged_cursor and not self._contact.is_failing
+        return position if is_needed else 0
+
     def _poll_deadline(self, now_ms: int) -> int | None:
         """Return the lease deadline of a poll; None for a silent worker, so its lease expires."""
         if not self.runs or self._contact.is_failing:
@@ -343,16 +384,16 @@
 
     async def _process_lists(self, lists: RunLists, poll_number: int) -> bool:
         if lists.born is not None and lists.born != self.incarnation.born:
-            self._listener.on_incarnation_replaced(self.incarnation)
+            self._listener.on_worker_restarted(self.incarnation)
             return False
         if lists.clock_ms < self._last_worker_clock_ms:
             return True
         self._last_worker_clock_ms = lists.clock_ms
         self._mark_answering(lists.clock_ms)
         new_ends = self._ends.take_new(lists.finished, self._is_held)
-        ends = listed_ends(new_ends, self.incarnation)
+        ends = listed_ends(new_ends, self.incarnation, self.runs)
         self._update_running(lists)
-        ends += inferred_ends(lists, self.runs, poll_number)
+        ends += inferred_ends(lists, self.incarnation, self.runs, poll_number)
         if not await self._commit_ends(lists, ends):
             return False
         if self._contact.record_first_lists():
@@ -382,10 +423,11 @@
         now_ms = self._clock.now_ms()
         for each in lists.running:
             tracked = self.runs.get(each.key)
-            if tracked is None or tracked.run.number != each.run:
+            if tracked is None or not self._is_run_of(tracked, each.run):
                 self.unexpected_runs[each.key] = each.run
                 self._spawn(self._send_stop(each.key, each.run, None))
                 continue
+            tracked.is_proven |= lists.born is not None
             tracked.record_progress(each.percent, now_ms)
             tracked.checkpoint = each.checkpoint or tracked.checkpoint
             if tracked.phase is Phase.UNCERTAIN:
@@ -394,6 +436,10 @@
             if tracked.is_stopping and _is_stop_due(tracked.stop_sent_ms, now_ms):
                 self._spawn(self._send_stop(each.key, each.run, tracked))
 
+    def _is_run_of(self, tracked: TrackedRun, number: int) -> bool:
+        """Return whether a listed run is the tracked one, ordered from this incarnation."""
+        return tracked.run.number == number and tracked.run.born == self.incarnation.born
+
     async def _send_start(self, start: RunStart, payload: str, tracked: TrackedRun) -> None:
         """Send a start order until its outcome is known; a poll tells the outcome of any other."""
         try:
@@ -418,16 +464,12 @@
             deadline_ms = self._lease.grant_start_deadline(self._clock.now_ms())
             if deadline_ms is None or not self._listener.may_send_orders():
                 break
+            reading = self._lease.newest_reading
             order = StartOrder(key, start.run.number, payload, deadline_ms, token, start.checkpoint)
             answer = await self._port.start(order, ORDER_TIMEOUT_MS)
             match answer:
                 case Confirmed(clock_ms):
-                    self._mark_answering(clock_ms)
-                    tracked.phase = Phase.CONFIRMED
-                    tracked.phase_since_poll = self._poll_number
-                    self._contact.record_start()
-                    self._wake.set()
-                    return True
+                    return self._record_confirmed_start(tracked, clock_ms, reading)
                 case Rejected(reason) if attempt == 0:
                     metrics.STARTS_UNCLEAR.labels(reason).inc()
                     self._log.warning(
@@ -442,6 +484,26 @@
                     )
         return False
 
+    def _record_confirmed_start(
+        self, tracked: TrackedRun, clock_ms: int, reading: ClockReading | None
+    ) -> bool:
+        """Record that a start was carried out; return whether that can be by this incarnation.
+
+        `reading` is the newest one of its clock before the order was sent.
+        """
+        now_ms = self._clock.now_ms()
+        tracked.is_proven = reading is not None and reading.identifies(clock_ms, now_ms)
+        if not tracked.is_proven:
+            self._lease.assume_foreign_order(now_ms)
+        if reading is not None and reading.excludes(clock_ms):
+            return False
+        self._mark_answering(clock_ms)
+        tracked.phase = Phase.CONFIRMED
+        tracked.phase_since_poll = self._poll_number
+        self._contact.record_start()
+        self._wake.set()
+        return True
+
     def _is_ruled_out(self, key: RunKey) -> bool:
         """Return whether no start order for a subtask may be sent to this worker now."""
         is_evacuated = self._listener.is_evacuated(self.incarnation.zone)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
@@ -32,6 +32,12 @@
     checkpoint: str = ""
     is_adopted: bool = False
     """Whether an earlier leader ordered the start, so that it had probably begun."""
+    is_proven: bool = False
+    """Whether this incarnation is known to have begun it.
+
+    A worker that has started again answers orders for its earlier incarnation, so a confirmed start
+    alone doesn't tell on which of them the run began.
+    """
 
     @property
     def may_not_have_begun(self) -> bool:
