Find jobs by the address that their callers know

What callers saw: a manifest replaced a route by one with the same host and prefix under another name. Each GET for a job at work was answered 410 from then on (LOST), a DELETE did not reach it and the same POST was answered 400.

Cause: a job was found by the name of its queue, which is the operator's. Callers address host, path and key.

Change: a job stores host and path and is found by them, for its state, for DELETE and for the same POST. Its service, regions and objective are those of the queue at its address; a queue's depth counts the jobs at its paths. Jobs that an earlier version accepted are known by their id.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -45,15 +45,21 @@
         id = _job_id_in(call.target.path, queue)
         if not id or call.job is None:
             return messages.Invalid(call.parse_error or "no id in the path")
-        known = self._ledger.jobs.get(id)
-        if known is not None:
-            return (
-                messages.Done()
-                if known.queue == queue.name
-                else messages.Invalid("id used in another queue")
-            )
+        if self._find_job(call.target, queue) is not None:
+            return messages.Done()
+        if id in self._ledger.jobs:
+            return messages.Invalid("id used in another queue")
         command = commands.AcceptJob(
-            id, queue.name, queue.service, team, queue.priority, queue.attempts, now_ms, call.job
+            id,
+            queue.name,
+            queue.service,
+            team,
+            queue.priority,
+            queue.attempts,
+            now_ms,
+            call.job,
+            call.target.host,
+            call.target.path,
         )
         result = await self._proposer.propose(command)
         if result.is_error():
@@ -79,10 +85,9 @@
         if not isinstance(found, tuple):
             return found
         queue, _ = found
-        id = _job_id_in(call.target.path, queue)
-        if not id:
+        if not _job_id_in(call.target.path, queue):
             return messages.QueueDepth(self._queue_depth(queue))
-        job = self._find_job(id, queue)
+        job = self._find_job(call.target, queue)
         if job is None:
             return messages.UnknownJob()
         reason = job.failure if job.is_failed and job.failure else UNSET
@@ -94,7 +99,7 @@
         if not isinstance(found, tuple):
             return found
         queue, _ = found
-        job = self._find_job(_job_id_in(call.target.path, queue), queue)
+        job = self._find_job(call.target, queue)
         if job is None:
             return messages.UnknownJob()
         if not job.is_over:
@@ -137,15 +142,24 @@
             return messages.InvalidApiKey()
         return queue, team.name if team is not None else ""
 
-    def _find_job(self, id: str, queue: Queue) -> Job | None:
-        job = self._ledger.jobs.get(id)
-        return job if job is not None and job.queue == queue.name else None
+    def _find_job(self, target: messages.CallTarget, queue: Queue) -> Job | None:
+        id = _job_id_in(target.path, queue)
+        return self._ledger.job_at(target.host, target.path, id, queue)
 
     def _queue_depth(self, queue: Queue) -> int:
         return sum(
             1
             for job in self._ledger.jobs.values()
-            if job.queue == queue.name and not job.has_started and not job.is_over
+            if not job.has_started and not job.is_over and self._is_in(job, queue)
+        )
+
+    def _is_in(self, job: Job, queue: Queue) -> bool:
+        """Return whether calls to a job's address select this queue."""
+        manifest = self._ledger.manifest
+        if not job.path or manifest is None:
+            return self._ledger.queue_of(job) == queue
+        return queue.has_path(job.host, job.path) and (
+            manifest.queue_for(job.host, job.path) == queue
         )
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -85,7 +85,10 @@
 
 
 class AcceptJob(Struct, frozen=True, tag="accept"):
-    """Accept a job; a second command with the same id changes nothing."""
+    """Accept a job; a second command with the same id changes nothing.
+
+    `host` and `path` are the address of the job, by which its callers know it.
+    """
 
     id: str
     queue: str
@@ -95,6 +98,8 @@
     attempts: int
     at_ms: int
     spec: JobSpec
+    host: str = ""
+    path: str = ""
 
 
 class CancelJob(Struct, frozen=True, tag="cancel"):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -88,6 +88,7 @@
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(State)
         self._wide_failures: WideFailures | None = None
+        self._ids_by_address: dict[tuple[str, str], str] = {}
 
     @property
     def manifest(self) -> Manifest | None:
@@ -105,8 +106,25 @@
         return self.state.workers
 
     def queue_of(self, job: Job) -> Queue | None:
-        """Return the queue of a job, or None if the manifest no longer names it."""
-        return self.manifest.queue_named(job.queue) if self.manifest is not None else None
+        """Return the queue of a job, or None if the manifest has none at its address any more."""
+        if self.manifest is None:
+            return None
+        return self.manifest.queue_of_job(job.queue, job.host, job.path)
+
+    def job_at(self, host: str, path: str, id: str, queue: Queue) -> Job | None:
+        """Return the job at an address, None if there is none.
+
+        `id` and `queue` are what the manifest in force makes of the address. They tell only for a
+        job without an address of its own: it is the one with this id, if it was accepted for a
+        queue of this name or its queue's name is in use no more.
+        """
+        known = self._ids_by_address.get((host, path))
+        if known is not None:
+            return self.jobs[known]
+        job = self.jobs.get(id)
+        if job is None or job.path:
+            return None
+        return job if self.queue_of(job) in (queue, None) else None
 
     def service_of(self, job: Job) -> str:
         """Return the service whose workers run a job: its queue's, else that of its acceptance."""
@@ -171,6 +189,9 @@
         """Replace the whole state by a snapshot."""
         self.state = self._decoder.decode(data)
         self._wide_failures = None
+        self._ids_by_address = {
+            (job.host, job.path): job.id for job in self.jobs.values() if job.path
+        }
 
     def _put_manifest(self, manifest: Manifest) -> bool:
         current = self.state.manifest
@@ -192,15 +213,20 @@
             attempts=command.attempts,
             accepted_ms=command.at_ms,
             spec=command.spec,
+            host=command.host,
+            path=command.path,
         )
         job.subtasks = {name: Subtask() for name in _subtask_names(command.spec)}
         self.jobs[job.id] = job
+        if job.path:
+            self._ids_by_address[job.host, job.path] = job.id
         return True
 
     def _drop_expired_jobs(self, now_ms: int) -> None:
         for job in list(self.jobs.values()):
             if job.is_over and not job.subtasks and now_ms - job.ended_ms > ENDED_JOB_RETENTION_MS:
                 del self.jobs[job.id]
+                self._ids_by_address.pop((job.host, job.path), None)
 
     def _cancel(self, id: str, at_ms: int) -> bool:
         job = self.jobs.get(id)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -140,7 +140,11 @@
 
 
 class Job(Struct):
-    """An accepted job. Subtasks have the key `OCCURRENCE.STEP.INDEX`, gangs `OCCURRENCE.STEP`."""
+    """An accepted job. Subtasks have the key `OCCURRENCE.STEP.INDEX`, gangs `OCCURRENCE.STEP`.
+
+    `queue` is the name that its queue had then. An operator may give the name to another queue, or
+    the queue another name, so callers know a job by its address.
+    """
 
     id: str
     queue: str
@@ -161,6 +165,9 @@
     """By subtask, the crashes of workers under it that may be its fault."""
     failure: str = ""
     """Why the job failed, for its caller."""
+    host: str = ""
+    path: str = ""
+    """The address that the job was submitted to; empty where an earlier version accepted it."""
 
     @property
     def is_over(self) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/manifest/manifest.py
+++ b/packages/agateferry-jobs/agateferry_jobs/manifest/manifest.py
@@ -26,6 +26,10 @@
     needs_ticket: bool = False
     allowed_regions: tuple[str, ...] = ()
 
+    def has_path(self, host: str, path: str) -> bool:
+        """Return whether an address is below this queue's host and prefix."""
+        return self.host == host and path.startswith(self.prefix)
+
 
 class Service(Struct, frozen=True):
     """A pool of workers; with `guards_capacity` they refuse runs that exceed their capacity."""
@@ -59,13 +63,27 @@
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue of this host with the longest matching path prefix."""
-        matching = [q for q in self._queues_by_host.get(host, ()) if path.startswith(q.prefix)]
+        matching = [q for q in self._queues_by_host.get(host, ()) if q.has_path(host, path)]
         return max(matching, key=lambda q: len(q.prefix), default=None)
 
     def queue_named(self, name: str) -> Queue | None:
         """Return the queue with this name."""
         return self._queues_by_name.get(name)
 
+    def queue_of_job(self, name: str, host: str, path: str) -> Queue | None:
+        """Return the queue of a job that was accepted as one of queue `name`, None if it has none.
+
+        That is the one at the job's address. A job of a version that stored no address has the
+        queue of that name.
+        """
+        named = self._queues_by_name.get(name)
+        if not path or (named is not None and named.has_path(host, path)):
+            return named
+        address = (host, path)
+        if address not in self._queues_by_address:
+            self._queues_by_address[address] = self.queue_for(host, path)
+        return self._queues_by_address[address]
+
     def team_of(self, key: str) -> Team | None:
         """Return the team that an API key belongs to."""
         return self._teams_by_key.get(key)
@@ -81,6 +99,11 @@
             by_host.setdefault(queue.host, []).append(queue)
         return by_host
 
+    @cached_property
+    def _queues_by_address(self) -> dict[tuple[str, str], Queue | None]:
+        """The queues that were found for jobs whose queue was renamed, moved or removed."""
+        return {}
+
     @cached_property
     def _queues_by_name(self) -> dict[str, Queue]:
         """The first queue of each name."""
