Refuse a job that was cancelled before it arrived

What callers saw: a DELETE was answered 410, and the job was accepted afterwards and ran to its end (UNASKED). Its POST was in the socket of an entry that stood still for 0.6 s; its caller had left and cancelled at another.

Cause: the answer to a DELETE is a promise about later submissions, and was given from the present state. In the record each job has one DELETE, answered 410, and starts only after the entry woke.

Change: a DELETE for an unknown job is committed by its address and the team of its key before it is answered. A submission by the same team is refused for the queue's timeout and 30 s, by whichever leader. Commands return typed results in place of booleans (test_ledger compares these).

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -10,12 +10,22 @@
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.ledger import Job, Ledger, commands
+from agateferry_jobs.ledger.cancellations import AcceptResult, CancelResult
 from agateferry_jobs.ledger.specs import declared_critical_path_ms
 from agateferry_jobs.manifest import Manifest, Queue
 
 NO_MANIFEST_RETRY_MS = 1_000
 """When to retry while the cell has no manifest; operators resend theirs about as often."""
 
+CANCELLATION_MS = 30_000
+"""How long a submission counts as cancelled that arrives after its cancellation was answered.
+
+The timeout of its queue is added. Hosts stand still for some seconds at a time, and a submission
+may have to wait for an entry and then for a leader.
+"""
+CANCELLATIONS_FULL_RETRY_MS = 5_000
+"""When to repeat a cancellation that cannot be stored; by then some others have expired."""
+
 
 class CallHandler:
     """Check each call against the manifest, commit its command and return the reply."""
@@ -64,6 +74,8 @@
         result = await self._proposer.propose(command)
         if result.is_error():
             return reply_for_error(result.error)
+        if result.ok is AcceptResult.CANCELLED:
+            return self._refuse_cancelled(call.target, team, now_ms)
         metrics.ACCEPTED.labels(str(queue.priority)).inc()
         self._log.info(
             events.JOB_ACCEPTED,
@@ -79,6 +91,12 @@
         self._request_planning()
         return messages.Done()
 
+    def _refuse_cancelled(
+        self, target: messages.CallTarget, team: str, now_ms: int
+    ) -> messages.Reply:
+        until_ms = self._ledger.cancelled_until_ms(target.host, target.path, team, now_ms)
+        return messages.Refused("cancelled before it arrived", max(1, (until_ms or 0) - now_ms))
+
     def get_status(self, call: messages.GetStatus) -> messages.Reply:
         """Return a job's state or, where the path has no id, how many jobs wait in the queue."""
         found = self._resolve_target(call.target)
@@ -94,21 +112,49 @@
         return messages.JobStatus(job.state, reason)
 
     async def cancel(self, call: messages.Cancel, now_ms: int) -> messages.Reply:
-        """Cancel a job; one that has ended stays as it is."""
+        """Cancel a job; one that has ended stays as it is.
+
+        Where no such job is known, its submission may still arrive, and is refused then.
+        """
         found = self._resolve_target(call.target)
         if not isinstance(found, tuple):
             return found
-        queue, _ = found
+        queue, team = found
+        id = _job_id_in(call.target.path, queue)
         job = self._find_job(call.target, queue)
-        if job is None:
+        if not id:
             return messages.UnknownJob()
-        if not job.is_over:
-            result = await self._proposer.propose(commands.CancelJob(job.id, now_ms))
-            if result.is_error():
-                return reply_for_error(result.error)
-            self._log.info(events.JOB_CANCELLED, job=job.id, had_started=job.has_started)
-            self._request_planning()
-        return messages.Done()
+        if job is not None and job.is_over:
+            return messages.Done()
+        command = commands.CancelJob(id, now_ms)
+        if job is None or job.path:
+            command = commands.CancelJob(
+                id,
+                now_ms,
+                call.target.host,
+                call.target.path,
+                team,
+                until_ms=now_ms + queue.timeout_ms + CANCELLATION_MS,
+            )
+        result = await self._proposer.propose(command)
+        if result.is_error():
+            return reply_for_error(result.error)
+        return self._reply_to_cancel(result.ok, self._find_job(call.target, queue), id, team)
+
+    def _reply_to_cancel(
+        self, result: CancelResult, job: Job | None, id: str, team: str
+    ) -> messages.Reply:
+        match result:
+            case CancelResult.CANCELLED:
+                had_started = job is not None and job.has_started
+                self._log.info(events.JOB_CANCELLED, job=id, had_started=had_started)
+                self._request_planning()
+                return messages.Done()
+            case CancelResult.AWAITED:
+                return messages.UnknownJob()
+            case CancelResult.FULL:
+                self._log.warning(events.CANCELLATIONS_FULL, team=team, job=id)
+                return messages.Refused("too many cancellations", CANCELLATIONS_FULL_RETRY_MS)
 
     async def install(self, manifest: Manifest) -> messages.Reply:
         """Put a manifest in force; one that is not newer is acknowledged and changes nothing."""
--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -11,6 +11,11 @@
 JOB_CANCELLED = Event(
     7312, "job cancelled", "Nothing to do; 7322 follows for each run of the job that is active."
 )
+CANCELLATIONS_FULL = Event(
+    7317,
+    "cancellation refused, since its team has too many of jobs that have not arrived",
+    "Nothing to do unless it lasts; then find who cancels jobs that were never submitted.",
+)
 JOB_ENDED = Event(7313, "job ended", "If the state is failed, see why its runs ended in 7321.")
 JOB_GIVEN_UP = Event(
     7314,
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -87,6 +87,7 @@
 class AcceptJob(Struct, frozen=True, tag="accept"):
     """Accept a job; a second command with the same id changes nothing.
 
+    The result is an `AcceptResult`.
     `host` and `path` are the address of the job, by which its callers know it.
     """
 
@@ -103,10 +104,18 @@
 
 
 class CancelJob(Struct, frozen=True, tag="cancel"):
-    """Cancel a job at its caller's request."""
+    """Cancel a job at its caller's request; the result is a `CancelResult`.
+
+    With `path` it is the job at this address, whatever its id. If none is known, a submission of
+    `team` to the address counts as cancelled until `until_ms`.
+    """
 
     id: str
     at_ms: int
+    host: str = ""
+    path: str = ""
+    team: str = ""
+    until_ms: int = 0
 
 
 class NoteWorker(Struct, frozen=True, tag="worker"):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -13,6 +13,14 @@
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import commands, events
+from agateferry_jobs.ledger.cancellations import (
+    AcceptResult,
+    Cancellations,
+    CancelResult,
+    cancelled_until_ms,
+    drop_expired,
+    store_cancellation,
+)
 from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.ledger.crashes import (
     WideFailures,
@@ -75,6 +83,8 @@
     """The jobs that were given up of late, in order of time."""
     evacuations: dict[str, Evacuation] = field(default_factory=dict)
     """The evacuated zones."""
+    cancellations: Cancellations = field(default_factory=dict)
+    """The cancellations of jobs that have not arrived."""
     evacuation_revisions: dict[str, int] = field(default_factory=dict)
     """The revision of each zone, which counts the commands that evacuated or readmitted it."""
 
@@ -161,8 +171,8 @@
                 return self._put_manifest(manifest)
             case commands.AcceptJob() as accepted:
                 return self._accept(accepted)
-            case commands.CancelJob(id, at_ms):
-                return self._cancel(id, at_ms)
+            case commands.CancelJob() as cancelled:
+                return self._cancel(cancelled)
             case commands.NoteWorker() as note:
                 return self._note_worker(note)
             case commands.StartRuns(starts, at_ms):
@@ -200,10 +210,18 @@
         self.state.manifest = manifest
         return True
 
-    def _accept(self, command: commands.AcceptJob) -> bool:
+    def cancelled_until_ms(self, host: str, path: str, team: str, at_ms: int) -> int | None:
+        """Return until when a submission counts as cancelled, None if it doesn't."""
+        return cancelled_until_ms(self.state.cancellations, team, host + path, at_ms)
+
+    def _accept(self, command: commands.AcceptJob) -> AcceptResult:
         if command.id in self.jobs:
-            return False
-        self._drop_expired_jobs(command.at_ms)
+            return AcceptResult.KNOWN
+        host, path, at_ms = command.host, command.path, command.at_ms
+        if self.cancelled_until_ms(host, path, command.team, at_ms) is not None:
+            return AcceptResult.CANCELLED
+        drop_expired(self.state.cancellations, at_ms)
+        self._drop_expired_jobs(at_ms)
         job = Job(
             id=command.id,
             queue=command.queue,
@@ -220,7 +238,7 @@
         self.jobs[job.id] = job
         if job.path:
             self._ids_by_address[job.host, job.path] = job.id
-        return True
+        return AcceptResult.ACCEPTED
 
     def _drop_expired_jobs(self, now_ms: int) -> None:
         for job in list(self.jobs.values()):
@@ -228,15 +246,18 @@
                 del self.jobs[job.id]
                 self._ids_by_address.pop((job.host, job.path), None)
 
-    def _cancel(self, id: str, at_ms: int) -> bool:
-        job = self.jobs.get(id)
+    def _cancel(self, command: commands.CancelJob) -> CancelResult:
+        id, host, path = command.id, command.host, command.path
+        job = self.jobs.get(self._ids_by_address.get((host, path), "") if path else id)
         if job is None:
-            return False
+            return store_cancellation(
+                self.state.cancellations, command.team, host + path, command.until_ms, command.at_ms
+            )
         if not job.is_over:
             job.is_cancelled = True
-            job.ended_ms = at_ms
+            job.ended_ms = command.at_ms
             drop_inactive_subtasks(job)
-        return True
+        return CancelResult.CANCELLED
 
     def largest_capacity(self, worker: WorkerIncarnation) -> Resources:
         """Return the largest capacity that an incarnation has reported."""
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
@@ -2,6 +2,7 @@
 import testtools
 
 from agateferry_jobs.ledger import JobState, Ledger, Run, WorkerState, commands
+from agateferry_jobs.ledger.cancellations import AcceptResult
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.support import job_command, manifest, start_of, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
@@ -29,8 +30,8 @@
 
 class JobTests(LedgerCase):
     def test_a_job_submitted_twice_is_one_job(self):
-        self.assertTrue(self.apply(job_command("j")))
-        self.assertFalse(self.apply(job_command("j")))
+        self.assertEqual(AcceptResult.ACCEPTED, self.apply(job_command("j")))
+        self.assertEqual(AcceptResult.KNOWN, self.apply(job_command("j")))
         self.assertEqual(JobState.QUEUED, self.ledger.jobs["j"].state)
 
     def test_completes_when_all_subtasks_are_done(self):
