Count a run with an unanswered order as one that may begin after a restart

What callers could see: the same as in the fault of restarted workers, a subtask that runs twice.

A first copy of a start order without an answer may still come when the second one was confirmed, its run listed and its worker has started again; the new incarnation has no fencing token yet. A new leader doesn't know which orders of the earlier one were answered.

Change: such runs stay placed until the session with the new incarnation settles them. The removal of a draining worker ends its runs at once, as before: it gets no orders while it drains.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_restarted_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_restarted_workers.py
@@ -216,6 +216,26 @@
 
         self.check(scenario)
 
+    def test_an_unanswered_copy_of_an_order_that_is_carried_out_after_the_restart(self):
+        """The second copy was confirmed and its run listed, so the run was lost at the restart."""
+
+        async def scenario():
+            self.workers["w1"].orders_to_lose = 1
+            await self.submit()
+            await self.until(lambda: KEY in self.workers["w1"].running, "the second copy's run")
+            await asyncio.sleep(0.5)
+            (copy,) = self.workers["w1"].delayed_orders
+            self.workers["w1"].is_unreachable = True
+            self.boot("w1", born=2, reports=False)
+            self.boot("w2", born=3, uptime_ms=60_000)
+            await self.heartbeat("w2")
+            self.workers["w1"].execute(copy)
+            await asyncio.sleep(FIRST_REPORT_S)
+            self.reporting.add("w1")
+            await self.finish()
+
+        self.check(scenario)
+
     def test_a_new_leader_asks_the_new_incarnation_for_runs_ordered_by_the_one_before(self):
         async def scenario():
             await self.start_on_the_new_incarnation()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -120,7 +120,7 @@
         if incarnation.state is WorkerState.READY and session is not None:
             self._hooks.spawn(self._deregister_unless_present(session))
             return messages.Done()
-        if not await self._deregister(incarnation, LossCause.LEFT, may_have_restarted=True):
+        if not await self._deregister(incarnation, LossCause.LEFT):
             return messages.OutcomeUnknown("not stored")
         return messages.Done()
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -178,6 +178,7 @@
             self._poll_number,
             last_progress_ms=self._clock.now_ms(),
             is_adopted=True,
+            has_open_order=True,
         )
         self._wake.set()
 
@@ -255,12 +256,12 @@
         """Return ends, as lost, of all tracked runs, once the worker can no longer report them.
 
         If it may have started again under its id, these are the runs that this incarnation is known
-        to have begun; the others may have begun on the new one.
+        to have begun and whose orders are all answered; others may begin on the new one.
         """
         return tuple(
             run_lost(key, tracked, cause)
             for key, tracked in self.runs.items()
-            if tracked.is_proven or not may_have_restarted
+            if tracked.is_lost_with_incarnation or not may_have_restarted
         )
 
     def forget(self, key: RunKey, run: Run) -> None:
@@ -478,6 +479,7 @@
                     self._pause_starts(reason)
                     return await self._end_as_refused(key, tracked)
                 case _:
+                    tracked.has_open_order |= isinstance(answer, NoAnswer)
                     metrics.STARTS_UNCLEAR.labels(answer.label).inc()
                     self._log.warning(
                         events.START_UNCERTAIN, job=key[0], subtask=key[1], detail=str(answer)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
@@ -39,6 +39,17 @@
     alone doesn't tell on which of them the run began.
     """
 
+    has_open_order: bool = False
+    """Whether a start order may still be carried out: it had no answer, or its leader is unknown.
+
+    The network may hold an order up for longer than its worker takes to start again.
+    """
+
+    @property
+    def is_lost_with_incarnation(self) -> bool:
+        """Return whether the run has ended with its incarnation, and can't begin on the next."""
+        return self.is_proven and not self.has_open_order
+
     @property
     def may_not_have_begun(self) -> bool:
         """Return whether it is open if the run has begun."""
