Check the addresses of workers in the own interface too

What callers could see: an attempt on a worker with an address such as "..:80" ended with an unexpected error.

A checkpoint step beyond 64 bits could not be sent to the leader.

Change: heartbeats with another address than a host and a port are rejected; a call to one that was stored counts as never sent, since nothing was. Checkpoint steps are limited.

--- a/packages/agateferry-service/agateferry_service/dispatch/client.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/client.py
@@ -182,6 +182,9 @@
             return Error(WorkerError(WorkerErrorKind.UNREACHED, detail=str(exc)))
         except aiohttp.ClientPayloadError as exc:
             return Error(WorkerError(WorkerErrorKind.GARBLED, detail=str(exc)))
+        except ValueError as exc:
+            # No worker has such an address, so nothing was sent. Earlier versions stored some.
+            return Error(WorkerError(WorkerErrorKind.UNREACHED, detail=str(exc)))
         except (TimeoutError, aiohttp.ClientError, OSError) as exc:
             return Error(WorkerError(WorkerErrorKind.SILENT, detail=str(exc) or "no reply"))
 
--- a/packages/agateferry-service/agateferry_service/dispatch/tests/test_client.py
+++ b/packages/agateferry-service/agateferry_service/dispatch/tests/test_client.py
@@ -3,7 +3,9 @@
 
 import testtools
 
-from agateferry_service.dispatch.client import parse_reply
+from agateferry_core.metrics import Metrics
+from agateferry_core.support import run_async
+from agateferry_service.dispatch.client import WorkerClient, parse_reply
 from agateferry_service.dispatch.messages import LeaseState, WorkerErrorKind
 
 
@@ -48,3 +50,19 @@
         self.assertEqual(WorkerErrorKind.REFUSED, self.parse_error(b"{}", 503))
         for status in (500, 502, 504):
             self.assertEqual(WorkerErrorKind.GARBLED, self.parse_error(b"{}", status))
+
+
+class OddAddressTests(testtools.TestCase):
+    def test_a_call_to_an_address_that_no_worker_has_was_never_sent(self):
+        """The error of the HTTP client ended the attempt that made the call."""
+
+        async def main():
+            client = WorkerClient(Metrics())
+            try:
+                for address in ("..:80", "x" * 70 + ".invalid:80", "a b:80", "host:99999"):
+                    error = (await client.get_lease(address, "z.1.1.0")).error
+                    self.assertEqual(WorkerErrorKind.UNREACHED, error.kind, address)
+            finally:
+                await client.close()
+
+        run_async(main())
--- a/packages/agateferry-service/agateferry_service/endpoints/app.py
+++ b/packages/agateferry-service/agateferry_service/endpoints/app.py
@@ -1,8 +1,9 @@
 """The HTTP application of the endpoints' port, where workers send heartbeats."""
 
+import re
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, field_validator
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
@@ -19,10 +20,15 @@
 
 CALL_TIMEOUT_MS = 1_500
 MAX_LEASES = 10_000
+MAX_STEP = 2**53
 MAX_NAME_CHARS = 63
 
 Name = Annotated[str, Field(min_length=1, max_length=MAX_NAME_CHARS)]
 Count = Annotated[int, Field(ge=0, le=1_000_000_000)]
+MAX_PORT = 65_535
+LABEL = "[A-Za-z0-9](?:[A-Za-z0-9-]*[A-Za-z0-9])?"
+ADDRESS = re.compile(rf"(?:{LABEL}(?:\.{LABEL})*|\[[0-9A-Fa-f:.]+\]):([0-9]{{1,5}})")
+"""An IP address or host name and a port; an IPv6 address is in brackets."""
 
 
 class UsageBody(BaseModel):
@@ -43,7 +49,7 @@
     lease: Annotated[str, Field(max_length=200)]
     state: Literal["reserved", "running", "finished", "failed", "stopped"]
     progress: float = Field(default=0.0, ge=0.0, le=1.0)
-    checkpoint_step: int | None = None
+    checkpoint_step: Annotated[int, Field(ge=-MAX_STEP, le=MAX_STEP)] | None = None
 
 
 class AnnounceBody(BaseModel):
@@ -65,6 +71,15 @@
     usage: UsageBody = UsageBody()
     leases: Annotated[list[LeaseBody], Field(max_length=MAX_LEASES)] = []
 
+    @field_validator("address")
+    @classmethod
+    def check_address(cls, address: str) -> str:
+        """Reject an address that no worker can have, since orders are sent to it."""
+        found = ADDRESS.fullmatch(address)
+        if found is None or not 0 < int(found[1]) <= MAX_PORT:
+            raise ValueError("not a host and a port from 1 to 65535")
+        return address
+
 
 class EndpointsApp:
     """Receive workers' heartbeats and forward them to the leader of the zone."""
