Bound the replicated log by bytes as well as by entries

What callers saw: after some 700 changes of a manifest of 1,400 routes each host outgrew its memory, was killed again after each start, and nothing acknowledged could be read (CONFIG, LOST).

With 9 routes the same changes take 20 MB.

--- a/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_node.py
@@ -138,6 +138,30 @@
 
         run_async(main())
 
+    def test_the_log_keeps_a_limited_size_however_few_its_entries_are(self):
+        """Some hundred large manifests filled the memory, and again at each start."""
+
+        async def main():
+            limits = {"snapshot_every_bytes": 100_000, "trailing_bytes": 40_000}
+            (host,) = self.make_hosts([True], **limits)
+            async with self.running_group([host]):
+                commands = [b"%d" % n * 10_000 for n in range(60)]
+                for command in commands:
+                    self.assertTrue((await host.replica.propose(command)).is_ok())
+                    log = host.replica._driver.core._state.log
+                    kept_bytes = log.bytes_between(1, log.last_index)
+                    state_bytes = log.snapshot.meta.size if log.snapshot is not None else 0
+                    limit_bytes = max(100_000, state_bytes) + 40_000 + 2 * len(commands[-1])
+                    self.assertLess(kept_bytes, limit_bytes)
+                self.assertGreater(log.base_index, 30)
+                await host.kill()
+                await host.start()
+                await self.wait_for_leader([host])
+                self.assertEqual(commands, host.machine.commands)
+                await host.stop()
+
+        run_async(main())
+
     def test_failing_proposals_of_older_terms_keeps_those_of_the_own_term(self):
         async def main():
             (host,) = self.make_hosts([True])
--- a/packages/agateferry-state/agateferry_state/replication/log.py
+++ b/packages/agateferry-state/agateferry_state/replication/log.py
@@ -1,7 +1,7 @@
 """The in-memory log: its entries, what is durable, and the members that it sets."""
 
 from collections import deque
-from itertools import pairwise
+from itertools import accumulate, pairwise
 
 from agateferry_state.members import Members
 from agateferry_state.replication.messages import (
@@ -25,6 +25,9 @@
         self.base_index = 0
         self.base_term = 0
         self._entries: list[LogEntry] = []
+        self._end_bytes: list[int] = []
+        """For each entry, the size of all entries up to it that were ever added."""
+        self._added_bytes = 0
         self._members: list[tuple[int, Members]] = []
         self._reset_to(snapshot)
         self._next_write_id = 1
@@ -82,6 +85,11 @@
         """Return the entries from `first` to `last`, both included."""
         return tuple(self._entries[first - self.base_index - 1 : last - self.base_index])
 
+    def bytes_between(self, first: int, last: int) -> int:
+        """Return the size of the entries from `first` to `last`, as far as the log holds them."""
+        first = max(first, self.base_index + 1)
+        return self._bytes_through(last) - self._bytes_through(first - 1) if first <= last else 0
+
     def batch(self, first: int, max_entries: int, max_bytes: int) -> tuple[LogEntry, ...]:
         """Return entries from `first` on, within the limits.
 
@@ -117,6 +125,8 @@
     def truncate(self, from_index: int) -> TruncateLog:
         """Remove the entry at `from_index` and all after it."""
         del self._entries[from_index - self.base_index - 1 :]
+        del self._end_bytes[from_index - self.base_index - 1 :]
+        self._added_bytes = self._end_bytes[-1] if self._end_bytes else self._added_bytes
         self._members = [(i, m) for i, m in self._members if i < from_index]
         self._writes = deque((w, min(i, from_index - 1)) for w, i in self._writes)
         self.synced_index = min(self.synced_index, from_index - 1)
@@ -127,13 +137,20 @@
         while self._writes and self._writes[0][0] <= write_id:
             self.synced_index = self._writes.popleft()[1]
 
-    def compact(self, snapshot: Snapshot, trailing_entries: int) -> None:
-        """Drop the entries that a durable snapshot covers, except the last `trailing_entries`."""
+    def compact(self, snapshot: Snapshot, trailing_entries: int, trailing_bytes: int) -> None:
+        """Drop the entries that a durable snapshot covers.
+
+        Of the last ones at most `trailing_entries` with at most `trailing_bytes` are kept.
+        """
         self.snapshot = snapshot
-        new_base = max(self.base_index, snapshot.meta.index - trailing_entries)
+        end = snapshot.meta.index
+        new_base = max(self.base_index, end - trailing_entries)
+        while self.bytes_between(new_base + 1, end) > trailing_bytes:
+            new_base += 1
         base_term = self.term_at(new_base)
         members = self.members_at(new_base)
         del self._entries[: new_base - self.base_index]
+        del self._end_bytes[: new_base - self.base_index]
         self._members = [(new_base, members)] + [p for p in self._members if p[0] > new_base]
         self.base_index, self.base_term = new_base, base_term or 0
 
@@ -148,15 +165,27 @@
         self.base_index = snapshot.meta.index if snapshot else 0
         self.base_term = snapshot.meta.term if snapshot else 0
         self._entries = []
+        self._end_bytes = []
         members = snapshot.meta.members if snapshot else Members()
         self._members = [(self.base_index, members)]
 
     def _extend(self, entries: tuple[LogEntry, ...]) -> None:
         self._entries.extend(entries)
+        sizes = accumulate((len(entry.data) for entry in entries), initial=self._added_bytes)
+        self._end_bytes.extend(list(sizes)[1:])
+        self._added_bytes = self._end_bytes[-1] if self._end_bytes else self._added_bytes
         for entry in entries:
             if entry.kind is EntryKind.MEMBERS:
                 self._members.append((entry.index, Members.decode(entry.data)))
 
+    def _bytes_through(self, index: int) -> int:
+        """Return the size of all entries up to `index` that were ever added and not truncated."""
+        position = index - self.base_index - 1
+        if position >= 0:
+            return self._end_bytes[position]
+        first = self._entries[0] if self._entries else None
+        return self._end_bytes[0] - len(first.data) if first is not None else self._added_bytes
+
     def _allocate_write_id(self, last_index: int) -> int:
         write_id = self._next_write_id
         self._next_write_id += 1
--- a/packages/agateferry-state/agateferry_state/replication/settings.py
+++ b/packages/agateferry-state/agateferry_state/replication/settings.py
@@ -32,7 +32,13 @@
     """With this many entries appended but not applied, the leader rejects proposals as busy."""
     snapshot_chunk_bytes: int = 256 * 1024
     snapshot_every_entries: int = 4096
+    snapshot_every_bytes: int = 16 * 1024 * 1024
+    """A snapshot is due once entries of this size were applied, however few they are.
+
+    Entries differ in size by a factor of a thousand: a large manifest has some 0.5 MB.
+    """
     trailing_entries: int = 1024
+    trailing_bytes: int = 4 * 1024 * 1024
     """Entries kept before a snapshot's end, so that a follower just behind needs no snapshot."""
 
     may_bootstrap: bool = True
--- a/packages/agateferry-state/agateferry_state/replication/snapshots.py
+++ b/packages/agateferry-state/agateferry_state/replication/snapshots.py
@@ -25,11 +25,14 @@
 
 
 def request_if_due(state: State) -> None:
-    """Request a snapshot once `snapshot_every_entries` were applied since the last one."""
+    """Request a snapshot once enough entries, or entries of enough bytes, were applied since."""
     newest = state.log.snapshot.meta.index if state.log.snapshot else 0
     newest = max(newest, state.snapshot_requested_index)
     index = state.applied_index
-    if index - newest < state.settings.snapshot_every_entries:
+    if index <= newest:
+        return
+    is_due = index - newest >= state.settings.snapshot_every_entries
+    if not is_due and not _has_grown(state, newest, index):
         return
     state.snapshot_requested_index = index
     term = state.log.term_at(index) or 0
@@ -49,10 +52,25 @@
         size=len(event.data),
         checksum=zlib.crc32(event.data),
     )
-    state.log.compact(Snapshot(meta, event.data), state.settings.trailing_entries)
+    settings = state.settings
+    state.log.compact(
+        Snapshot(meta, event.data), settings.trailing_entries, settings.trailing_bytes
+    )
     state.emit(CompactLog(event.index))
 
 
+def _has_grown(state: State, newest: int, index: int) -> bool:
+    """Return whether the entries applied since the newest snapshot are large.
+
+    They have to be as large as that snapshot too: of a large state one is not taken all the time.
+    """
+    snapshot = state.log.snapshot
+    limit_bytes = max(
+        state.settings.snapshot_every_bytes, snapshot.meta.size if snapshot is not None else 0
+    )
+    return state.log.bytes_between(newest + 1, index) >= limit_bytes
+
+
 def is_needed(state: State, progress: Progress) -> bool:
     """Return whether a peer needs a snapshot, because the log no longer holds its next entry.
 
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_core.py
@@ -268,9 +268,14 @@
 
 class SnapshotTransferTests(testtools.TestCase):
     def test_a_transfer_survives_the_loss_of_either_side(self):
-        settings = {"snapshot_every_entries": 10, "trailing_entries": 2, "snapshot_chunk_bytes": 64}
+        self.check_transfers(snapshot_every_entries=10, trailing_entries=2)
+
+    def test_a_transfer_of_a_log_that_is_compacted_by_size_survives_it_too(self):
+        self.check_transfers(snapshot_every_bytes=100, trailing_bytes=20)
+
+    def check_transfers(self, **settings):
         for seed in range(SEEDS // 5):
-            cluster = Cluster(seed, **settings)
+            cluster = Cluster(seed, snapshot_chunk_bytes=64, **settings)
             cluster.run_clients(6000, every=60)
             cluster.run_until(2500)
             name = next(n for n in sorted(cluster.hosts) if n != cluster.leader())
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_log.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_log.py
@@ -47,10 +47,31 @@
     def test_compaction_keeps_some_entries_and_the_members(self):
         log = Log(None, (LogEntry(1, 1, EntryKind.MEMBERS, MEMBERS.encode()),))
         log.append(entries(1, 1, 2, 2, first=2))
-        log.compact(snapshot(4, 2), trailing_entries=2)
+        log.compact(snapshot(4, 2), trailing_entries=2, trailing_bytes=1000)
         self.assertEqual((2, 1, 5), (log.base_index, log.base_term, log.last_index))
         self.assertEqual(MEMBERS, log.members)
 
+    def test_compaction_keeps_entries_of_a_limited_size(self):
+        """The log kept a thousand entries, however large they were, and outgrew the memory."""
+        for trailing_bytes, base_index in ((0, 5), (9, 5), (10, 4), (25, 3), (30, 2), (100, 2)):
+            log = Log(None, (LogEntry(1, 1, EntryKind.MEMBERS, MEMBERS.encode()),))
+            log.append(entries(1, 1, 1, 1, 1, 1, first=2))
+            log.compact(snapshot(5, 1), trailing_entries=3, trailing_bytes=trailing_bytes)
+            self.assertEqual((base_index, 7), (log.base_index, log.last_index))
+            self.assertEqual(20, log.bytes_between(6, 7))
+
+    def test_sizes_follow_truncation_and_compaction(self):
+        log = Log(None, entries(1, 1, 1, 1))
+        log.truncate(3)
+        log.append(entries(2, 2, 2, first=3))
+        self.assertEqual(50, log.bytes_between(1, 5))
+        log.compact(snapshot(4, 2), trailing_entries=1, trailing_bytes=1000)
+        self.assertEqual((20, 10), (log.bytes_between(1, 5), log.bytes_between(5, 5)))
+        log.truncate(4)
+        log.append(entries(3, first=4))
+        self.assertEqual(10, log.bytes_between(1, 4))
+        self.assertEqual(0, log.bytes_between(5, 4))
+
     def test_stored_entries_must_follow_the_snapshot(self):
         with testtools.ExpectedException(ValueError):
             Log(snapshot(5, 3), entries(3, first=8))
