--- a/packages/agateferry-state/agateferry_state/journal/journal.py
+++ b/packages/agateferry-state/agateferry_state/journal/journal.py
@@ -180,6 +180,7 @@
             return self._initialize(incarnation())
         content = read_folder(self._files, self._folder)
         write_atomically(self._files, self._folder / VOTE_NAME, encode_vote(content.vote))
+        self._remove(content.leftover_segments)
         self._resume(content)
         return Recovered(
             incarnation=content.incarnation,
@@ -271,12 +272,23 @@
         write_atomically(self._files, path, encode_snapshot(snapshot))
 
     def _compact(self, index: int) -> None:
+        """Remove the files that the snapshot at `index` covers.
+
+        Until the folder is synced, a loss of power may undo each removal or not, by itself.
+        """
+        removed: list[Path] = []
         while len(self._segments) > 1 and self._segments[1].base.index <= index:
-            self._files.remove(segment_path(self._folder, self._segments[0].number))
-            del self._segments[0]
+            removed.append(segment_path(self._folder, self._segments.pop(0).number))
         for snapshot_index in file_numbers(self._files, self._folder, SNAPSHOT_PREFIX):
             if snapshot_index < index:
-                self._files.remove(snapshot_path(self._folder, snapshot_index))
+                removed.append(snapshot_path(self._folder, snapshot_index))
+        self._remove(removed)
+
+    def _remove(self, paths: Sequence[Path]) -> None:
+        for path in paths:
+            self._files.remove(path)
+        if paths:
+            self._files.sync_folder(self._folder)
 
 
 def _to_journal_error(exc: OSError, operation: str = "") -> JournalError:
--- a/packages/agateferry-state/agateferry_state/journal/recovery.py
+++ b/packages/agateferry-state/agateferry_state/journal/recovery.py
@@ -45,6 +45,7 @@
     `tail` are the valid frames of the newest segment. `is_log_stale` is true if the log does not
     contain the position of the snapshot, as after a crash while a leader's snapshot was being
     installed; then the log is dropped and a new one starts right after the snapshot.
+    `leftover_segments` are files that the snapshot covers, whose removal a loss of power undid.
     """
 
     incarnation: str
@@ -55,6 +56,7 @@
     tail: bytes = b""
     cut_bytes: int = 0
     is_log_stale: bool = False
+    leftover_segments: list[Path] = field(default_factory=list)
 
 
 def segment_path(folder: Path, number: int) -> Path:
@@ -128,18 +130,10 @@
 
 
 def _read_log(files: Files, folder: Path, folder_content: FolderContent) -> None:
-    segment_numbers = file_numbers(files, folder, SEGMENT_PREFIX)
-    if not segment_numbers or segment_numbers != list(
-        range(segment_numbers[0], segment_numbers[-1] + 1)
-    ):
-        raise CorruptionError("a segment file is missing")
+    segment_numbers = _needed_segments(files, folder, folder_content)
     replay: Replay | None = None
     for number in segment_numbers:
-        path = segment_path(folder, number)
-        content = files.read(path)
-        scan = scan_frames(content)
-        _check_segment(path.name, scan, is_last=number == segment_numbers[-1])
-        base = decode_base(scan.payloads[0])
+        content, scan, base = _read_segment(files, folder, number, number == segment_numbers[-1])
         replay = replay or Replay(base)
         replay.restart_at(base)
         _add_batches(replay, scan.payloads[1:])
@@ -150,6 +144,39 @@
     _keep_records_after_snapshot(folder_content, replay)
 
 
+def _needed_segments(files: Files, folder: Path, folder_content: FolderContent) -> list[int]:
+    """Return the numbers of the newest segments, back to one that begins within the snapshot.
+
+    Older ones are leftovers: the removals of a compaction are undone one by one by a loss of power,
+    so there may be gaps between them. A gap among the needed ones raises CorruptionError.
+    """
+    numbers = file_numbers(files, folder, SEGMENT_PREFIX)
+    snapshot = folder_content.snapshot
+    covered_index = snapshot.index if snapshot is not None else 0
+    needed: list[int] = []
+    for number in reversed(numbers):
+        if needed and number != needed[0] - 1:
+            break
+        needed.insert(0, number)
+        _, _, base = _read_segment(files, folder, number, number == numbers[-1])
+        if base.index <= covered_index:
+            older = numbers[: -len(needed)]
+            folder_content.leftover_segments = [segment_path(folder, each) for each in older]
+            return needed
+    raise CorruptionError("a segment file is missing")
+
+
+def _read_segment(
+    files: Files, folder: Path, number: int, is_last: bool
+) -> tuple[bytes, Scan, LogPosition]:
+    """Return the content of a segment, its frames and its base."""
+    path = segment_path(folder, number)
+    content = files.read(path)
+    scan = scan_frames(content)
+    _check_segment(path.name, scan, is_last)
+    return content, scan, decode_base(scan.payloads[0])
+
+
 def _check_segment(name: str, scan: Scan, is_last: bool) -> None:
     if scan.corruption:
         raise CorruptionError(f"{name}: {scan.corruption}")
--- a/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
+++ b/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
@@ -330,3 +330,86 @@
         files.fail["sync"] = errno.ENOSPC
         self.assertEqual(JournalErrorKind.DISK_FULL, Journal.open(self.folder, files).error.kind)
         self.open()
+
+
+class UndoneRemovalFiles(OsFiles):
+    """Keep a copy of what is removed, and the copies that the last sync of the folder let go."""
+
+    def __init__(self):
+        self.removed = {}
+        self.steps = []
+
+    def remove(self, path):
+        self.removed[path] = path.read_bytes()
+        super().remove(path)
+        self.steps.append(dict(self.removed))
+
+    def sync_folder(self, folder):
+        super().sync_folder(folder)
+        self.removed.clear()
+
+
+class LostRemovalTests(JournalTestCase):
+    """After a loss of power some removed segments were back, and the host took no part any more."""
+
+    def subsets(self, paths):
+        for mask in range(2 ** len(paths)):
+            yield [path for bit, path in enumerate(paths) if mask >> bit & 1]
+
+    def compact(self):
+        """Compact a log of several segments; return the journal's files."""
+        files = UndoneRemovalFiles()
+        journal, _ = self.open(files, segment_bytes=100)
+        self.write(journal, *[records(n, n) for n in range(1, 31)])
+        self.assertTrue(journal.save_snapshot(Snapshot(8, 1, b"old")).is_ok())
+        files.steps.clear()
+        self.assertTrue(journal.save_snapshot(Snapshot(21, 1, b"state")).is_ok())
+        journal.close()
+        self.assertEqual({}, files.removed)
+        return files
+
+    def test_recovers_whichever_removals_are_undone(self):
+        files = self.compact()
+        final = {path: path.read_bytes() for path in self.folder.iterdir()}
+        removed = files.steps[-1]
+        self.assertGreater(len(removed), 4)
+        for undone in self.subsets(sorted(removed)):
+            for path in self.folder.iterdir():
+                path.unlink()
+            for path, content in final.items():
+                path.write_bytes(content)
+            for path in undone:
+                path.write_bytes(removed[path])
+            journal, recovered = self.open()
+            self.assertEqual((21, b"state"), (recovered.snapshot.index, recovered.snapshot.data))
+            self.assertEqual(tuple(records(22, 30)), recovered.records)
+            self.write(journal, records(31, 31))
+            journal, recovered = self.reopen(journal)
+            self.assertEqual(tuple(records(22, 31)), recovered.records)
+            journal.close()
+            left = [path for path in self.folder.glob("segment-*") if path in removed]
+            self.assertEqual([], left)
+
+    def test_recovers_from_each_step_of_a_compaction(self):
+        files = self.compact()
+        for step in files.steps:
+            restored = [path for path in files.steps[-1] if path not in step]
+            for path in restored:
+                path.write_bytes(files.steps[-1][path])
+            journal, recovered = self.open()
+            journal.close()
+            self.assertEqual(tuple(records(22, 30)), recovered.records)
+
+    def test_a_gap_among_segments_that_are_needed_is_no_leftover(self):
+        self.compact()
+        needed = sorted(self.folder.glob("segment-*"))
+        self.assertGreater(len(needed), 2)
+        needed[1].unlink()
+        self.assertEqual(JournalErrorKind.LOST_DISK, self.open_error_kind())
+
+    def test_without_a_snapshot_each_segment_is_needed(self):
+        journal, _ = self.open(segment_bytes=100)
+        self.write(journal, *[records(n, n) for n in range(1, 20)])
+        journal.close()
+        sorted(self.folder.glob("segment-*"))[0].unlink()
+        self.assertEqual(JournalErrorKind.LOST_DISK, self.open_error_kind())
