End a proposal whose place in the log is given to another

What callers could see: a call that never ends, and the plan loop of a host that stands still. Found by the review by reading; not brought about.

Cause: PendingProposals.accept overwrote a proposal that waits under the same index, which happens where a leader loses and regains its place with a shorter log within the second before older proposals fail.

Change: the earlier proposal ends as unknown, since a later leader may still have it.

--- a/packages/agateferry-state/agateferry_state/replica/proposals.py
+++ b/packages/agateferry-state/agateferry_state/replica/proposals.py
@@ -49,7 +49,15 @@
         return self._take_id(), fut
 
     def accept(self, proposal_id: int, index: int, term: int) -> None:
-        """Record the log index and term at which a proposal was appended."""
+        """Record the log index and term at which a proposal was appended.
+
+        One that waits at the same index is of an earlier term, and was removed from this log. A
+        later leader may still have it in its own, so its outcome is unknown.
+        """
+        replaced = self._accepted.get(index)
+        if replaced is not None:
+            detail = "removed from the log by a new leader"
+            _fail(replaced.fut, ProposeError(ProposeErrorKind.UNKNOWN, detail=detail))
         self._accepted[index] = _AcceptedProposal(term, self._proposed.pop(proposal_id))
 
     def reject(self, proposal_id: int, reason: RejectReason, leader: str | None) -> None:
