Count the lease of a silent worker from when the cell recorded it

What callers saw: where the worker of a subtask that lasts was lost and then the leader, the subtask had no run for 10 s (LOST; 9 s are allowed).

Cause: a new leader counts a whole lease from its own start, since the old one may have granted one up to then. It had stopped granting as soon as a poll failed, which the new one can't know.

Change: a leader commits which workers with runs are silent, with the rest of their leases, and grants them nothing until it is committed that they answer. A new leader counts the rest from when its own host applied that. Without such a record a whole lease is waited for, as before.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -60,6 +60,11 @@
     "estimate of a worker's pace changed",
     "Nothing to do; its runs take this many times as long as usual, urgent work avoids slow ones.",
 )
+SILENCES_STORED = Event(
+    7335,
+    "silent workers recorded for the next leader",
+    "Nothing to do; 7101 and 7102 of each worker tell why, left_ms when their runs are lost.",
+)
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -20,6 +20,7 @@
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.cell.run_stops import RunStops
+from agateferry_jobs.cell.silences import WorkerSilences
 from agateferry_jobs.cell.suspects import SuspectWorkers
 from agateferry_jobs.cell.waiting_jobs import WaitingJobs
 from agateferry_jobs.cell.worker_paces import WorkerPaces
@@ -76,6 +77,8 @@
         self._evacuations = ZoneEvacuations(
             ledger, self._sessions, self._proposer, self.request_planning
         )
+        self._silences = WorkerSilences(self._sessions, self._proposer)
+        ledger.clock = clock
         self._paces = WorkerPaces(ledger)
         self._idle_times = IdleTimes()
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
@@ -234,6 +237,7 @@
 
     async def _run_checks(self) -> None:
         """Run the checks that are due in each tick."""
+        self.spawn(self._silences.commit_changes())
         await self._give_up_guilty_jobs()
         self._stops.stop_hung()
         self._evacuations.check()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -109,7 +109,8 @@
         """Open a session for each worker in the ledger and adopt the runs that may run there.
 
         Called when this host becomes leader. Earlier leaders may have granted leases up to now, so
-        a worker's lease counts as valid for one full lease from now. An earlier leader has the
+        a worker's lease counts as valid for one full lease from now, unless the cell has it as
+        silent since before. An earlier leader has the
         workers' reports up to the end of its `contact` with this host, if that was long enough for
         each worker to report.
         """
@@ -119,7 +120,9 @@
         has_reports = contact is not None and contact.duration_ms >= max_age_ms
         reported_ms = contact.last_ms if contact is not None and has_reports else None
         for incarnation in self._workers_with_runs_first():
-            self._open_session(incarnation, earlier_leases_until_ms, reported_ms)
+            silent_until_ms = self._ledger.silent_lease_until_ms(incarnation)
+            until_ms = earlier_leases_until_ms if silent_until_ms is None else silent_until_ms
+            self._open_session(incarnation, until_ms, reported_ms)
         lost = self._adopt_all()
         if lost:
             self._hooks.spawn(self._commit_lost_runs(lost))
@@ -312,9 +315,11 @@
             self._lease_ms, earlier_leases_until_ms, self._max_start_ms, self._max_lease_ms
         )
         reports = ReportAge(self._max_report_age_ms, reported_ms)
-        self.by_id[incarnation.id] = WorkerSession(
+        session = WorkerSession(
             incarnation, self._make_port(incarnation), self, self._clock, lease, reports
         )
+        session.grants_leases = not self._ledger.is_silent(incarnation)
+        self.by_id[incarnation.id] = session
 
     def _has_later_start(self, job: Job, name: str, run: int) -> bool:
         """Return whether a later run was started in a subtask's step, or is being started at all.
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -130,6 +130,21 @@
     sequence: int = 0
 
 
+class Silence(Struct, frozen=True):
+    """A worker's incarnation that is granted no lease; the last one expires in `lease_left_ms`."""
+
+    worker: str
+    born: int
+    lease_left_ms: int
+
+
+class NoteSilences(Struct, frozen=True, tag="silences"):
+    """Record which workers are silent, and which, by id and `born`, answer again."""
+
+    silent: tuple[Silence, ...] = ()
+    answering: tuple[tuple[str, int], ...] = ()
+
+
 class StartRuns(Struct, frozen=True, tag="start"):
     """Record the intent to start subtasks; starts that contradict the ledger are dropped."""
 
@@ -179,6 +194,7 @@
     | AcceptJob
     | CancelJob
     | NoteWorker
+    | NoteSilences
     | StartRuns
     | EndRuns
     | GiveUpJob
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -10,6 +10,7 @@
 import msgspec
 from msgspec import Struct, field
 
+from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import commands, events
@@ -45,6 +46,7 @@
     Subtask,
     WorkerCrash,
     WorkerIncarnation,
+    WorkerKey,
     WorkerReports,
     WorkerState,
     gang_of,
@@ -83,6 +85,8 @@
     """The jobs that were given up of late, in order of time."""
     evacuations: dict[str, Evacuation] = field(default_factory=dict)
     """The evacuated zones."""
+    silences: dict[str, int] = field(default_factory=dict)
+    """By worker that is granted no lease, `born` of its incarnation."""
     cancellations: Cancellations = field(default_factory=dict)
     """The cancellations of jobs that have not arrived."""
     evacuation_revisions: dict[str, int] = field(default_factory=dict)
@@ -99,6 +103,9 @@
         self._decoder = msgspec.msgpack.Decoder(State)
         self._wide_failures: WideFailures | None = None
         self._ids_by_address: dict[tuple[str, str], str] = {}
+        self.clock: Clock | None = None
+        """The clock of this host, by which leases of silent workers expire; not replicated."""
+        self._silent_leases_until_ms: dict[WorkerKey, int] = {}
 
     @property
     def manifest(self) -> Manifest | None:
@@ -115,6 +122,19 @@
         """Return the newest incarnation of each worker by id."""
         return self.state.workers
 
+    def is_silent(self, worker: WorkerIncarnation) -> bool:
+        """Return whether an incarnation is granted no lease until it is recorded to answer."""
+        return self.state.silences.get(worker.id) == worker.born
+
+    def silent_lease_until_ms(self, worker: WorkerIncarnation) -> int | None:
+        """Return when the lease of a silent worker expires, on this host's clock.
+
+        None if the worker isn't silent, or a snapshot told this host that it is.
+        """
+        if not self.is_silent(worker):
+            return None
+        return self._silent_leases_until_ms.get((worker.id, worker.born))
+
     def queue_of(self, job: Job) -> Queue | None:
         """Return the queue of a job, or None if the manifest has none at its address any more."""
         if self.manifest is None:
@@ -175,6 +195,8 @@
                 return self._cancel(cancelled)
             case commands.NoteWorker() as note:
                 return self._note_worker(note)
+            case commands.NoteSilences() as silences:
+                return self._note_silences(silences)
             case commands.StartRuns(starts, at_ms):
                 allowed = startable(starts, self.jobs, self.workers, self.state.evacuations)
                 return tuple(start for start in allowed if self._start(start, at_ms))
@@ -199,6 +221,7 @@
         """Replace the whole state by a snapshot."""
         self.state = self._decoder.decode(data)
         self._wide_failures = None
+        self._silent_leases_until_ms = {}
         self._ids_by_address = {
             (job.host, job.path): job.id for job in self.jobs.values() if job.path
         }
@@ -283,6 +306,24 @@
             self._wide_failures = None
         return True
 
+    def _note_silences(self, command: commands.NoteSilences) -> None:
+        """Record silences; a lease expires later here than at the leader that had granted it."""
+        for silence in command.silent:
+            known = self.workers.get(silence.worker)
+            if known is not None and known.born == silence.born:
+                self.state.silences[silence.worker] = silence.born
+                if self.clock is not None:
+                    until_ms = self.clock.now_ms() + silence.lease_left_ms
+                    self._silent_leases_until_ms[silence.worker, silence.born] = until_ms
+        for id, born in command.answering:
+            if self.state.silences.get(id) == born:
+                self._forget_silence(id)
+
+    def _forget_silence(self, id: str) -> None:
+        born = self.state.silences.pop(id, None)
+        if born is not None:
+            self._silent_leases_until_ms.pop((id, born), None)
+
     def _give_up(self, command: commands.GiveUpJob) -> bool:
         job = self.jobs.get(command.id)
         if job is None or job.is_over:
@@ -305,6 +346,7 @@
             return False
         if worker.state is WorkerState.GONE:
             self.workers.pop(worker.id, None)
+            self._forget_silence(worker.id)
             self.state.reports.pop(worker.id, None)
             self.state.speeds.forget_worker(worker.id)
             self.state.gone[worker.id] = worker.born
@@ -315,6 +357,8 @@
             if sequence < earlier.sequence or _is_stale(known, worker):
                 return False
             reports.largest = reports.largest.max(earlier.largest)
+        else:
+            self._forget_silence(worker.id)
         self.workers[worker.id] = worker
         self.state.reports[worker.id] = reports
         return True
--- a/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
@@ -119,11 +119,18 @@
 
     def is_expired(self, now_ms: int) -> bool:
         """Return whether every lease granted so far has expired, so that no run can be going on."""
+        return now_ms >= self._expiry_ms()
+
+    def left_ms(self, now_ms: int) -> int:
+        """Return the time until every lease granted so far has expired; 0 if that is over."""
+        return max(0, self._expiry_ms() - now_ms)
+
+    def _expiry_ms(self) -> int:
         expiry_ms = self._earlier_leases_until_ms
         if self._clock_ms is not None and self._deadline_ms:
             left_ms = max(0, self._deadline_ms - self._clock_ms)
             expiry_ms = max(expiry_ms, self._read_at_ms + max_local_ms(left_ms))
-        return now_ms >= expiry_ms
+        return expiry_ms
 
 
 def max_local_ms(worker_ms: int) -> int:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable, Coroutine
 from contextlib import AbstractAsyncContextManager
+from dataclasses import replace
 from typing import Any, Protocol
 
 from agateferry_core.clock import MS_PER_S, Clock
@@ -127,6 +128,8 @@
         self.incarnation = incarnation
         self.runs: dict[RunKey, TrackedRun] = {}
         self.unexpected_runs: dict[RunKey, int] = {}
+        self.grants_leases = True
+        """Whether orders may extend the worker's lease; not while the cell has it as silent."""
         self._contact = WorkerContact(clock, reports)
         self._port = port
         self._listener = listener
@@ -148,7 +151,13 @@
 
     def health(self, is_suspect: bool) -> WorkerHealth:
         """Return the worker's health for the planner."""
-        return self._contact.health(is_suspect, tuple(self.unexpected_runs))
+        health = self._contact.health(is_suspect, tuple(self.unexpected_runs))
+        return health if self.grants_leases else replace(health, accepts_starts=False)
+
+    @property
+    def answers(self) -> bool:
+        """Return whether the worker answers polls."""
+        return self._contact.has_answered and not self._contact.is_failing
 
     @property
     def accepts_starts(self) -> bool:
@@ -227,6 +236,10 @@
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
         return self._lease.is_expired(self._clock.now_ms())
 
+    def lease_left_ms(self) -> int:
+        """Return the time until the worker's lease has expired; 0 if it has."""
+        return self._lease.left_ms(self._clock.now_ms())
+
     def failing_for_ms(self) -> int:
         """Return for how long the worker has not answered; 0 if it does."""
         return self._contact.failing_for_ms()
@@ -364,7 +377,7 @@
 
     def _poll_deadline(self, now_ms: int) -> int | None:
         """Return the lease deadline of a poll; None for a silent worker, so its lease expires."""
-        if not self.runs or self._contact.is_failing:
+        if not self.runs or self._contact.is_failing or not self.grants_leases:
             return None
         return self._lease.grant_deadline(now_ms)
 
@@ -460,7 +473,7 @@
         key = (start.job, start.subtask)
         token = self._token
         for attempt in range(START_ATTEMPTS):
-            if self._is_ruled_out(key):
+            if self._is_ruled_out(key) or not self.grants_leases:
                 return attempt == 0 and await self._end_as_refused(key, tracked)
             deadline_ms = self._lease.grant_start_deadline(self._clock.now_ms())
             if deadline_ms is None or not self._listener.may_send_orders():
