--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -37,6 +37,11 @@
 RUN_STOPPING = Event(
     7322, "run is being stopped", "See the reason; room means preempted for the job in for_job."
 )
+RUN_LEFT_AT_WORK = Event(
+    7323,
+    "run makes no progress and is left at work",
+    "Several runs of the subtask were stopped for this; see the worker, and cancel it if it hangs.",
+)
 WORKER_UPDATED = Event(
     7330,
     "worker joined or changed",
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -76,6 +76,8 @@
     checkpoint: str = ""
     loss: LossCause | UnsetType = UNSET
     """Why the run is lost; not stored with any other outcome."""
+    is_hung: bool | UnsetType = field(default=UNSET, name="hung")
+    """Whether the run was stopped because it counted as hung; stored only if it was."""
 
 
 class PutManifest(Struct, frozen=True, tag="manifest"):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -417,6 +417,8 @@
         step = job.step_of(end.subtask)
         if end.outcome is commands.RunOutcome.DONE and not step.is_long_running:
             mark_done(job, end)
+        if end.is_hung is True and was_active and end.outcome is commands.RunOutcome.STOPPED:
+            subtask.hung_stops += 1
         if end.outcome is commands.RunOutcome.FAILED and was_active:
             subtask.failures += 1
             gang = job.gangs[gang_of(end.subtask)]
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -129,6 +129,8 @@
     started_ms: int = 0
     is_cold: bool = False
     """Whether the newest run started on a cold worker."""
+    hung_stops: int = 0
+    """How many of its runs were stopped because they counted as hung."""
 
 
 class Gang(Struct):
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -49,6 +49,10 @@
     "agateferry_jobs_runs_lost", "Runs whose end is unknown, by what happened to it.", ["cause"]
 )
 RUNS_STOPPED = Counter("agateferry_jobs_runs_stopped", "Runs stopped, by reason.", ["reason"])
+RUNS_LEFT_AT_WORK = Counter(
+    "agateferry_jobs_runs_left_at_work",
+    "Runs without progress that are not stopped, since several before them were.",
+)
 STARTS_UNCLEAR = Counter(
     "agateferry_jobs_starts_unclear",
     "Starts of runs that were rejected or whose outcome is unknown.",
--- a/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/run_ends.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable, Mapping
 
+from msgspec import UNSET
+
 from agateferry_jobs.ledger import Run, WorkerIncarnation
 from agateferry_jobs.ledger.commands import LossCause, RunEnded, RunOutcome
 from agateferry_jobs.ledger.state import RunKey
@@ -39,7 +41,14 @@
     if tracked is not None and tracked.run.number == finished.run:
         run = tracked.run
     job, subtask = finished.key
-    return RunEnded(job, subtask, run, RunOutcome(finished.outcome), finished.checkpoint)
+    return RunEnded(
+        job,
+        subtask,
+        run,
+        RunOutcome(finished.outcome),
+        finished.checkpoint,
+        is_hung=True if tracked is not None and tracked.was_hung else UNSET,
+    )
 
 
 def inferred_ends(
