Keep jobs from the keys of other teams

What callers could see: with any key of the manifest, the state of other teams' jobs in the same queue, and their cancellation.

Cause: a key was checked for being known, not for being the job's team's.

Change: for a key of another team a job is unknown, and its id can't be used. Public queues ask for no key. Jobs of a team that the manifest no longer names answer to any key, since it may have been renamed. The depth of a queue counts all teams.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -55,10 +55,10 @@
         id = _job_id_in(call.target.path, queue)
         if not id or call.job is None:
             return messages.Invalid(call.parse_error or "no id in the path")
-        if self._find_job(call.target, queue) is not None:
+        if self._find_job(call.target, queue, team) is not None:
             return messages.Done()
         if id in self._ledger.jobs:
-            return messages.Invalid("id used in another queue")
+            return messages.Invalid("id is in use")
         command = commands.AcceptJob(
             id,
             queue.name,
@@ -102,10 +102,10 @@
         found = self._resolve_target(call.target)
         if not isinstance(found, tuple):
             return found
-        queue, _ = found
+        queue, team = found
         if not _job_id_in(call.target.path, queue):
             return messages.QueueDepth(self._queue_depth(queue))
-        job = self._find_job(call.target, queue)
+        job = self._find_job(call.target, queue, team)
         if job is None:
             return messages.UnknownJob()
         reason = job.failure if job.is_failed and job.failure else UNSET
@@ -121,13 +121,14 @@
             return found
         queue, team = found
         id = _job_id_in(call.target.path, queue)
-        job = self._find_job(call.target, queue)
+        job = self._find_job(call.target, queue, team)
         if not id:
             return messages.UnknownJob()
         if job is not None and job.is_over:
             return messages.Done()
-        command = commands.CancelJob(id, now_ms)
-        if job is None or job.path:
+        if job is not None:
+            command = commands.CancelJob(job.id, now_ms)
+        else:
             command = commands.CancelJob(
                 id,
                 now_ms,
@@ -139,7 +140,7 @@
         result = await self._proposer.propose(command)
         if result.is_error():
             return reply_for_error(result.error)
-        return self._reply_to_cancel(result.ok, self._find_job(call.target, queue), id, team)
+        return self._reply_to_cancel(result.ok, self._find_job(call.target, queue, team), id, team)
 
     def _reply_to_cancel(
         self, result: CancelResult, job: Job | None, id: str, team: str
@@ -188,9 +189,21 @@
             return messages.InvalidApiKey()
         return queue, team.name if team is not None else ""
 
-    def _find_job(self, target: messages.CallTarget, queue: Queue) -> Job | None:
+    def _find_job(self, target: messages.CallTarget, queue: Queue, team: str) -> Job | None:
+        """Return the job at an address, None if there is none that this team may know of."""
         id = _job_id_in(target.path, queue)
-        return self._ledger.job_at(target.host, target.path, id, queue)
+        job = self._ledger.job_at(target.host, target.path, id, queue)
+        return job if job is not None and self._may_access(team, job, queue) else None
+
+    def _may_access(self, team: str, job: Job, queue: Queue) -> bool:
+        """Return whether calls with a key of a team are about its own job.
+
+        A public queue asks for no key. A team that the manifest no longer names may have another
+        name now, with the same keys, so its jobs stay known.
+        """
+        manifest = self._ledger.manifest
+        is_team_known = manifest is not None and manifest.team_named(job.team) is not None
+        return job.team == team or queue.is_public or not is_team_known
 
     def _queue_depth(self, queue: Queue) -> int:
         return sum(
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -108,8 +108,8 @@
 class CancelJob(Struct, frozen=True, tag="cancel"):
     """Cancel a job at its caller's request; the result is a `CancelResult`.
 
-    With `path` it is the job at this address, whatever its id. If none is known, a submission of
-    `team` to the address counts as cancelled until `until_ms`.
+    With `path` it is the job of `team` at this address, whatever its id. If none is known, a
+    submission of the team to the address counts as cancelled until `until_ms`.
     """
 
     id: str
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -272,7 +272,7 @@
     def _cancel(self, command: commands.CancelJob) -> CancelResult:
         id, host, path = command.id, command.host, command.path
         job = self.jobs.get(self._ids_by_address.get((host, path), "") if path else id)
-        if job is None:
+        if job is None or (path and job.team != command.team):
             return store_cancellation(
                 self.state.cancellations, command.team, host + path, command.until_ms, command.at_ms
             )
