Move the session's listener to a module and share a wait of the tests

Three test files had the same loop that waits for a condition, which is `eventually` in the core's support package now. No behaviour changes.

--- a/packages/agateferry-core/agateferry_core/support/__init__.py
+++ b/packages/agateferry-core/agateferry_core/support/__init__.py
@@ -2,6 +2,7 @@
 
 from agateferry_core.support.support import (
     VirtualLoop,
+    eventually,
     free_port,
     free_ports,
     run_async,
@@ -9,4 +10,12 @@
     wait_until,
 )
 
-__all__ = ["VirtualLoop", "free_port", "free_ports", "run_async", "run_virtual", "wait_until"]
+__all__ = [
+    "VirtualLoop",
+    "eventually",
+    "free_port",
+    "free_ports",
+    "run_async",
+    "run_virtual",
+    "wait_until",
+]
--- a/packages/agateferry-core/agateferry_core/support/support.py
+++ b/packages/agateferry-core/agateferry_core/support/support.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 POLL_INTERVAL_S = 0.02
+ASYNC_POLL_INTERVAL_S = 0.01
 
 
 def run_async(main: Coroutine[Any, Any, Any], timeout_s: float = 60.0) -> Any:
@@ -90,3 +91,12 @@
         if time.monotonic() > end:
             raise TimeoutError(f"gave up after {timeout_s} s of waiting for: {what}")
         time.sleep(POLL_INTERVAL_S)
+
+
+async def eventually(condition: Callable[[], Any], what: str, timeout_s: float = 30.0) -> None:
+    """Wait until `condition` holds, in real or virtual time; raise AssertionError naming `what`."""
+    for _ in range(round(timeout_s / ASYNC_POLL_INTERVAL_S)):
+        if condition():
+            return
+        await asyncio.sleep(ASYNC_POLL_INTERVAL_S)
+    raise AssertionError(f"did not happen in {timeout_s} s: {what}")
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_late_ends.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_late_ends.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from agateferry_core.support import run_virtual
+from agateferry_core.support import eventually, run_virtual
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.tests.test_registration import SlowReplica
@@ -67,20 +67,13 @@
     async def heartbeat(self, id):
         await self.leader.handle(messages.Heartbeat(worker(id), self.clock.now_ms()))
 
-    async def until(self, condition, what):
-        for _ in range(3_000):
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-        raise AssertionError(f"did not happen in time: {what}")
-
     async def lose_a_run_that_is_done(self, spec):
         """Cut `w1` off as its run ends; the orders of the next run, to `w2`, will be held up."""
         await self.heartbeat("w1")
         target = messages.CallTarget("host", f"/jobs/{ID}", "key")
         await self.leader.handle(messages.Submit(target, spec))
         first, count = self.port_to(worker("w1")), spec.steps[0].count
-        await self.until(lambda: len(first.running) == count, "the first run")
+        await eventually(lambda: len(first.running) == count, "the first run")
         first.is_unreachable = True
         for key in list(first.running):
             first.end(key, "done" if key == KEY else "stopped")
@@ -89,7 +82,7 @@
     async def report_while_the_order_is_under_way(self):
         """Have `w1` report its end, and hold up all that is sent to `w2` after the order."""
         second = self.ports["w2"]
-        await self.until(lambda: second.delayed_orders and not second.orders_to_lose, "an order")
+        await eventually(lambda: second.delayed_orders and not second.orders_to_lose, "an order")
         self.ports["w1"].is_unreachable, second.is_unreachable = False, True
 
     async def report_while_the_start_is_being_committed(self):
@@ -103,7 +96,7 @@
             return await propose(command)
 
         self.replica.propose = observed
-        await self.until(lambda: self.has_proposed_start, "the start is proposed")
+        await eventually(lambda: self.has_proposed_start, "the start is proposed")
         self.ports["w1"].is_unreachable = False
         await self.report_while_the_order_is_under_way()
 
@@ -126,7 +119,7 @@
         async def scenario():
             self.assert_no_late_start()
             self.ports["w2"].is_unreachable = False
-            await self.until(self.is_done, "done, once the second run is known to go on")
+            await eventually(self.is_done, "done, once the second run is known to go on")
 
         self.check(scenario)
 
@@ -140,7 +133,7 @@
         async def scenario():
             self.assert_no_late_start()
             self.ports["w2"].is_unreachable = False
-            await self.until(self.is_done, "done, once the second runs are known to go on")
+            await eventually(self.is_done, "done, once the second runs are known to go on")
 
         self.check(scenario, GANG)
 
@@ -156,7 +149,7 @@
     def test_the_subtask_is_done_and_not_placed_again_once_the_order_is_fenced_off(self):
         async def scenario():
             self.ports["w2"].is_unreachable = False
-            await self.until(self.is_done, "done")
+            await eventually(self.is_done, "done")
             self.assertFalse(self.execute_delayed_orders())
             self.assertEqual([(KEY, 1)], self.ports["w1"].starts)
 
@@ -164,7 +157,7 @@
 
     def test_the_subtask_is_done_and_not_placed_again_once_the_lease_has_expired(self):
         async def scenario():
-            await self.until(self.is_done, "done")
+            await eventually(self.is_done, "done")
             self.assertFalse(self.execute_delayed_orders())
             self.assertEqual([(KEY, 1)], self.ports["w1"].starts)
 
@@ -174,7 +167,7 @@
         async def scenario():
             self.ports["w1"].is_replaced = True
             self.ports["w2"].is_unreachable = False
-            await self.until(lambda: self.ports["w2"].starts, "a third run")
+            await eventually(lambda: self.ports["w2"].starts, "a third run")
             self.assertFalse(self.is_done())
 
         self.check(scenario)
@@ -186,11 +179,11 @@
             target = messages.CallTarget("host", f"/jobs/{other}", "key")
             await self.leader.handle(messages.Submit(target, JOB))
             first = self.ports["w1"]
-            await self.until(lambda: first.running, "another run")
+            await eventually(lambda: first.running, "another run")
             first.end((other, "0.0.0"), "done")
-            await self.until(lambda: self.ledger.jobs[other].is_completed, "its end")
+            await eventually(lambda: self.ledger.jobs[other].is_completed, "its end")
             self.assertFalse(self.is_done())
-            await self.until(self.is_done, "done")
-            await self.until(lambda: not first.ends, "both ends acknowledged")
+            await eventually(self.is_done, "done")
+            await eventually(lambda: not first.ends, "both ends acknowledged")
 
         self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_restarted_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_restarted_workers.py
@@ -9,7 +9,7 @@
 
 import testtools
 
-from agateferry_core.support import run_virtual
+from agateferry_core.support import eventually, run_virtual
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.tests.test_invariants import FaultScenario, InvariantError
@@ -130,18 +130,11 @@
         target = messages.CallTarget("host", f"/jobs/{ID}", "key")
         await self.leader.handle(messages.Submit(target, JOB))
 
-    async def until(self, condition, what):
-        for _ in range(3_000):
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-        raise AssertionError(f"did not happen in time: {what}")
-
     async def start_on_the_new_incarnation(self):
         """Start `w1` again without a report, submit a job and add an idle worker."""
         self.boot("w1", born=2, reports=False)
         await self.submit()
-        await self.until(lambda: KEY in self.workers["w1"].running, "the run on the new one")
+        await eventually(lambda: KEY in self.workers["w1"].running, "the run on the new one")
         self.boot("w2", born=3, uptime_ms=60_000)
         await self.heartbeat("w2")
 
@@ -154,7 +147,7 @@
                     port.end(KEY, "done")
             return self.ledger.jobs[ID].is_completed
 
-        await self.until(is_completed, "completed")
+        await eventually(is_completed, "completed")
         self.assertEqual(1, self.most_runs)
 
     def test_a_run_that_the_new_incarnation_began_is_stopped_before_the_next_one(self):
@@ -162,7 +155,7 @@
             await self.start_on_the_new_incarnation()
             await asyncio.sleep(FIRST_REPORT_S)
             self.reporting.add("w1")
-            await self.until(lambda: KEY not in self.workers["w1"].running, "stopped")
+            await eventually(lambda: KEY not in self.workers["w1"].running, "stopped")
             await self.finish()
 
         self.check(scenario)
@@ -189,7 +182,7 @@
             await self.start_on_the_new_incarnation()
             self.workers["w1"].end(KEY, "done")
             self.reporting.add("w1")
-            await self.until(lambda: self.ledger.jobs[ID].is_completed, "completed")
+            await eventually(lambda: self.ledger.jobs[ID].is_completed, "completed")
             self.assertEqual([], self.workers["w2"].starts)
 
         self.check(scenario)
@@ -207,7 +200,7 @@
 
             self.workers["w1"].start = start
             await self.submit()
-            await self.until(lambda: KEY in self.workers["w1"].running, "executed")
+            await eventually(lambda: KEY in self.workers["w1"].running, "executed")
             self.boot("w2", born=3, uptime_ms=60_000)
             await self.heartbeat("w2")
             await asyncio.sleep(FIRST_REPORT_S)
@@ -222,7 +215,7 @@
         async def scenario():
             self.workers["w1"].orders_to_lose = 1
             await self.submit()
-            await self.until(lambda: KEY in self.workers["w1"].running, "the second copy's run")
+            await eventually(lambda: KEY in self.workers["w1"].running, "the second copy's run")
             await asyncio.sleep(0.5)
             (copy,) = self.workers["w1"].delayed_orders
             self.workers["w1"].is_unreachable = True
@@ -250,7 +243,7 @@
     def test_a_run_that_the_old_incarnation_listed_is_lost_at_once(self):
         async def scenario():
             await self.submit()
-            await self.until(lambda: KEY in self.workers["w1"].running, "start")
+            await eventually(lambda: KEY in self.workers["w1"].running, "start")
             await asyncio.sleep(0.5)
             self.workers["w1"].is_unreachable = True
             self.boot("w2", born=3, uptime_ms=60_000)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_silences.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_silences.py
@@ -5,7 +5,7 @@
 import testtools
 
 from agateferry_core.clock import MS_PER_S
-from agateferry_core.support import run_virtual
+from agateferry_core.support import eventually, run_virtual
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.tests.test_registration import SlowReplica
@@ -44,7 +44,7 @@
             await asyncio.sleep(0.2)
             target = messages.CallTarget("host", f"/jobs/{ID}", "key")
             await self.leader.handle(messages.Submit(target, LASTING))
-            await self.until(lambda: self.running(), "start")
+            await eventually(lambda: self.running(), "start")
             await asyncio.sleep(3)
             try:
                 await scenario()
@@ -72,12 +72,10 @@
             port.expire_lease()
         return [id for id, port in self.ports.items() if KEY in port.running]
 
-    async def until(self, condition, what):
-        for _ in range(3_000):
-            if condition():
-                return
-            await asyncio.sleep(0.01)
-        raise AssertionError(f"did not happen in time: {what}")
+    def refuse_silences(self):
+        self.replica.error_for = lambda command: (
+            ProposeErrorKind.NOT_LEADER if b"silences" in command else None
+        )
 
     async def change_leader(self):
         self.replica.lead(False)
@@ -97,7 +95,7 @@
             self.assertLess(len(running), 2)
             return running and running != [lost]
 
-        await self.until(is_elsewhere, "a run elsewhere")
+        await eventually(is_elsewhere, "a run elsewhere")
         return self.loop.now_ms() - began_ms
 
     def test_the_next_leader_counts_the_lease_from_the_silence(self):
@@ -108,9 +106,7 @@
 
     def test_a_silence_that_is_not_stored_leaves_the_whole_lease_to_wait_for(self):
         async def scenario():
-            self.replica.error_for = lambda command: (
-                ProposeErrorKind.NOT_LEADER if b"silences" in command else None
-            )
+            self.refuse_silences()
             idle_ms = await self.idle_ms_after_loss()
             waited_ms = (KILLED_AFTER_S + TAKEOVER_S) * MS_PER_S + max_local_ms(LEASE_MS)
             self.assertGreaterEqual(idle_ms, waited_ms)
@@ -135,14 +131,14 @@
             (id,) = self.running()
             port = self.ports[id]
             port.is_unreachable = True
-            await self.until(lambda: self.ledger.is_silent(worker(id)), "silence stored")
+            await eventually(lambda: self.ledger.is_silent(worker(id)), "silence stored")
             self.replica.error_for = lambda _: ProposeErrorKind.NOT_LEADER
             port.is_unreachable = False
             deadline_ms = port.deadline_ms
             await asyncio.sleep(1)
             self.assertEqual(deadline_ms, port.deadline_ms)
             self.replica.error_for = lambda _: None
-            await self.until(lambda: port.deadline_ms > deadline_ms, "the next lease")
+            await eventually(lambda: port.deadline_ms > deadline_ms, "the next lease")
             self.assertFalse(self.ledger.is_silent(worker(id)))
             self.assertEqual([id], self.running())
 
@@ -153,16 +149,14 @@
             (id,) = self.running()
             port = self.ports[id]
             port.is_unreachable = True
-            await self.until(lambda: self.ledger.is_silent(worker(id)), "silence stored")
+            await eventually(lambda: self.ledger.is_silent(worker(id)), "silence stored")
             await self.change_leader()
-            self.replica.error_for = lambda command: (
-                ProposeErrorKind.NOT_LEADER if b"silences" in command else None
-            )
+            self.refuse_silences()
             port.is_unreachable = False
             deadline_ms = port.deadline_ms
             await asyncio.sleep(1)
             self.assertEqual(deadline_ms, port.deadline_ms)
             self.replica.error_for = lambda _: None
-            await self.until(lambda: port.deadline_ms > deadline_ms, "the next lease")
+            await eventually(lambda: port.deadline_ms > deadline_ms, "the next lease")
 
         self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -13,12 +13,12 @@
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.paces import Progress
 from agateferry_jobs.workers.lease import Lease, max_local_ms
+from agateferry_jobs.workers.listener import SessionListener
 from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.session import (
     MAX_POLL_WAIT_MS,
     MIN_POLL_WAIT_MS,
     PortFactory,
-    SessionListener,
     WorkerSession,
 )
 from agateferry_jobs.workers.tracked_run import Phase
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -9,9 +9,8 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from contextlib import AbstractAsyncContextManager
 from dataclasses import replace
-from typing import Any, Protocol
+from typing import Any
 
 from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
@@ -25,6 +24,7 @@
 from agateferry_jobs.workers.contact import WorkerContact
 from agateferry_jobs.workers.end_cursor import EndCursor
 from agateferry_jobs.workers.lease import ClockReading, Lease
+from agateferry_jobs.workers.listener import SessionListener
 from agateferry_jobs.workers.port import (
     Confirmed,
     FinishedRun,
@@ -64,52 +64,6 @@
 """A worker gives up a heartbeat that was not acknowledged in this time, and sends a new one."""
 
 
-class SessionListener(Protocol):
-    """What a session needs from the leader, and what it reports to it."""
-
-    def next_token(self) -> int:
-        """Return a fencing token greater than all issued before."""
-
-    def may_send_orders(self) -> bool:
-        """Return whether this host leads now, so that it may send orders to workers."""
-
-    async def commit_run_ends(self, ends: tuple[RunEnded, ...]) -> bool:
-        """Commit how runs ended; return whether that succeeded."""
-
-    def on_incarnation_replaced(self, incarnation: WorkerIncarnation) -> None:
-        """Handle that another worker runs at the address, so this one and its runs have ended."""
-
-    def on_worker_restarted(self, incarnation: WorkerIncarnation) -> None:
-        """Handle that the worker has started again under its id.
-
-        Orders to this incarnation may have been carried out by the new one.
-        """
-
-    def request_planning(self) -> None:
-        """Request a new plan, since the worker's health changed."""
-
-    def is_evacuated(self, zone: str) -> bool:
-        """Return whether a zone is evacuated now, so that no start order may be sent there."""
-
-    def is_obsolete(self, key: RunKey) -> bool:
-        """Return whether a subtask is done or its job is over, so that it must not start."""
-
-    def may_later_run_begin(self, key: RunKey, run: int) -> bool:
-        """Return whether the order of a run later than `run` may still be under way.
-
-        For a member of a gang, this is about the runs of all members.
-        """
-
-    def keeps_idle_connections(self) -> bool:
-        """Return whether a connection is kept to a worker without runs, for its next order."""
-
-    def poll_wait_ms(self) -> int:
-        """Return how long a worker may delay the answer to a poll while no run ends."""
-
-    def contact_slot(self) -> AbstractAsyncContextManager[None]:
-        """Return the slot that a poll needs if it is the first or the last one had no answer."""
-
-
 class WorkerSession:
     """Send orders and polls to one worker incarnation while this host leads.
 
