End a leaving worker's session although its call is given up

What callers could see: a job whose run was on a worker that left waits for the lease, 8.3 s, where the worker's DELETE was given up during its commit.

Cause: the cancelled call took the rest of the removal with it, after the removal had been proposed.

Change: the removal is a task of its own, which the call waits for.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
@@ -60,3 +60,25 @@
             self.assertEqual({}, self.ledger.workers)
 
         self.check(scenario)
+
+    def test_a_removal_whose_call_is_given_up_ends_the_session_and_its_runs(self):
+        """The session stayed, and the job whose run was there waited for the lease."""
+
+        async def scenario():
+            await self.start_job_on(worker("w1"))
+            await self.heartbeat(worker("w1", state=WorkerState.DRAINING), sequence=2)
+            propose = self.replica.propose
+
+            async def propose_slowly(command):
+                await asyncio.sleep(0.1)
+                return await propose(command)
+
+            self.replica.propose = propose_slowly
+            call = asyncio.create_task(self.call(messages.Deregister("w1")))
+            await asyncio.sleep(0.05)
+            call.cancel()
+            subtask = self.ledger.jobs[ID].subtasks["0.0.0"]
+            await self.until(lambda: subtask.active is None, "its run is ended as lost")
+            self.assertEqual({}, self.ledger.workers)
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -41,6 +41,7 @@
         self._hooks = hooks
         self._proposer = proposer
         self._heartbeat_sequences: dict[WorkerKey, int] = {}
+        self._removals: set[asyncio.Future[bool]] = set()
         self._log = EventLogger()
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
         sessions.on_ended = self._on_ended
@@ -120,7 +121,12 @@
         if incarnation.state is WorkerState.READY and session is not None:
             self._hooks.spawn(self._deregister_unless_present(session))
             return messages.Done()
-        if not await self._deregister(incarnation, LossCause.LEFT):
+        # The caller may give the call up while it is committed. Then the removal still has to end
+        # the worker's session, or its runs would wait for the lease.
+        removal = asyncio.ensure_future(self._deregister(incarnation, LossCause.LEFT))
+        self._removals.add(removal)
+        removal.add_done_callback(self._removals.discard)
+        if not await asyncio.shield(removal):
             return messages.OutcomeUnknown("not stored")
         return messages.Done()
 
