Store no cancellation that has expired already

A cancellation of a log that an earlier version wrote names no address and no time. Replayed for an unknown job it left an empty entry until the next command; found on reading the change again.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/cancellations.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/cancellations.py
@@ -39,6 +39,8 @@
 ) -> CancelResult:
     """Store that a submission by a team to an address counts as cancelled until `until_ms`."""
     drop_expired(stored, at_ms)
+    if until_ms <= at_ms:
+        return CancelResult.AWAITED
     of_team = stored.setdefault(team, {})
     of_team.pop(address, None)
     if len(of_team) >= MAX_PER_TEAM:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_ledger.py
@@ -2,7 +2,7 @@
 import testtools
 
 from agateferry_jobs.ledger import JobState, Ledger, Run, WorkerState, commands
-from agateferry_jobs.ledger.cancellations import AcceptResult
+from agateferry_jobs.ledger.cancellations import AcceptResult, CancelResult
 from agateferry_jobs.ledger.specs import StepSpec
 from agateferry_jobs.support import job_command, manifest, start_of, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
@@ -29,6 +29,10 @@
 
 
 class JobTests(LedgerCase):
+    def test_a_cancellation_of_a_version_that_stored_no_address_leaves_nothing(self):
+        self.assertEqual(CancelResult.AWAITED, self.apply(commands.CancelJob("unknown", 5)))
+        self.assertEqual({}, self.ledger.state.cancellations)
+
     def test_a_job_submitted_twice_is_one_job(self):
         self.assertEqual(AcceptResult.ACCEPTED, self.apply(job_command("j")))
         self.assertEqual(AcceptResult.KNOWN, self.apply(job_command("j")))
