--- a/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
+++ b/packages/agateferry-state/agateferry_state/journal/tests/test_journal.py
@@ -3,6 +3,8 @@
 from pathlib import Path
 
 import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from agateferry_state.journal import (
     Journal,
@@ -413,3 +415,34 @@
         journal.close()
         sorted(self.folder.glob("segment-*"))[0].unlink()
         self.assertEqual(JournalErrorKind.LOST_DISK, self.open_error_kind())
+
+
+class DamagedTailTests(JournalTestCase):
+    """The newest segment may end in anything after a loss of power."""
+
+    BATCHES = (records(1, 3), records(4, 4, term=2), records(5, 9, term=2))
+
+    @settings(deadline=None)
+    @given(st.data())
+    def test_a_cut_or_changed_tail_gives_a_prefix_or_a_lost_disk(self, data):
+        with tempfile.TemporaryDirectory() as folder:
+            self.folder = Path(folder) / "cell"
+            journal, _ = self.open()
+            self.write(journal, *self.BATCHES)
+            journal.close()
+            path = self.newest_segment()
+            content = bytearray(path.read_bytes())
+            at = data.draw(st.integers(0, len(content) - 1))
+            if data.draw(st.booleans()):
+                content[at] = data.draw(st.integers(0, 255))
+            else:
+                content[at:] = data.draw(st.binary(max_size=40))
+            path.write_bytes(content)
+            result = Journal.open(self.folder)
+            if result.is_error():
+                self.assertEqual(JournalErrorKind.LOST_DISK, result.error.kind)
+                return
+            reopened, recovered = result.ok
+            reopened.close()
+            written = tuple(each for batch in self.BATCHES for each in batch)
+            self.assertEqual(written[: len(recovered.records)], recovered.records)
