--- a/packages/agateferry-service/agateferry_service/http/tests/test_malformed_bodies.py
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_malformed_bodies.py
@@ -3,7 +3,6 @@
 import testtools
 from hypothesis import given
 from hypothesis import strategies as st
-from pydantic import ValidationError
 
 from agateferry_service.endpoints.app import AnnounceBody, announce_message
 from agateferry_service.entry.models import SubmitBody
