Grant a worker that answers again its next lease at once

What callers could see: runs that lapse at the end of a partition about as long as a lease.

Cause: since silences are recorded, grants go on only once it is committed that the worker answers. That was looked at four times a second, and the poll that was under way might wait for another 0.4 s.

Change: an answer of such a worker starts the commit at once, and its polls wait 20 ms at most until then. Several that answer at the same time still share a commit.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -78,6 +78,7 @@
             ledger, self._sessions, self._proposer, self.request_planning
         )
         self._silences = WorkerSilences(self._sessions, self._proposer)
+        self._sessions.on_answering = lambda: self.spawn(self._silences.commit_changes())
         ledger.clock = clock
         self._paces = WorkerPaces(ledger)
         self._idle_times = IdleTimes()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/silences.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/silences.py
@@ -27,31 +27,36 @@
         self._log = EventLogger()
 
     async def commit_changes(self) -> None:
-        """Commit what has changed; a later call commits what comes up meanwhile.
+        """Commit what has changed, and what changes meanwhile."""
+        if self._is_committing:
+            return
+        self._is_committing = True
+        try:
+            while await self._commit_once():
+                pass
+        finally:
+            self._is_committing = False
+
+    async def _commit_once(self) -> bool:
+        """Commit what has changed; return False if there is nothing, or it failed.
 
         Grants stop before it is proposed that a worker is silent, and go on only after it is
         committed that it answers.
         """
-        if self._is_committing:
-            return
         sessions = list(self._sessions.by_id.values())
         silent = [each for each in sessions if _falls_silent(each)]
         answering = [each for each in sessions if not each.grants_leases and each.answers]
         if not silent and not answering:
-            return
+            return False
         for session in silent:
             session.grants_leases = False
         command = commands.NoteSilences(
             tuple(commands.Silence(*_key(each), each.lease_left_ms()) for each in silent),
             tuple(_key(each) for each in answering),
         )
-        self._is_committing = True
-        try:
-            result = await self._proposer.propose(command)
-        finally:
-            self._is_committing = False
+        result = await self._proposer.propose(command)
         if result.is_error():
-            return
+            return False
         for session in answering:
             session.grants_leases = True
         self._sessions.request_planning()
@@ -61,6 +66,7 @@
             left_ms=max((each.lease_left_ms for each in command.silent), default=0),
             answering=[id for id, _ in command.answering],
         )
+        return True
 
 
 def _falls_silent(session: WorkerSession) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_silences.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_silences.py
@@ -24,6 +24,8 @@
 KILLED_AFTER_S = 1.0
 """How long after its worker fell silent the leader is killed."""
 TAKEOVER_S = 0.6
+NEXT_LEASE_MS = 60
+"""For a commit, and a poll that was under way meanwhile."""
 MAX_IDLE_MS = 9_000
 """How long a subtask that lasts may have no run: 6 s after its last one, and 3 s more."""
 
@@ -126,6 +128,32 @@
 
         self.check(scenario)
 
+    def test_a_worker_that_answers_again_gets_its_next_lease_at_once(self):
+        """Runs lapsed at the end of a partition that lasted for almost as long as a lease."""
+
+        async def scenario():
+            (id,) = self.running()
+            port = self.ports[id]
+            port.is_unreachable = True
+            await eventually(lambda: self.ledger.is_silent(worker(id)), "silence stored")
+            await asyncio.sleep(2)
+            granted_ms = []
+            poll = port.poll
+
+            async def observed_poll(order, timeout_ms):
+                if order.deadline_ms is not None:
+                    granted_ms.append(self.loop.now_ms())
+                return await poll(order, timeout_ms)
+
+            port.poll = observed_poll
+            port.is_unreachable = False
+            await eventually(lambda: self.leader._sessions.by_id[id].answers, "answers")
+            answered_ms = self.loop.now_ms()
+            await eventually(lambda: granted_ms, "the next lease")
+            self.assertLess(granted_ms[0] - answered_ms, NEXT_LEASE_MS)
+
+        self.check(scenario)
+
     def test_no_lease_is_granted_until_it_is_stored_that_the_worker_answers(self):
         async def scenario():
             (id,) = self.running()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -65,8 +65,9 @@
     """Track the runs on all workers, each through the session with its worker.
 
     `on_ended` is called for an incarnation at whose address another one answers, and with whether
-    that is of the same worker. A worker refuses a start order that arrives more than `max_start_ms`
-    after it was sent, and shortens leases to `max_lease_ms`.
+    that is of the same worker; `on_answering` once a worker that gets no lease answers. A worker
+    refuses a start order that arrives more than `max_start_ms` after it was sent, and shortens
+    leases to `max_lease_ms`.
     """
 
     def __init__(
@@ -83,6 +84,7 @@
         self.by_id: dict[str, WorkerSession] = {}
         self._contact_slots = asyncio.Semaphore(MAX_CONTACT_POLLS)
         self.on_ended: Callable[[WorkerIncarnation, bool], None] = lambda *_: None
+        self.on_answering: Callable[[], None] = lambda: None
         self._ledger = ledger
         self._clock = clock
         self._make_port = make_port
@@ -230,6 +232,10 @@
         """Commit how runs ended; return whether that succeeded."""
         return await self._hooks.commit_run_ends(ends)
 
+    def on_answering_again(self) -> None:
+        """Handle that a worker answers again, which must be committed before it gets a lease."""
+        self.on_answering()
+
     def request_planning(self) -> None:
         """Make a new plan soon."""
         self._hooks.request_planning()
--- a/packages/agateferry-jobs/agateferry_jobs/workers/listener.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/listener.py
@@ -29,6 +29,9 @@
         Orders to this incarnation may have been carried out by the new one.
         """
 
+    def on_answering_again(self) -> None:
+        """Handle that a worker answers again, which must be committed before it gets a lease."""
+
     def request_planning(self) -> None:
         """Request a new plan, since the worker's health changed."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -54,6 +54,8 @@
 
 A poll without an answer hides the ends of runs for this time and `POLL_TIMEOUT_MARGIN_MS`.
 """
+UNGRANTED_POLL_WAIT_MS = 20
+"""The same while the worker gets no lease, so that the next poll extends it as soon as it may."""
 POLL_TIMEOUT_MARGIN_MS = 400
 """How long the answer to a poll may take beyond the wait that the poll allows."""
 RETRY_DELAY_MS = 200
@@ -295,6 +297,8 @@
         is_urgent = not self._contact.has_answered or bool(self.unexpected_runs)
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
         wait_ms = 0 if is_urgent or not self.runs else self._listener.poll_wait_ms()
+        if not self.grants_leases:
+            wait_ms = min(wait_ms, UNGRANTED_POLL_WAIT_MS)
         deadline_ms = self._poll_deadline(now_ms)
         cursor = self._cursor_to_acknowledge()
         self._poll_number += 1
@@ -348,6 +352,8 @@
             self._log.info(events.WORKER_ANSWERS)
             for tracked in self.runs.values():
                 tracked.last_progress_ms = now_ms
+            if not self.grants_leases:
+                self._listener.on_answering_again()
             self._listener.request_planning()
 
     async def _process_lists(self, lists: RunLists, poll_number: int) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -50,6 +50,9 @@
     def on_worker_restarted(self, incarnation):
         self.restarted_incarnations.append(incarnation)
 
+    def on_answering_again(self):
+        pass
+
     def request_planning(self):
         pass
 
