Log and measure what urgent jobs waited for until they began

The leader logged the placement of a run but not its begin, no rank, no sum of the team, and no stop that a job waits for; a reason that changed within 2 s of a logged one was never logged, so a job that waited as late for 27 s stood in the log as nothing-to-stop.

Change: 7318 and 7319 tell of each urgent job that begins after 1 s: its reasons, rank, choices and its team's need over time, placements and open stops; agateferry_jobs_urgent_start_seconds counts all of them. 7315 tells of a lasting reason once its interval is over. No decision changes: Plan carries the ranks and choices that it was made with.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -32,6 +32,16 @@
     "job has been idle for 3 s although it fits",
     "A fault unless the job waits for a reason of its own; see its choices and 7315 of the job.",
 )
+URGENT_JOB_WAITS_LONG = Event(
+    7318,
+    "urgent job has waited for long",
+    "See its stages for what held it up when, and docs/OPERATIONS.md, why urgent work begins late.",
+)
+URGENT_JOB_BEGUN_LATE = Event(
+    7319,
+    "urgent job began late",
+    "See its stages for what held it up when, and docs/OPERATIONS.md, why urgent work begins late.",
+)
 RUN_STARTED = Event(7320, "run placed", "Nothing to do; 7321 says how the run ended.")
 RUN_ENDED = Event(7321, "run ended", "Unless how is done, see the worker's own log.")
 RUN_STOPPING = Event(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -22,6 +22,7 @@
 from agateferry_jobs.cell.run_stops import RunStops
 from agateferry_jobs.cell.silences import WorkerSilences
 from agateferry_jobs.cell.suspects import SuspectWorkers
+from agateferry_jobs.cell.urgent_starts import UrgentStarts
 from agateferry_jobs.cell.waiting_jobs import WaitingJobs
 from agateferry_jobs.cell.worker_paces import WorkerPaces
 from agateferry_jobs.cell.worker_registry import WorkerRegistry
@@ -92,6 +93,7 @@
         self._has_taken_over = False
         self._leading_since_ms = 0
         self._waiting_jobs = WaitingJobs(ledger)
+        self._urgent_starts = UrgentStarts(ledger)
         self._plan_loop = PlanLoop(
             clock,
             ledger,
@@ -187,6 +189,10 @@
         """Return whether each worker has answered a poll of this leader, or failed to."""
         return self._sessions.knows_all()
 
+    def on_run_begun(self, key: RunKey) -> None:
+        """Handle that a run which this leader ordered has begun."""
+        self._urgent_starts.run_begun(key, self.now_ms)
+
     def may_plan(self) -> bool:
         """Return whether this host leads and its workers have told what ended before it did.
 
@@ -211,6 +217,7 @@
         self._refusals.clear()
         self._has_taken_over = False
         self._idle_times = IdleTimes()
+        self._urgent_starts.clear()
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
         self._sessions.open_all(self._replica.leader_contact)
@@ -277,6 +284,7 @@
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
         self._waiting_jobs.observe(plan, self.now_ms)
+        self._urgent_starts.observe(plan, self.now_ms)
         for stop in plan.stops:
             self._stops.stop(
                 stop.key, stop.run, "room", for_job=stop.for_job, for_rank=stop.for_rank
@@ -291,6 +299,7 @@
             return
         for start in result.ok:
             self._job_log.run_started(start, self.now_ms)
+            self._urgent_starts.run_placed(start, self.now_ms)
             self._sessions.start_run(start, self._ledger.jobs[start.job].spec.payload)
 
     def _log_errors(self, plan: Plan) -> None:
@@ -315,6 +324,7 @@
     def _on_run_ended(self, end: commands.RunEnded) -> None:
         self._job_log.run_ended(end)
         key = (end.job, end.subtask)
+        self._urgent_starts.run_ended(key)
         self._update_refusals(key, end)
         if end.outcome is commands.RunOutcome.DONE:
             self._suspects.record_success(*end.run.worker_key)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_waiting_jobs.py
@@ -51,6 +51,14 @@
             self.observe(now_ms, WaitReason.NO_ROOM if now_ms % 200 else WaitReason.RESERVED)
         self.assertEqual(2, len(self.log.lines))
 
+    def test_a_reason_that_came_up_within_the_interval_is_logged_if_it_lasts(self):
+        """An urgent job waited as late for 27 s, and the log told only of its first reason."""
+        self.observe(0, WaitReason.NOTHING_TO_STOP)
+        for now_ms in (LOG_INTERVAL_MS // 2, LOG_INTERVAL_MS, 2 * LOG_INTERVAL_MS):
+            self.observe(now_ms, WaitReason.LATE)
+        reasons = [fields["reason"] for _, fields in self.log.lines]
+        self.assertEqual(["nothing-to-stop", "late"], reasons)
+
     def test_a_job_that_has_started_is_forgotten(self):
         self.observe(0, WaitReason.NO_ROOM)
         self.observe(100, None)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/waiting_jobs.py
@@ -22,7 +22,8 @@
     def __init__(self, ledger: Ledger) -> None:
         self._ledger = ledger
         self._reasons: dict[str, WaitReason] = {}
-        self._logged_ms: dict[str, int] = {}
+        self._logged: dict[str, tuple[WaitReason, int]] = {}
+        """By job id, the reason that was logged last, and when."""
         self._logged_as_idle: set[str] = set()
         self._warned: set[str] = set()
         self._log = EventLogger()
@@ -30,23 +31,24 @@
     def observe(self, plan: Plan, now_ms: int) -> None:
         """Count the reasons that are new in a plan, and log those of jobs not logged just now.
 
-        A job that is idle from now on although it fits is logged again.
+        A reason that came up soon after another one was logged is logged once the interval is over,
+        if it lasts. A job that is idle from now on although it fits is logged again.
         """
         idle = plan.idle.keys()
         for id, reason in plan.waits.items():
             is_new = self._reasons.get(id) is not reason
             if is_new:
                 metrics.PASSED_OVER.labels(reason.value).inc()
-            elif id not in idle or id in self._logged_as_idle:
-                continue
-            logged_ms = self._logged_ms.get(id)
-            if logged_ms is None or now_ms - logged_ms >= LOG_INTERVAL_MS:
-                self._logged_ms[id] = now_ms
+            logged, logged_ms = self._logged.get(id, (None, now_ms - LOG_INTERVAL_MS))
+            is_newly_idle = id in idle and id not in self._logged_as_idle
+            is_unlogged = is_new or is_newly_idle or reason is not logged
+            if is_unlogged and now_ms - logged_ms >= LOG_INTERVAL_MS:
+                self._logged[id] = (reason, now_ms)
                 self._log_wait(id, reason, plan.idle.get(id), now_ms)
                 self._logged_as_idle |= {id} & idle
         self._reasons = dict(plan.waits)
         self._logged_as_idle &= idle
-        self._logged_ms = {id: at for id, at in self._logged_ms.items() if id in plan.waits}
+        self._logged = {id: logged for id, logged in self._logged.items() if id in plan.waits}
         self._observe_idle(plan)
 
     def _observe_idle(self, plan: Plan) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -57,6 +57,9 @@
     def request_planning(self) -> None:
         """Make a new plan soon."""
 
+    def on_run_begun(self, key: RunKey) -> None:
+        """Handle that a run which this leader ordered has begun."""
+
     def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         """Run a background task; an exception in it is logged."""
 
@@ -231,6 +234,10 @@
         """Commit how runs ended; return whether that succeeded."""
         return await self._hooks.commit_run_ends(ends)
 
+    def on_run_begun(self, key: RunKey) -> None:
+        """Handle that a run which this leader ordered has begun."""
+        self._hooks.on_run_begun(key)
+
     def on_answering_again(self) -> None:
         """Handle that a worker answers again, which must be committed before it gets a lease."""
         self.on_answering()
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -3,6 +3,7 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 START_BUCKETS_S = (0.02, 0.05, 0.1, 0.3, 1.0, 3.6, 10.0, 30.0)
+URGENT_START_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2.0, 2.4, 2.7, 2.9, 3.4, 5.0, 10.0)
 CALL_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0, 3.0)
 PACE_BUCKETS = (0.4, 0.6, 0.8, 0.95, 1.05, 1.25, 1.6, 2.5, 5.0)
 LOOP_BUCKETS_S = (0.002, 0.005, 0.01, 0.03, 0.1, 0.3, 1.0)
@@ -30,6 +31,13 @@
     ["priority"],
     buckets=START_BUCKETS_S,
 )
+URGENT_START_SECONDS = Histogram(
+    "agateferry_jobs_urgent_start_seconds",
+    "Time from an urgent job's acceptance until all of its first step has begun, by whether a plan"
+    " found it beyond its team's guarantee meanwhile.",
+    ["kind"],
+    buckets=URGENT_START_BUCKETS_S,
+)
 PASSED_OVER = Counter(
     "agateferry_jobs_passed_over",
     "Jobs that a plan could not start, by reason; counted once until the reason changes.",
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -33,7 +33,7 @@
 from agateferry_jobs.planning.plan import Plan, Stop
 from agateferry_jobs.planning.preemption_cost import PreemptionCost, ValuedPreemptionCost, WaitCost
 from agateferry_jobs.planning.preemption_policy import PreemptionPolicy, PreemptionRules
-from agateferry_jobs.planning.ranks import GUARANTEED_RANK, rank_jobs
+from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, rank_jobs
 from agateferry_jobs.planning.readiness import Readiness
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.scarcity import is_capacity_scarce
@@ -64,8 +64,8 @@
         self._fleet = fleet
         self._now_ms = now_ms
         self._options = options
-        self._plan = Plan()
         self._ranks = rank_jobs(ledger.jobs.values(), ledger.manifest)
+        self._plan = Plan(ranks=self._ranks)
         self._timing = Timing(ledger, options.learns_durations)
         self._values = JobValues(ledger.jobs.values(), self._timing, now_ms)
         self._is_scarce = False
@@ -250,6 +250,8 @@
         """Record why subtasks wait; return whether resources that become free are kept for them."""
         reason = self._reserve_or_preempt(ready, selector)
         self._plan.waits[ready.job.id] = reason
+        if ready.rank <= BORROWED_RANK:
+            self._plan.choices[ready.job.id] = selector.choices()
         return reason in (WaitReason.RESERVED, WaitReason.PREEMPTING)
 
     def _reserve_or_preempt(self, ready: ReadySubtasks, selector: WorkerSelector) -> WaitReason:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/ranks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ranks.py
@@ -21,19 +21,25 @@
 def rank_jobs(jobs: Iterable[Job], manifest: Manifest | None) -> dict[str, int]:
     """Return the rank of each job that is not over, by its id; rank 0 is planned first."""
     open_jobs = [job for job in jobs if not job.is_over]
-    urgent_gpus: dict[str, int] = defaultdict(int)
-    for job in open_jobs:
-        if job.priority == URGENT_PRIORITY:
-            urgent_gpus[job.team] += _total_gpus(job)
-    return {job.id: _rank(job, urgent_gpus, manifest) for job in open_jobs}
+    needed = urgent_gpus(open_jobs)
+    return {job.id: _rank(job, needed, manifest) for job in open_jobs}
 
 
-def _rank(job: Job, urgent_gpus: dict[str, int], manifest: Manifest | None) -> int:
+def urgent_gpus(jobs: Iterable[Job]) -> dict[str, int]:
+    """Return how many accelerators the urgent jobs of each team need that are not over."""
+    needed: dict[str, int] = defaultdict(int)
+    for job in jobs:
+        if job.priority == URGENT_PRIORITY and not job.is_over:
+            needed[job.team] += _total_gpus(job)
+    return needed
+
+
+def _rank(job: Job, needed: dict[str, int], manifest: Manifest | None) -> int:
     if job.priority != URGENT_PRIORITY:
         return BORROWED_RANK + job.priority
     team = manifest.team_named(job.team) if manifest is not None else None
     guaranteed = team.reserved_gpus if team is not None else 0
-    return GUARANTEED_RANK if urgent_gpus[job.team] <= guaranteed else BORROWED_RANK
+    return GUARANTEED_RANK if needed[job.team] <= guaranteed else BORROWED_RANK
 
 
 def _total_gpus(job: Job) -> int:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/listener.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/listener.py
@@ -29,6 +29,9 @@
         Orders to this incarnation may have been carried out by the new one.
         """
 
+    def on_run_begun(self, key: RunKey) -> None:
+        """Handle that a run which this leader ordered has begun."""
+
     def on_answering_again(self) -> None:
         """Handle that a worker answers again, which must be committed before it gets a lease."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -407,6 +407,8 @@
             if tracked.phase is Phase.UNCERTAIN:
                 tracked.phase = Phase.CONFIRMED
                 tracked.phase_since_poll = self._poll_number
+                if not tracked.is_adopted:
+                    self._listener.on_run_begun(each.key)
             if tracked.is_stopping and _is_stop_due(tracked.stop_sent_ms, now_ms):
                 self._spawn(self._send_stop(each.key, each.run, tracked))
 
@@ -443,7 +445,7 @@
             answer = await self._port.start(order, ORDER_TIMEOUT_MS)
             match answer:
                 case Confirmed(clock_ms):
-                    return self._record_confirmed_start(tracked, clock_ms, reading)
+                    return self._record_confirmed_start(key, tracked, clock_ms, reading)
                 case Rejected(reason) if attempt == 0:
                     metrics.STARTS_UNCLEAR.labels(reason).inc()
                     self._log.warning(
@@ -460,7 +462,7 @@
         return False
 
     def _record_confirmed_start(
-        self, tracked: TrackedRun, clock_ms: int, reading: ClockReading | None
+        self, key: RunKey, tracked: TrackedRun, clock_ms: int, reading: ClockReading | None
     ) -> bool:
         """Record that a start was carried out; return whether that can be by this incarnation.
 
@@ -475,6 +477,7 @@
         self._mark_answering(clock_ms)
         tracked.phase = Phase.CONFIRMED
         tracked.phase_since_poll = self._poll_number
+        self._listener.on_run_begun(key)
         self._contact.record_start()
         self._wake.set()
         return True
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -31,6 +31,7 @@
         self.later_runs = set()
         self.keeps_idle = True
         self.slots_taken = 0
+        self.begun = []
 
     def next_token(self):
         self.tokens += 1
@@ -50,6 +51,9 @@
     def on_worker_restarted(self, incarnation):
         self.restarted_incarnations.append(incarnation)
 
+    def on_run_begun(self, key):
+        self.begun.append(key)
+
     def on_answering_again(self):
         pass
 
