Keep the guarantee of urgent jobs whose team asks for more later

Cause: the guarantee was judged for all urgent jobs of a team at once, anew in each plan. As soon as later jobs made the team's sum exceed it, also those that were accepted within it ranked as borrowed: they could stop no borrowed work of other teams, gave way to the guaranteed work of others, and waited as late once their slack was over. Steps that run one after the other were added up, too.

Change: in the order of acceptance, each urgent job is guaranteed that fits into what those before it leave of the guarantee. The order is the ledger's, since clocks of leaders differ. A job counts with the most that its steps need at the same time. The guaranteed jobs of a team never need more than its guarantee, so those of all teams fit together.

That the users' job had this cause is not proved: their record does not show its team's other jobs.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/urgent_starts.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/urgent_starts.py
@@ -11,7 +11,12 @@
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.state import RunKey, gang_of
 from agateferry_jobs.planning import Plan
-from agateferry_jobs.planning.ranks import GUARANTEED_RANK, URGENT_PRIORITY, urgent_gpus
+from agateferry_jobs.planning.ranks import (
+    GUARANTEED_RANK,
+    URGENT_PRIORITY,
+    guaranteed_gpus,
+    urgent_gpus,
+)
 
 LATE_START_MS = 1_000
 """An urgent job that begins later than this is logged; a preemption takes 0.2 to 0.4 s."""
@@ -76,7 +81,7 @@
             choices = "+".join(plan.choices.get(job.id, ())) or "none"
             stage = (
                 f"{plan.waits[job.id].value} rank={rank} choices={choices}"
-                f" team={team_gpus[job.team]}/{self._guarantee(job)}"
+                f" team={team_gpus[job.team]}/{guaranteed_gpus(job.team, self._ledger.manifest)}"
             )
             start.add(now_ms - job.accepted_ms, stage)
         self._observe_stops(plan, now_ms)
@@ -152,11 +157,6 @@
         has_begun = start is not None and len(start.begun) >= job.spec.steps[0].count
         return None if has_begun else job
 
-    def _guarantee(self, job: Job) -> int:
-        manifest = self._ledger.manifest
-        team = manifest.team_named(job.team) if manifest is not None else None
-        return team.reserved_gpus if team is not None else 0
-
     def _forget_ended(self) -> None:
         jobs = self._ledger.jobs
         ended = [id for id in self._starts if id not in jobs or jobs[id].is_over]
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
@@ -1,6 +1,7 @@
 """What a caller submits: a job's steps and when they run."""
 
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 
 from msgspec import Struct, field
 
@@ -111,6 +112,28 @@
         return self.start_at_ms + occurrence * self.interval_ms
 
 
+@lru_cache(maxsize=4_096)
+def peak_gpus(steps: tuple[StepSpec, ...]) -> int:
+    """Return an upper bound of the accelerators that a job's steps need at the same time.
+
+    Steps of which one depends on the other, also by steps between them, never run at the same time.
+    """
+    ancestors: list[set[int]] = []
+    for step in steps:
+        ancestors.append(set(step.depends_on).union(*(ancestors[n] for n in step.depends_on)))
+    return max(
+        (
+            sum(
+                other.count * other.need.gpu
+                for n, other in enumerate(steps)
+                if n not in ancestors[number] and number not in ancestors[n]
+            )
+            for number in range(len(steps))
+        ),
+        default=0,
+    )
+
+
 def declared_critical_path_ms(spec: JobSpec) -> int:
     """Return the declared duration of the critical path through a job's steps."""
     return critical_path_ms(spec.steps, [step.estimated_ms for step in spec.steps])
--- a/packages/agateferry-jobs/agateferry_jobs/planning/ranks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/ranks.py
@@ -1,14 +1,16 @@
 """The rank of each job: the order in which jobs are planned, and which runs may be preempted.
 
-The most urgent jobs of a team whose urgent jobs need no more than its guarantee rank first: the
-platform guarantees that they start at once. If they need more, the team borrows, so all its urgent
-jobs rank second and may be preempted. All other jobs follow by their priority.
+The urgent jobs of a team rank first as far as its guarantee goes: in the order of their acceptance,
+each that still fits into the guarantee beside those before it. The platform guarantees that they
+start at once, whatever the team asks for later. The team's other urgent jobs borrow: they rank
+second and may be preempted. All other jobs follow by their priority.
 """
 
 from collections import defaultdict
 from collections.abc import Iterable
 
 from agateferry_jobs.ledger import Job
+from agateferry_jobs.ledger.specs import peak_gpus
 from agateferry_jobs.manifest import Manifest
 
 URGENT_PRIORITY = 0
@@ -19,10 +21,31 @@
 
 
 def rank_jobs(jobs: Iterable[Job], manifest: Manifest | None) -> dict[str, int]:
-    """Return the rank of each job that is not over, by its id; rank 0 is planned first."""
-    open_jobs = [job for job in jobs if not job.is_over]
-    needed = urgent_gpus(open_jobs)
-    return {job.id: _rank(job, needed, manifest) for job in open_jobs}
+    """Return the rank of each job that is not over, by its id; rank 0 is planned first.
+
+    The jobs come in the order in which the ledger accepted them. Their times of acceptance may not:
+    the clocks of two leaders differ.
+    """
+    left: dict[str, int] = {}
+    ranks: dict[str, int] = {}
+    for job in jobs:
+        if job.is_over:
+            continue
+        if job.priority != URGENT_PRIORITY:
+            ranks[job.id] = BORROWED_RANK + job.priority
+            continue
+        left.setdefault(job.team, guaranteed_gpus(job.team, manifest))
+        needed = peak_gpus(job.spec.steps)
+        fits = needed <= left[job.team]
+        ranks[job.id] = GUARANTEED_RANK if fits else BORROWED_RANK
+        left[job.team] -= needed if fits else 0
+    return ranks
+
+
+def guaranteed_gpus(team: str, manifest: Manifest | None) -> int:
+    """Return how many accelerators a team is guaranteed; 0 for one that is not known."""
+    known = manifest.team_named(team) if manifest is not None else None
+    return known.reserved_gpus if known is not None else 0
 
 
 def urgent_gpus(jobs: Iterable[Job]) -> dict[str, int]:
@@ -30,17 +53,5 @@
     needed: dict[str, int] = defaultdict(int)
     for job in jobs:
         if job.priority == URGENT_PRIORITY and not job.is_over:
-            needed[job.team] += _total_gpus(job)
+            needed[job.team] += peak_gpus(job.spec.steps)
     return needed
-
-
-def _rank(job: Job, needed: dict[str, int], manifest: Manifest | None) -> int:
-    if job.priority != URGENT_PRIORITY:
-        return BORROWED_RANK + job.priority
-    team = manifest.team_named(job.team) if manifest is not None else None
-    guaranteed = team.reserved_gpus if team is not None else 0
-    return GUARANTEED_RANK if needed[job.team] <= guaranteed else BORROWED_RANK
-
-
-def _total_gpus(job: Job) -> int:
-    return sum(step.count * step.need.gpu for step in job.spec.steps)
