Set aside the time for two preemptions and an order in the waits of guaranteed work

What callers could see: urgent work within its guarantee that begins after the platform's bound because one stop goes wrong. A stop that was never carried out was counted on without end, and no other run was stopped.

Cause: local waits without a common budget, the class of the incident of idle jobs; belief in a stop without a bound.

Change: one budget from the platform's own reclaimMs and stopTimeoutMs (3.6 s and 0.5 s where it names none). After that all choices fall at once. A stop that takes longer than its time is not counted on any more.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -31,6 +31,7 @@
 from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning import Fleet, Plan, Planner
 from agateferry_jobs.planning.idle_jobs import IdleTimes
+from agateferry_jobs.start_budget import DEFAULT_BUDGET, StartBudget
 from agateferry_jobs.workers.session import PortFactory
 from agateferry_state.replica.protocols import Replica
 
@@ -60,6 +61,7 @@
         max_start_ms: int | None = None,
         zone_regions: Mapping[str, str] | None = None,
         max_lease_ms: int | None = None,
+        start_budget: StartBudget = DEFAULT_BUDGET,
     ) -> None:
         self._replica = replica
         self._ledger = ledger
@@ -75,6 +77,7 @@
             ledger, clock, make_port, lease_ms, max_report_age_ms, self, max_start_ms, max_lease_ms
         )
         self._zone_regions = zone_regions or {}
+        self._start_budget = start_budget
         self._evacuations = ZoneEvacuations(
             ledger, self._sessions, self._proposer, self.request_planning
         )
@@ -275,11 +278,20 @@
             self._sessions.health(self._is_suspect),
             self._sessions.stopping_runs(),
             self._zone_regions,
+            self._sessions.overdue_stops(self._start_budget.preemption_ms),
         )
         fleet.set_paces(self._paces.current)
         held = self._refusals.held(self._clock.now_ms()) | self._sessions.held_ends()
         idle_times = self._idle_times
-        return Planner(self._ledger, fleet, self.now_ms, held=held, idle_times=idle_times).plan()
+        planner = Planner(
+            self._ledger,
+            fleet,
+            self.now_ms,
+            held=held,
+            idle_times=idle_times,
+            budget=self._start_budget,
+        )
+        return planner.plan()
 
     async def _execute(self, plan: Plan) -> None:
         self._log_errors(plan)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -183,6 +183,16 @@
             if tracked.is_stopping
         }
 
+    def overdue_stops(self, limit_ms: int) -> set[RunKey]:
+        """Return the keys of runs whose stop was ordered more than `limit_ms` ago."""
+        ordered_before_ms = self._clock.now_ms() - limit_ms
+        return {
+            key
+            for session in self.by_id.values()
+            for key, tracked in session.runs.items()
+            if tracked.stop_ordered_ms is not None and tracked.stop_ordered_ms < ordered_before_ms
+        }
+
     def progress(self, wall_offset_ms: int) -> dict[RunKey, Progress]:
         """Return how far the runs were when their progress last changed.
 
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -189,6 +189,7 @@
             self.cfg.bounds.max_start_ms,
             self.cfg.zones,
             self.cfg.bounds.max_lease_ms,
+            self.cfg.bounds.start_budget,
         )
         return replica
 
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -31,9 +31,11 @@
         health: Mapping[str, WorkerHealth],
         stopping: Collection[RunKey],
         zone_regions: Mapping[str, str] | None = None,
+        overdue: Collection[RunKey] = (),
     ) -> "Fleet":
         """Return the fleet of a ledger, with the health of each worker and the stopping runs.
 
+        Nobody counts on the ends of those in `overdue`, whose stops have taken too long.
         `zone_regions` maps zones to regions. Where none are known, queues may use all workers.
         """
         unknown = WorkerHealth(answers=False)
@@ -51,7 +53,7 @@
             )
             for incarnation in ledger.workers.values()
         }
-        for id, runs in _runs_by_worker(ledger, workers, stopping).items():
+        for id, runs in _runs_by_worker(ledger, workers, stopping, overdue).items():
             workers[id].add_runs(runs)
         return cls(workers.values(), knows_regions=bool(regions))
 
@@ -122,7 +124,10 @@
 
 
 def _runs_by_worker(
-    ledger: Ledger, workers: Mapping[str, WorkerAllocation], stopping: Collection[RunKey]
+    ledger: Ledger,
+    workers: Mapping[str, WorkerAllocation],
+    stopping: Collection[RunKey],
+    overdue: Collection[RunKey],
 ) -> dict[str, list[AllocatedRun]]:
     """Return the runs that the ledger places on each worker, then the unexpected ones."""
     runs: dict[str, list[AllocatedRun]] = defaultdict(list)
@@ -134,7 +139,15 @@
             if active is None or worker is None or worker.incarnation.born != active.born:
                 continue
             is_stopping = is_over or subtask.is_done or (job.id, name) in stopping
-            runs[active.worker].append(AllocatedRun(job, name, job.step_of(name), is_stopping))
+            runs[active.worker].append(
+                AllocatedRun(
+                    job,
+                    name,
+                    job.step_of(name),
+                    is_stopping,
+                    is_overdue=(job.id, name) in overdue,
+                )
+            )
     for id, worker in workers.items():
         for job_id, name in worker.health.unexpected_runs:
             unexpected = ledger.jobs.get(job_id)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/pace_limits.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/pace_limits.py
@@ -10,7 +10,7 @@
 GUARANTEED_PACE_WAIT_MS = 1_000
 """How long work within its team's guarantee waits at most for workers that are fast enough.
 
-The platform requires its start 2.7 s after submission; a preemption takes up to 0.9 s of that.
+It may wait by choice for longer, but a start on a slow worker is better than a late one.
 """
 PACE_MARGIN = 0.9
 """The share of the limit that a worker's estimated pace may reach, since both are estimates."""
@@ -26,6 +26,8 @@
     is_urgent = ready.rank <= BORROWED_RANK and not ready.is_suspect
     if not (fleet.has_paces and is_urgent and options.waits_for_pace):
         return None
+    if not ready.may_wait_by_choice:
+        return None
     if ready.rank == GUARANTEED_RANK and ready.waited_ms > GUARANTEED_PACE_WAIT_MS:
         return None
     return _selective_limit(ready.job, ready.waited_ms, fleet, timing)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -42,13 +42,15 @@
 from agateferry_jobs.planning.wait_reasons import WaitReason
 from agateferry_jobs.planning.worker_allocation import AllocatedRun, WorkerAllocation
 from agateferry_jobs.planning.worker_selection import WorkerSelector
+from agateferry_jobs.start_budget import DEFAULT_BUDGET, StartBudget
 
 
 class Planner:
     """Make one plan from the ledger and the fleet at one moment.
 
     The subtasks in `held` do not start, but count as idle if they would fit. `idle_times` are those
-    of the plans before; without them, jobs count as idle since they were accepted.
+    of the plans before; without them, jobs count as idle since they were accepted. `budget` limits
+    how long guaranteed work waits by choice.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         options: PolicyOptions = DEFAULT_OPTIONS,
         held: Collection[RunKey] = (),
         idle_times: IdleTimes | None = None,
+        budget: StartBudget = DEFAULT_BUDGET,
     ) -> None:
         self._ledger = ledger
         self._fleet = fleet
@@ -89,6 +92,7 @@
             self._timing,
             suspects,
             held,
+            budget,
         )
 
     def plan(self) -> Plan:
@@ -261,7 +265,8 @@
         """
         if waits_for_trial(ready):
             return WaitReason.TRIAL
-        if selector.awaits_report():
+        may_wait = ready.may_wait_by_choice or ready.rank != GUARANTEED_RANK
+        if may_wait and selector.awaits_report():
             return WaitReason.REPORT
         rules = PreemptionRules(self._timing, self._options, self._is_scarce)
         policy = rules.policy_for(ready)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/readiness.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/readiness.py
@@ -9,8 +9,10 @@
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.pace_limits import prefers_slow
+from agateferry_jobs.planning.ranks import GUARANTEED_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.timing import Timing
+from agateferry_jobs.start_budget import DEFAULT_BUDGET, StartBudget
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +26,7 @@
     timing: Timing
     suspects: CrashSuspects
     held: Collection[RunKey]
+    budget: StartBudget = DEFAULT_BUDGET
 
     def ready_subtasks(self, job: Job) -> Iterator[ReadySubtasks]:
         """Return the subtasks of a job that may start now, by step and occurrence."""
@@ -50,6 +53,7 @@
         if not all(job.is_step_done(occurrence, earlier) for earlier in step.depends_on):
             return
         waited = self.timing.waited_ms(job, occurrence, self.now_ms)
+        is_guaranteed = self.ranks[job.id] == GUARANTEED_RANK
         ready = ReadySubtasks(
             job,
             gang,
@@ -60,6 +64,7 @@
             waited_ms=waited,
             hopeless_after_ms=self.timing.hopeless_after_ms(job),
             waited_slack_share=waited / max(1.0, self.timing.slack_ms(job)),
+            may_wait_by_choice=not is_guaranteed or waited < self.budget.choice_ms,
             prefers_slow=prefers_slow(job, self.ranks[job.id], waited, self.fleet, self.timing),
         )
         for each in self._split_held(ready):
--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_planner.py
@@ -11,7 +11,7 @@
 from agateferry_jobs.planning.preemption_cost import PreemptionCost
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.wait_reasons import WaitReason
-from agateferry_jobs.planning.worker_selection import GUARANTEED_RACK_WAIT_MS
+from agateferry_jobs.start_budget import DEFAULT_BUDGET
 from agateferry_jobs.support import job_command, manifest, start_of, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES, WORKER_CAPACITY
 
@@ -362,8 +362,8 @@
         self.apply(msgspec.structs.replace(full, team="other"))
         self.placed()
         self.apply(job_command("j", step, priority=0))
-        self.assertEqual({}, self.placed(GUARANTEED_RACK_WAIT_MS - 1))
-        self.assertEqual(1, len(self.placed(GUARANTEED_RACK_WAIT_MS)))
+        self.assertEqual({}, self.placed(DEFAULT_BUDGET.choice_ms - 1))
+        self.assertEqual(1, len(self.placed(DEFAULT_BUDGET.choice_ms)))
 
     def test_an_urgent_gang_waits_for_its_rack_while_runs_there_are_preempted(self):
         """A gang across racks takes three times as long, so it waits for one until it is hopeless.
@@ -379,7 +379,7 @@
         self.placed()
         gang = StepSpec(2, Resources(gpu=8), is_gang=True, same_rack=True, estimated_ms=2500)
         self.apply(msgspec.structs.replace(job_command("u", gang, priority=0), team="other"))
-        stops = self.plan(GUARANTEED_RACK_WAIT_MS).stops
+        stops = self.plan(DEFAULT_BUDGET.choice_ms).stops
         self.assertEqual(1, len(stops))
         self.stopping = {stops[0].key}
         self.assertEqual([], self.plan(HOPELESS_MS - 1).starts)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_allocation.py
@@ -55,6 +55,13 @@
     is_stopping: bool
     pace: float = 1.0
     """The pace of its worker."""
+    is_overdue: bool = False
+    """Whether its stop has taken so long that its end is not counted on."""
+
+    @property
+    def ends_soon(self) -> bool:
+        """Return whether what it holds counts as free after stops."""
+        return self.is_stopping and not self.is_overdue
 
 
 @dataclass(slots=True)
@@ -96,7 +103,7 @@
     @property
     def slots_after_stops(self) -> int:
         """Return the free slots once all stopping runs have ended."""
-        return self.free_slots + sum(1 for run in self.runs if run.is_stopping)
+        return self.free_slots + sum(1 for run in self.runs if run.ends_soon)
 
     @property
     def free_for_idle_jobs(self) -> Resources:
@@ -152,7 +159,7 @@
     def add_runs(self, runs: Sequence[AllocatedRun]) -> None:
         """Allocate resources to runs; those of stopping ones count as free after stops."""
         self.runs += runs
-        kept = [run for run in runs if not run.is_stopping]
+        kept = [run for run in runs if not run.ends_soon]
         self.free = self.free.minus(total_need(runs))
         self.free_after_stops = self.free_after_stops.minus(total_need(kept))
         self.free_slots -= len(runs)
--- a/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/worker_selection.py
@@ -9,7 +9,7 @@
 from agateferry_jobs.planning.failed_searches import SearchKey
 from agateferry_jobs.planning.idle_jobs import WaitChoice
 from agateferry_jobs.planning.options import PolicyOptions
-from agateferry_jobs.planning.ranks import BORROWED_RANK, GUARANTEED_RANK, LOWEST_RANK
+from agateferry_jobs.planning.ranks import BORROWED_RANK, LOWEST_RANK
 from agateferry_jobs.planning.ready_subtasks import ReadySubtasks
 from agateferry_jobs.planning.worker_allocation import NOTHING, AllocatedRun, WorkerAllocation
 
@@ -18,12 +18,6 @@
 
 On another rack it takes three times as long, so it may wait for twice its duration.
 """
-GUARANTEED_RACK_WAIT_MS = 1_800
-"""How long work within its team's guarantee waits at most for a rack.
-
-The platform requires its start 2.9 s after submission at the earliest, and a preemption on another
-rack takes up to 0.9 s of that.
-"""
 KEPT_FOR_OTHERS_WEIGHT = 4
 """Sorts each worker that is kept for other jobs after all that are suspect or cold."""
 
@@ -55,19 +49,14 @@
         """Return how long the subtasks wait for a rack before they may start outside it.
 
         A gang that spans racks takes three times as long and holds its workers all that time. So it
-        waits for one rack until its job is hopeless, unless it is within its team's guarantee.
+        waits for one rack until its job is hopeless, or until it may wait by choice no longer.
         """
         ready = self._ready
-        is_waiting = self._options.waits_for_data_rack
-        max_wait_ms = DATA_RACK_WAIT_FACTOR * ready.expected_duration_ms
         if ready.step.is_gang:
-            is_waiting = self._options.waits_for_rack
-            max_wait_ms = ready.hopeless_after_ms
-        if not is_waiting:
+            return ready.hopeless_after_ms if self._options.waits_for_rack else 0.0
+        if not self._options.waits_for_data_rack:
             return 0.0
-        if ready.rank == GUARANTEED_RANK:
-            max_wait_ms = min(max_wait_ms, GUARANTEED_RACK_WAIT_MS)
-        return max_wait_ms
+        return DATA_RACK_WAIT_FACTOR * ready.expected_duration_ms
 
     def subtask_key(self) -> SearchKey | None:
         """Return what `select_for_subtask` depends on; None where it depends on the job too."""
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -4,6 +4,12 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from agateferry_jobs.start_budget import (
+    DEFAULT_START_MS,
+    DEFAULT_STOP_MS,
+    StartBudget,
+)
+
 ORDER_DELAY_MS = 1_500
 """How long a report may be on its way, and then a start order until the worker begins."""
 START_SHARE_OF_EVACUATION = 0.9
@@ -20,7 +26,9 @@
     `grace_ms` is the time from the signal to stop to the kill, `max_lease_ms` the longest lease of
     a worker. A worker's capacity that has shrunk counts `contact_ms` and one `heartbeat_ms` later.
     Nothing starts in an evacuated zone from `evacuation_ms` after the acknowledgement on; this is
-    None where zones are never evacuated.
+    None where zones are never evacuated. Urgent work within its team's guarantee begins within
+    `reclaim_ms`, and a worker takes up to `stop_timeout_ms` to stop a run; None where the platform
+    does not say.
     """
 
     grace_ms: int = 6000
@@ -28,6 +36,16 @@
     contact_ms: int = 3_000
     heartbeat_ms: int = 1_500
     evacuation_ms: int | None = None
+    reclaim_ms: int | None = None
+    stop_timeout_ms: int | None = None
+
+    @property
+    def start_budget(self) -> StartBudget:
+        """Return how guaranteed work divides the time in which it has to begin."""
+        return StartBudget(
+            DEFAULT_START_MS if self.reclaim_ms is None else self.reclaim_ms,
+            DEFAULT_STOP_MS if self.stop_timeout_ms is None else self.stop_timeout_ms,
+        )
 
     @property
     def max_start_ms(self) -> int | None:
--- a/packages/agateferry-jobs/agateferry_jobs/support/planning_play.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/planning_play.py
@@ -27,6 +27,7 @@
 from agateferry_jobs.planning import Fleet, Plan, Planner, WorkerHealth
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.idle_jobs import IdleTimes
+from agateferry_jobs.start_budget import DEFAULT_BUDGET
 from agateferry_jobs.support.builders import manifest
 
 PLAN_INTERVAL_MS = 200
@@ -47,6 +48,7 @@
         """The ids of the workers that refuse each start."""
         self.refusals = Backoff[RunKey](REFUSAL_DELAY_MS, MAX_REFUSAL_DELAY_MS)
         self.start_ms = self.now_ms = START_MS
+        self.budget = DEFAULT_BUDGET
         self.plan = Plan()
         """The newest plan."""
         self.pending_changes = 0
@@ -55,6 +57,7 @@
         self._stop_delay_ms = stop_delay_ms
         self._run_ms: dict[str, int] = {}
         self._stopping: dict[RunKey, Run] = {}
+        self._stop_ordered_ms: dict[RunKey, int] = {}
         self._agenda: list[tuple[int, int, Callable[[], None]]] = []
         self._numbers = count()
         self.apply(commands.PutManifest(in_force or manifest()))
@@ -121,10 +124,19 @@
         """Make and execute one plan; the next one is made `PLAN_INTERVAL_MS` later."""
         self._run_agenda()
         self._give_up_guilty_jobs()
-        fleet = Fleet.from_ledger(self.ledger, self.health, self._stopping)
+        fleet = Fleet.from_ledger(
+            self.ledger, self.health, self._stopping, overdue=self._overdue_stops()
+        )
         fleet.set_paces(self.paces)
         held = self.refusals.held(self.now_ms)
-        planner = Planner(self.ledger, fleet, self.now_ms, held=held, idle_times=self._idle_times)
+        planner = Planner(
+            self.ledger,
+            fleet,
+            self.now_ms,
+            held=held,
+            idle_times=self._idle_times,
+            budget=self.budget,
+        )
         self.plan = planner.plan()
         for stop in self.plan.stops:
             self._stop(stop.key, stop.run)
@@ -195,12 +207,17 @@
         duration_ms = round(pace * self._run_ms.get(start.job, step.estimated_ms))
         self._schedule(at_ms + duration_ms, lambda: self._end(key, run, RunOutcome.DONE))
 
+    def _overdue_stops(self) -> set[RunKey]:
+        limit_ms = self.now_ms - self.budget.preemption_ms
+        return {key for key, at_ms in self._stop_ordered_ms.items() if at_ms < limit_ms}
+
     def _refuse(self, key: RunKey, run: Run) -> None:
         self.refusals.record_failure(key, self.now_ms)
         self._end(key, run, RunOutcome.REFUSED)
 
     def _stop(self, key: RunKey, run: Run) -> None:
         self._stopping[key] = run
+        self._stop_ordered_ms[key] = self.now_ms
         at_ms = self.now_ms + self._stop_delay_ms
         self._schedule(at_ms, lambda: self._end(key, run, RunOutcome.STOPPED))
 
@@ -215,6 +232,7 @@
             return
         if self._stopping.get(key) == run:
             del self._stopping[key]
+            del self._stop_ordered_ms[key]
         self.apply(commands.EndRuns((commands.RunEnded(job, name, run, outcome),), self.now_ms))
 
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -160,6 +160,7 @@
         tracked = self.runs.get(key)
         if tracked is not None and not tracked.is_stopping:
             tracked.is_stopping = True
+            tracked.stop_ordered_ms = self._clock.now_ms()
             self._spawn(self._send_stop(key, tracked.run.number, tracked))
 
     def record_heartbeat(self, clock_ms: int, cold_ms: int = 0) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
@@ -35,6 +35,8 @@
     phase_since_poll: int
     """The number of the last poll sent before the phase was reached."""
     is_stopping: bool = False
+    stop_ordered_ms: int | None = None
+    """When the first stop was ordered."""
     stop_sent_ms: int | None = None
     percent: float = -1.0
     last_progress_ms: int = 0
