Move the search for idle jobs out of the planner

Change: IdleSearch in a module of its own; no behaviour changes. Result: the tests of planning, simulation and the invariants of idle jobs pass.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/planner.py
@@ -12,20 +12,14 @@
 from agateferry_jobs.ledger import Ledger, Run
 from agateferry_jobs.ledger.commands import RunStart
 from agateferry_jobs.ledger.state import RunKey, gang_of
-from agateferry_jobs.planning.candidates import CandidateKey, CandidateWorkers
+from agateferry_jobs.planning.candidates import CandidateWorkers
 from agateferry_jobs.planning.crash_suspects import CrashSuspects
 from agateferry_jobs.planning.failed_searches import FailedSearches
 from agateferry_jobs.planning.fair_shares import shares_in_use
 from agateferry_jobs.planning.fleet import Fleet
 from agateferry_jobs.planning.future_capacity import FutureCapacity, FuturePlacements
-from agateferry_jobs.planning.idle_jobs import (
-    MAX_IDLE_BY_CHOICE_MS,
-    ROOM_FACTOR,
-    IdleJob,
-    IdleTimes,
-    needed_room,
-    room_for,
-)
+from agateferry_jobs.planning.idle_jobs import MAX_IDLE_BY_CHOICE_MS, IdleTimes
+from agateferry_jobs.planning.idle_search import IdleSearch
 from agateferry_jobs.planning.job_order import JobOrder, PlannedJob
 from agateferry_jobs.planning.job_value import JobValues
 from agateferry_jobs.planning.options import DEFAULT_OPTIONS, PolicyOptions
@@ -80,10 +74,9 @@
             fleet.set_paces({})
         suspects = CrashSuspects(ledger, now_ms)
         fleet.mark_trials(suspects.on_trial())
-        self._idle_times = idle_times or IdleTimes(counts_from_acceptance=True)
-        self._idle_times.begin_plan(fleet, now_ms)
-        self._rooms: dict[CandidateKey, int] = {}
-        self._started: set[str] = set()
+        idle_times = idle_times or IdleTimes(counts_from_acceptance=True)
+        idle_times.begin_plan(fleet, now_ms)
+        self._idle_search = IdleSearch(idle_times, self._candidates)
         self._readiness = Readiness(
             ledger,
             fleet,
@@ -176,7 +169,7 @@
 
     def _hold(self, ready: ReadySubtasks, candidates: CandidateWorkers) -> None:
         """Record that subtasks wait since their start was refused, which counts as idle time."""
-        idle = self._idle_job(ready, self._selector(candidates, ready))
+        idle = self._idle_search.find(ready, self._selector(candidates, ready))
         if idle is not None:
             self._plan.idle[ready.job.id] = idle
         self._plan.waits[ready.job.id] = WaitReason.HELD
@@ -187,7 +180,7 @@
         They start wherever they fit if they have been idle by choice for too long. Otherwise they
         wait for resources that become free, if any are kept for them.
         """
-        idle = self._idle_job(ready, selector)
+        idle = self._idle_search.find(ready, selector)
         if idle is not None:
             self._plan.idle[ready.job.id] = idle
             if self._options.limits_idle_jobs and idle.idle_ms >= MAX_IDLE_BY_CHOICE_MS:
@@ -196,32 +189,6 @@
                 )
         return () if self._wait(ready, selector) else ready.names
 
-    def _idle_job(self, ready: ReadySubtasks, selector: WorkerSelector) -> IdleJob | None:
-        """Return how subtasks are idle by choice, or None if they are not."""
-        has_started = ready.job.id in self._started and not ready.step.is_long_running
-        if has_started or not ready.may_wait_by_choice:
-            return None
-        if not self._idle_times.may_count(ready, selector.candidates.service):
-            return None
-        room, needed = self._room_for(ready, selector.candidates), needed_room(ready)
-        if room < ROOM_FACTOR * needed:
-            return None
-        return IdleJob(self._idle_times.record(ready), room, needed, selector.choices())
-
-    def _room_for(self, ready: ReadySubtasks, candidates: CandidateWorkers) -> int:
-        """Return how many subtasks fit if nothing is kept for a better use.
-
-        It is counted once in a plan for each shape, so that it may be too large later on.
-        """
-        if candidates.has_pace_limit:
-            candidates = self._candidates(ready)
-        if ready.step.max_per_worker:
-            return room_for(ready, candidates.usable)
-        room = self._rooms.get(candidates.key)
-        if room is None:
-            room = self._rooms[candidates.key] = room_for(ready, candidates.usable)
-        return room
-
     def _selector(self, candidates: CandidateWorkers, ready: ReadySubtasks) -> WorkerSelector:
         trials = self._fleet.count_trials(candidates.service)
         selector = TrialSelector if ready.is_suspect else WorkerSelector
@@ -231,7 +198,7 @@
         self, ready: ReadySubtasks, names: Sequence[str], workers: Sequence[WorkerAllocation]
     ) -> None:
         job = ready.job
-        self._started.add(job.id)
+        self._idle_search.record_start(job)
         self._plan.idle.pop(job.id, None)
         number = 1 + max(job.subtasks[name].last_run for name in names)
         checkpoint = self._checkpoint(ready, names)
