--- a/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_start_budget.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/tests/test_start_budget.py
@@ -26,6 +26,9 @@
     def test_a_bound_that_is_too_short_leaves_nothing(self):
         self.assertEqual(0, StartBudget(start_ms=500, stop_ms=200).choice_ms)
 
+    def test_a_platform_without_bounds_gets_the_default(self):
+        self.assertEqual(1_800, DEFAULT_BUDGET.choice_ms)
+
 
 class StartBudgetCase(testtools.TestCase):
     def setUp(self):
@@ -91,6 +94,3 @@
                 end(key, run, outcome)
 
         self.play._end = end_elsewhere
-
-    def test_default_budget_is_that_of_an_unnamed_platform(self):
-        self.assertEqual(1_800, DEFAULT_BUDGET.choice_ms)
--- a/packages/agateferry-jobs/agateferry_jobs/support/sound_fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/support/sound_fleet.py
@@ -60,7 +60,7 @@
 class SoundWorker(TimedWorker):
     """A worker whose stops take a while, and which loses an order now and then.
 
-    `next_fault` returns what goes wrong with an order, if anything does.
+    `faults` decides what goes wrong with an order, if anything does.
     """
 
     rng: random.Random = field(default_factory=random.Random)
