Look for stopping and overdue runs in one pass over the sessions

Cause: each plan walked all tracked runs twice, for those that are being stopped and for those whose stop is overdue, and a run kept both whether and when its stop was ordered. Change: one pass returns since when runs are being stopped, and is_stopping follows from that time. No behaviour changes.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -273,12 +273,14 @@
 
     def _make_plan(self) -> Plan:
         self._stops.stop_obsolete()
+        stopping = self._sessions.stopping_runs()
+        limit_ms = self._start_budget.preemption_ms
         fleet = Fleet.from_ledger(
             self._ledger,
             self._sessions.health(self._is_suspect),
-            self._sessions.stopping_runs(),
+            stopping,
             self._zone_regions,
-            self._sessions.overdue_stops(self._start_budget.preemption_ms),
+            overdue={key for key, lasts_ms in stopping.items() if lasts_ms > limit_ms},
         )
         fleet.set_paces(self._paces.current)
         held = self._refusals.held(self._clock.now_ms()) | self._sessions.held_ends()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -174,23 +174,14 @@
             return False
         return not session.accepts_starts
 
-    def stopping_runs(self) -> set[RunKey]:
-        """Return the keys of runs that are being stopped."""
-        return {
-            key
-            for session in self.by_id.values()
-            for key, tracked in session.runs.items()
-            if tracked.is_stopping
-        }
-
-    def overdue_stops(self, limit_ms: int) -> set[RunKey]:
-        """Return the keys of runs whose stop was ordered more than `limit_ms` ago."""
-        ordered_before_ms = self._clock.now_ms() - limit_ms
+    def stopping_runs(self) -> dict[RunKey, int]:
+        """Return for how many ms each run that is being stopped has been so, by its key."""
+        now_ms = self._clock.now_ms()
         return {
-            key
+            key: now_ms - tracked.stop_ordered_ms
             for session in self.by_id.values()
             for key, tracked in session.runs.items()
-            if tracked.stop_ordered_ms is not None and tracked.stop_ordered_ms < ordered_before_ms
+            if tracked.stop_ordered_ms is not None
         }
 
     def progress(self, wall_offset_ms: int) -> dict[RunKey, Progress]:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -159,7 +159,6 @@
         """Stop a run; the order is repeated until the run is no longer listed as running."""
         tracked = self.runs.get(key)
         if tracked is not None and not tracked.is_stopping:
-            tracked.is_stopping = True
             tracked.stop_ordered_ms = self._clock.now_ms()
             self._spawn(self._send_stop(key, tracked.run.number, tracked))
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tracked_run.py
@@ -34,9 +34,8 @@
     phase: Phase
     phase_since_poll: int
     """The number of the last poll sent before the phase was reached."""
-    is_stopping: bool = False
     stop_ordered_ms: int | None = None
-    """When the first stop was ordered."""
+    """When the first stop was ordered; None while none was."""
     stop_sent_ms: int | None = None
     percent: float = -1.0
     last_progress_ms: int = 0
@@ -62,6 +61,11 @@
     The network may hold an order up for longer than its worker takes to start again.
     """
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the run has been ordered to stop."""
+        return self.stop_ordered_ms is not None
+
     @property
     def is_lost_with_incarnation(self) -> bool:
         """Return whether the run has ended with its incarnation, and can't begin on the next."""
