--- a/review/6/case.py
+++ b/review/6/case.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 import system as stand
 
 LARGE = "5c0e7a21d94b36f8"
@@ -27,14 +27,18 @@
         hand_in(system, id, {"spec": json.dumps({"ms": 1000}), "steps": [NEED]})
         time.sleep(0.3)
     time.sleep(FINISH_S)
+    looks = []
     for _ in range(2):
         idle = [id for id in ids if not system.starts_of(id)]
         at_work = count_at_work(system.worker_lines())
         system.record("work", not_begun=idle, runs_at_work=at_work)
+        looks.append(at_work)
         for id in ids:
             system.state(id)
         time.sleep(WATCH_S)
-    if idle and at_work == 0:
+    if not all(map(system.is_up, system.workers)):
+        raise stand.CannotRun("a worker has ended")
+    if idle and not any(looks):
         return (
             f"LOST: {FINISH_S} s after the last job came, {len(idle)} of {SMALL} accepted jobs have "
             f"nothing running for {WATCH_S} s, and all {len(system.workers)} workers are free"
@@ -61,4 +65,4 @@
     return started - sum(line["what"] == "ended" for line in lines)
 
 
-sys.exit(stand.main(Path(__file__).parent, play, workers=8))
+sys.exit(stand.main(Path(__file__).with_name(sys.argv[1]), play, workers=8))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -4,7 +4,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 import system as stand
 
 JOB = "5c0e7a21d94b36f8"
@@ -22,6 +22,8 @@
         report_of_another_writer(system, starts[0]["worker"])
     if not stand.wait_until(lambda: system.state(JOB) == "completed", 50, 0.5):
         raise stand.CannotRun("the job did not end")
+    if not all(map(system.is_up, system.workers)):
+        raise stand.CannotRun("a worker has ended")
     return find_overlap(system.worker_lines())
 
 
@@ -63,4 +65,4 @@
     return None
 
 
-sys.exit(stand.main(Path(__file__).parent, play, workers=8))
+sys.exit(stand.main(Path(__file__).with_name(sys.argv[1]), play, workers=8))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-2"))
 import system as stand
 
 BIG = {"count": 1, "cpu": 13000, "memMb": 68000, "gpu": 8, "estimatedMs": 20000}
@@ -55,4 +55,4 @@
     return None
 
 
-sys.exit(stand.main(Path(__file__).parent, play, workers=WORKERS))
+sys.exit(stand.main(Path(__file__).with_name(sys.argv[1]), play, workers=WORKERS))
--- a/review/standins-2/system.py
+++ b/review/common-2/system.py
@@ -51,10 +51,10 @@
 class System:
     """The processes of one case, and the record of what was sent, answered and run."""
 
-    def __init__(self, folder, cells=3, entries=1, workers=8):
+    def __init__(self, record, cells=3, entries=1, workers=8):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.temporary = Path(tempfile.mkdtemp(prefix="agateferry-case-"))
-        self.record_file = open(Path(folder) / "record.txt", "w")
+        self.record_file = open(record, "w")
         self.began = time.time()
         self.net = self._free_net()
         self.processes = {}
@@ -177,6 +177,11 @@
         process.wait()
         self.record("process killed", name=name)
 
+    def is_up(self, name):
+        """Return whether a process that this case started is running."""
+        process = self.processes.get(name)
+        return process is not None and process.poll() is None
+
     def close(self):
         """End all processes, add the workers' records to the record, and remove the folder."""
         for process in self.processes.values():
@@ -342,14 +347,17 @@
     raise CannotRun(f"signal {number}")
 
 
-def main(folder, play, **size):
-    """Play one case: 1 if `play` returns a broken rule, 0 if it returns none, 2 if it cannot run."""
+def main(record, play, **size):
+    """Play one case: 1 if `play` returns a broken rule, 0 if it returns none, 2 if it cannot run.
+
+    `record` is the path of the file that gets what was sent, answered and run.
+    """
     system = None
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
         signal.signal(number, _on_signal)
     signal.alarm(MAX_S)
     try:
-        system = System(folder, **size)
+        system = System(record, **size)
         broken = play(system)
         verdict = f"BROKEN: {broken}" if broken else "the rule held"
         system.record(verdict)
@@ -361,5 +369,8 @@
             system.record(f"the case could not run: {exc!r}")
         return 2
     finally:
+        signal.alarm(0)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, signal.SIG_IGN)
         if system is not None:
             system.close()
