Believe a report that contradicts the ledger only once its worker has answered

The worker's subtask started again elsewhere at once, and both runs worked for about 8 s. The sound worker got no work any more.

Cause: a higher `born` under a known id, and another id at a known address, were committed as the end of the incarnation that was recorded there, on the word of the report alone. `gone` and the later `born` then kept the worker's own reports out. Evidence: in the leader's log 7330 of the new id is followed within 9 ms by the end of the run with the loss `crashed`, before the new id's first poll was answered with 421.

Change: such a report only makes the leader ask at the address that it gives. What answers there decides. A new command, AdmitWorker, corrects records that are later than the worker that answers. Reports of unknown workers of unnamed services record nothing; the address, service, zone and machine of an incarnation don't change; a report with a clock that can't be the worker's is late. A draining worker that deregisters is asked first. Claims, unanswered workers and `gone` are bounded. A probe of a known id keeps the session's fencing token.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -85,6 +85,11 @@
     "silent workers recorded for the next leader",
     "Nothing to do; 7101 and 7102 of each worker tell why, left_ms when their runs are lost.",
 )
+REPORT_IGNORED = Event(
+    7336,
+    "report ignored, since no such worker answers at its address",
+    "Nothing to do unless the worker is yours: then see the reason, and its own log.",
+)
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -250,6 +250,7 @@
         """Run the checks that are due in each tick."""
         self.spawn(self._silences.commit_changes())
         await self._give_up_guilty_jobs()
+        await self._registry.forget_unanswered()
         self._stops.stop_hung()
         self._evacuations.check()
         self._paces.update(lambda: self._sessions.progress(self._wall_offset_ms), self.now_ms)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_loss_causes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_loss_causes.py
@@ -71,6 +71,7 @@
         async def scenario():
             await self.start_job()
             await self.heartbeat(worker("w1", state=WorkerState.DRAINING), sequence=2)
+            self.ports["w1"].is_unreachable = True
             await self.call(messages.Deregister("w1"))
             self.assertEqual(LossCause.LEFT, await self.lost_by())
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import msgspec
+from expression import Result
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_core.logs import EventLogger
@@ -15,16 +16,22 @@
     departed_record,
 )
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
+from agateferry_jobs.cell.registration_claims import RegistrationClaims
 from agateferry_jobs.cell.worker_sessions import LeaderHooks, WorkerSessions
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import LossCause
-from agateferry_jobs.ledger.state import WorkerKey
-from agateferry_jobs.workers.session import (
-    WorkerSession,
-)
+from agateferry_jobs.workers.presence import Presence
+from agateferry_jobs.workers.session import WorkerSession
+from agateferry_state.replica.protocols import ProposeError
 
 SHUTDOWN_MS = 1_000
 """How long a worker that says that it leaves may take until it no longer answers."""
+UNANSWERED_RETENTION_MS = 300_000
+"""How long a worker stays recorded that has never answered this leader."""
+MAX_UNANSWERED = 1_000
+"""How many workers that have never answered are recorded; the reports of others come again."""
+LEAVING_MS = 200
+"""How often a draining worker that says that it leaves is asked whether it is still there."""
 
 
 class WorkerRegistry:
@@ -40,7 +47,7 @@
         self._sessions = sessions
         self._hooks = hooks
         self._proposer = proposer
-        self._heartbeat_sequences: dict[WorkerKey, int] = {}
+        self._claims = RegistrationClaims(ledger, sessions, self._admit)
         self._removals: set[asyncio.Future[bool]] = set()
         self._log = EventLogger()
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
@@ -73,52 +80,94 @@
     async def on_heartbeat(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatReply:
         """Register a worker, or record its new state; `Done` means that this is committed.
 
-        A heartbeat with a lower sequence number than one handled before, one that arrives late, or
-        of an incarnation that is outdated, records nothing. Each one opens a session that is
-        missing: the heartbeat that registered the worker may have been abandoned by its caller, or
-        have had an unknown outcome.
+        A report that contradicts the ledger changes nothing until the worker has been found at its
+        address. One that is late, or of a service that the manifest doesn't name, records nothing.
         """
         incarnation = heartbeat.worker
-        key = (incarnation.id, incarnation.born)
-        if heartbeat.sequence < self._heartbeat_sequences.get(key, -1) or self._is_late(heartbeat):
+        if self._is_unusable(incarnation):
+            return messages.Done()
+        if self._claims.is_claim(incarnation):
+            return await self._claims.handle(heartbeat)
+        return await self._on_own_report(heartbeat)
+
+    async def _on_own_report(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatReply:
+        """Record the state that the current incarnation of a worker, or a new worker, reports.
+
+        Each report opens a session that is missing: the one that registered the worker may have
+        been abandoned by its caller, or have had an unknown outcome.
+        """
+        incarnation = heartbeat.worker
+        session = self._sessions.of(incarnation)
+        if session is not None and not session.accepts_report(
+            heartbeat.sequence, heartbeat.clock_ms
+        ):
             return messages.Done()
         known = self._ledger.workers.get(incarnation.id)
-        if known != incarnation and not self._is_outdated(incarnation):
+        if known != incarnation and not self._has_other_place(known, incarnation):
             note = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
-            if known is not None and self._has_crashed(known, incarnation):
-                note = self._with_crash(note, known, may_have_restarted=True)
             result = await self._proposer.propose(note)
             if result.is_error():
                 return reply_for_error(result.error)
             if result.ok:
-                self._log.info(
-                    events.WORKER_UPDATED,
-                    worker=incarnation.id,
-                    born=incarnation.born,
-                    state=incarnation.state,
-                    rack=incarnation.rack,
-                )
+                self._log_update(incarnation)
                 self._update_session(incarnation)
         if self._is_without_session(incarnation):
             await self._register(incarnation)
-        self._heartbeat_sequences[key] = heartbeat.sequence
-        session = self._sessions.of(incarnation)
-        if session is not None:
-            session.record_heartbeat(heartbeat.clock_ms, heartbeat.cold_remaining_ms)
+        self._record_report(heartbeat)
+        return messages.Done()
+
+    async def _admit(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatReply:
+        """Record an incarnation that was found at its address, and end those whose place it took.
+
+        Older records of its id or address are wrong, whatever their `born` is.
+        """
+        incarnation = heartbeat.worker
+        if not self._claims.is_claim(incarnation):
+            return await self._on_own_report(heartbeat)
+        known = self._ledger.workers.get(incarnation.id)
+        result = await self._propose_admission(heartbeat, known)
+        if result.is_error():
+            return reply_for_error(result.error)
+        if known is not None and known.born == incarnation.born:
+            await self._sessions.reopen(incarnation)
+        for other in self._others_at_address_of(incarnation):
+            await self._deregister(other, cause_of_replacement(other))
+        if self._is_without_session(incarnation):
+            await self._register(incarnation)
+        self._record_report(heartbeat)
         return messages.Done()
 
+    async def _propose_admission(
+        self, heartbeat: messages.Heartbeat, known: WorkerIncarnation | None
+    ) -> Result[Any, ProposeError]:
+        incarnation = heartbeat.worker
+        gone_born = self._ledger.state.gone.get(incarnation.id, -1)
+        newest_born = max(known.born if known is not None else -1, gone_born)
+        command: commands.Command
+        if incarnation.born <= newest_born:
+            command = commands.AdmitWorker(incarnation, heartbeat.sequence)
+        else:
+            now_ms = self._hooks.now_ms
+            command = commands.NoteWorker(incarnation, now_ms, sequence=heartbeat.sequence)
+            if known is not None and cause_of_replacement(known) is LossCause.CRASHED:
+                command = self._with_crash(command, known, may_have_restarted=True)
+        result = await self._proposer.propose(command)
+        if result.is_ok():
+            self._log_update(incarnation)
+        return result
+
     async def on_deregister(self, worker: str) -> messages.Reply:
         """Remove a worker that shuts down and end its runs as lost.
 
-        The call doesn't name the incarnation. One that arrives late, after the worker has started
-        again, must not remove the new incarnation, which does not drain: that is removed only if it
-        does not answer a moment later.
+        The call names neither the incarnation nor its writer. One that arrives late, after the
+        worker has started again, must not remove the new incarnation: an incarnation that answers,
+        or doesn't drain, is removed only if it does not answer a moment later.
         """
         incarnation = self._ledger.workers.get(worker)
         if incarnation is None:
             return messages.Done()
         session = self._sessions.by_id.get(worker)
-        if incarnation.state is WorkerState.READY and session is not None:
+        if session is not None and await self._stays(session):
             self._hooks.spawn(self._deregister_unless_present(session))
             return messages.Done()
         # The caller may give the call up while it is committed. Then the removal still has to end
@@ -143,16 +192,62 @@
         cause = cause_of_replacement(incarnation)
         self._hooks.spawn(self._deregister(incarnation, cause, has_restarted))
 
-    def _is_late(self, heartbeat: messages.Heartbeat) -> bool:
-        """Return whether a heartbeat was held up on its way, so that it shows an earlier state."""
-        session = self._sessions.of(heartbeat.worker)
-        return session is not None and session.is_late(heartbeat.clock_ms)
+    async def _stays(self, session: WorkerSession) -> bool:
+        """Return whether an incarnation may still be at work although it was to be removed."""
+        is_leaving = session.incarnation.state is not WorkerState.READY
+        return not is_leaving or await session.presence(attempts=1) is Presence.PRESENT
 
-    def _is_outdated(self, incarnation: WorkerIncarnation) -> bool:
-        """Return whether a newer incarnation is registered at the same address."""
-        return any(
-            other.address == incarnation.address and other.born > incarnation.born
+    async def forget_unanswered(self) -> None:
+        """Remove workers without runs that have not answered for long; reports may invent them."""
+        for session in self._sessions.never_answered():
+            if session.age_ms > UNANSWERED_RETENTION_MS and not session.runs:
+                await self._deregister(session.incarnation, LossCause.SILENT)
+
+    def _is_unusable(self, incarnation: WorkerIncarnation) -> bool:
+        """Return whether a report names no worker to use.
+
+        It is one that is not known, of a service that the manifest doesn't name or beside very many
+        that have not answered.
+        """
+        if incarnation.id in self._ledger.workers:
+            return False
+        if len(self._sessions.never_answered()) >= MAX_UNANSWERED:
+            return True
+        manifest = self._ledger.manifest
+        if manifest is None:
+            return False
+        return all(service.name != incarnation.service for service in manifest.services)
+
+    def _has_other_place(
+        self, known: WorkerIncarnation | None, incarnation: WorkerIncarnation
+    ) -> bool:
+        """Return whether a report changes what stays the same for as long as a worker runs."""
+        return known is not None and (known.service, known.zone, known.machine) != (
+            incarnation.service,
+            incarnation.zone,
+            incarnation.machine,
+        )
+
+    def _others_at_address_of(self, incarnation: WorkerIncarnation) -> list[WorkerIncarnation]:
+        return [
+            other
             for other in self._ledger.workers.values()
+            if other.address == incarnation.address and other.id != incarnation.id
+        ]
+
+    def _record_report(self, heartbeat: messages.Heartbeat) -> None:
+        session = self._sessions.of(heartbeat.worker)
+        if session is not None:
+            session.record_sequence(heartbeat.sequence)
+            session.record_heartbeat(heartbeat.clock_ms, heartbeat.cold_remaining_ms)
+
+    def _log_update(self, incarnation: WorkerIncarnation) -> None:
+        self._log.info(
+            events.WORKER_UPDATED,
+            worker=incarnation.id,
+            born=incarnation.born,
+            state=incarnation.state,
+            rack=incarnation.rack,
         )
 
     def _update_session(self, incarnation: WorkerIncarnation) -> None:
@@ -172,10 +267,10 @@
         known = self._ledger.workers.get(incarnation.id)
         if known is None or known.born != incarnation.born:
             return False
-        return self._sessions.of(incarnation) is None and not self._is_outdated(incarnation)
+        return self._sessions.of(incarnation) is None
 
     async def _register(self, incarnation: WorkerIncarnation) -> None:
-        """Open a session for an incarnation and remove the older ones at its address.
+        """Open a session for an incarnation and close that with the one before it.
 
         Another call may have opened it meanwhile, or recorded a newer incarnation.
         """
@@ -184,23 +279,26 @@
             cause = cause_of_replacement(session.incarnation)
             self._log_departure(session.incarnation, cause)
             await self._sessions.close(session, cause, may_have_restarted=True)
-        for other in list(self._ledger.workers.values()):
-            if other.address == incarnation.address and other.born < incarnation.born:
-                await self._deregister(other, cause_of_replacement(other))
         if self._is_without_session(incarnation):
             self._sessions.open_new(incarnation)
 
     async def _deregister_unless_present(self, session: WorkerSession) -> None:
         """Remove a worker that doesn't answer, once none of its runs can be going on.
 
-        The call may be of an earlier incarnation, and this one may be cut off with its runs.
+        The call may be of an earlier incarnation, and this one may be cut off with its runs. One
+        that drains is removed as soon as it doesn't answer.
         """
         while True:
-            await asyncio.sleep(SHUTDOWN_MS / MS_PER_S)
+            is_leaving = session.incarnation.state is not WorkerState.READY
+            await asyncio.sleep((LEAVING_MS if is_leaving else SHUTDOWN_MS) / MS_PER_S)
             is_current = self._sessions.of(session.incarnation) is session
-            if not is_current or await session.is_present():
+            if not is_current:
                 return
-            if not session.runs or session.is_lease_expired():
+            if await session.is_present():
+                if is_leaving:
+                    continue
+                return
+            if is_leaving or not session.runs or session.is_lease_expired():
                 await self._deregister(session.incarnation, LossCause.LEFT)
                 return
 
@@ -210,19 +308,18 @@
         note = commands.NoteWorker(departed_record(incarnation), self._hooks.now_ms)
         if cause is LossCause.CRASHED:
             note = self._with_crash(note, incarnation, may_have_restarted)
-        result = await self._proposer.propose(note)
-        if result.is_error():
-            return False
-        if result.ok:
-            self._log_departure(incarnation, cause)
+        known = self._ledger.workers.get(incarnation.id)
+        if known is None or known.born == incarnation.born:
+            result = await self._proposer.propose(note)
+            if result.is_error():
+                return False
+            if result.ok:
+                self._log_departure(incarnation, cause)
         session = self._sessions.of(incarnation)
         if session is not None:
             await self._sessions.close(session, cause, may_have_restarted)
         return True
 
-    def _has_crashed(self, known: WorkerIncarnation, new: WorkerIncarnation) -> bool:
-        return known.born < new.born and cause_of_replacement(known) is LossCause.CRASHED
-
     def _with_crash(
         self, note: commands.NoteWorker, crashed: WorkerIncarnation, may_have_restarted: bool
     ) -> commands.NoteWorker:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -14,10 +14,12 @@
 from agateferry_jobs.planning.paces import Progress
 from agateferry_jobs.workers.lease import Lease, max_local_ms
 from agateferry_jobs.workers.listener import SessionListener
+from agateferry_jobs.workers.presence import Presence, find_presence
 from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.session import (
     MAX_POLL_WAIT_MS,
     MIN_POLL_WAIT_MS,
+    ORDER_TIMEOUT_MS,
     PortFactory,
     WorkerSession,
 )
@@ -31,6 +33,8 @@
 
 A host has about 3,900 descriptors, also for the heartbeats and for its connections to other hosts.
 """
+CLAIM_ATTEMPTS = 2
+"""How often the address in a report is asked for its worker, since an answer may be lost."""
 MAX_CONTACT_POLLS = 300
 """How many workers that have not answered yet, or do not answer, are polled at the same time.
 
@@ -131,6 +135,42 @@
         if lost:
             self._hooks.spawn(self._commit_lost_runs(lost))
 
+    async def reopen(self, incarnation: WorkerIncarnation) -> None:
+        """Replace the session with an incarnation whose address was recorded wrongly.
+
+        The runs that the ledger places on it go on; the new session adopts them.
+        """
+        session = self.of(incarnation)
+        if session is not None:
+            del self.by_id[incarnation.id]
+            await session.close()
+        if self.by_id.get(incarnation.id) is None:
+            leases_until_ms = self._clock.now_ms() + max_local_ms(self._lease_ms)
+            self._open_session(incarnation, leases_until_ms, reported_ms=self._clock.now_ms())
+            # A run that a poll lists before it is adopted would be stopped.
+            self._hooks.spawn(self._commit_lost_runs(self._adopt_all()))
+
+    def never_answered(self) -> list[WorkerSession]:
+        """Return the sessions whose worker has not answered since they were opened."""
+        return [session for session in self.by_id.values() if not session.has_answered]
+
+    async def presence_of(self, incarnation: WorkerIncarnation) -> Presence:
+        """Ask at the address that a report gives whether its incarnation is there.
+
+        The token of orders that are under way to the id is kept, so that these are not rejected.
+        """
+        if not self._hooks.may_send_orders():
+            return Presence.SILENT
+        session = self.by_id.get(incarnation.id)
+        token = session.token if session is not None else self._hooks.next_token()
+        port = self._make_port(incarnation)
+        try:
+            return await find_presence(
+                port, incarnation.born, token, ORDER_TIMEOUT_MS, CLAIM_ATTEMPTS
+            )
+        finally:
+            await port.close()
+
     def detach_all(self) -> list[WorkerSession]:
         """Give up all sessions, at once, and return them to be closed."""
         sessions, self.by_id = self.by_id, {}
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -134,6 +134,17 @@
     sequence: int = 0
 
 
+class AdmitWorker(Struct, frozen=True, tag="worker-found"):
+    """Record an incarnation that was found at its address, whatever is recorded of its id.
+
+    A `NoteWorker` has no effect if the id is recorded with a later `born`, or as gone. Such a
+    record is wrong if it comes from a report of another writer.
+    """
+
+    worker: WorkerIncarnation
+    sequence: int = 0
+
+
 class Silence(Struct, frozen=True):
     """A worker's incarnation that is granted no lease; the last one expires in `lease_left_ms`."""
 
@@ -198,6 +209,7 @@
     | AcceptJob
     | CancelJob
     | NoteWorker
+    | AdmitWorker
     | NoteSilences
     | StartRuns
     | EndRuns
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -64,6 +64,9 @@
 MAX_GIVEN_UP_KEPT = 100
 """How many of the jobs that were given up are remembered, to find the queues of many."""
 
+MAX_GONE_KEPT = 20_000
+"""How many workers that left are remembered; a late report of one is rarely older than seconds."""
+
 
 class State(Struct):
     """The whole state of the ledger, as its snapshots store it."""
@@ -193,10 +196,8 @@
                 return self._accept(accepted)
             case commands.CancelJob() as cancelled:
                 return self._cancel(cancelled)
-            case commands.NoteWorker() as note:
-                return self._note_worker(note)
-            case commands.NoteSilences() as silences:
-                return self._note_silences(silences)
+            case commands.NoteWorker() | commands.AdmitWorker() | commands.NoteSilences():
+                return self._apply_to_workers(command)
             case commands.StartRuns(starts, at_ms):
                 allowed = startable(starts, self.jobs, self.workers, self.state.evacuations)
                 return tuple(start for start in allowed if self._start(start, at_ms))
@@ -213,6 +214,17 @@
                 state = self.state
                 return readmit(state.evacuations, state.evacuation_revisions, readmission)
 
+    def _apply_to_workers(
+        self, command: commands.NoteWorker | commands.AdmitWorker | commands.NoteSilences
+    ) -> Any:
+        match command:
+            case commands.NoteWorker():
+                return self._note_worker(command)
+            case commands.AdmitWorker(worker, sequence):
+                return self._admit_worker(worker, sequence)
+            case commands.NoteSilences():
+                return self._note_silences(command)
+
     def snapshot(self) -> bytes:
         """Encode the whole state."""
         return self._encoder.encode(self.state)
@@ -350,7 +362,7 @@
             self._forget_silence(worker.id)
             self.state.reports.pop(worker.id, None)
             self.state.speeds.forget_worker(worker.id)
-            self.state.gone[worker.id] = worker.born
+            self._note_gone(worker)
             return known is not None
         reports = WorkerReports(sequence, worker.capacity)
         if known is not None and known.born == worker.born:
@@ -364,6 +376,24 @@
         self.state.reports[worker.id] = reports
         return True
 
+    def _note_gone(self, worker: WorkerIncarnation) -> None:
+        gone = self.state.gone
+        gone.pop(worker.id, None)
+        gone[worker.id] = worker.born
+        if len(gone) > MAX_GONE_KEPT:
+            del gone[next(iter(gone))]
+
+    def _admit_worker(self, worker: WorkerIncarnation, sequence: int) -> bool:
+        self._wide_failures = None
+        known = self.workers.get(worker.id)
+        if known is None or known.born != worker.born:
+            self._forget_silence(worker.id)
+            self.state.speeds.forget_worker(worker.id)
+        self.state.gone.pop(worker.id, None)
+        self.workers[worker.id] = worker
+        self.state.reports[worker.id] = WorkerReports(sequence, worker.capacity)
+        return True
+
     def _start(self, start: commands.RunStart, at_ms: int) -> bool:
         job = self.jobs.get(start.job)
         if job is None or job.is_over:
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -66,6 +66,11 @@
     "Starts of runs that were rejected or whose outcome is unknown.",
     ["reason"],
 )
+REPORTS_IGNORED = Counter(
+    "agateferry_jobs_reports_ignored",
+    "Reports that contradict the ledger and whose worker was not found, by what was found.",
+    ["reason"],
+)
 POLLS = Counter("agateferry_jobs_looks", "Polls of workers, by outcome.", ["outcome"])
 PONGS_DROPPED = Counter(
     "agateferry_jobs_pongs_dropped", "Answers to pings that were dropped, by reason.", ["reason"]
--- a/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
@@ -22,6 +22,10 @@
 """
 
 
+MAX_REPORT_DELAY_MS = 1_000
+"""A worker gives up a report that was not acknowledged in this time, and sends a new one."""
+
+
 @dataclass(frozen=True, slots=True)
 class ClockReading:
     """A reading of one incarnation's clock, and the local time at which it arrived."""
@@ -44,6 +48,15 @@
         newest_other_ms = now_ms - self.read_at_ms + CLOCK_PROOF_MARGIN_MS
         return not self.excludes(clock_ms) and clock_ms > newest_other_ms
 
+    def may_precede(self, clock_ms: int, now_ms: int) -> bool:
+        """Return whether a report that arrives now, with this clock, fits the same incarnation.
+
+        It was written at most `MAX_REPORT_DELAY_MS` before the reading, and after it the clock has
+        advanced by no more than the time since.
+        """
+        latest_ms = self.clock_ms + max_local_ms(now_ms - self.read_at_ms) + MAX_REPORT_DELAY_MS
+        return self.clock_ms - MAX_REPORT_DELAY_MS <= clock_ms <= latest_ms
+
 
 class Lease:
     """The latest deadline that one worker may have received.
@@ -86,10 +99,10 @@
             return None
         return ClockReading(self._clock_ms, self._read_at_ms)
 
-    @property
-    def newest_clock_ms(self) -> int:
-        """Return the newest reading of the worker's clock; 0 before the first one."""
-        return self._clock_ms or 0
+    def may_be_clock(self, clock_ms: int, now_ms: int) -> bool:
+        """Return whether a report with this clock may be the worker's, written of late."""
+        reading = self.newest_reading
+        return reading is None or reading.may_precede(clock_ms, now_ms)
 
     def grant_deadline(self, now_ms: int) -> int | None:
         """Return the deadline for a poll that is sent now; None before the first clock reading.
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -37,6 +37,7 @@
     StopOrder,
     WorkerPort,
 )
+from agateferry_jobs.workers.presence import Presence, find_presence
 from agateferry_jobs.workers.report_age import ReportAge
 from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended, run_lost
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
@@ -62,8 +63,6 @@
 """The pause after a failed poll, except the first one in a row."""
 STOP_RESEND_MS = 600
 """A stop is sent again after this time if the run is still listed as running."""
-MAX_HEARTBEAT_DELAY_MS = 1_000
-"""A worker gives up a heartbeat that was not acknowledged in this time, and sends a new one."""
 
 
 class WorkerSession:
@@ -97,6 +96,8 @@
         self._was_held_up = False
         """Whether the last poll timed out because this process was busy with other work."""
         self._last_worker_clock_ms = -1
+        self._last_sequence = -1
+        self._opened_ms = clock.now_ms()
         self._ends = EndCursor()
         self._acknowledged_cursor = 0
         self._wake = asyncio.Event()
@@ -115,6 +116,16 @@
         """Return whether the worker answers polls."""
         return self._contact.has_answered and not self._contact.is_failing
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether the worker has answered a poll since the session was opened."""
+        return self._contact.has_answered
+
+    @property
+    def age_ms(self) -> int:
+        """Return the time since the session was opened."""
+        return self._clock.now_ms() - self._opened_ms
+
     @property
     def accepts_starts(self) -> bool:
         """Return whether the worker has neither rejected nor left unanswered a start just now."""
@@ -171,22 +182,33 @@
         if clock_ms:
             self._lease.read_clock(clock_ms, self._clock.now_ms())
 
-    def is_late(self, clock_ms: int) -> bool:
-        """Return whether the worker wrote a heartbeat long before what has arrived since."""
-        return 0 < clock_ms < self._lease.newest_clock_ms - MAX_HEARTBEAT_DELAY_MS
+    def record_sequence(self, sequence: int) -> None:
+        """Record the number of a report of this incarnation that was handled."""
+        self._last_sequence = max(self._last_sequence, sequence)
 
-    async def is_present(self) -> bool:
+    def accepts_report(self, sequence: int, clock_ms: int) -> bool:
+        """Return whether a report is this incarnation's, and newer than those handled before.
+
+        A report that was held up on its way shows an earlier state. One whose clock can't be that
+        of this incarnation is of another writer.
+        """
+        if sequence < self._last_sequence:
+            return False
+        return clock_ms == 0 or self._lease.may_be_clock(clock_ms, self._clock.now_ms())
+
+    @property
+    def token(self) -> int:
+        """Return the fencing token of the newest orders."""
+        return self._token
+
+    async def presence(self, attempts: int = PRESENCE_ATTEMPTS) -> Presence:
         """Ask the worker now whether this incarnation is still there; one answer says so."""
-        for _ in range(PRESENCE_ATTEMPTS):
-            order = PollOrder(None, self._token, cursor=0, wait_ms=0)
-            match await self._port.poll(order, ORDER_TIMEOUT_MS):
-                case RunLists(born=born):
-                    return born in (None, self.incarnation.born)
-                case Rejected():
-                    return True
-                case IncarnationMismatch():
-                    return False
-        return False
+        born = self.incarnation.born
+        return await find_presence(self._port, born, self._token, ORDER_TIMEOUT_MS, attempts)
+
+    async def is_present(self) -> bool:
+        """Return whether the worker answers as this incarnation, or rejects the question."""
+        return await self.presence() in (Presence.PRESENT, Presence.REJECTED)
 
     def is_lease_expired(self) -> bool:
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
