Count a job as begun once a worker has a run of it

Cause: `has_started` is set when the intention to start is committed, before the order is sent, and nothing took it back; `pending` and the state were made from it. Evidence: with one worker in memory that rejects all starts both change with the commit and stay changed after the rejection.

Change: a job has begun once a worker has confirmed a start, lists a run or reports how one ended. The leader shows it at once and commits it with its next check by a command of its own, NoteBegun.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -8,6 +8,7 @@
 from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
+from agateferry_jobs.cell.begun_jobs import BegunJobs
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.ledger import Job, Ledger, commands
 from agateferry_jobs.ledger.cancellations import AcceptResult, CancelResult
@@ -33,8 +34,13 @@
     """Check each call against the manifest, commit its command and return the reply."""
 
     def __init__(
-        self, ledger: Ledger, proposer: Proposer, request_planning: Callable[[], None]
+        self,
+        ledger: Ledger,
+        proposer: Proposer,
+        begun_jobs: BegunJobs,
+        request_planning: Callable[[], None],
     ) -> None:
+        self._begun_jobs = begun_jobs
         self._ledger = ledger
         self._proposer = proposer
         self._request_planning = request_planning
@@ -125,7 +131,7 @@
         if job is None:
             return messages.UnknownJob()
         reason = job.failure if job.is_failed and job.failure else UNSET
-        return messages.JobStatus(job.state, reason)
+        return messages.JobStatus(job.state_if(self._begun_jobs.has_begun(job)), reason)
 
     async def cancel(self, call: messages.Cancel, now_ms: int) -> messages.Reply:
         """Cancel a job; one that has ended stays as it is.
@@ -163,7 +169,7 @@
     ) -> messages.Reply:
         match result:
             case CancelResult.CANCELLED:
-                had_started = job is not None and job.has_started
+                had_started = job is not None and self._begun_jobs.has_begun(job)
                 self._log.info(events.JOB_CANCELLED, job=id, had_started=had_started)
                 self._request_planning()
                 return messages.Done()
@@ -225,7 +231,7 @@
         return sum(
             1
             for job in self._ledger.jobs.values()
-            if not job.has_started and not job.is_over and self._is_in(job, queue)
+            if not job.is_over and not self._begun_jobs.has_begun(job) and self._is_in(job, queue)
         )
 
     def _is_in(self, job: Job, queue: Queue) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -22,6 +22,11 @@
     "Nothing to do unless it lasts; then find who cancels jobs that were never submitted.",
 )
 JOB_ENDED = Event(7313, "job ended", "If the state is failed, see why its runs ended in 7321.")
+JOBS_BEGUN = Event(
+    7308,
+    "jobs begun",
+    "Nothing to do; 7320 of the job says where, and until this line it counts as pending.",
+)
 JOB_GIVEN_UP = Event(
     7314,
     "job given up because workers crashed under one of its subtasks",
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -13,6 +13,7 @@
 from agateferry_jobs.backoff import Backoff
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
+from agateferry_jobs.cell.begun_jobs import BegunJobs
 from agateferry_jobs.cell.call_handler import CallHandler
 from agateferry_jobs.cell.evacuations import ZoneEvacuations
 from agateferry_jobs.cell.guilty_jobs import GuiltyJobs
@@ -92,7 +93,10 @@
         self._planned_term = 0
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
-        self._call_handler = CallHandler(ledger, self._proposer, self.request_planning)
+        self._begun_jobs = BegunJobs(ledger, self._proposer)
+        self._call_handler = CallHandler(
+            ledger, self._proposer, self._begun_jobs, self.request_planning
+        )
         self._wall_offset_ms = 0
         self._issued_tokens = 0
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -196,9 +200,11 @@
         """Return whether each worker has answered a poll of this leader, or failed to."""
         return self._sessions.knows_all()
 
-    def on_run_begun(self, key: RunKey) -> None:
-        """Handle that a run which this leader ordered has begun."""
-        self._urgent_starts.run_begun(key, self.now_ms)
+    def on_run_begun(self, key: RunKey, is_adopted: bool) -> None:
+        """Handle that a run has begun; an adopted one was ordered by an earlier leader."""
+        self._begun_jobs.run_begun(key[0])
+        if not is_adopted:
+            self._urgent_starts.run_begun(key, self.now_ms)
 
     def may_plan(self) -> bool:
         """Return whether this host leads and its workers have told what ended before it did.
@@ -225,6 +231,7 @@
         self._has_taken_over = False
         self._idle_times = IdleTimes()
         self._urgent_starts.clear()
+        self._begun_jobs.clear()
         self._leading_since_ms = self._clock.now_ms()
         self._wall_offset_ms = self._clock.wall_ms() - self._leading_since_ms
         self._sessions.open_all(self._replica.leader_contact)
@@ -253,6 +260,7 @@
     async def _run_checks(self) -> None:
         """Run the checks that are due in each tick."""
         self.spawn(self._silences.commit_changes())
+        await self._begun_jobs.commit()
         await self._give_up_guilty_jobs()
         await self._registry.forget_unanswered()
         self._stops.stop_hung()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -61,8 +61,8 @@
     def request_planning(self) -> None:
         """Make a new plan soon."""
 
-    def on_run_begun(self, key: RunKey) -> None:
-        """Handle that a run which this leader ordered has begun."""
+    def on_run_begun(self, key: RunKey, is_adopted: bool) -> None:
+        """Handle that a run has begun; an adopted one was ordered by an earlier leader."""
 
     def spawn(self, coro: Coroutine[Any, Any, Any]) -> None:
         """Run a background task; an exception in it is logged."""
@@ -275,9 +275,9 @@
         """Commit how runs ended; return whether that succeeded."""
         return await self._hooks.commit_run_ends(ends)
 
-    def on_run_begun(self, key: RunKey) -> None:
-        """Handle that a run which this leader ordered has begun."""
-        self._hooks.on_run_begun(key)
+    def on_run_begun(self, key: RunKey, is_adopted: bool) -> None:
+        """Handle that a run has begun; an adopted one was ordered by an earlier leader."""
+        self._hooks.on_run_begun(key, is_adopted)
 
     def on_answering_again(self) -> None:
         """Handle that a worker answers again, which must be committed before it gets a lease."""
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -160,6 +160,12 @@
     answering: tuple[tuple[str, int], ...] = ()
 
 
+class NoteBegun(Struct, frozen=True, tag="begun"):
+    """Record that workers have begun runs of these jobs."""
+
+    jobs: tuple[str, ...]
+
+
 class StartRuns(Struct, frozen=True, tag="start"):
     """Record the intent to start subtasks; starts that contradict the ledger are dropped."""
 
@@ -211,6 +217,7 @@
     | NoteWorker
     | AdmitWorker
     | NoteSilences
+    | NoteBegun
     | StartRuns
     | EndRuns
     | GiveUpJob
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -66,6 +66,12 @@
 MAX_GIVEN_UP_KEPT = 100
 """How many of the jobs that were given up are remembered, to find the queues of many."""
 
+OUTCOMES_OF_BEGUN_RUNS = frozenset(commands.RunOutcome) - {
+    commands.RunOutcome.LOST,
+    commands.RunOutcome.REFUSED,
+}
+"""The outcomes that workers report, of runs that they have begun."""
+
 MAX_GONE_KEPT = 20_000
 """How many workers that left are remembered; a late report of one is rarely older than seconds."""
 
@@ -218,6 +224,8 @@
             case commands.StartRuns(starts, at_ms):
                 allowed = startable(starts, self.jobs, self.workers, self.state.evacuations)
                 return tuple(start for start in allowed if self._start(start, at_ms))
+            case commands.NoteBegun(ids):
+                return self._note_begun(ids)
             case commands.EndRuns(ends, at_ms):
                 if any(end.loss is LossCause.SILENT for end in ends):
                     wide = self.wide_failures()
@@ -289,6 +297,7 @@
             host=command.host,
             path=command.path,
             call_id=command.call_id,
+            is_known_begun=False,
         )
         job.subtasks = {name: Subtask() for name in _subtask_names(command.spec)}
         self.jobs[job.id] = job
@@ -441,6 +450,11 @@
         job.has_started = True
         return True
 
+    def _note_begun(self, ids: tuple[str, ...]) -> None:
+        for id in ids:
+            if id in self.jobs:
+                self.jobs[id].is_known_begun = True
+
     def _end(self, end: commands.RunEnded, at_ms: int) -> bool:
         job = self.jobs.get(end.job)
         subtask = job.subtasks.get(end.subtask) if job is not None else None
@@ -453,6 +467,8 @@
             self._record_duration(job, subtask, end, at_ms)
         if end.checkpoint and end.run.number == subtask.last_run:
             subtask.checkpoint = end.checkpoint
+        if end.outcome in OUTCOMES_OF_BEGUN_RUNS or end.loss is LossCause.UNLISTED:
+            job.is_known_begun = True
         progress = None if job.is_over else self.progress_of(job)
         if progress is not None and was_active:
             progress.record_end(end.subtask)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -159,6 +159,7 @@
     subtasks: dict[str, Subtask] = field(default_factory=dict)
     gangs: dict[str, Gang] = field(default_factory=dict)
     has_started: bool = False
+    """Whether a start was ever committed; a worker may have rejected it."""
     is_cancelled: bool = False
     is_failed: bool = False
     is_completed: bool = False
@@ -172,6 +173,16 @@
     """The address that the job was submitted to; empty where an earlier version accepted it."""
     call_id: str | UnsetType = UNSET
     """The call by which the job was accepted, whose further attempts are answered alike."""
+    is_known_begun: bool | UnsetType = field(default=UNSET, name="begun")
+    """Whether a worker is known to have begun a run; unset where an earlier version accepted it."""
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a worker has begun a run of the job, as far as is known.
+
+        Of a job that an earlier version accepted only its committed starts are known.
+        """
+        return self.has_started if self.is_known_begun is UNSET else bool(self.is_known_begun)
 
     @property
     def is_over(self) -> bool:
@@ -181,13 +192,17 @@
     @property
     def state(self) -> JobState:
         """Return the state that callers see."""
+        return self.state_if(self.has_begun)
+
+    def state_if(self, has_begun: bool) -> JobState:
+        """Return the state that callers see if the job has begun, or has not."""
         if self.is_completed:
             return JobState.COMPLETED
         if self.is_cancelled:
             return JobState.CANCELLED
         if self.is_failed:
             return JobState.FAILED
-        return JobState.RUNNING if self.has_started else JobState.QUEUED
+        return JobState.RUNNING if has_begun else JobState.QUEUED
 
     def step_of(self, name: str) -> StepSpec:
         """Return the step that a subtask belongs to."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/listener.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/listener.py
@@ -29,8 +29,8 @@
         Orders to this incarnation may have been carried out by the new one.
         """
 
-    def on_run_begun(self, key: RunKey) -> None:
-        """Handle that a run which this leader ordered has begun."""
+    def on_run_begun(self, key: RunKey, is_adopted: bool) -> None:
+        """Handle that a run has begun; an adopted one was ordered by an earlier leader."""
 
     def on_answering_again(self) -> None:
         """Handle that a worker answers again, which must be committed before it gets a lease."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -429,8 +429,7 @@
             if tracked.phase is Phase.UNCERTAIN:
                 tracked.phase = Phase.CONFIRMED
                 tracked.phase_since_poll = self._poll_number
-                if not tracked.is_adopted:
-                    self._listener.on_run_begun(each.key)
+                self._listener.on_run_begun(each.key, tracked.is_adopted)
             if tracked.is_stopping and _is_stop_due(tracked.stop_sent_ms, now_ms):
                 self._spawn(self._send_stop(each.key, each.run, tracked))
 
@@ -499,7 +498,7 @@
         self._mark_answering(clock_ms)
         tracked.phase = Phase.CONFIRMED
         tracked.phase_since_poll = self._poll_number
-        self._listener.on_run_begun(key)
+        self._listener.on_run_begun(key, is_adopted=False)
         self._contact.record_start()
         self._wake.set()
         return True
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_session.py
@@ -51,7 +51,7 @@
     def on_worker_restarted(self, incarnation):
         self.restarted_incarnations.append(incarnation)
 
-    def on_run_begun(self, key):
+    def on_run_begun(self, key, is_adopted):
         self.begun.append(key)
 
     def on_answering_again(self):
