--- a/packages/agateferry-jobs/agateferry_jobs/ledger/active_runs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/active_runs.py
@@ -1,9 +1,9 @@
 """The active runs of all jobs, by subtask and by worker."""
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
-from agateferry_jobs.ledger.state import Job, Run, RunKey, WorkerKey, gang_of
+from agateferry_jobs.ledger.state import Job, Run, RunKey, WorkerKey, gang_of, numbers_in
 
 
 class ActiveRuns:
@@ -39,6 +39,17 @@
         if not counts:
             del self._by_gang[gang]
 
+    def in_order(self, jobs: Iterable[str]) -> Iterator[tuple[RunKey, Run]]:
+        """Return all active runs, by the order of these ids of jobs, then that of subtasks."""
+        by_job: dict[str, list[str]] = defaultdict(list)
+        for id, name in self.by_key:
+            by_job[id].append(name)
+        for id in list(jobs):
+            for name in sorted(by_job.get(id, ()), key=numbers_in):
+                run = self.by_key.get((id, name))
+                if run is not None:
+                    yield (id, name), run
+
     def workers_of(self, job: Job, gang: str) -> list[WorkerKey]:
         """Return the incarnations with active runs of one step and occurrence, each once."""
         return list(self._by_gang.get((job.id, gang), ()))
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/job_progress.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/job_progress.py
@@ -8,12 +8,12 @@
 from array import array
 from collections import defaultdict
 from collections.abc import Iterator, Sequence
-from functools import cached_property, lru_cache
+from functools import cached_property
 from itertools import accumulate
 from operator import attrgetter, not_
 
 from agateferry_jobs.ledger.specs import StepSpec, peak_gpus
-from agateferry_jobs.ledger.state import Job
+from agateferry_jobs.ledger.state import Job, numbers_in
 
 WAITING = 0
 ACTIVE = 1
@@ -168,12 +168,12 @@
 
     def _find(self, name: str) -> tuple[int, int]:
         """Return the unit of a subtask, and its position among all."""
-        occurrence, step, index = _numbers(name)
+        occurrence, step, index = numbers_in(name)
         position = occurrence * self._per_occurrence + self._offsets[step] + index
         return occurrence * len(self._steps) + step, position
 
     def _unit_of(self, gang: str) -> int:
-        occurrence, step = _numbers(gang)
+        occurrence, step = numbers_in(gang)
         return occurrence * len(self._steps) + step
 
     def _span(self, unit: int) -> tuple[int, int]:
@@ -193,8 +193,3 @@
         for earlier in set(step.depends_on):
             dependents[earlier].append(number)
     return dependents
-
-
-@lru_cache(maxsize=65_536)
-def _numbers(name: str) -> tuple[int, ...]:
-    return tuple(map(int, name.split(".")))
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -219,12 +219,17 @@
 
 
 @lru_cache(maxsize=65_536)
-def step_number(name: str) -> int:
-    """Return the step number in a subtask's or a gang's name.
+def numbers_in(name: str) -> tuple[int, ...]:
+    """Return the occurrence, the step and the index in a subtask's name, or those in a gang's.
 
-    All jobs share the names of their subtasks, and each plan asks for the step of each run.
+    All jobs share the names of their subtasks, and each plan asks for those of each run.
     """
-    return int(name.split(".")[1])
+    return tuple(map(int, name.split(".")))
+
+
+def step_number(name: str) -> int:
+    """Return the step number in a subtask's or a gang's name."""
+    return numbers_in(name)[1]
 
 
 def gang_of(name: str) -> str:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/fleet.py
@@ -147,7 +147,7 @@
 ) -> Steps[dict[str, list[AllocatedRun]]]:
     """Return the runs that the ledger places on each worker, then the unexpected ones."""
     runs: dict[str, list[AllocatedRun]] = defaultdict(list)
-    for key, active in list(ledger.active_runs.by_key.items()):
+    for key, active in ledger.active_runs.in_order(ledger.jobs):
         yield
         worker = workers.get(active.worker)
         job = ledger.jobs.get(key[0])
