Split the records of workers and the stored state from the ledger

Cause: ledger.py had grown to 530 lines and mixed the state machine's commands with what each does to workers.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import msgspec
-from msgspec import Struct, field
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
@@ -17,7 +16,6 @@
 from agateferry_jobs.ledger.active_runs import ActiveRuns
 from agateferry_jobs.ledger.cancellations import (
     AcceptResult,
-    Cancellations,
     CancelResult,
     cancelled_until_ms,
     drop_expired,
@@ -30,8 +28,7 @@
     record_crash,
     record_silences,
 )
-from agateferry_jobs.ledger.durations import DurationEstimate
-from agateferry_jobs.ledger.evacuations import Evacuation, evacuate, readmit, startable
+from agateferry_jobs.ledger.evacuations import evacuate, readmit, startable
 from agateferry_jobs.ledger.job_ends import (
     drop_inactive_subtasks,
     fail,
@@ -46,14 +43,11 @@
     GivenUp,
     Job,
     Subtask,
-    WorkerCrash,
     WorkerIncarnation,
-    WorkerKey,
-    WorkerReports,
-    WorkerState,
     gang_of,
 )
-from agateferry_jobs.ledger.worker_speeds import WorkerSpeeds
+from agateferry_jobs.ledger.stored_state import State
+from agateferry_jobs.ledger.worker_records import WorkerRecords
 from agateferry_jobs.manifest import Manifest, Queue
 from agateferry_state.replica.protocols import NotApplied
 
@@ -72,37 +66,6 @@
 }
 """The outcomes that workers report, of runs that they have begun."""
 
-MAX_GONE_KEPT = 20_000
-"""How many workers that left are remembered; a late report of one is rarely older than seconds."""
-
-
-class State(Struct):
-    """The whole state of the ledger, as its snapshots store it."""
-
-    manifest: Manifest | None = None
-    jobs: dict[str, Job] = field(default_factory=dict)
-    workers: dict[str, WorkerIncarnation] = field(default_factory=dict)
-    gone: dict[str, int] = field(default_factory=dict)
-    """For each worker that left, `born` of its last incarnation; later updates are ignored."""
-    reports: dict[str, WorkerReports] = field(default_factory=dict)
-    """What the reports of each worker's incarnation have shown."""
-    durations: dict[str, DurationEstimate] = field(default_factory=dict, name="lengths")
-    """Estimates of how long runs really take, by queue."""
-    speeds: WorkerSpeeds = field(default_factory=WorkerSpeeds)
-    """Estimates of the pace of each worker."""
-    crashes: list[WorkerCrash] = field(default_factory=list)
-    """The workers that crashed of late, in order of time."""
-    given_up: list[GivenUp] = field(default_factory=list)
-    """The jobs that were given up of late, in order of time."""
-    evacuations: dict[str, Evacuation] = field(default_factory=dict)
-    """The evacuated zones."""
-    silences: dict[str, int] = field(default_factory=dict)
-    """By worker that is granted no lease, `born` of its incarnation."""
-    cancellations: Cancellations = field(default_factory=dict)
-    """The cancellations of jobs that have not arrived."""
-    evacuation_revisions: dict[str, int] = field(default_factory=dict)
-    """The revision of each zone, which counts the commands that evacuated or readmitted it."""
-
 
 class Ledger:
     """The jobs and workers, and the state machine that the replicated log drives."""
@@ -118,7 +81,7 @@
         self.active_runs = ActiveRuns()
         self.clock: Clock | None = None
         """The clock of this host, by which leases of silent workers expire; not replicated."""
-        self._silent_leases_until_ms: dict[WorkerKey, int] = {}
+        self._worker_records = WorkerRecords(self.state)
 
     @property
     def manifest(self) -> Manifest | None:
@@ -137,16 +100,11 @@
 
     def is_silent(self, worker: WorkerIncarnation) -> bool:
         """Return whether an incarnation is granted no lease until it is recorded to answer."""
-        return self.state.silences.get(worker.id) == worker.born
+        return self._worker_records.is_silent(worker)
 
     def silent_lease_until_ms(self, worker: WorkerIncarnation) -> int | None:
-        """Return when the lease of a silent worker expires, on this host's clock.
-
-        None if the worker isn't silent, or a snapshot told this host that it is.
-        """
-        if not self.is_silent(worker):
-            return None
-        return self._silent_leases_until_ms.get((worker.id, worker.born))
+        """Return when a silent worker's lease expires on this host's clock, if that is known."""
+        return self._worker_records.silent_lease_until_ms(worker)
 
     def progress_of(self, job: Job) -> JobProgress:
         """Return the progress of a job; it is kept for as long as the job is not over."""
@@ -247,9 +205,10 @@
             case commands.NoteWorker():
                 return self._note_worker(command)
             case commands.AdmitWorker(worker, sequence):
-                return self._admit_worker(worker, sequence)
+                self._wide_failures = None
+                return self._worker_records.admit(worker, sequence)
             case commands.NoteSilences():
-                return self._note_silences(command)
+                return self._worker_records.note_silences(command, self.clock)
 
     def snapshot(self) -> bytes:
         """Encode the whole state."""
@@ -259,7 +218,7 @@
         """Replace the whole state by a snapshot."""
         self.state = self._decoder.decode(data)
         self._wide_failures = None
-        self._silent_leases_until_ms = {}
+        self._worker_records = WorkerRecords(self.state)
         self._progress = {}
         self.active_runs = ActiveRuns(self.jobs.values())
         self._ids_by_address = {
@@ -339,7 +298,7 @@
         self._wide_failures = None
         crash = note.crash
         crashed = self.workers.get(crash.worker) if crash is not None else None
-        if not self._record_worker(note.worker, note.sequence):
+        if not self._worker_records.note(note.worker, note.sequence):
             return False
         if crash is not None and crashed is not None and crashed.born == crash.born:
             lost = self.active_runs.on((crashed.id, crashed.born))
@@ -355,24 +314,6 @@
             self._wide_failures = None
         return True
 
-    def _note_silences(self, command: commands.NoteSilences) -> None:
-        """Record silences; a lease expires later here than at the leader that had granted it."""
-        for silence in command.silent:
-            known = self.workers.get(silence.worker)
-            if known is not None and known.born == silence.born:
-                self.state.silences[silence.worker] = silence.born
-                if self.clock is not None:
-                    until_ms = self.clock.now_ms() + silence.lease_left_ms
-                    self._silent_leases_until_ms[silence.worker, silence.born] = until_ms
-        for id, born in command.answering:
-            if self.state.silences.get(id) == born:
-                self._forget_silence(id)
-
-    def _forget_silence(self, id: str) -> None:
-        born = self.state.silences.pop(id, None)
-        if born is not None:
-            self._silent_leases_until_ms.pop((id, born), None)
-
     def _give_up(self, command: commands.GiveUpJob) -> bool:
         job = self.jobs.get(command.id)
         if job is None or job.is_over:
@@ -387,49 +328,6 @@
         self._forget_inactive(job)
         return True
 
-    def _record_worker(self, worker: WorkerIncarnation, sequence: int) -> bool:
-        known = self.workers.get(worker.id)
-        if known is not None and worker.born < known.born:
-            return False
-        if worker.born <= self.state.gone.get(worker.id, -1):
-            return False
-        if worker.state is WorkerState.GONE:
-            self.workers.pop(worker.id, None)
-            self._forget_silence(worker.id)
-            self.state.reports.pop(worker.id, None)
-            self.state.speeds.forget_worker(worker.id)
-            self._note_gone(worker)
-            return known is not None
-        reports = WorkerReports(sequence, worker.capacity)
-        if known is not None and known.born == worker.born:
-            earlier = self.state.reports.get(worker.id, reports)
-            if sequence < earlier.sequence or _is_stale(known, worker):
-                return False
-            reports.largest = reports.largest.max(earlier.largest)
-        else:
-            self._forget_silence(worker.id)
-        self.workers[worker.id] = worker
-        self.state.reports[worker.id] = reports
-        return True
-
-    def _note_gone(self, worker: WorkerIncarnation) -> None:
-        gone = self.state.gone
-        gone.pop(worker.id, None)
-        gone[worker.id] = worker.born
-        if len(gone) > MAX_GONE_KEPT:
-            del gone[next(iter(gone))]
-
-    def _admit_worker(self, worker: WorkerIncarnation, sequence: int) -> bool:
-        self._wide_failures = None
-        known = self.workers.get(worker.id)
-        if known is None or known.born != worker.born:
-            self._forget_silence(worker.id)
-            self.state.speeds.forget_worker(worker.id)
-        self.state.gone.pop(worker.id, None)
-        self.workers[worker.id] = worker
-        self.state.reports[worker.id] = WorkerReports(sequence, worker.capacity)
-        return True
-
     def _start(self, start: commands.RunStart, at_ms: int) -> bool:
         job = self.jobs.get(start.job)
         if job is None or job.is_over:
@@ -516,11 +414,6 @@
                 gang.failures += 1
 
 
-def _is_stale(known: WorkerIncarnation, update: WorkerIncarnation) -> bool:
-    """Return whether an update is outdated: an incarnation that drains is never ready again."""
-    return known.state is WorkerState.DRAINING and update.state is WorkerState.READY
-
-
 def _subtask_names(spec: JobSpec) -> list[str]:
     return [
         f"{occurrence}.{step}.{index}"
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_evacuations.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_evacuations.py
@@ -2,8 +2,8 @@
 
 from agateferry_jobs.ledger import Ledger, commands
 from agateferry_jobs.ledger.evacuations import Evacuation, EvacuationResult
-from agateferry_jobs.ledger.ledger import State
 from agateferry_jobs.ledger.specs import StepSpec
+from agateferry_jobs.ledger.stored_state import State
 from agateferry_jobs.ledger.tests.test_ledger import LedgerCase
 from agateferry_jobs.support import job_command, start_of, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
