Look at a leaving worker once, and describe the three fixes for operators

Cause: each DELETE for a draining worker that answers left a task that asked it until it was gone, so that calls of another writer could add up; and one check could remove a thousand workers that never answered, one commit each.

Change: one task for each leaving worker; ten removals in a check. An answer that rejects the question counts as one. The metric of plans and 7353 say what they measure now that plans are made in slices.

Tests: test_repeated_calls_look_at_a_draining_worker_once.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -133,5 +133,5 @@
 PLAN_SLOW = Event(
     7353,
     "plan took long",
-    "Compare the numbers of open jobs and workers with docs/CAPACITY.md; calls wait for a plan.",
+    "Compare the numbers of open jobs and workers with docs/CAPACITY.md; starts wait for a plan.",
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_deregistration.py
@@ -79,6 +79,20 @@
 
         self.check(scenario)
 
+    def test_repeated_calls_look_at_a_draining_worker_once(self):
+        """Each call of another writer left a task that asked the worker again and again."""
+
+        async def scenario():
+            await self.start_job_on(worker("w1"))
+            await self.heartbeat(worker("w1", state=WorkerState.DRAINING), sequence=2)
+            before = len(asyncio.all_tasks())
+            for _ in range(50):
+                await self.call(messages.Deregister("w1"))
+                await asyncio.sleep(0.001)
+            self.assertLess(len(asyncio.all_tasks()), before + 10)
+
+        self.check(scenario)
+
     def test_a_removal_whose_call_is_given_up_ends_the_session_and_its_runs(self):
         """The session stayed, and the job whose run was there waited for the lease."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -20,7 +20,6 @@
 from agateferry_jobs.cell.worker_sessions import LeaderHooks, WorkerSessions
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import LossCause
-from agateferry_jobs.workers.presence import Presence
 from agateferry_jobs.workers.session import WorkerSession
 from agateferry_state.replica.protocols import ProposeError
 
@@ -28,6 +27,8 @@
 """How long a worker that says that it leaves may take until it no longer answers."""
 UNANSWERED_RETENTION_MS = 300_000
 """How long a worker stays recorded that has never answered this leader."""
+MAX_FORGOTTEN_AT_ONCE = 10
+"""How many of them one check removes, since each is a commit."""
 MAX_UNANSWERED = 1_000
 """How many workers that have never answered are recorded; the reports of others come again."""
 LEAVING_MS = 200
@@ -48,6 +49,8 @@
         self._hooks = hooks
         self._proposer = proposer
         self._claims = RegistrationClaims(ledger, sessions, self._admit)
+        self._leaving: set[WorkerSession] = set()
+        """The sessions whose workers said that they leave, and are looked at until they have."""
         self._removals: set[asyncio.Future[bool]] = set()
         self._log = EventLogger()
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
@@ -168,7 +171,8 @@
             return messages.Done()
         session = self._sessions.by_id.get(worker)
         if session is not None and await self._stays(session):
-            self._hooks.spawn(self._deregister_unless_present(session))
+            if session not in self._leaving:
+                self._hooks.spawn(self._deregister_unless_present(session))
             return messages.Done()
         # The caller may give the call up while it is committed. Then the removal still has to end
         # the worker's session, or its runs would wait for the lease.
@@ -195,13 +199,17 @@
     async def _stays(self, session: WorkerSession) -> bool:
         """Return whether an incarnation may still be at work although it was to be removed."""
         is_leaving = session.incarnation.state is not WorkerState.READY
-        return not is_leaving or await session.presence(attempts=1) is Presence.PRESENT
+        return not is_leaving or await session.is_present(attempts=1)
 
     async def forget_unanswered(self) -> None:
         """Remove workers without runs that have not answered for long; reports may invent them."""
-        for session in self._sessions.never_answered():
-            if session.age_ms > UNANSWERED_RETENTION_MS and not session.runs:
-                await self._deregister(session.incarnation, LossCause.SILENT)
+        old = [
+            session
+            for session in self._sessions.never_answered()
+            if session.age_ms > UNANSWERED_RETENTION_MS and not session.runs
+        ]
+        for session in old[:MAX_FORGOTTEN_AT_ONCE]:
+            await self._deregister(session.incarnation, LossCause.SILENT)
 
     def _is_unusable(self, incarnation: WorkerIncarnation) -> bool:
         """Return whether a report names no worker to use.
@@ -288,19 +296,25 @@
         The call may be of an earlier incarnation, and this one may be cut off with its runs. One
         that drains is removed as soon as it doesn't answer.
         """
-        while True:
-            is_leaving = session.incarnation.state is not WorkerState.READY
-            await asyncio.sleep((LEAVING_MS if is_leaving else SHUTDOWN_MS) / MS_PER_S)
-            is_current = self._sessions.of(session.incarnation) is session
-            if not is_current:
-                return
-            if await session.is_present():
-                if is_leaving:
-                    continue
-                return
-            if is_leaving or not session.runs or session.is_lease_expired():
-                await self._deregister(session.incarnation, LossCause.LEFT)
-                return
+        self._leaving.add(session)
+        try:
+            while not await self._has_left_or_stays(session):
+                pass
+        finally:
+            self._leaving.discard(session)
+
+    async def _has_left_or_stays(self, session: WorkerSession) -> bool:
+        """Look once, after a while; return False if the worker has to be looked at again."""
+        is_leaving = session.incarnation.state is not WorkerState.READY
+        await asyncio.sleep((LEAVING_MS if is_leaving else SHUTDOWN_MS) / MS_PER_S)
+        if self._sessions.of(session.incarnation) is not session:
+            return True
+        if await session.is_present():
+            return not is_leaving
+        if is_leaving or not session.runs or session.is_lease_expired():
+            await self._deregister(session.incarnation, LossCause.LEFT)
+            return True
+        return False
 
     async def _deregister(
         self, incarnation: WorkerIncarnation, cause: LossCause, may_have_restarted: bool = False
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -97,7 +97,7 @@
 )
 PLAN_SECONDS = Histogram(
     "agateferry_jobs_plan_seconds",
-    "Time that a plan holds the leader's event loop.",
+    "Time spent on making a plan, without other work between its slices.",
     buckets=LOOP_BUCKETS_S,
 )
 LOOP_DELAY_SECONDS = Histogram(
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -206,9 +206,9 @@
         born = self.incarnation.born
         return await find_presence(self._port, born, self._token, ORDER_TIMEOUT_MS, attempts)
 
-    async def is_present(self) -> bool:
+    async def is_present(self, attempts: int = PRESENCE_ATTEMPTS) -> bool:
         """Return whether the worker answers as this incarnation, or rejects the question."""
-        return await self.presence() in (Presence.PRESENT, Presence.REJECTED)
+        return await self.presence(attempts) in (Presence.PRESENT, Presence.REJECTED)
 
     def is_lease_expired(self) -> bool:
         """Return whether the worker's lease has expired, so that none of its runs goes on."""
