Say which jobs have begun in a command that earlier versions read

Cause: NoteBegun was a new kind of command, which a host of an earlier version can't read, so that it leaves service. It came with nearly every job, so that the first upgraded host that leads took the others out.

Change: EndRuns has a field with the jobs that have begun, which earlier versions ignore; they count jobs by committed starts as before. AdmitWorker stays a kind of its own, since it changes what all hosts must agree on, and comes only where the record of a worker is wrong.

Tests: the command is read without the field, and the ledger takes it.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/begun_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/begun_jobs.py
@@ -31,13 +31,13 @@
         """Forget what was found, as another host leads."""
         self._found.clear()
 
-    async def commit(self) -> None:
+    async def commit(self, at_ms: int) -> None:
         """Commit what was found; what could not be committed is tried again with the next call."""
         self._found = set(filter(self._is_new, self._found))
         if not self._found:
             return
         found = tuple(sorted(self._found))
-        result = await self._proposer.propose(commands.NoteBegun(found))
+        result = await self._proposer.propose(commands.EndRuns((), at_ms, begun=found))
         if result.is_ok():
             self._log.info(events.JOBS_BEGUN, jobs=list(found))
 
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -260,7 +260,7 @@
     async def _run_checks(self) -> None:
         """Run the checks that are due in each tick."""
         self.spawn(self._silences.commit_changes())
-        await self._begun_jobs.commit()
+        await self._begun_jobs.commit(self.now_ms)
         await self._give_up_guilty_jobs()
         await self._registry.forget_unanswered()
         self._stops.stop_hung()
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_begun_jobs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_begun_jobs.py
@@ -21,6 +21,19 @@
 HALF_WORKER = Resources(cpu=1000, mem_mb=100, gpu=4)
 
 
+def says_begun(command):
+    """Return whether a command of the log says which jobs have begun."""
+    decoded = commands.decode(command)
+    return isinstance(decoded, commands.EndRuns) and decoded.begun is not msgspec.UNSET
+
+
+class EarlierEndRuns(msgspec.Struct, tag="end"):
+    """The command as earlier versions know it."""
+
+    ends: tuple[commands.RunEnded, ...]
+    at_ms: int
+
+
 class BegunJobCase(LeaderCase):
     async def pending(self):
         return (await self.call(messages.GetStatus(target("")))).waiting
@@ -178,9 +191,7 @@
         async def scenario():
             await self.heartbeat(worker("w1"))
             self.replica.error_for = lambda command: (
-                ProposeErrorKind.NOT_LEADER
-                if isinstance(commands.decode(command), commands.NoteBegun)
-                else None
+                ProposeErrorKind.NOT_LEADER if says_begun(command) else None
             )
             await self.submit()
             await self.until_shown_running()
@@ -198,7 +209,7 @@
             failures = []
 
             def fail_once(command):
-                if isinstance(commands.decode(command), commands.NoteBegun) and not failures:
+                if says_begun(command) and not failures:
                     failures.append(command)
                     return ProposeErrorKind.NOT_LEADER
                 return None
@@ -247,6 +258,13 @@
             self.end(outcome)
             self.assertTrue(self.ledger.jobs["j"].has_begun, outcome)
 
+    def test_earlier_versions_read_the_command_that_says_it(self):
+        """A host of an earlier version ends its replica at a command that it can't read."""
+        data = commands.encode(commands.EndRuns((), 5, begun=("j",)))
+        self.assertEqual(EarlierEndRuns((), 5), msgspec.msgpack.decode(data, type=EarlierEndRuns))
+        self.ledger.apply(1, data)
+        self.assertTrue(self.ledger.jobs["j"].has_begun)
+
     def test_rejected_and_lost_runs_do_not(self):
         for outcome, loss in ((RunOutcome.REFUSED, {}), (RunOutcome.LOST, {"loss": "silent"})):
             self.apply(commands.StartRuns((start_of("j", "0.0.0"),)))
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -160,12 +160,6 @@
     answering: tuple[tuple[str, int], ...] = ()
 
 
-class NoteBegun(Struct, frozen=True, tag="begun"):
-    """Record that workers have begun runs of these jobs."""
-
-    jobs: tuple[str, ...]
-
-
 class StartRuns(Struct, frozen=True, tag="start"):
     """Record the intent to start subtasks; starts that contradict the ledger are dropped."""
 
@@ -174,10 +168,15 @@
 
 
 class EndRuns(Struct, frozen=True, tag="end"):
-    """Record how runs ended."""
+    """Record how runs ended, and in `begun` which jobs have begun.
+
+    Earlier versions ignore `begun`, so that hosts of both can follow one log; they have no such
+    record.
+    """
 
     ends: tuple[RunEnded, ...]
     at_ms: int
+    begun: tuple[str, ...] | UnsetType = UNSET
 
 
 class GiveUpJob(Struct, frozen=True, tag="give-up"):
@@ -217,7 +216,6 @@
     | NoteWorker
     | AdmitWorker
     | NoteSilences
-    | NoteBegun
     | StartRuns
     | EndRuns
     | GiveUpJob
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -182,13 +182,8 @@
             case commands.StartRuns(starts, at_ms):
                 allowed = startable(starts, self.jobs, self.workers, self.state.evacuations)
                 return tuple(start for start in allowed if self._start(start, at_ms))
-            case commands.NoteBegun(ids):
-                return self._note_begun(ids)
-            case commands.EndRuns(ends, at_ms):
-                if any(end.loss is LossCause.SILENT for end in ends):
-                    wide = self.wide_failures()
-                    record_silences(self.jobs, self.active_runs, wide, ends, at_ms)
-                return tuple(end for end in ends if self._end(end, at_ms))
+            case commands.EndRuns() as ended:
+                return self._end_runs(ended)
             case commands.GiveUpJob() as given_up:
                 return self._give_up(given_up)
             case commands.EvacuateZone() as evacuation:
@@ -348,10 +343,15 @@
         job.has_started = True
         return True
 
-    def _note_begun(self, ids: tuple[str, ...]) -> None:
-        for id in ids:
+    def _end_runs(self, command: commands.EndRuns) -> tuple[commands.RunEnded, ...]:
+        ends, at_ms = command.ends, command.at_ms
+        for id in command.begun or ():
             if id in self.jobs:
                 self.jobs[id].is_known_begun = True
+        if any(end.loss is LossCause.SILENT for end in ends):
+            wide = self.wide_failures()
+            record_silences(self.jobs, self.active_runs, wide, ends, at_ms)
+        return tuple(end for end in ends if self._end(end, at_ms))
 
     def _end(self, end: commands.RunEnded, at_ms: int) -> bool:
         job = self.jobs.get(end.job)
