Let a plan look at all that waits at ordinary sizes, and keep the order of the jobs

Cause, as read: plans at 270 workers can take longer than 50 ms to look for what may start. A plan that looks at a part of it takes scarce capacity for plentiful and preempts by rank; the jobs left out went before better ones.

Change: 250 ms for each phase, 128 starts, 64 of one job. Jobs that plans have left out come first only after 500 ms. Slices keep the loop free in any case.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/plan_loop.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/plan_loop.py
@@ -22,6 +22,8 @@
 SLOW_PLAN_MS = 100
 """A plan that takes this long is logged; the pause after it bounds how often that can be."""
 
+MAX_UNREACHED_MS = 500
+"""How long plans may leave a job out for their limits until it comes before better ones."""
 SLICE_MS = 10
 """How long a plan is worked on at a stretch; calls, polls and the replicated log wait meanwhile."""
 
@@ -97,7 +99,8 @@
         self._prepare = prepare
         self._make = make
         self._execute = execute
-        self._unreached: list[str] = []
+        self._unreached_since_ms: dict[str, int] = {}
+        """By job id, since when plans have left it out for their limits, the longest first."""
         self._is_due = False
         self._has_task = False
         self._log = EventLogger()
@@ -122,19 +125,29 @@
     async def _plan_once(self) -> int:
         """Make and execute a plan; return how many ms it took to make it.
 
-        What a plan leaves out for its limits comes first in the next one, which follows soon.
+        The next plan follows soon if this one leaves out anything for its limits.
         """
         watch = SliceWatch(self._clock)
-        limits = PlanLimits(MAX_STARTS, MAX_STARTS_PER_JOB, watch.spent_ms, self._unreached)
+        limits = PlanLimits(MAX_STARTS, MAX_STARTS_PER_JOB, watch.spent_ms, self._long_unreached())
         plan = await make_in_slices(self._make(limits), watch)
         took_ms = watch.spent_ms()
         self._observe(plan, took_ms)
-        self._unreached = plan.unreached
+        self._record_unreached(plan)
         self._is_due |= bool(plan.unreached)
         if self._hooks.may_plan():
             await self._execute(plan)
         return took_ms
 
+    def _long_unreached(self) -> list[str]:
+        """Return the jobs that come first, since plans have left them out for long."""
+        oldest_ms = self._clock.now_ms() - MAX_UNREACHED_MS
+        return [id for id, since_ms in self._unreached_since_ms.items() if since_ms <= oldest_ms]
+
+    def _record_unreached(self, plan: Plan) -> None:
+        now_ms, before = self._clock.now_ms(), self._unreached_since_ms
+        since_ms = {id: before.get(id, now_ms) for id in plan.unreached}
+        self._unreached_since_ms = dict(sorted(since_ms.items(), key=lambda each: each[1]))
+
     def _observe(self, plan: Plan, took_ms: int) -> None:
         metrics.PLAN_SECONDS.observe(took_ms / MS_PER_S)
         if took_ms >= SLOW_PLAN_MS:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/plan_limits.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/plan_limits.py
@@ -9,14 +9,15 @@
 Steps = Generator[None, None, ResultT]
 """Work that is done step by step and returns its result; other work may run after each step."""
 
-MAX_STARTS = 64
+MAX_STARTS = 128
 """How many runs one plan starts, but for the last gang; each start takes time to order."""
-MAX_STARTS_PER_JOB = 32
+MAX_STARTS_PER_JOB = 64
 """How many of them are of one job, as long as there is room for all that waits and others wait."""
-MAX_PHASE_MS = 50
+MAX_PHASE_MS = 250
 """How long a plan looks for subtasks that may start, and then for workers for them.
 
-Urgent jobs are looked at all the same.
+Urgent jobs are looked at all the same. A plan that looks at a part of what waits can't tell whether
+capacity is scarce, and then preempts more.
 """
 
 
@@ -29,7 +30,8 @@
     """The limits of one plan; by default there are none.
 
     `spent_ms` returns for how long the plan has been worked on, without other work in between.
-    `unreached` are the ids of the jobs that the plan before left out for its limits, in their turn.
+    `unreached` are the ids of jobs that plans have left out for their limits for long, in their
+    turn.
     """
 
     max_starts: int = sys.maxsize
