--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 	touch $@
 
 test: setup
-	$(BIN)/python -m pytest -n 6
+	$(BIN)/python -m pytest -n 6 -m "not flood"
+	$(BIN)/python -m pytest -m flood
 
 lint: setup
 	$(BIN)/black --check -q packages platform
