Bound what all clients of a process together may make it hold

Callers saw no answer, or a process that ran out of memory, while many others sent large bodies and did not end them, or sent bodies in chunks of one byte.

Cause: one request has limits, all together had none, neither in bytes nor in time nor in connections. 600 connections took an entry to 289 MB and stayed open. One body of 256 KiB in chunks of one byte takes h11 2.7 s of processor time (httptools 0.05 s, one trial each), on the one loop that also reports ready and carries replies.

Change: one account of bytes for all ports of a process, from the memory in the machine's settings (`agateferryd`: `max_client_memory_mb`, default 64). Bytes are taken before they are parsed and given back however a request ends. When the account is full, the unfinished requests with the least bytes for their time are rejected; requests up to 16 KiB have a quarter for themselves. An application is called once its body is complete, so a 503 is true. A body has the time of its caller's deadline, at most 30 s, or 10 s; an answer that is not read has 10 s. The number of connections follows the machine's descriptors, and those that wait longest without a request make room. httptools takes h11's place, and input that costs much is parsed in slices, in turn, with pauses.

--- a/packages/agateferry-jobs/agateferry_jobs/daemon/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/events.py
@@ -15,7 +15,8 @@
 RELOADED = Event(
     7405,
     "settings reloaded",
-    "Restart the process if anything but the seeds changed; only those apply without a restart.",
+    "Restart the process if anything but the seeds and the machine's limits changed; only these"
+    " apply without a restart.",
 )
 SETTINGS_UNREADABLE = Event(
     7406,
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -60,6 +60,18 @@
         return max(self.heartbeat_ms, self.contact_ms + self.heartbeat_ms - ORDER_DELAY_MS)
 
 
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What a process may use of its machine; None where the platform does not say.
+
+    A process that uses more than `memory_mb` is killed. Of the descriptors, some are not
+    for sockets, pipes and data files.
+    """
+
+    memory_mb: int | None = None
+    max_fds: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class HostSettings:
     """The names, listening addresses and time limits of one process.
@@ -67,7 +79,8 @@
     Hosts are identified by their IP. `seeds` are the hosts of the cell that were known when the
     settings were written. With `may_bootstrap` the host may form a new cell. `data_folder` is None
     on a host without a disk. `front`, `readiness` and `control` are `ip:port` addresses, None if
-    this role does not serve them. `zones` maps each zone that may be evacuated to its region.
+    this role does not serve them. `machine` has the limits of the process's machine. `zones` maps
+    each zone that may be evacuated to its region.
     """
 
     node: str
@@ -82,6 +95,7 @@
     control: str | None
     metrics_port: int
     bounds: TimeLimits = TimeLimits()
+    machine: MachineLimits = MachineLimits()
     zones: Mapping[str, str] = field(default_factory=dict)
 
     @property
--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -23,6 +23,11 @@
 from agateferry_service.dispatch.client import WAIT_GRACE_MS, WorkerClient
 from agateferry_service.endpoints.app import EndpointsApp
 from agateferry_service.entry.app import CallersApp
+from agateferry_service.http import metrics as http_metrics
+from agateferry_service.http.limits import PortLimits, constant_ms
+from agateferry_service.http.memory import MemoryAccount
+from agateferry_service.http.port import PortState
+from agateferry_service.http.rejections import make_problem
 from agateferry_service.http.server import HttpServer
 from agateferry_service.operators.app import OperatorsApp
 from agateferry_service.operators.evacuations import Evacuations
@@ -41,7 +46,7 @@
     add_CellServicer_to_server,
     add_RecordsServicer_to_server,
 )
-from agateferry_service.settings import Settings
+from agateferry_service.settings import LimitSettings, Settings
 from agateferry_state.replica import metrics as replica_metrics
 from agateferry_state.replica.link import server_options
 
@@ -50,6 +55,7 @@
 PEERS_STOP_GRACE_S = 1.0
 HTTP_STOP_TIMEOUT_MS = 1_000
 CALL_TIMEOUT_MS = 2_000
+BYTES_PER_MIB = 1024 * 1024
 
 
 class Host:
@@ -136,6 +142,7 @@
         settings = self.settings
         self.replicas = Replicas(settings, self.clock, self.rng)
         replica_metrics.register(self.metrics.registry)
+        http_metrics.register(self.metrics.registry)
         machine = CellMachine(settings.host.zone)
         replica = self.replicas.cell(machine)
         self.nodes = {Group.CELL: replica}
@@ -214,24 +221,25 @@
         endpoints = EndpointsApp(
             zone, self.zones.router(zone), self.cell_calls, limits, self.metrics
         )
-        listen, head_ms = settings.listen, limits.request_head_timeout_ms
+        listen = settings.listen
+        memory = MemoryAccount(limits.max_client_memory_mb * BYTES_PER_MIB)
+
+        def port(name: str, max_connections: int) -> PortState:
+            return PortState(name, _port_limits(limits, max_connections), memory, make_problem)
+
         self.http_servers = [
             HttpServer(
-                "callers", entry.app(), listen.callers, limits.max_connections_callers, head_ms
+                entry.app(), listen.callers, port("callers", limits.max_connections_callers)
             ),
             HttpServer(
-                "operators",
                 operators.app(),
                 listen.operators,
-                limits.max_connections_operators,
-                head_ms,
+                port("operators", limits.max_connections_operators),
             ),
             HttpServer(
-                "endpoints",
                 endpoints.app(),
                 listen.endpoints,
-                limits.max_connections_endpoints,
-                head_ms,
+                port("endpoints", limits.max_connections_endpoints),
             ),
         ]
 
@@ -283,6 +291,15 @@
         self.trace.close()
 
 
+def _port_limits(limits: LimitSettings, max_connections: int) -> PortLimits:
+    return PortLimits(
+        max_connections,
+        limits.max_body_bytes,
+        limits.request_head_timeout_ms,
+        constant_ms(limits.request_body_timeout_ms),
+    )
+
+
 def _cell_times(settings: Settings) -> CellTimes:
     timeouts = settings.timeouts
     return CellTimes(
--- a/packages/agateferry-service/agateferry_service/http/server.py
+++ b/packages/agateferry-service/agateferry_service/http/server.py
@@ -3,84 +3,27 @@
 import asyncio
 import contextlib
 import socket
-import time
 from collections.abc import Iterator
-from email.utils import formatdate
 
 import uvicorn
 from starlette.types import ASGIApp
-from uvicorn.protocols.http.h11_impl import H11Protocol
 
+from agateferry_core.clock import MS_PER_S
 from agateferry_service.address import Address
+from agateferry_service.http.port import PortState
+from agateferry_service.http.protocol import bounded_protocol
 
 BACKLOG = 512
-
-
-class DateHeader:
-    """The Date header of responses, formatted again only when the second has changed."""
-
-    def __init__(self) -> None:
-        self._second = -1
-        self._header = (b"date", b"")
-
-    def current(self) -> tuple[bytes, bytes]:
-        """Return the header's name and value now."""
-        second = int(time.time())
-        if second != self._second:
-            self._second = second
-            self._header = (b"date", formatdate(second, usegmt=True).encode())
-        return self._header
-
-
-class BoundedHeadProtocol(H11Protocol):
-    """Close a connection if the client does not send a request's head within `head_s` seconds.
-
-    Without this timeout, clients that send nothing or very slowly would use up the connection limit
-    of a port.
-    """
-
-    head_s = 5.0
-    date_header = DateHeader()
-    _head_timer: asyncio.TimerHandle | None = None
-
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Start the timeout for the first head."""
-        super().connection_made(transport)
-        self._start_head_timer()
-
-    def data_received(self, data: bytes) -> None:
-        """Process data; a complete head stops the timeout, and the next head starts it."""
-        self.server_state.default_headers = [self.date_header.current()]
-        super().data_received(data)
-        if self.cycle is not None and not self.cycle.response_complete:
-            self._cancel_head_timer()
-        elif self._head_timer is None:
-            self._start_head_timer()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the timeout."""
-        self._cancel_head_timer()
-        super().connection_lost(exc)
-
-    def _start_head_timer(self) -> None:
-        self._head_timer = self.loop.call_later(self.head_s, self.transport.close)
-
-    def _cancel_head_timer(self) -> None:
-        if self._head_timer is not None:
-            self._head_timer.cancel()
-            self._head_timer = None
-
-
-def bounded_protocol(head_ms: int) -> type[BoundedHeadProtocol]:
-    """Return the protocol class with its timeout, because uvicorn takes a class."""
-    return type("BoundedHead", (BoundedHeadProtocol,), {"head_s": head_ms / 1000})
+"""How many connections the system keeps until they are accepted."""
+ACCEPTED_AT_ONCE = 32
+"""How many connections are accepted before the first of them is counted."""
 
 
 class EmbeddedServer(uvicorn.Server):
     """A uvicorn server inside a daemon: it has no signal handlers and never wakes up while idle.
 
     uvicorn's own loop wakes up ten times a second to look for a request to stop and to format the
-    Date header, which `BoundedHeadProtocol` sets when a request arrives.
+    Date header, which `BoundedProtocol` sets when a request arrives.
     """
 
     def __init__(self, cfg: uvicorn.Config) -> None:
@@ -92,6 +35,12 @@
         """Leave the signal handlers as they are."""
         yield
 
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Start to accept, few connections at a time from a queue of full length."""
+        await super().startup(sockets)
+        for sock in sockets or []:
+            sock.listen(BACKLOG)
+
     async def main_loop(self) -> None:
         """Serve until `begin_shutdown`."""
         await self._stopping.wait()
@@ -105,21 +54,18 @@
 class HttpServer:
     """Serve one application until stopped; a stop lets requests in flight finish."""
 
-    def __init__(
-        self, name: str, app: ASGIApp, address: Address, max_connections: int, head_ms: int
-    ) -> None:
-        self.name = name
+    def __init__(self, app: ASGIApp, address: Address, port: PortState) -> None:
+        self.name = port.name
         self.address = address
         cfg = uvicorn.Config(
             app,
             loop="asyncio",
-            http=bounded_protocol(head_ms),
+            http=bounded_protocol(port),
             log_config=None,
             access_log=False,
             lifespan="off",
-            backlog=BACKLOG,
-            limit_concurrency=max_connections,
-            timeout_keep_alive=30,
+            backlog=ACCEPTED_AT_ONCE,
+            timeout_keep_alive=port.limits.idle_ms // MS_PER_S,
             server_header=False,
         )
         self._server = EmbeddedServer(cfg)
--- a/packages/agateferry-service/agateferry_service/http/tests/test_server.py
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_server.py
@@ -6,6 +6,10 @@
 
 from agateferry_core.support import free_port, run_async
 from agateferry_service.address import Address
+from agateferry_service.http.limits import PortLimits, constant_ms
+from agateferry_service.http.memory import MemoryAccount
+from agateferry_service.http.port import PortState
+from agateferry_service.http.rejections import make_problem
 from agateferry_service.http.server import HttpServer
 
 DRAIN_MS = 1_000
@@ -20,7 +24,9 @@
     def serve(self, scenario):
         async def run():
             port = free_port()
-            server = HttpServer("test", respond, Address("127.0.0.1", port), 10, 1_000)
+            limits = PortLimits(10, 1_000, 1_000, constant_ms(1_000))
+            state = PortState("test", limits, MemoryAccount(1_000_000), make_problem)
+            server = HttpServer(respond, Address("127.0.0.1", port), state)
             await server.start()
             try:
                 return await scenario(server, port)
@@ -35,7 +41,7 @@
                 dates = []
                 for now_s in (1_700_000_000, 1_700_000_000, 1_700_000_061):
                     clock = mock.Mock(return_value=now_s)
-                    with mock.patch("agateferry_service.http.server.time.time", clock):
+                    with mock.patch("agateferry_service.http.protocol.time.time", clock):
                         async with client.get(f"http://127.0.0.1:{port}/") as response:
                             dates.append(response.headers["Date"])
                 return dates
--- a/packages/agateferry-service/agateferry_service/settings/settings.py
+++ b/packages/agateferry-service/agateferry_service/settings/settings.py
@@ -47,6 +47,7 @@
     """Limits on the size, number, duration and rate of what clients send."""
 
     max_body_bytes: int
+    max_client_memory_mb: int
     max_connections_callers: int
     max_connections_operators: int
     max_connections_endpoints: int
--- a/packages/agateferry-service/agateferry_service/settings/table.py
+++ b/packages/agateferry-service/agateferry_service/settings/table.py
@@ -115,6 +115,14 @@
     _flag("peers", "disk", True, "Whether the host stores its state on a disk."),
     _flag("peers", "records_voter", False, "Whether the host votes on operators' records."),
     _limit("max_body_bytes", 1_048_576, "bytes", 1_024, 67_108_864, "Largest request body."),
+    _limit(
+        "max_client_memory_mb",
+        64,
+        "MiB",
+        8,
+        65_536,
+        "Memory held for the clients of all ports together: requests, and answers not yet read.",
+    ),
     _limit(
         "max_connections_callers",
         2_000,
--- a/tools/metrics.py
+++ b/tools/metrics.py
@@ -12,6 +12,7 @@
 
 from agateferry_core.metrics import Metrics  # noqa: E402
 from agateferry_jobs import metrics as job_metrics  # noqa: E402
+from agateferry_service.http import metrics as http_metrics  # noqa: E402
 
 HEAD = """# Metrics
 
@@ -39,7 +40,9 @@
 
 def page() -> str:
     """Return the text of docs/metrics.md."""
-    daemon_rows, role_rows = rows_of(vars(Metrics()).values()), rows_of(vars(job_metrics).values())
+    http = list(vars(http_metrics).values())
+    daemon_rows = rows_of([*vars(Metrics()).values(), *http])
+    role_rows = rows_of([*vars(job_metrics).values(), *http])
     return HEAD + "\n".join(daemon_rows) + "\n" + ROLES_HEAD + "\n".join(role_rows) + "\n"
 
 
