Refuse jobs for which the hosts of a cell have no memory

Jobs of legal size, sent one after the other and accepted, took each host of a cell to 334 MB where it has 200; the platform would kill it, and again after each start, since it reads the jobs back. Ordinary jobs were not started.

Besides, a cache kept the steps of the last 4,096 specs for good.

Change: the ledger keeps an estimate of what its jobs take, in total and by team. Before it commits a job the leader compares it with the room that the machine's settings leave, counts what is being committed and leaves out what the acceptance would drop. Jobs over 64 KiB may use three quarters of it, one team half of it where there are several. What doesn't fit is refused with 503 and Retry-After, before it is stored, so it never runs; an attempt of a job that is accepted or being committed is not refused. The cache is gone: a job's progress keeps the figure already.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -9,6 +9,7 @@
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.begun_jobs import BegunJobs
+from agateferry_jobs.cell.job_admission import JobAdmission
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.ledger import Job, Ledger, commands
 from agateferry_jobs.ledger.cancellations import AcceptResult, CancelResult
@@ -26,6 +27,8 @@
 """
 MAX_STEPS_LOGGED = 20
 """How many steps of an accepted job its log line shows."""
+JOBS_FULL_RETRY_MS = 5_000
+"""When to resubmit a job for which there is no room; by then some others have been dropped."""
 CANCELLATIONS_FULL_RETRY_MS = 5_000
 """When to repeat a cancellation that cannot be stored; by then some others have expired."""
 
@@ -38,8 +41,10 @@
         ledger: Ledger,
         proposer: Proposer,
         begun_jobs: BegunJobs,
+        admission: JobAdmission,
         request_planning: Callable[[], None],
     ) -> None:
+        self._admission = admission
         self._begun_jobs = begun_jobs
         self._ledger = ledger
         self._proposer = proposer
@@ -69,6 +74,9 @@
             return messages.Done()
         if id in self._ledger.jobs:
             return messages.Invalid("id is in use")
+        shortage = self._admission.find_shortage(id, team, call.job, now_ms)
+        if shortage is not None:
+            return messages.Refused(shortage, JOBS_FULL_RETRY_MS)
         command = commands.AcceptJob(
             id,
             queue.name,
@@ -82,7 +90,8 @@
             call.target.path,
             call.call_id,
         )
-        result = await self._proposer.propose(command)
+        with self._admission.committing(id, team, call.job):
+            result = await self._proposer.propose(command)
         if result.is_error():
             return reply_for_error(result.error)
         if result.ok is AcceptResult.CANCELLED:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -17,6 +17,7 @@
 from agateferry_jobs.cell.call_handler import CallHandler
 from agateferry_jobs.cell.evacuations import ZoneEvacuations
 from agateferry_jobs.cell.guilty_jobs import GuiltyJobs
+from agateferry_jobs.cell.job_admission import JobAdmission, max_job_bytes
 from agateferry_jobs.cell.job_log import JobLog
 from agateferry_jobs.cell.plan_loop import PlanLoop
 from agateferry_jobs.cell.proposing import Proposer
@@ -65,6 +66,7 @@
         zone_regions: Mapping[str, str] | None = None,
         max_lease_ms: int | None = None,
         start_budget: StartBudget = DEFAULT_BUDGET,
+        memory_mb: int | None = None,
     ) -> None:
         self._replica = replica
         self._ledger = ledger
@@ -95,7 +97,11 @@
         self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
         self._begun_jobs = BegunJobs(ledger, self._proposer)
         self._call_handler = CallHandler(
-            ledger, self._proposer, self._begun_jobs, self.request_planning
+            ledger,
+            self._proposer,
+            self._begun_jobs,
+            JobAdmission(ledger, max_job_bytes(memory_mb)),
+            self.request_planning,
         )
         self._wall_offset_ms = 0
         self._issued_tokens = 0
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_leader.py
@@ -35,13 +35,15 @@
 
 
 class LeaderCase(testtools.TestCase):
-    def check(self, scenario, lease_ms=8000):
+    def check(self, scenario, lease_ms=8000, **options):
         async def main():
             self.clock = SystemClock()
             self.ports = {}
             self.ledger = Ledger()
             self.replica = MemoryReplica(self.ledger)
-            self.leader = Leader(self.replica, self.ledger, self.clock, self.port_to, lease_ms)
+            self.leader = Leader(
+                self.replica, self.ledger, self.clock, self.port_to, lease_ms, **options
+            )
             self.replica.lead()
             await self.call(messages.InstallManifest(manifest()))
             try:
--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -190,6 +190,7 @@
             self.cfg.zones,
             self.cfg.bounds.max_lease_ms,
             self.cfg.bounds.start_budget,
+            self.cfg.machine.memory_mb,
         )
         return replica
 
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -46,6 +46,7 @@
     WorkerIncarnation,
     gang_of,
 )
+from agateferry_jobs.ledger.stored_sizes import StoredSizes
 from agateferry_jobs.ledger.stored_state import State
 from agateferry_jobs.ledger.worker_records import WorkerRecords
 from agateferry_jobs.manifest import Manifest, Queue
@@ -79,6 +80,7 @@
         self._ids_by_address: dict[tuple[str, str], str] = {}
         self._progress: dict[str, JobProgress] = {}
         self.active_runs = ActiveRuns()
+        self.stored_sizes = StoredSizes()
         self.clock: Clock | None = None
         """The clock of this host, by which leases of silent workers expire; not replicated."""
         self._worker_records = WorkerRecords(self.state)
@@ -216,6 +218,7 @@
         self._worker_records = WorkerRecords(self.state)
         self._progress = {}
         self.active_runs = ActiveRuns(self.jobs.values())
+        self.stored_sizes = StoredSizes(self.jobs.values())
         self._ids_by_address = {
             (job.host, job.path): job.id for job in self.jobs.values() if job.path
         }
@@ -255,15 +258,24 @@
         )
         job.subtasks = {name: Subtask() for name in _subtask_names(command.spec)}
         self.jobs[job.id] = job
+        self.stored_sizes.update(job)
         if job.path:
             self._ids_by_address[job.host, job.path] = job.id
         return AcceptResult.ACCEPTED
 
+    def expired_jobs(self, now_ms: int) -> list[Job]:
+        """Return the ended jobs that are dropped when a job is accepted now."""
+        return [
+            job
+            for job in self.jobs.values()
+            if job.is_over and not job.subtasks and now_ms - job.ended_ms > ENDED_JOB_RETENTION_MS
+        ]
+
     def _drop_expired_jobs(self, now_ms: int) -> None:
-        for job in list(self.jobs.values()):
-            if job.is_over and not job.subtasks and now_ms - job.ended_ms > ENDED_JOB_RETENTION_MS:
-                del self.jobs[job.id]
-                self._ids_by_address.pop((job.host, job.path), None)
+        for job in self.expired_jobs(now_ms):
+            del self.jobs[job.id]
+            self.stored_sizes.remove(job)
+            self._ids_by_address.pop((job.host, job.path), None)
 
     def _cancel(self, command: commands.CancelJob) -> CancelResult:
         id, host, path = command.id, command.host, command.path
@@ -377,11 +389,13 @@
                 self._forget_inactive(job)
         elif subtask.active is None:
             del job.subtasks[end.subtask]
+            self.stored_sizes.update(job)
         return was_active or end.outcome is commands.RunOutcome.DONE
 
     def _forget_inactive(self, job: Job) -> None:
         """Drop what is no longer needed of a job that is over."""
         drop_inactive_subtasks(job)
+        self.stored_sizes.update(job)
         self._progress.pop(job.id, None)
 
     def _record_duration(
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/specs.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
-from functools import lru_cache
 from operator import attrgetter
 
 from msgspec import Struct, field
@@ -116,7 +115,6 @@
         return self.start_at_ms + occurrence * self.interval_ms
 
 
-@lru_cache(maxsize=4_096)
 def peak_gpus(steps: tuple[StepSpec, ...]) -> int:
     """Return an upper bound of the accelerators that a job's steps need at the same time.
 
