--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -27,6 +27,9 @@
 """
 MAX_STEPS_LOGGED = 20
 """How many steps of an accepted job its log line shows."""
+MAX_LABEL_CHARS_LOGGED = 40
+MAX_ID_CHARS = 200
+"""Ids are kept several times for each job; callers choose ids of 16 digits."""
 JOBS_FULL_RETRY_MS = 5_000
 """When to resubmit a job for which there is no room; by then some others have been dropped."""
 CANCELLATIONS_FULL_RETRY_MS = 5_000
@@ -68,6 +71,8 @@
             return found
         queue, team = found
         id = _job_id_in(call.target.path, queue)
+        if len(id) > MAX_ID_CHARS:
+            return messages.Invalid(f"the id has over {MAX_ID_CHARS} characters")
         if not id or call.job is None:
             return messages.Invalid(call.parse_error or "no id in the path")
         if self._find_job(call.target, queue, team) is not None:
@@ -261,7 +266,8 @@
     steps = call.job.steps if call.job is not None else ()
     summaries = [
         f"{s.count}x{s.need.cpu}c{s.need.mem_mb}m{s.need.gpu}g{'G' if s.is_gang else ''}"
-        f"{'R' if s.same_rack else ''}{s.required_label}@{s.data_rack}~{s.estimated_ms}"
+        f"{'R' if s.same_rack else ''}{s.required_label[:MAX_LABEL_CHARS_LOGGED]}"
+        f"@{s.data_rack[:MAX_LABEL_CHARS_LOGGED]}~{s.estimated_ms}"
         for s in steps[:MAX_STEPS_LOGGED]
     ]
     left = len(steps) - len(summaries)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
@@ -94,6 +94,20 @@
         self.assertLess(1_000 * SMALL_JOB_BYTES, max_job_bytes(SMALLEST_CELL_MB))
 
 
+class LongIdTests(LeaderCase):
+    """An id is kept several times for each job, and a head may be as long as 32 KiB."""
+
+    def test_a_job_with_a_long_id_is_invalid(self):
+        async def scenario():
+            reply = await self.call(messages.Submit(target("f" * 201), SMALL))
+            self.assertIsInstance(reply, messages.Invalid)
+            self.assertEqual({}, self.ledger.jobs)
+            reply = await self.call(messages.Submit(target("f" * 200), SMALL))
+            self.assertEqual(messages.Done(), reply)
+
+        self.check(scenario)
+
+
 class RefusedJobTests(LeaderCase):
     """A job without room is refused with a time to come back, and an accepted one never is."""
 
