Refuse requests whose payloads a zone's hosts have no memory for

Cause: every host of a zone keeps the payloads of open requests, and the scheduler bounds their number only. Besides, a body that is handled is held about four times: as bytes, parsed, in its canonical form and as a message.

Change: the leader counts the payloads of open requests and of those being committed, by team, up to `limits.max_payload_memory_mb` (24, at least four largest bodies), and refuses what is over with 429 `payloads-full` and Retry-After before it is stored; an attempt of a request that is stored or being committed is not refused. A body that is handled takes four times its length from the account of its process, whose default is 48 MiB now.

--- a/packages/agateferry-service/agateferry_service/cell/context.py
+++ b/packages/agateferry-service/agateferry_service/cell/context.py
@@ -8,6 +8,7 @@
 from agateferry_core.metrics import Metrics
 from agateferry_service.cell.catalog import Catalog
 from agateferry_service.cell.machine import CellMachine
+from agateferry_service.cell.payload_room import DEFAULT_MAX_BYTES
 from agateferry_service.cell.proposer import Proposer
 from agateferry_service.cell.tasks import TaskGroup
 from agateferry_service.cell.waiters import Waiters
@@ -18,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CellTimes:
-    """The time limits, intervals and rates of a cell's leader."""
+    """The time limits, intervals, rates and sizes of a cell's leader."""
 
     attempt: AttemptTimes = AttemptTimes()
     tick_ms: int = 200
@@ -30,6 +31,7 @@
     retry_budget_percent: int = 20
     answer_keep_ms: int = 3_600_000
     forget_every_ms: int = 30_000
+    max_payload_bytes: int = DEFAULT_MAX_BYTES
 
 
 @dataclass(slots=True)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -33,6 +33,7 @@
 from agateferry_service.cell.attempts import AttemptManager
 from agateferry_service.cell.context import CellContext
 from agateferry_service.cell.evacuation import EvacuationNotice, evacuated_refusal, request_view
+from agateferry_service.cell.payload_room import RETRY_AFTER_MS, PayloadRoom
 from agateferry_service.cell.proposer import refusal_for_propose_error
 from agateferry_service.cell.refusals import RefusalReason, refusal
 from agateferry_service.cell.request_metrics import count_request_end
@@ -78,6 +79,7 @@
         self._notified_revision = -1
         self._evacuation_notice = EvacuationNotice(ctx)
         self._cancel_slots = asyncio.Semaphore(MAX_CONCURRENT_CANCELS)
+        self._payload_room = PayloadRoom(ctx.machine, ctx.times.max_payload_bytes)
 
     @property
     def active(self) -> bool:
@@ -185,6 +187,10 @@
 
     async def _accept_new(self, spec: RequestSpec, wait_ms: int) -> cell_pb2.RequestReply:
         """Store a new request after the scheduler's decision, so that a refusal stores nothing."""
+        has_several_teams = len(self.ctx.catalog.teams()) > 1
+        shortage = self._payload_room.find_shortage(spec, has_several_teams)
+        if shortage is not None:
+            return self._refuse(RefusalReason.PAYLOADS_FULL, shortage, RETRY_AFTER_MS)
         decision = self.driver().queue_request(to_pending_request(spec, self.ctx.clock))
         if isinstance(decision, Reject):
             return self._refuse(decision.reason, decision.detail, decision.retry_after_ms or 0)
@@ -193,7 +199,8 @@
             spec=spec_to_pb(spec),
             placements=[placement_to_pb(placement) for placement in placements],
         )
-        proposed = await self.ctx.proposer.propose(accept=command)
+        with self._payload_room.committing(spec):
+            proposed = await self.ctx.proposer.propose(accept=command)
         if proposed.is_error():
             return await self._refuse_uncommitted(spec, decision, proposed.error)
         result = proposed.ok
--- a/packages/agateferry-service/agateferry_service/cell/refusals.py
+++ b/packages/agateferry-service/agateferry_service/cell/refusals.py
@@ -29,6 +29,7 @@
     WRONG_ZONE = "wrong-zone"
     ZONE_EVACUATED = "zone-evacuated"
     CALLER_GONE = "caller-gone"
+    PAYLOADS_FULL = "payloads-full"
 
 
 def refusal(reason: str, detail: str, retry_after_ms: int = 0, leader: str = "") -> pb.Refusal:
--- a/packages/agateferry-service/agateferry_service/daemon/host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/host.py
@@ -56,6 +56,10 @@
 HTTP_STOP_TIMEOUT_MS = 1_000
 CALL_TIMEOUT_MS = 2_000
 BYTES_PER_MIB = 1024 * 1024
+MIN_BODIES_OF_CLIENTS = 8
+"""One largest body takes four times its length while it is handled, and large ones have a share."""
+MIN_PAYLOADS = 4
+"""One largest payload has to fit into what large ones of one team may use."""
 
 
 class Host:
@@ -222,7 +226,12 @@
             zone, self.zones.router(zone), self.cell_calls, limits, self.metrics
         )
         listen = settings.listen
-        memory = MemoryAccount(limits.max_client_memory_mb * BYTES_PER_MIB)
+        memory = MemoryAccount(
+            max(
+                limits.max_client_memory_mb * BYTES_PER_MIB,
+                MIN_BODIES_OF_CLIENTS * limits.max_body_bytes,
+            )
+        )
 
         def port(name: str, max_connections: int) -> PortState:
             return PortState(name, _port_limits(limits, max_connections), memory, make_problem)
@@ -314,4 +323,8 @@
             reservation_ttl_ms=timeouts.reservation_ttl_ms,
         ),
         answer_keep_ms=timeouts.answer_keep_ms,
+        max_payload_bytes=max(
+            settings.limits.max_payload_memory_mb * BYTES_PER_MIB,
+            MIN_PAYLOADS * settings.limits.max_body_bytes,
+        ),
     )
--- a/packages/agateferry-service/agateferry_service/http/bodies.py
+++ b/packages/agateferry-service/agateferry_service/http/bodies.py
@@ -10,10 +10,15 @@
 from starlette.responses import Response
 
 from agateferry_service.http.collecting import collect_body
+from agateferry_service.http.limits import RejectionReason
+from agateferry_service.http.memory import memory_of
 from agateferry_service.http.problems import problem
+from agateferry_service.http.rejections import make_problem
 
 ModelT = TypeVar("ModelT", bound=BaseModel)
 MAX_SHOWN_ERRORS = 3
+PARSED_COPIES = 3
+"""A body is parsed, brought to its canonical form, and sent on, while its bytes are held."""
 
 
 async def read_body(req: Request, max_bytes: int, timeout_ms: int) -> Result[bytes, Response]:
@@ -67,6 +72,8 @@
     data = await collect_body(req, max_bytes)
     if data is None:
         return Error(problem(413, "body-too-large", f"the body is limited to {max_bytes} bytes"))
+    if not memory_of(req.scope).grow(PARSED_COPIES * len(data)):
+        return Error(make_problem(RejectionReason.MEMORY_FULL, "too many bodies are being handled"))
     return Ok(data)
 
 
--- a/packages/agateferry-service/agateferry_service/http/problems.py
+++ b/packages/agateferry-service/agateferry_service/http/problems.py
@@ -27,6 +27,7 @@
     "infeasible": 422,
     "fails-everywhere": 422,
     "deadline-unreachable": 422,
+    RefusalReason.PAYLOADS_FULL: 429,
     "team-queue-full": 429,
     "queue-full": 429,
 }
--- a/packages/agateferry-service/agateferry_service/requests/ledger.py
+++ b/packages/agateferry-service/agateferry_service/requests/ledger.py
@@ -9,6 +9,7 @@
 a snapshot costs little more than what changed since the last one.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Iterator
 from dataclasses import replace
 
@@ -40,6 +41,8 @@
         self._ended: dict[str, bytes] = {}
         self._by_key: dict[tuple[str, str], str] = {}
         self._serialized: dict[str, bytes] = {}
+        self.payload_bytes: Counter[str] = Counter()
+        """By team, the bytes of the payloads of its open requests."""
 
     def __len__(self) -> int:
         """Return the number of requests held."""
@@ -87,6 +90,7 @@
             return self._resend_result(known, spec.body_digest)
         request = Request(spec)
         self._open[spec.id] = request
+        self.payload_bytes[spec.team] += len(spec.payload)
         if spec.key:
             self._by_key[(spec.team, spec.key)] = spec.id
         if command.placements and may_start:
@@ -211,6 +215,7 @@
                 self._ended[request.id] = serialized
             else:
                 self._open[request.id] = request
+                self.payload_bytes[request.spec.team] += len(request.spec.payload)
                 self._serialized[request.id] = serialized
 
     def _resend_result(self, known: Request, body_digest: bytes) -> CommandResult:
@@ -245,6 +250,7 @@
         request.reason = reason
         request.ended_wall_ms = wall_ms
         request.placements = ()
+        self.payload_bytes[request.spec.team] -= len(request.spec.payload)
         request.spec = replace(request.spec, payload="")
         del self._open[request.id]
         self._ended[request.id] = _serialize(request)
--- a/packages/agateferry-service/agateferry_service/settings/settings.py
+++ b/packages/agateferry-service/agateferry_service/settings/settings.py
@@ -48,6 +48,7 @@
 
     max_body_bytes: int
     max_client_memory_mb: int
+    max_payload_memory_mb: int
     max_connections_callers: int
     max_connections_operators: int
     max_connections_endpoints: int
--- a/packages/agateferry-service/agateferry_service/settings/table.py
+++ b/packages/agateferry-service/agateferry_service/settings/table.py
@@ -117,11 +117,21 @@
     _limit("max_body_bytes", 1_048_576, "bytes", 1_024, 67_108_864, "Largest request body."),
     _limit(
         "max_client_memory_mb",
-        64,
+        48,
         "MiB",
         8,
         65_536,
-        "Memory held for the clients of all ports together: requests, and answers not yet read.",
+        "Memory held for the clients of all ports together: requests, and answers not yet read;"
+        " at least eight times the largest body.",
+    ),
+    _limit(
+        "max_payload_memory_mb",
+        24,
+        "MiB",
+        1,
+        65_536,
+        "Payloads of a zone's open requests, which each of its hosts keeps; at least four times the"
+        " largest body.",
     ),
     _limit(
         "max_connections_callers",
--- a/packages/agateferry-standins/agateferry_standins/tests/test_floods.py
+++ b/packages/agateferry-standins/agateferry_standins/tests/test_floods.py
@@ -12,6 +12,7 @@
 BODY_BYTES = 1_048_576
 """The default of `limits.max_body_bytes`."""
 CONNECTIONS = 300
+SUBMISSIONS = 200
 OPERATORS = 90
 """Below the default of `limits.max_connections_operators`."""
 HEADERS = {"Host": "host", "Content-Type": "application/json"}
@@ -33,7 +34,8 @@
             pids = {name: daemon.pid for name, daemon in self.system.daemons.items()}
             monitor = UsageMonitor(pids)
             monitor.start()
-            flood = Flood(getattr(self.plan.hosts[0], port), [make_request()] * count)
+            requests = [make_request(number) for number in range(count)]
+            flood = Flood(getattr(self.plan.hosts[0], port), requests)
             try:
                 await flood.send()
                 await self.send((RUN_ONCE,), REQUESTS_AFTER_IT)
@@ -53,17 +55,26 @@
         self.assertEqual(REQUESTS_AFTER_IT, self.tally.accepted_count())
 
     def unfinished(self, method, path):
-        return lambda: with_length(method, path, HEADERS, large_body(), missing_bytes=1)
+        return lambda _: with_length(method, path, HEADERS, large_body(), missing_bytes=1)
 
     def test_unfinished_submissions(self):
         self.survive("callers", self.unfinished("POST", "/v1/requests"), CONNECTIONS)
 
     def test_unfinished_chunked_submissions(self):
-        def request():
+        def request(_):
             return chunked("POST", "/v1/requests", HEADERS, large_body(), is_ended=False)
 
         self.survive("callers", request, CONNECTIONS)
 
+    def test_whole_submissions(self):
+        """What was accepted is kept on the hosts of the zone, also after its caller has gone."""
+
+        def request(number):
+            headers = HEADERS | {"Idempotency-Key": f"flood-{number}"}
+            return with_length("POST", "/v1/requests", headers, large_body())
+
+        self.survive("callers", request, SUBMISSIONS)
+
     def test_unfinished_heartbeats_of_workers(self):
         self.survive(
             "endpoints", self.unfinished("POST", "/v1/endpoints/w-1/announce"), CONNECTIONS
