Split the bytes, timers and raw responses of a connection from its protocol

What it takes from the account is in `ConnectionBytes` now, which counts by what the bytes are for, a timeout in `Timer`, responses without an application in `raw_responses`. Behaviour is as before; the tests of the ports pass unchanged but for the places of two names.

--- a/packages/agateferry-service/agateferry_service/http/limits.py
+++ b/packages/agateferry-service/agateferry_service/http/limits.py
@@ -6,6 +6,9 @@
 
 from starlette.responses import Response
 
+MAX_HEAD_BYTES = 32 * 1024
+"""Twice the longest head that the platform's manifests allow."""
+
 HeaderList = Iterable[tuple[bytes, bytes]]
 """The headers of a request, with names in lower case."""
 
@@ -21,6 +24,19 @@
     PIPELINE_FULL = "pipeline-full"
     ANSWER_UNREAD = "answer-unread"
 
+    @property
+    def detail(self) -> str:
+        """Return a text for the sender of a request that is rejected for this reason."""
+        match self:
+            case RejectionReason.BODY_TIMEOUT:
+                return "the body was not received in time"
+            case RejectionReason.HEAD_TOO_LARGE:
+                return f"the request line and headers are limited to {MAX_HEAD_BYTES} bytes"
+            case RejectionReason.MEMORY_FULL:
+                return "too many requests are being received; try again later"
+            case _:
+                return self.value
+
 
 MakeRejection = Callable[[RejectionReason, str], Response]
 """Make the response to a rejected request from the reason and a text for its sender."""
--- a/packages/agateferry-service/agateferry_service/http/protocol.py
+++ b/packages/agateferry-service/agateferry_service/http/protocol.py
@@ -10,36 +10,25 @@
 """
 
 import asyncio
-import time
-from collections import deque
-from email.utils import formatdate
 from enum import Enum, auto
 from typing import Any, ClassVar
 
 import httptools
-from starlette.responses import Response
-from uvicorn.protocols.http.httptools_impl import (
-    STATUS_LINE,
-    HttpToolsProtocol,
-    RequestResponseCycle,
-)
-
-from agateferry_core.clock import MS_PER_S
-from agateferry_service.http.body_buffer import BodyBuffer
-from agateferry_service.http.limits import RejectionReason
-from agateferry_service.http.memory import Holding, set_memory
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol, RequestResponseCycle
+
+from agateferry_service.http.connection_bytes import ConnectionBytes
+from agateferry_service.http.limits import MAX_HEAD_BYTES, RejectionReason
+from agateferry_service.http.memory import set_memory
 from agateferry_service.http.port import PortState
+from agateferry_service.http.raw_responses import DateHeader, response_bytes
+from agateferry_service.http.timer import Timer
 
 READ_BYTES = 64 * 1024
 SLICE_BYTES = 16 * 1024
 MAX_PARTS_IN_SLICE = 256
 """More parts of bodies or requests in one slice cost more than reading them does."""
-MAX_HEAD_BYTES = 32 * 1024
-"""Twice the longest head that the platform's manifests allow."""
 MAX_PIPELINED = 16
 """How many requests a client may send before the answer to the first."""
-REQUEST_BYTES = 4 * 1024
-"""What a request takes besides its head and body."""
 LINGER_MS = 1_000
 """How long a rejected client may go on sending, so that it reads its response first."""
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -48,22 +37,6 @@
 """All connections read into this buffer; its content is parsed or copied at once."""
 
 
-class DateHeader:
-    """The Date header of responses, formatted again only when the second has changed."""
-
-    def __init__(self) -> None:
-        self._second = -1
-        self._header = (b"date", b"")
-
-    def current(self) -> tuple[bytes, bytes]:
-        """Return the header's name and value now."""
-        second = int(time.time())
-        if second != self._second:
-            self._second = second
-            self._header = (b"date", formatdate(second, usegmt=True).encode())
-        return self._header
-
-
 class Phase(Enum):
     """What a connection waits for."""
 
@@ -82,10 +55,7 @@
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        self._holding = Holding(self.port.memory)
-        self._body = BodyBuffer()
-        self._kept = bytearray()
-        """Input that is not parsed yet."""
+        self._bytes = ConnectionBytes(self.port.memory)
         self._deferred: tuple[RequestResponseCycle, Any] | None = None
         """The request whose body is not complete, and its application."""
         self._is_body_over = True
@@ -93,16 +63,14 @@
         self._is_paced = False
         self._is_queued = False
         self._phase = Phase.HEAD
-        self._timer: asyncio.TimerHandle | None = None
-        self._write_timer: asyncio.TimerHandle | None = None
-        self._head_bytes = 0
+        self._timer = Timer(self.loop)
+        """The timeout of the phase."""
+        self._write_timer = Timer(self.loop)
+        """The timeout of an answer that is not read."""
         self._parts = 0
+        """Parts of bodies and beginnings of requests in the last slice of input."""
         self._received_bytes = 0
         self._began_s = 0.0
-        self._handled_bytes: deque[int] = deque()
-        """What each request takes that the application has not answered yet, in their order."""
-        self._unread_bytes = 0
-        """What answered requests take whose answers are not read yet."""
 
     # Connection
 
@@ -113,7 +81,7 @@
         self._began_s = self.loop.time()
         if self.port.connections.admit(self):
             self.port.memory.unfinished.add(self)
-            self._start_timer(self.port.limits.head_ms, self._on_head_timeout)
+            self._timer.start(self.port.limits.head_ms, self._on_head_timeout)
         else:
             self.drop()
 
@@ -144,7 +112,7 @@
         if self._phase is Phase.CLOSING:
             return
         start = 0
-        while start < len(data) and not (self._is_paced or self._kept):
+        while start < len(data) and not (self._is_paced or self._bytes.kept):
             self._parse(data[start : start + SLICE_BYTES])
             start += SLICE_BYTES
         if start < len(data) and self._phase is not Phase.CLOSING:
@@ -152,11 +120,11 @@
 
     def parse_kept(self, max_bytes: int) -> bool:
         """Parse up to `max_bytes` of the kept input; return whether more is waiting."""
-        part = bytes(self._kept[:max_bytes])
-        del self._kept[:max_bytes]
+        part = bytes(self._bytes.kept[:max_bytes])
+        del self._bytes.kept[:max_bytes]
         if part and self._phase is not Phase.CLOSING:
             self._parse(part)
-        if self._kept and self._phase is not Phase.CLOSING:
+        if self._bytes.kept and self._phase is not Phase.CLOSING:
             return True
         self._is_queued = False
         if self._phase is not Phase.CLOSING and not self.pipeline:
@@ -166,7 +134,7 @@
     def _keep(self, data: bytes | memoryview) -> None:
         if not self._take(len(data)):
             return
-        self._kept += data
+        self._bytes.kept += data
         self.flow.pause_reading()
         if not self._is_queued:
             self._is_queued = True
@@ -176,11 +144,12 @@
         self.server_state.default_headers = [self.date_header.current()]
         if self._is_between_requests():
             self._is_in_head = True
+            self._bytes.is_receiving = True
             self._began_s = self.loop.time()
             self._received_bytes = 0
         self._received_bytes += len(data)
         if self._is_in_head:
-            self._head_bytes += len(data)
+            self._bytes.head_bytes += len(data)
         if not self._take(len(data)):
             return
         self._parts = 0
@@ -189,10 +158,10 @@
             return
         if self._parts > MAX_PARTS_IN_SLICE:
             self._is_paced = True
-        if self._is_in_head and self._head_bytes > MAX_HEAD_BYTES:
+        if self._is_in_head and self._bytes.head_bytes > MAX_HEAD_BYTES:
             self.reject(RejectionReason.HEAD_TOO_LARGE)
             return
-        self._holding.resize(self._needed_bytes(), self.loop.time())
+        self._bytes.settle(self.loop.time())
         self._update_phase()
 
     def _is_between_requests(self) -> bool:
@@ -200,30 +169,18 @@
 
     def _take(self, more_bytes: int) -> bool:
         """Take bytes from the account before they are parsed or kept, or reject the request."""
-        if self._holding.resize(self._needed_bytes() + more_bytes, self.loop.time()):
+        if self._bytes.take(more_bytes, self.loop.time()):
             return True
         self.reject(RejectionReason.MEMORY_FULL)
         return False
 
-    def _needed_bytes(self) -> int:
-        if self._is_between_requests() and not self._is_in_head:
-            return self._unread_bytes + len(self._kept)
-        handled_bytes = sum(self._handled_bytes) + self._unread_bytes
-        input_bytes = 2 * self._head_bytes + self._body.size + len(self._kept)
-        return REQUEST_BYTES + input_bytes + handled_bytes
-
     def grow(self, more_bytes: int) -> bool:
         """Take bytes from the account for the request that the application handles.
 
         They are given back with its answer. Return False where there is no room; then the
         application rejects the request.
         """
-        if not self._handled_bytes:
-            return True
-        if not self._holding.resize(self._holding.size + more_bytes, self.loop.time()):
-            return False
-        self._handled_bytes[0] += more_bytes
-        return True
+        return self._bytes.grow(more_bytes, self.loop.time())
 
     # Callbacks of the parser
 
@@ -244,7 +201,8 @@
         """Begin to collect the body; the application is called when it is complete."""
         self._is_in_head = False
         self._is_body_over = False
-        self._head_bytes = 0
+        self._bytes.head_bytes = 0
+        self._bytes.is_receiving = True
         super().on_headers_complete()
         if self.cycle.waiting_for_100_continue:
             self.cycle.waiting_for_100_continue = False
@@ -257,8 +215,8 @@
         self._parts += 1
         if not self.cycle.more_body:
             return
-        self._body.append(body)
-        if self._body.size > self.port.limits.max_body_bytes:
+        self._bytes.body.append(body)
+        if self._bytes.body.size > self.port.limits.max_body_bytes:
             self.cycle.keep_alive = True  # closed by `_linger`, for its sender still sends
             self._complete_body()
 
@@ -270,8 +228,7 @@
 
     def _complete_body(self) -> None:
         cycle = self.cycle
-        self._handled_bytes.append(self._body.size)
-        cycle.body = self._body.take()  # type: ignore[assignment]  # bytes are not copied again
+        cycle.body = self._bytes.begin_handling()  # type: ignore[assignment]  # bytes are not copied again
         cycle.more_body = False
         cycle.message_event.set()
         if self._deferred is not None and self._deferred[0] is cycle:
@@ -294,7 +251,7 @@
         if phase is self._phase:
             return
         self._phase = phase
-        self._cancel_timer()
+        self._timer.cancel()
         if phase is Phase.BODY or phase is Phase.HEAD:
             self.port.memory.unfinished.add(self)
         else:
@@ -302,10 +259,10 @@
         limits = self.port.limits
         match phase:
             case Phase.HEAD:
-                self._start_timer(limits.head_ms, self._on_head_timeout)
+                self._timer.start(limits.head_ms, self._on_head_timeout)
             case Phase.BODY:
                 body_ms = limits.body_ms(self.cycle.scope["headers"])
-                self._start_timer(body_ms, self._on_body_timeout)
+                self._timer.start(body_ms, self.reject, RejectionReason.BODY_TIMEOUT)
             case Phase.ANSWER:
                 self.port.connections.mark_busy(self)
             case Phase.IDLE:
@@ -334,10 +291,8 @@
         if not self._is_body_over:
             self._linger()
             return
-        answered_bytes = self._handled_bytes.popleft() if self._handled_bytes else 0
-        if self.flow.write_paused:
-            self._unread_bytes += answered_bytes
-        self._holding.resize(self._needed_bytes(), self.loop.time())
+        self._bytes.end_handling(is_read=not self.flow.write_paused)
+        self._bytes.settle(self.loop.time())
         self._update_phase()
 
     def pause_writing(self) -> None:
@@ -348,12 +303,10 @@
     def resume_writing(self) -> None:
         """Note that the client has read everything."""
         super().resume_writing()
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
-        self._unread_bytes = 0
+        self._write_timer.cancel()
+        self._bytes.answers_read()
         if self._phase is not Phase.CLOSING:
-            self._holding.resize(self._needed_bytes(), self.loop.time())
+            self._bytes.settle(self.loop.time())
 
     def timeout_keep_alive_handler(self) -> None:
         """Close an idle connection, also if its client has not read the last answer."""
@@ -363,42 +316,25 @@
             super().timeout_keep_alive_handler()
 
     def _on_head_timeout(self) -> None:
-        if self._head_bytes:
+        if self._bytes.head_bytes:
             self.port.count_rejection(RejectionReason.HEAD_TIMEOUT)
         self.transport.close()
 
-    def _on_body_timeout(self) -> None:
-        self.reject(RejectionReason.BODY_TIMEOUT)
-
-    def _start_timer(self, delay_ms: int, callback: Any) -> None:
-        self._cancel_timer()
-        self._timer = self.loop.call_later(delay_ms / MS_PER_S, callback)
-
     def _start_write_timer(self) -> None:
-        if self._write_timer is None:
-            self._write_timer = self.loop.call_later(
-                self.port.limits.unread_ms / MS_PER_S,
-                self._abort,
-                RejectionReason.ANSWER_UNREAD,
-            )
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        if not self._write_timer.is_running:
+            unread_ms = self.port.limits.unread_ms
+            self._write_timer.start(unread_ms, self._abort, RejectionReason.ANSWER_UNREAD)
 
     def _cancel_timers(self) -> None:
-        self._cancel_timer()
-        if self._write_timer is not None:
-            self._write_timer.cancel()
-            self._write_timer = None
+        self._timer.cancel()
+        self._write_timer.cancel()
 
     # Rejection
 
     @property
     def held_bytes(self) -> int:
         """Return the bytes that the connection has taken from the account."""
-        return self._holding.size
+        return self._bytes.held
 
     def progress(self, now_s: float) -> float:
         """Return the bytes received for each second since the request began."""
@@ -423,7 +359,7 @@
             self._abort(reason)
             return
         self.port.count_rejection(reason)
-        response = self.port.make_rejection(reason, _detail(reason))
+        response = self.port.make_rejection(reason, reason.detail)
         self.transport.write(response_bytes(response, self.date_header.current()))
         self._linger()
 
@@ -433,7 +369,7 @@
             return
         super().send_400_response(msg)
         self._forget_request()
-        self._cancel_timer()
+        self._timer.cancel()
         self._phase = Phase.CLOSING
         self.port.connections.mark_closing(self)
 
@@ -450,7 +386,7 @@
         self.flow.resume_reading()
         if not self.transport.is_closing():
             self.transport.write_eof()
-        self._start_timer(LINGER_MS, self.transport.abort)
+        self._timer.start(LINGER_MS, self.transport.abort)
 
     def _abort(self, reason: RejectionReason) -> None:
         self.port.count_rejection(reason)
@@ -460,10 +396,7 @@
         self.transport.abort()
 
     def _forget_request(self) -> None:
-        self._holding.release()
-        self._body.clear()
-        self._kept.clear()
-        self._handled_bytes.clear()
+        self._bytes.release()
         self._deferred = None
         self.port.memory.unfinished.discard(self)
 
@@ -471,22 +404,3 @@
 def bounded_protocol(port: PortState) -> type[BoundedProtocol]:
     """Return the protocol class of a port, because uvicorn takes a class."""
     return type("PortProtocol", (BoundedProtocol,), {"port": port})
-
-
-def response_bytes(response: Response, date_header: tuple[bytes, bytes]) -> bytes:
-    """Return a whole response as it is sent, with the header that closes the connection."""
-    headers = [date_header, *response.raw_headers, (b"connection", b"close")]
-    lines = [STATUS_LINE[response.status_code], *(b"%b: %b\r\n" % header for header in headers)]
-    return b"".join([*lines, b"\r\n", bytes(response.body)])
-
-
-def _detail(reason: RejectionReason) -> str:
-    match reason:
-        case RejectionReason.BODY_TIMEOUT:
-            return "the body was not received in time"
-        case RejectionReason.HEAD_TOO_LARGE:
-            return f"the request line and headers are limited to {MAX_HEAD_BYTES} bytes"
-        case RejectionReason.MEMORY_FULL:
-            return "too many requests are being received; try again later"
-        case _:
-            return reason.value
--- a/packages/agateferry-service/agateferry_service/http/tests/test_protocol.py
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_protocol.py
@@ -8,10 +8,15 @@
 
 from agateferry_core.support import eventually, free_port, run_async
 from agateferry_service.address import Address
-from agateferry_service.http.limits import PortLimits, RejectionReason, constant_ms
+from agateferry_service.http.limits import (
+    MAX_HEAD_BYTES,
+    PortLimits,
+    RejectionReason,
+    constant_ms,
+)
 from agateferry_service.http.memory import MemoryAccount, memory_of
 from agateferry_service.http.port import PortState
-from agateferry_service.http.protocol import MAX_HEAD_BYTES, MAX_PIPELINED
+from agateferry_service.http.protocol import MAX_PIPELINED
 from agateferry_service.http.rejections import make_problem
 from agateferry_service.http.server import HttpServer
 
--- a/packages/agateferry-service/agateferry_service/http/tests/test_server.py
+++ b/packages/agateferry-service/agateferry_service/http/tests/test_server.py
@@ -41,7 +41,7 @@
                 dates = []
                 for now_s in (1_700_000_000, 1_700_000_000, 1_700_000_061):
                     clock = mock.Mock(return_value=now_s)
-                    with mock.patch("agateferry_service.http.protocol.time.time", clock):
+                    with mock.patch("agateferry_service.http.raw_responses.time.time", clock):
                         async with client.get(f"http://127.0.0.1:{port}/") as response:
                             dates.append(response.headers["Date"])
                 return dates
