Let jobs and payloads share the room that teams have on all hosts

The room for jobs and the one for payloads had the same rules in two places: a part for small items, half for one team, what is being committed counts, another attempt finds room. They are in `StoredRoom` now; how much is used stays with each. The tests of both pass as they were, but for the place of one constant.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
@@ -2,10 +2,10 @@
 
 import testtools
 
+from agateferry_core.stored_room import TEAM_SHARE
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell.job_admission import (
     SMALL_JOB_BYTES,
-    TEAM_SHARE,
     JobAdmission,
     max_job_bytes,
 )
