--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -9,7 +9,7 @@
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
 from agateferry_jobs.cell.begun_jobs import BegunJobs
-from agateferry_jobs.cell.job_admission import JobAdmission
+from agateferry_jobs.cell.job_admission import JobAdmission, job_item
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.ledger import Job, Ledger, commands
 from agateferry_jobs.ledger.cancellations import AcceptResult, CancelResult
@@ -79,7 +79,8 @@
             return messages.Done()
         if id in self._ledger.jobs:
             return messages.Invalid("id is in use")
-        shortage = self._admission.find_shortage(id, team, call.job, now_ms)
+        item = job_item(id, team, call.job)
+        shortage = self._admission.find_shortage(item, now_ms)
         if shortage is not None:
             return messages.Refused(shortage, JOBS_FULL_RETRY_MS)
         command = commands.AcceptJob(
@@ -95,7 +96,7 @@
             call.target.path,
             call.call_id,
         )
-        with self._admission.committing(id, team, call.job):
+        with self._admission.committing(item):
             result = await self._proposer.propose(command)
         if result.is_error():
             return reply_for_error(result.error)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/job_admission.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/job_admission.py
@@ -10,11 +10,8 @@
 from agateferry_jobs.ledger import Ledger
 from agateferry_jobs.ledger.specs import JobSpec
 from agateferry_jobs.ledger.stored_sizes import new_job_bytes
+from agateferry_jobs.settings import CELL_MEMORY_MB, DEFAULT_MEMORY_MB
 
-DEFAULT_MEMORY_MB = 512
-"""The memory that is assumed of a machine whose settings do not tell."""
-HOST_MEMORY_MB = 100
-"""What a host of the cell needs besides the jobs, the log and its clients."""
 JOBS_SHARE = 0.35
 """The part of the rest that jobs may take; the log, snapshots and clients share the others."""
 SMALL_JOB_BYTES = 64 * 1024
@@ -24,7 +21,7 @@
 
 def max_job_bytes(memory_mb: int | None) -> int:
     """Return the room for jobs on a machine with so much memory."""
-    free_mb = max(1, (memory_mb or DEFAULT_MEMORY_MB) - HOST_MEMORY_MB)
+    free_mb = max(1, (memory_mb or DEFAULT_MEMORY_MB) - CELL_MEMORY_MB)
     return int(free_mb * JOBS_SHARE * BYTES_PER_MB)
 
 
@@ -35,11 +32,10 @@
         self._ledger = ledger
         self._room = StoredRoom(max_bytes, SMALL_JOB_BYTES)
 
-    def find_shortage(self, id: str, team: str, spec: JobSpec, now_ms: int) -> str | None:
-        """Return why there is no room for a job of a team; None if there is room."""
+    def find_shortage(self, item: StoredItem, now_ms: int) -> str | None:
+        """Return why there is no room for a job; None if there is room."""
         manifest = self._ledger.manifest
         has_several_teams = manifest is not None and len(manifest.teams) > 1
-        item = _to_item(id, team, spec)
 
         def used_bytes(of_team: str | None, enough: float) -> int:
             return self._used_bytes(of_team, now_ms, enough)
@@ -52,9 +48,9 @@
             case None:
                 return None
 
-    def committing(self, id: str, team: str, spec: JobSpec) -> AbstractContextManager[None]:
+    def committing(self, item: StoredItem) -> AbstractContextManager[None]:
         """Count a job as stored while it is being committed."""
-        return self._room.committing(_to_item(id, team, spec))
+        return self._room.committing(item)
 
     def _used_bytes(self, team: str | None, now_ms: int, enough: float) -> int:
         """Return the bytes of a team's jobs, or of all.
@@ -69,5 +65,6 @@
         return used - sizes.of_jobs(job for job in expired if team in (None, job.team))
 
 
-def _to_item(id: str, team: str, spec: JobSpec) -> StoredItem:
+def job_item(id: str, team: str, spec: JobSpec) -> StoredItem:
+    """Return a job as an item to be stored; its size is found by looking at all its steps."""
     return StoredItem(frozenset({id}), team, new_job_bytes(spec))
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
@@ -7,6 +7,7 @@
 from agateferry_jobs.cell.job_admission import (
     SMALL_JOB_BYTES,
     JobAdmission,
+    job_item,
     max_job_bytes,
 )
 from agateferry_jobs.cell.tests.test_leader import LeaderCase, target
@@ -42,7 +43,7 @@
         self.apply(commands.AcceptJob(id, "q", "pool", team, 1, 1, at_ms, spec))
 
     def shortage(self, id, team="a", spec=LARGE, now_ms=0):
-        return self.admission.find_shortage(id, team, spec, now_ms)
+        return self.admission.find_shortage(job_item(id, team, spec), now_ms)
 
     def fill(self):
         number = 0
@@ -63,7 +64,7 @@
     def test_small_jobs_have_a_limit_too(self):
         self.store("s")
         small = JobAdmission(self.ledger, LARGE_BYTES)
-        self.assertIsNotNone(small.find_shortage("t", "a", SMALL, 0))
+        self.assertIsNotNone(small.find_shortage(job_item("t", "a", SMALL), 0))
 
     def test_one_team_leaves_room_for_the_others(self):
         self.with_teams("a", "b")
@@ -72,12 +73,12 @@
         self.assertIsNone(self.shortage("k", "b"))
 
     def test_jobs_that_are_being_committed_count(self):
-        with self.admission.committing("j", "a", LARGE):
+        with self.admission.committing(job_item("j", "a", LARGE)):
             self.assertEqual(3, self.fill())
 
     def test_another_attempt_of_a_job_that_is_being_committed_is_not_refused(self):
         self.fill()
-        with self.admission.committing("j", "a", LARGE):
+        with self.admission.committing(job_item("j", "a", LARGE)):
             self.assertIsNone(self.shortage("j"))
 
     def test_jobs_that_ended_long_ago_make_room(self):
@@ -87,8 +88,8 @@
         for number in range(stored):
             self.apply(commands.CancelJob(f"j{number}", 10))
         full = JobAdmission(self.ledger, new_job_bytes(SMALL) + 1_000)
-        self.assertIsNotNone(full.find_shortage("s", "a", SMALL, 10))
-        self.assertIsNone(full.find_shortage("s", "a", SMALL, now_ms))
+        self.assertIsNotNone(full.find_shortage(job_item("s", "a", SMALL), 10))
+        self.assertIsNone(full.find_shortage(job_item("s", "a", SMALL), now_ms))
 
     def test_a_small_job_has_the_room_of_many_on_the_smallest_machine(self):
         self.assertLess(1_000 * SMALL_JOB_BYTES, max_job_bytes(SMALLEST_CELL_MB))
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -60,12 +60,18 @@
         return max(self.heartbeat_ms, self.contact_ms + self.heartbeat_ms - ORDER_DELAY_MS)
 
 
+DEFAULT_MEMORY_MB = 512
+"""The memory that is assumed of a machine whose settings do not tell."""
+CELL_MEMORY_MB = 100
+"""What a host of the cell needs besides the jobs, the log and its clients; at rest it has 65 MB."""
+
+
 @dataclass(frozen=True, slots=True)
 class MachineLimits:
     """What a process may use of its machine; None where the platform does not say.
 
-    A process that uses more than `memory_mb` is killed. Of the descriptors, some are not
-    for sockets, pipes and data files.
+    A process that uses more than `memory_mb` is killed. Of the descriptors, some are not for
+    sockets, pipes and data files.
     """
 
     memory_mb: int | None = None
--- a/packages/agateferry-service/agateferry_service/cell/catalog.py
+++ b/packages/agateferry-service/agateferry_service/cell/catalog.py
@@ -32,6 +32,10 @@
         """Return all teams."""
         return tuple(self._team(revision) for revision in self.records.current_revisions(Kind.TEAM))
 
+    def team_count(self) -> int:
+        """Return the number of teams."""
+        return len(self.records.current_revisions(Kind.TEAM))
+
     def job(self, name: str) -> JobRecord | None:
         """Return a job record."""
         revision = self.records.get(Kind.JOB, name)
--- a/packages/agateferry-service/agateferry_service/cell/leader.py
+++ b/packages/agateferry-service/agateferry_service/cell/leader.py
@@ -187,7 +187,7 @@
 
     async def _accept_new(self, spec: RequestSpec, wait_ms: int) -> cell_pb2.RequestReply:
         """Store a new request after the scheduler's decision, so that a refusal stores nothing."""
-        has_several_teams = len(self.ctx.catalog.teams()) > 1
+        has_several_teams = self.ctx.catalog.team_count() > 1
         shortage = self._payload_room.find_shortage(spec, has_several_teams)
         if shortage is not None:
             return self._refuse(RefusalReason.PAYLOADS_FULL, shortage, RETRY_AFTER_MS)
