--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -287,5 +287,7 @@
         held = None
     finally:
         fleet.stop()
-    print({None: "the case could not run", True: "the rule held", False: "THE RULE IS BROKEN"}[held])
+    print(
+        {None: "the case could not run", True: "the rule held", False: "THE RULE IS BROKEN"}[held]
+    )
     sys.exit({None: 2, True: 0, False: 1}[held])
