--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -35,6 +35,8 @@
     "thawSlackMs": 300, "paceMs": 100, "interferenceMs": 4000, "reclaimMs": 2700,
 }  # fmt: skip
 HOST, PREFIX, KEY = "queue.example", "/q/", "key-of-team-a"
+PLAY_S = 110
+"""A play that takes longer could not run."""
 CAPACITY = {"cpu": 128000, "memMb": 524288, "gpu": 8}
 
 
@@ -54,12 +56,11 @@
 
 
 class Fleet:
-    """The processes of one deployment; `case` is the folder that gets record.txt."""
+    """The processes of one deployment; `record` is the file that gets what was seen."""
 
-    def __init__(self, case: Path, cells: int = 3, entries: int = 2) -> None:
-        self.case = case
+    def __init__(self, record: Path, cells: int = 3, entries: int = 2) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="agateferry-case-"))
-        self.record_file = case / "record.txt"
+        self.record_file = record
         self.record_file.write_text("")
         self.net, self.port = free_block()
         self.cells = [f"{self.net}.{10 + i}" for i in range(cells)]
@@ -275,18 +276,28 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(case_file: str, play: Any, cells: int = 3, entries: int = 2) -> None:
-    """Run `play(fleet, with_trouble)`, which returns whether the rule held, and exit as asked."""
+def run(play: Any, record: Path, cells: int = 3, entries: int = 2) -> None:
+    """Run `play(fleet, with_trouble)`, which returns whether the rule held, and exit as asked.
+
+    Where the play can't be run to its end, the exit code is 2. All processes are ended in any case,
+    also if this one is told to end.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
-    fleet = Fleet(Path(case_file).resolve().parent, cells, entries)
+    held = None
+    fleet = None
     try:
-        held = asyncio.run(asyncio.wait_for(play(fleet, with_trouble), 115))
+        fleet = Fleet(record, cells, entries)
+        fleet.note("begin", trouble=with_trouble)
+        held = asyncio.run(asyncio.wait_for(play(fleet, with_trouble), PLAY_S))
+        fleet.note("end", held=held)
     except Exception as exc:
-        fleet.note("could not run", detail=repr(exc))
         print(f"could not run: {exc!r}")
-        held = None
+        if fleet is not None:
+            fleet.note("could not run", detail=repr(exc))
     finally:
-        fleet.stop()
+        if fleet is not None:
+            fleet.stop()
     print(
         {None: "the case could not run", True: "the rule held", False: "THE RULE IS BROKEN"}[held]
     )
