--- a/review/15/case.py
+++ b/review/15/case.py
@@ -5,7 +5,7 @@
 import random
 import time
 
-from harness import SERVICE, Client, Link, System, Worker, main, manifest
+from harness import Client, Link, System, Worker, main, manifest
 
 WORKERS, CUT_OFF = 12, 2
 CUT_S = 5.5
--- a/review/15/harness.py
+++ b/review/15/harness.py
@@ -10,8 +10,8 @@
 import os
 import random
 import shutil
-import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -407,29 +407,12 @@
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env |= {"AGATEFERRY_CONFIG": str(path), "PYTHONPATH": str(ROOT / "target/deps")}
         log = (self.folder / f"{name}.log").open("ab")
-        import subprocess
-
         node["process"] = subprocess.Popen(
             node["run"], cwd=ROOT, env=env, stdout=log, stderr=log, stdin=subprocess.DEVNULL
         )
         node["settings"]["bootstrap"] = False
         self.record("system", name, "started")
 
-    def signal(self, name, number):
-        """Send a signal to the process of one node."""
-        self.record("system", name, signal.Signals(number).name)
-        self.nodes[name]["process"].send_signal(number)
-
-    def leader(self):
-        """Return the name of the node whose log last said that it leads."""
-        found = {}
-        for name in self.nodes:
-            path = self.folder / f"{name}.log"
-            for line in path.read_text(errors="replace").splitlines() if path.exists() else ():
-                if '"leading"' in line or "event=leading" in line:
-                    found[name] = line
-        return found
-
     async def until(self, check, timeout_s, what):
         """Wait until a check holds."""
         due = time.monotonic() + timeout_s
