Log and count the reports of known workers that are not used

A report that the session of its worker judged to be late, or of another writer, was acknowledged and dropped without a line or a count.

Event 7337 gives the reason with the report's sequence and clock, once for each worker and reason; agateferry_jobs_reports_ignored counts each. The same class logs claims that don't hold (7336), as before.

No behaviour changes.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -95,6 +95,11 @@
     "report ignored, since no such worker answers at its address",
     "Nothing to do unless the worker is yours: then see the reason, and its own log.",
 )
+REPORT_UNUSED = Event(
+    7337,
+    "report of a known worker not used",
+    "Nothing to do unless the worker gets no work: then compare sequence and clock with its own.",
+)
 MANIFEST_IN_FORCE = Event(
     7340, "manifest in force", "Nothing to do if this is the version that you sent last."
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/registration_claims.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/registration_claims.py
@@ -6,14 +6,13 @@
 """
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_core.logs import EventLogger
-from agateferry_jobs import metrics
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
+from agateferry_jobs.cell.ignored_reports import IgnoredReports
 from agateferry_jobs.cell.worker_sessions import WorkerSessions
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState
 from agateferry_jobs.workers.presence import Presence
@@ -26,8 +25,6 @@
 """How many claims are checked at the same time; the reports of others are repeated later."""
 CLAIM_WAIT_MS = 500
 """How long the answer to a report waits for the check; a worker waits for a second."""
-MAX_LOGGED = 1_000
-"""How many of the claims that did not hold are remembered, so that each is logged once."""
 
 
 class RegistrationClaims:
@@ -46,7 +43,7 @@
         self._sessions = sessions
         self._admit = admit
         self._checks: dict[ClaimKey, CheckTask] = {}
-        self._logged: OrderedDict[ClaimKey, None] = OrderedDict()
+        self._ignored = IgnoredReports(events.REPORT_IGNORED)
         self._log = EventLogger()
         self._log_failure = self._log.on_exception(events.TASK_FAILED)
 
@@ -103,35 +100,16 @@
         """Return whether an incarnation answers at its address and none answers elsewhere."""
         presence = await self._sessions.presence_of(incarnation)
         if presence is not Presence.PRESENT:
-            self._log_ignored(incarnation, presence.name.lower())
+            self._ignored.record(incarnation, presence.name.lower())
             return False
         session = self._sessions.by_id.get(incarnation.id)
         if session is None or session.incarnation.address == incarnation.address:
             return True
         if await session.presence() is Presence.PRESENT:
-            self._log_ignored(incarnation, "recorded one answers")
+            self._ignored.record(incarnation, "recorded one answers")
             return False
         return True
 
-    def _log_ignored(self, incarnation: WorkerIncarnation, reason: str) -> None:
-        """Count a claim that doesn't hold, and log it once while it is repeated."""
-        metrics.REPORTS_IGNORED.labels(reason).inc()
-        key = _key_of(incarnation)
-        if key in self._logged:
-            return
-        self._logged[key] = None
-        if len(self._logged) > MAX_LOGGED:
-            self._logged.popitem(last=False)
-        self._log.warning(
-            events.REPORT_IGNORED,
-            worker=incarnation.id,
-            born=incarnation.born,
-            address=incarnation.address,
-            service=incarnation.service,
-            state=incarnation.state,
-            reason=reason,
-        )
-
 
 def _key_of(incarnation: WorkerIncarnation) -> ClaimKey:
     return incarnation.id, incarnation.born, incarnation.address
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -15,11 +15,13 @@
     crash_report,
     departed_record,
 )
+from agateferry_jobs.cell.ignored_reports import IgnoredReports
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.cell.registration_claims import RegistrationClaims
 from agateferry_jobs.cell.worker_sessions import LeaderHooks, WorkerSessions
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import LossCause
+from agateferry_jobs.workers.report_verdict import ReportVerdict
 from agateferry_jobs.workers.session import WorkerSession
 from agateferry_state.replica.protocols import ProposeError
 
@@ -49,6 +51,7 @@
         self._hooks = hooks
         self._proposer = proposer
         self._claims = RegistrationClaims(ledger, sessions, self._admit)
+        self._unused = IgnoredReports(events.REPORT_UNUSED)
         self._leaving: set[WorkerSession] = set()
         """The sessions whose workers said that they leave, and are looked at until they have."""
         self._removals: set[asyncio.Future[bool]] = set()
@@ -101,10 +104,11 @@
         """
         incarnation = heartbeat.worker
         session = self._sessions.of(incarnation)
-        if session is not None and not session.accepts_report(
-            heartbeat.sequence, heartbeat.clock_ms
-        ):
-            return messages.Done()
+        if session is not None:
+            verdict = session.judge_report(heartbeat.sequence, heartbeat.clock_ms)
+            if verdict is not ReportVerdict.CURRENT:
+                self._log_unused(heartbeat, verdict)
+                return messages.Done()
         known = self._ledger.workers.get(incarnation.id)
         if known != incarnation and not self._has_other_place(known, incarnation):
             note = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
@@ -249,6 +253,14 @@
             session.record_sequence(heartbeat.sequence)
             session.record_heartbeat(heartbeat.clock_ms, heartbeat.cold_remaining_ms)
 
+    def _log_unused(self, heartbeat: messages.Heartbeat, verdict: ReportVerdict) -> None:
+        self._unused.record(
+            heartbeat.worker,
+            verdict.value,
+            sequence=heartbeat.sequence,
+            clock_ms=heartbeat.clock_ms,
+        )
+
     def _log_update(self, incarnation: WorkerIncarnation) -> None:
         self._log.info(
             events.WORKER_UPDATED,
--- a/packages/agateferry-jobs/agateferry_jobs/metrics.py
+++ b/packages/agateferry-jobs/agateferry_jobs/metrics.py
@@ -68,7 +68,7 @@
 )
 REPORTS_IGNORED = Counter(
     "agateferry_jobs_reports_ignored",
-    "Reports that contradict the ledger and whose worker was not found, by what was found.",
+    "Reports of workers that are not used, by what was found at their address or why.",
     ["reason"],
 )
 POLLS = Counter("agateferry_jobs_looks", "Polls of workers, by outcome.", ["outcome"])
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -39,6 +39,7 @@
 )
 from agateferry_jobs.workers.presence import Presence, find_presence
 from agateferry_jobs.workers.report_age import ReportAge
+from agateferry_jobs.workers.report_verdict import ReportVerdict
 from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended, run_lost
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
@@ -186,15 +187,17 @@
         """Record the number of a report of this incarnation that was handled."""
         self._last_sequence = max(self._last_sequence, sequence)
 
-    def accepts_report(self, sequence: int, clock_ms: int) -> bool:
+    def judge_report(self, sequence: int, clock_ms: int) -> ReportVerdict:
         """Return whether a report is this incarnation's, and newer than those handled before.
 
         A report that was held up on its way shows an earlier state. One whose clock can't be that
         of this incarnation is of another writer.
         """
         if sequence < self._last_sequence:
-            return False
-        return clock_ms == 0 or self._lease.may_be_clock(clock_ms, self._clock.now_ms())
+            return ReportVerdict.OVERTAKEN
+        if clock_ms and not self._lease.may_be_clock(clock_ms, self._clock.now_ms()):
+            return ReportVerdict.UNLIKELY_CLOCK
+        return ReportVerdict.CURRENT
 
     @property
     def token(self) -> int:
