Judge a worker's reports by what its answers prove, and ask it in doubt

Cause: a report that had been held up replaced the reading of the worker's clock, and the reading served as an upper bound for later reports, which were acknowledged and dropped. The number of a report, whoever wrote it, did the same. An idle worker is not polled, so nothing corrected either.

Change: ClockBounds keeps a lower bound and an upper one. Answers prove both; a report raises the lower one only as far as the upper one allows, so a lease never ends early by a report of another writer. The clock orders reports, and a recorded number that is too high is replaced. A report that isn't used makes the leader poll its worker, at most once in 2 s, and is judged again by the answer, which goes before every belief. So no report can keep later ones out. A draining report that isn't used isn't acknowledged.

test_lease and others only follow the names: read_clock is read_answer, and the constants moved to clock_bounds.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_evacuation_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_evacuation_invariants.py
@@ -25,8 +25,9 @@
 from agateferry_jobs.settings import TimeLimits
 from agateferry_jobs.support import manifest, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
+from agateferry_jobs.workers.clock_bounds import MAX_CLOCK_DRIFT
 from agateferry_jobs.workers.contact import WorkerContact
-from agateferry_jobs.workers.lease import MAX_CLOCK_DRIFT, Lease
+from agateferry_jobs.workers.lease import Lease
 from agateferry_state.replica.protocols import ProposeErrorKind
 
 SEEDS = range(1, 41)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_foreign_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_foreign_reports.py
@@ -74,6 +74,8 @@
 
 
 class ForeignReportCase(testtools.TestCase):
+    max_report_age_ms: int | None = None
+
     def check(self, scenario, has_manifest=True, prepare=lambda ledger: None):
         async def main(loop):
             self.loop = loop
@@ -82,7 +84,9 @@
             self.ledger = Ledger()
             prepare(self.ledger)
             self.replica = MemoryReplica(self.ledger)
-            self.leader = Leader(self.replica, self.ledger, loop, self.port_to, LEASE_MS)
+            self.leader = Leader(
+                self.replica, self.ledger, loop, self.port_to, LEASE_MS, self.max_report_age_ms
+            )
             self.replica.lead()
             await asyncio.sleep(60)
             if has_manifest:
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_idle_invariants.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_idle_invariants.py
@@ -31,7 +31,7 @@
 from agateferry_jobs.support import worker
 from agateferry_jobs.support.idle_watch import IdleWatch, ServiceRoom
 from agateferry_jobs.support.timed_runs import TimedRuns, TimedWorker
-from agateferry_jobs.workers.lease import max_local_ms
+from agateferry_jobs.workers.clock_bounds import max_local_ms
 from agateferry_state.replica.protocols import ProposeErrorKind
 
 FIRST_SEED = int(os.environ.get("AGATEFERRY_IDLE_CELL_FIRST_SEED", 1))
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_lost_runs.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_lost_runs.py
@@ -6,7 +6,7 @@
 from agateferry_core.support import run_virtual
 from agateferry_jobs.ledger.specs import JobSpec, Resources, StepSpec
 from agateferry_jobs.support.crashing_fleet import LEASE_MS, CrashingFleet
-from agateferry_jobs.workers.lease import max_local_ms
+from agateferry_jobs.workers.clock_bounds import max_local_ms
 
 SINGLE = JobSpec("payload", (StepSpec(1, Resources(cpu=1000, mem_mb=100, gpu=1)),))
 JOB = "a" * 16
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_silences.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_silences.py
@@ -13,7 +13,7 @@
 from agateferry_jobs.ledger.specs import JobSpec, StepSpec
 from agateferry_jobs.support import ModelWorker, manifest, worker
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES
-from agateferry_jobs.workers.lease import max_local_ms
+from agateferry_jobs.workers.clock_bounds import max_local_ms
 from agateferry_state.replica.protocols import ProposeErrorKind
 
 LASTING = JobSpec("payload", (StepSpec(1, SUBTASK_RESOURCES, is_long_running=True),))
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import msgspec
-from expression import Result
+from expression import Ok, Result
 
 from agateferry_core.clock import MS_PER_S
 from agateferry_core.logs import EventLogger
@@ -15,13 +15,12 @@
     crash_report,
     departed_record,
 )
-from agateferry_jobs.cell.ignored_reports import IgnoredReports
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.cell.registration_claims import RegistrationClaims
+from agateferry_jobs.cell.report_checks import ReportChecks, contradicts_record, is_draining
 from agateferry_jobs.cell.worker_sessions import LeaderHooks, WorkerSessions
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState, commands
 from agateferry_jobs.ledger.commands import LossCause
-from agateferry_jobs.workers.report_verdict import ReportVerdict
 from agateferry_jobs.workers.session import WorkerSession
 from agateferry_state.replica.protocols import ProposeError
 
@@ -44,14 +43,18 @@
     """
 
     def __init__(
-        self, ledger: Ledger, sessions: WorkerSessions, hooks: LeaderHooks, proposer: Proposer
+        self,
+        ledger: Ledger,
+        sessions: WorkerSessions,
+        hooks: LeaderHooks,
+        proposer: Proposer,
     ) -> None:
         self._ledger = ledger
         self._sessions = sessions
         self._hooks = hooks
         self._proposer = proposer
         self._claims = RegistrationClaims(ledger, sessions, self._admit)
-        self._unused = IgnoredReports(events.REPORT_UNUSED)
+        self._checks = ReportChecks()
         self._leaving: set[WorkerSession] = set()
         """The sessions whose workers said that they leave, and are looked at until they have."""
         self._removals: set[asyncio.Future[bool]] = set()
@@ -105,24 +108,63 @@
         incarnation = heartbeat.worker
         session = self._sessions.of(incarnation)
         if session is not None:
-            verdict = session.judge_report(heartbeat.sequence, heartbeat.clock_ms)
-            if verdict is not ReportVerdict.CURRENT:
-                self._log_unused(heartbeat, verdict)
-                return messages.Done()
-        known = self._ledger.workers.get(incarnation.id)
-        if known != incarnation and not self._has_other_place(known, incarnation):
-            note = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
-            result = await self._proposer.propose(note)
+            if not await self._checks.is_used(session, heartbeat):
+                return self._reply_to_unused(incarnation)
+            session.record_report_order(heartbeat.sequence, heartbeat.clock_ms)
+        if self._ledger.workers.get(incarnation.id) != incarnation:
+            result = await self._propose_update(heartbeat)
             if result.is_error():
                 return reply_for_error(result.error)
             if result.ok:
-                self._log_update(incarnation)
                 self._update_session(incarnation)
         if self._is_without_session(incarnation):
             await self._register(incarnation)
         self._record_report(heartbeat)
         return messages.Done()
 
+    async def _propose_update(self, heartbeat: messages.Heartbeat) -> Result[Any, ProposeError]:
+        """Record what a report says, also where the record comes from one of another writer.
+
+        Such a record may have a number that keeps later reports out; an `AdmitWorker` replaces it.
+        """
+        incarnation = heartbeat.worker
+        known = self._ledger.workers.get(incarnation.id)
+        command: commands.Command
+        command = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
+        if known is not None and known.born == incarnation.born:
+            if contradicts_record(known, incarnation):
+                return Ok(False)
+            if self._is_numbered_before(heartbeat):
+                command = commands.AdmitWorker(incarnation, heartbeat.sequence)
+        result = await self._proposer.propose(command)
+        if result.is_ok() and result.ok:
+            self._log_update(incarnation)
+        return result
+
+    def _is_numbered_before(self, heartbeat: messages.Heartbeat) -> bool:
+        """Return whether a report has a lower number than the one recorded, although it is later.
+
+        That one was of another writer, since the clocks of the two tell which is later.
+        """
+        reports = self._ledger.state.reports.get(heartbeat.worker.id)
+        is_lower = reports is not None and heartbeat.sequence < reports.sequence
+        return is_lower and self._is_clock_proved(heartbeat)
+
+    def _is_clock_proved(self, heartbeat: messages.Heartbeat) -> bool:
+        """Return whether the clock of a report that is used was compared with an answer."""
+        session = self._sessions.of(heartbeat.worker)
+        return session is not None and session.clock_bounds is not None and heartbeat.clock_ms > 0
+
+    def _reply_to_unused(self, incarnation: WorkerIncarnation) -> messages.HeartbeatReply:
+        """Return the reply to a report that is not used.
+
+        The acknowledgement of one that drains says that nothing starts there any more.
+        """
+        known = self._ledger.workers.get(incarnation.id)
+        if is_draining(incarnation) and known is not None and not is_draining(known):
+            return messages.OutcomeUnknown("not used")
+        return messages.Done()
+
     async def _admit(self, heartbeat: messages.Heartbeat) -> messages.HeartbeatReply:
         """Record an incarnation that was found at its address, and end those whose place it took.
 
@@ -230,16 +272,6 @@
             return False
         return all(service.name != incarnation.service for service in manifest.services)
 
-    def _has_other_place(
-        self, known: WorkerIncarnation | None, incarnation: WorkerIncarnation
-    ) -> bool:
-        """Return whether a report changes what stays the same for as long as a worker runs."""
-        return known is not None and (known.service, known.zone, known.machine) != (
-            incarnation.service,
-            incarnation.zone,
-            incarnation.machine,
-        )
-
     def _others_at_address_of(self, incarnation: WorkerIncarnation) -> list[WorkerIncarnation]:
         return [
             other
@@ -250,16 +282,7 @@
     def _record_report(self, heartbeat: messages.Heartbeat) -> None:
         session = self._sessions.of(heartbeat.worker)
         if session is not None:
-            session.record_sequence(heartbeat.sequence)
-            session.record_heartbeat(heartbeat.clock_ms, heartbeat.cold_remaining_ms)
-
-    def _log_unused(self, heartbeat: messages.Heartbeat, verdict: ReportVerdict) -> None:
-        self._unused.record(
-            heartbeat.worker,
-            verdict.value,
-            sequence=heartbeat.sequence,
-            clock_ms=heartbeat.clock_ms,
-        )
+            session.record_report(heartbeat.clock_ms, heartbeat.cold_remaining_ms)
 
     def _log_update(self, incarnation: WorkerIncarnation) -> None:
         self._log.info(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_sessions.py
@@ -12,7 +12,8 @@
 from agateferry_jobs.ledger.state import RunKey, gang_of
 from agateferry_jobs.planning import WorkerHealth
 from agateferry_jobs.planning.paces import Progress
-from agateferry_jobs.workers.lease import Lease, max_local_ms
+from agateferry_jobs.workers.clock_bounds import max_local_ms
+from agateferry_jobs.workers.lease import Lease
 from agateferry_jobs.workers.listener import SessionListener
 from agateferry_jobs.workers.presence import Presence, find_presence
 from agateferry_jobs.workers.report_age import ReportAge
--- a/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/lease.py
@@ -1,61 +1,11 @@
 """The lease of a worker: until when it may keep its runs going without hearing from the leader.
 
-Deadlines are on the worker's own monotonic clock, which may run slow by `MAX_CLOCK_DRIFT`. The
-reading in an answer is a lower bound of that clock when the answer arrives. So a deadline has
-certainly passed once the local clock has advanced since then by the remaining time, stretched by
-the drift.
+Deadlines are on the worker's own monotonic clock, which may run slow by `MAX_CLOCK_DRIFT`. From a
+lower bound of that clock on, a deadline has certainly passed once the local clock has advanced by
+the remaining time, stretched by the drift.
 """
 
-import math
-from dataclasses import dataclass
-
-MAX_CLOCK_DRIFT = 0.02
-"""The share by which a worker's clock may run slow, as the platform's documentation states."""
-EXPIRY_MARGIN_MS = 150
-"""Time waited beyond a lease's end, because the worker kills its runs a moment after it."""
-
-
-CLOCK_PROOF_MARGIN_MS = 2_000
-"""How much further an incarnation's clock must be than one that has started since could be.
-
-It covers the time for which this process or its machine stood still, which its clock may not count.
-"""
-
-
-MAX_REPORT_DELAY_MS = 1_000
-"""A worker gives up a report that was not acknowledged in this time, and sends a new one."""
-
-
-@dataclass(frozen=True, slots=True)
-class ClockReading:
-    """A reading of one incarnation's clock, and the local time at which it arrived."""
-
-    clock_ms: int
-    read_at_ms: int
-
-    def excludes(self, clock_ms: int) -> bool:
-        """Return whether a later answer with this clock is of another incarnation.
-
-        A clock never goes back; that of a new incarnation starts anew.
-        """
-        return clock_ms < self.clock_ms
-
-    def identifies(self, clock_ms: int, now_ms: int) -> bool:
-        """Return whether a later answer with this clock can only be of the same incarnation.
-
-        The clock of one that has started since then reads at most the time since the reading.
-        """
-        newest_other_ms = now_ms - self.read_at_ms + CLOCK_PROOF_MARGIN_MS
-        return not self.excludes(clock_ms) and clock_ms > newest_other_ms
-
-    def may_precede(self, clock_ms: int, now_ms: int) -> bool:
-        """Return whether a report that arrives now, with this clock, fits the same incarnation.
-
-        It was written at most `MAX_REPORT_DELAY_MS` before the reading, and after it the clock has
-        advanced by no more than the time since.
-        """
-        latest_ms = self.clock_ms + max_local_ms(now_ms - self.read_at_ms) + MAX_REPORT_DELAY_MS
-        return self.clock_ms - MAX_REPORT_DELAY_MS <= clock_ms <= latest_ms
+from agateferry_jobs.workers.clock_bounds import ClockBounds, max_local_ms
 
 
 class Lease:
@@ -77,32 +27,30 @@
         self._max_ms = max(duration_ms, max_ms if max_ms is not None else duration_ms)
         self._start_ms = min(duration_ms, start_ms if start_ms is not None else duration_ms)
         self._earlier_leases_until_ms = earlier_leases_until_ms
-        self._clock_ms: int | None = None
-        self._read_at_ms = 0
         self._deadline_ms = 0
+        self.bounds: ClockBounds | None = None
+        """What is proved of the worker's clock; None before its first answer."""
 
-    @property
-    def has_clock(self) -> bool:
-        """Return whether a reading of the worker's clock has arrived."""
-        return self._clock_ms is not None
-
-    def read_clock(self, clock_ms: int, now_ms: int) -> None:
-        """Record a reading of the worker's clock that has just arrived; an older one is ignored."""
-        if self._clock_ms is None or clock_ms >= self._clock_ms:
-            self._clock_ms = clock_ms
-            self._read_at_ms = now_ms
-
-    @property
-    def newest_reading(self) -> ClockReading | None:
-        """Return the newest reading of the worker's clock; None before the first one."""
-        if self._clock_ms is None:
-            return None
-        return ClockReading(self._clock_ms, self._read_at_ms)
+    def read_answer(self, clock_ms: int, sent_ms: int, now_ms: int) -> None:
+        """Record the clock in an answer that has just arrived, to an order sent at `sent_ms`.
 
-    def may_be_clock(self, clock_ms: int, now_ms: int) -> bool:
-        """Return whether a report with this clock may be the worker's, written of late."""
-        reading = self.newest_reading
-        return reading is None or reading.may_precede(clock_ms, now_ms)
+        The answer goes before what contradicts it, which a report of another writer may have
+        brought about. The deadlines that were granted by that tell nothing, so the longest lease
+        counts as granted.
+        """
+        if self.bounds is None:
+            self.bounds = ClockBounds.of_answer(clock_ms, sent_ms, now_ms)
+        elif self.bounds.contradicts_answer(clock_ms, sent_ms, now_ms):
+            self.bounds = ClockBounds.of_answer(clock_ms, sent_ms, now_ms)
+            self.assume_foreign_order(now_ms)
+            self._deadline_ms = 0
+        else:
+            self.bounds = self.bounds.with_answer(clock_ms, sent_ms, now_ms)
+
+    def read_report(self, clock_ms: int, now_ms: int) -> None:
+        """Record the clock in a report; before the first answer nothing shows that it is right."""
+        if self.bounds is not None:
+            self.bounds = self.bounds.with_report(clock_ms, now_ms)
 
     def grant_deadline(self, now_ms: int) -> int | None:
         """Return the deadline for a poll that is sent now; None before the first clock reading.
@@ -116,9 +64,10 @@
         return self._grant(now_ms, self._start_ms)
 
     def _grant(self, now_ms: int, duration_ms: int) -> int | None:
-        if self._clock_ms is None:
+        if self.bounds is None:
             return None
-        deadline_ms = self._clock_ms + now_ms - self._read_at_ms + duration_ms
+        least = self.bounds.least
+        deadline_ms = least.clock_ms + now_ms - least.at_ms + duration_ms
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
         return deadline_ms
 
@@ -140,12 +89,8 @@
 
     def _expiry_ms(self) -> int:
         expiry_ms = self._earlier_leases_until_ms
-        if self._clock_ms is not None and self._deadline_ms:
-            left_ms = max(0, self._deadline_ms - self._clock_ms)
-            expiry_ms = max(expiry_ms, self._read_at_ms + max_local_ms(left_ms))
+        if self.bounds is not None and self._deadline_ms:
+            least = self.bounds.least
+            left_ms = max(0, self._deadline_ms - least.clock_ms)
+            expiry_ms = max(expiry_ms, least.at_ms + max_local_ms(left_ms))
         return expiry_ms
-
-
-def max_local_ms(worker_ms: int) -> int:
-    """Return the local time, margin included, within which a worker's clock passes `worker_ms`."""
-    return math.ceil(worker_ms / (1 - MAX_CLOCK_DRIFT)) + EXPIRY_MARGIN_MS
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -21,9 +21,10 @@
 from agateferry_jobs.ledger.state import RunKey
 from agateferry_jobs.planning.worker_allocation import WorkerHealth
 from agateferry_jobs.workers import events
+from agateferry_jobs.workers.clock_bounds import ClockBounds
 from agateferry_jobs.workers.contact import WorkerContact
 from agateferry_jobs.workers.end_cursor import EndCursor
-from agateferry_jobs.workers.lease import ClockReading, Lease
+from agateferry_jobs.workers.lease import Lease
 from agateferry_jobs.workers.listener import SessionListener
 from agateferry_jobs.workers.port import (
     Confirmed,
@@ -39,7 +40,7 @@
 )
 from agateferry_jobs.workers.presence import Presence, find_presence
 from agateferry_jobs.workers.report_age import ReportAge
-from agateferry_jobs.workers.report_verdict import ReportVerdict
+from agateferry_jobs.workers.report_verdict import ReportOrder, ReportVerdict
 from agateferry_jobs.workers.run_ends import inferred_ends, listed_ends, run_ended, run_lost
 from agateferry_jobs.workers.tracked_run import Phase, TrackedRun
 
@@ -64,6 +65,8 @@
 """The pause after a failed poll, except the first one in a row."""
 STOP_RESEND_MS = 600
 """A stop is sent again after this time if the run is still listed as running."""
+RECENT_ANSWER_MS = 2_000
+"""How old the last answer may be by which a report is judged; a worker isn't asked more often."""
 
 
 class WorkerSession:
@@ -96,8 +99,10 @@
         self._is_closed = False
         self._was_held_up = False
         """Whether the last poll timed out because this process was busy with other work."""
-        self._last_worker_clock_ms = -1
-        self._last_sequence = -1
+        self._reports = ReportOrder()
+        self._is_asked = False
+        """Whether the worker is to be polled soon, although no run needs it."""
+        self._answered = asyncio.Event()
         self._opened_ms = clock.now_ms()
         self._ends = EndCursor()
         self._acknowledged_cursor = 0
@@ -174,30 +179,48 @@
             tracked.stop_ordered_ms = self._clock.now_ms()
             self._spawn(self._send_stop(key, tracked.run.number, tracked))
 
-    def record_heartbeat(self, clock_ms: int, cold_ms: int = 0) -> None:
-        """Record that a heartbeat of the worker arrived, written at `clock_ms` of its clock.
+    def judge_report(self, sequence: int, clock_ms: int) -> ReportVerdict:
+        """Return whether a report is this incarnation's, and newer than those recorded before."""
+        now_ms = self._clock.now_ms()
+        return self._reports.judge(sequence, clock_ms, self._lease.bounds, now_ms)
+
+    def record_report_order(self, sequence: int, clock_ms: int) -> None:
+        """Record that a report is used, so that earlier ones that arrive later are not."""
+        self._reports.record(sequence, clock_ms)
+
+    def record_report(self, clock_ms: int, cold_ms: int = 0) -> None:
+        """Record the report that is used once what it says is stored.
 
         The worker stays cold for `cold_ms` more.
         """
         self._contact.record_report(cold_ms)
         if clock_ms:
-            self._lease.read_clock(clock_ms, self._clock.now_ms())
+            self._lease.read_report(clock_ms, self._clock.now_ms())
 
-    def record_sequence(self, sequence: int) -> None:
-        """Record the number of a report of this incarnation that was handled."""
-        self._last_sequence = max(self._last_sequence, sequence)
+    @property
+    def clock_bounds(self) -> ClockBounds | None:
+        """Return what is proved of the worker's clock; None before its first answer."""
+        return self._lease.bounds
 
-    def judge_report(self, sequence: int, clock_ms: int) -> ReportVerdict:
-        """Return whether a report is this incarnation's, and newer than those handled before.
+    @property
+    def has_answered_lately(self) -> bool:
+        """Return whether an answer has shown the worker's clock so lately that no other need."""
+        bounds = self._lease.bounds
+        if bounds is None or self._contact.is_failing:
+            return False
+        return self._clock.now_ms() - bounds.answered_ms <= RECENT_ANSWER_MS
 
-        A report that was held up on its way shows an earlier state. One whose clock can't be that
-        of this incarnation is of another writer.
-        """
-        if sequence < self._last_sequence:
-            return ReportVerdict.OVERTAKEN
-        if clock_ms and not self._lease.may_be_clock(clock_ms, self._clock.now_ms()):
-            return ReportVerdict.UNLIKELY_CLOCK
-        return ReportVerdict.CURRENT
+    async def ask(self, timeout_ms: int) -> bool:
+        """Poll the worker now; return whether it has answered as this incarnation in time."""
+        self._answered.clear()
+        self._is_asked = True
+        self._wake.set()
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                await self._answered.wait()
+        except TimeoutError:
+            return False
+        return True
 
     @property
     def token(self) -> int:
@@ -303,7 +326,8 @@
         Without the wait, polls that are sent all at once may each time take longer to send than
         their timeout, so that none is ever answered.
         """
-        if self._contact.has_answered and not self._contact.is_failing and not self._was_held_up:
+        is_in_touch = self._contact.has_answered and not self._contact.is_failing
+        if is_in_touch and not self._was_held_up and not self._is_asked:
             return await self._poll_once()
         async with self._listener.contact_slot():
             return await self._poll_once()
@@ -313,13 +337,14 @@
             bool(self.runs or self.unexpected_runs or self._ends.held)
             or self._ends.position > self._acknowledged_cursor
         )
-        return is_poll_due or not self._contact.has_answered or self._contact.is_failing
+        is_in_touch = self._contact.has_answered and not self._contact.is_failing
+        return is_poll_due or self._is_asked or not is_in_touch
 
     async def _poll_once(self) -> bool:
         if not self._listener.may_send_orders():
             return False
         now_ms = self._clock.now_ms()
-        is_urgent = not self._contact.has_answered or bool(self.unexpected_runs)
+        is_urgent = not self._contact.has_answered or bool(self.unexpected_runs) or self._is_asked
         is_urgent |= any(t.phase is Phase.UNCERTAIN for t in self.runs.values())
         wait_ms = 0 if is_urgent or not self.runs else self._listener.poll_wait_ms()
         if not self.grants_leases:
@@ -335,7 +360,7 @@
         match answer:
             case RunLists():
                 self._acknowledged_cursor = max(self._acknowledged_cursor, cursor)
-                return await self._process_lists(answer, poll_number)
+                return await self._process_lists(answer, poll_number, now_ms)
             case IncarnationMismatch():
                 self._listener.on_incarnation_replaced(self.incarnation)
                 return False
@@ -369,10 +394,11 @@
             self._log.warning(events.WORKER_SILENT, detail=detail, runs=len(self.runs))
             self._listener.request_planning()
 
-    def _mark_answering(self, clock_ms: int | None) -> None:
+    def _mark_answering(self, clock_ms: int, sent_ms: int) -> None:
+        """Record an answer to an order sent at `sent_ms`; without a clock it gives 0."""
         now_ms = self._clock.now_ms()
-        if clock_ms is not None:
-            self._lease.read_clock(clock_ms, now_ms)
+        if clock_ms:
+            self._lease.read_answer(clock_ms, sent_ms, now_ms)
         if self._contact.record_answer():
             self._log.info(events.WORKER_ANSWERS)
             for tracked in self.runs.values():
@@ -381,14 +407,14 @@
                 self._listener.on_answering_again()
             self._listener.request_planning()
 
-    async def _process_lists(self, lists: RunLists, poll_number: int) -> bool:
+    async def _process_lists(self, lists: RunLists, poll_number: int, sent_ms: int) -> bool:
+        """Process the answer to a poll; polls follow one another, so it is the newest one."""
         if lists.born is not None and lists.born != self.incarnation.born:
             self._listener.on_worker_restarted(self.incarnation)
             return False
-        if lists.clock_ms < self._last_worker_clock_ms:
-            return True
-        self._last_worker_clock_ms = lists.clock_ms
-        self._mark_answering(lists.clock_ms)
+        self._mark_answering(lists.clock_ms, sent_ms)
+        self._is_asked = False
+        self._answered.set()
         new_ends = self._ends.take_new(lists.finished, self._is_held)
         ends = listed_ends(new_ends, self.incarnation, self.runs)
         self._update_running(lists)
@@ -461,15 +487,16 @@
         for attempt in range(START_ATTEMPTS):
             if self._is_ruled_out(key) or not self.grants_leases:
                 return attempt == 0 and await self._end_as_refused(key, tracked)
-            deadline_ms = self._lease.grant_start_deadline(self._clock.now_ms())
+            sent_ms = self._clock.now_ms()
+            deadline_ms = self._lease.grant_start_deadline(sent_ms)
             if deadline_ms is None or not self._listener.may_send_orders():
                 break
-            reading = self._lease.newest_reading
+            bounds = self._lease.bounds
             order = StartOrder(key, start.run.number, payload, deadline_ms, token, start.checkpoint)
             answer = await self._port.start(order, ORDER_TIMEOUT_MS)
             match answer:
                 case Confirmed(clock_ms):
-                    return self._record_confirmed_start(key, tracked, clock_ms, reading)
+                    return self._record_confirmed_start(key, tracked, clock_ms, sent_ms, bounds)
                 case Rejected(reason) if attempt == 0:
                     metrics.STARTS_UNCLEAR.labels(reason).inc()
                     self._log.warning(
@@ -486,19 +513,24 @@
         return False
 
     def _record_confirmed_start(
-        self, key: RunKey, tracked: TrackedRun, clock_ms: int, reading: ClockReading | None
+        self,
+        key: RunKey,
+        tracked: TrackedRun,
+        clock_ms: int,
+        sent_ms: int,
+        bounds: ClockBounds | None,
     ) -> bool:
         """Record that a start was carried out; return whether that can be by this incarnation.
 
-        `reading` is the newest one of its clock before the order was sent.
+        `bounds` are those of its clock when the order was sent.
         """
         now_ms = self._clock.now_ms()
-        tracked.is_proven = reading is not None and reading.identifies(clock_ms, now_ms)
+        tracked.is_proven = bounds is not None and bounds.identifies(clock_ms, sent_ms, now_ms)
         if not tracked.is_proven:
             self._lease.assume_foreign_order(now_ms)
-        if reading is not None and reading.excludes(clock_ms):
+        if bounds is not None and bounds.excludes(clock_ms, sent_ms):
             return False
-        self._mark_answering(clock_ms)
+        self._mark_answering(clock_ms, sent_ms)
         tracked.phase = Phase.CONFIRMED
         tracked.phase_since_poll = self._poll_number
         self._listener.on_run_begun(key, is_adopted=False)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_lease.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_lease.py
@@ -1,12 +1,13 @@
 import testtools
 
-from agateferry_jobs.workers.lease import EXPIRY_MARGIN_MS, Lease
+from agateferry_jobs.workers.clock_bounds import EXPIRY_MARGIN_MS
+from agateferry_jobs.workers.lease import Lease
 
 
 class LeaseTests(testtools.TestCase):
     def test_a_lease_expires_only_when_the_slowest_clock_has_passed_its_deadline(self):
         lease = Lease(duration_ms=9800, earlier_leases_until_ms=0)
-        lease.read_clock(500, now_ms=0)
+        lease.read_answer(500, sent_ms=0, now_ms=0)
         self.assertEqual(10_300, lease.grant_deadline(now_ms=0))
         self.assertFalse(lease.is_expired(10_000 + EXPIRY_MARGIN_MS - 1))
         self.assertTrue(lease.is_expired(10_000 + EXPIRY_MARGIN_MS))
@@ -19,13 +20,13 @@
 
     def test_a_deadline_counts_as_granted_without_an_answer(self):
         lease = Lease(duration_ms=1000, earlier_leases_until_ms=0)
-        lease.read_clock(0, now_ms=0)
+        lease.read_answer(0, sent_ms=0, now_ms=0)
         lease.grant_deadline(now_ms=5000)
         self.assertFalse(lease.is_expired(5900))
 
     def test_a_newer_clock_reading_brings_the_expiry_forward(self):
         lease = Lease(duration_ms=1000, earlier_leases_until_ms=0)
-        lease.read_clock(0, now_ms=0)
+        lease.read_answer(0, sent_ms=0, now_ms=0)
         lease.grant_deadline(now_ms=0)
-        lease.read_clock(1000, now_ms=1000)
+        lease.read_answer(1000, sent_ms=1000, now_ms=1000)
         self.assertTrue(lease.is_expired(1000 + EXPIRY_MARGIN_MS))
