Believe a worker whose record is wrong once it has said so twice

What callers would see: a worker that a report of another writer recorded as draining, or with another service, zone or machine, got no work for as long as it ran. Found by searching for the cause of review/15 elsewhere.

Cause: such a record rejects the worker's own reports, since an incarnation doesn't change its place and is never ready again, and they were acknowledged.

Change: the first report that contradicts the record makes the leader ask the worker for its clock. A second one that says the same, with a clock that the worker reached only after the first had come, was written after all that the record can be based on, and replaces it (AdmitWorker; a draining record is removed first). Reports that were held up, or one odd entry, change nothing. Both commands exist already, so hosts of both versions agree.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/leader.py
@@ -94,7 +94,7 @@
         self._plan_memory = PlanMemory()
         self._planned_term = 0
         self._stops = RunStops(ledger, self._sessions, self._suspects, clock)
-        self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer)
+        self._registry = WorkerRegistry(ledger, self._sessions, self, self._proposer, clock)
         self._begun_jobs = BegunJobs(ledger, self._proposer)
         self._call_handler = CallHandler(
             ledger,
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_unused_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_unused_workers.py
@@ -7,6 +7,7 @@
 import asyncio
 import random
 
+import testtools
 from msgspec.structs import replace
 
 from agateferry_jobs.calls import messages
@@ -18,9 +19,10 @@
     ForeignReportCase,
     report_of,
 )
-from agateferry_jobs.ledger import commands
+from agateferry_jobs.ledger import WorkerState, commands
 from agateferry_jobs.ledger.specs import Resources
-from agateferry_jobs.support import ModelWorker
+from agateferry_jobs.manifest import Manifest, Service
+from agateferry_jobs.support import ModelWorker, manifest
 from agateferry_jobs.workers.port import NoAnswer, RunLists
 
 MAX_REPORT_AGE_MS = 3_000
@@ -68,7 +70,7 @@
 class HeldUpReportTests(UnusedWorkerCase):
     """A report that was held up on its way set the worker's clock back (review/15)."""
 
-    def check_delay(self, delay_s):
+    def check_delay(self, delay_s, state=WorkerState.READY):
         async def hold_up():
             own = self.incarnations.pop("w1")
             written_ms = self.loop.now_ms()
@@ -261,3 +263,221 @@
             self.assertEqual(["w9:80"], self.running())
 
         self.check(scenario)
+
+
+class WrongRecordTests(UnusedWorkerCase):
+    """A record that only a report of another writer can explain kept its worker out for good."""
+
+    def check_prepared(self, sequence=1, **fields):
+        def prepare(ledger):
+            wrong = replace(report_of("w1", born=OWN_BORN), **fields)
+            ledger.apply(1, commands.encode(commands.NoteWorker(wrong, 0, None, sequence)))
+
+        async def nothing():
+            pass
+
+        self.check_after(nothing, prepare=prepare)
+
+    def test_another_service_zone_or_machine(self):
+        self.check_prepared(service="unnamed")
+        self.check_prepared(zone="zone-z")
+        self.check_prepared(machine="m-other", sequence=FAR)
+
+    def test_a_worker_that_is_recorded_as_draining(self):
+        self.check_prepared(state=WorkerState.DRAINING)
+        self.check_prepared(state=WorkerState.DRAINING, sequence=FAR)
+
+    def test_a_report_that_it_drains(self):
+        async def report():
+            now_ms = self.loop.now_ms()
+            draining = self.own(state=WorkerState.DRAINING)
+            await self.send(messages.Heartbeat(draining, FAR, now_ms))
+            self.assertEqual(WorkerState.DRAINING, self.ledger.workers["w1"].state)
+
+        self.check_after(report)
+
+    def test_its_runs_go_on_when_it_is_ready_again(self):
+        async def scenario():
+            await self.start()
+            now_ms = self.loop.now_ms()
+            draining = self.own(state=WorkerState.DRAINING)
+            await self.send(messages.Heartbeat(draining, FAR, now_ms))
+            await asyncio.sleep(5)
+            self.assertEqual(WorkerState.READY, self.ledger.workers["w1"].state)
+            await self.check_sound()
+
+        self.check(scenario)
+
+    def test_one_report_of_another_service_changes_nothing(self):
+        async def report():
+            now_ms = self.loop.now_ms()
+            for service in ("pool-b", "pool-c"):
+                known = manifest()
+                services = (*known.services, Service("pool-b"), Service("pool-c"))
+                more = Manifest(2, known.queues, services, known.teams, known.source)
+                await self.leader.handle(messages.InstallManifest(more))
+                await self.send(messages.Heartbeat(self.own(service=service), FAR, now_ms))
+                self.assertEqual("pool", self.ledger.workers["w1"].service)
+
+        self.check_after(report)
+
+
+class DrainingWorkerTests(UnusedWorkerCase):
+    """A worker that drains must not get work by what it said before, however late that comes."""
+
+    def check_stays_draining(self, report):
+        async def scenario():
+            await asyncio.sleep(5)
+            ready = self.own()
+            early_ms = self.loop.now_ms()
+            await asyncio.sleep(0.1)
+            self.incarnations["w1"] = self.own(state=WorkerState.DRAINING)
+            await asyncio.sleep(HEARTBEAT_S)
+            await report(ready, early_ms)
+            await asyncio.sleep(SETTLE_S)
+            self.assertEqual(WorkerState.DRAINING, self.ledger.workers["w1"].state)
+            await self.submit(IDS[2])
+            await asyncio.sleep(1)
+            self.assertEqual([], self.running(IDS[2]))
+
+        self.check(scenario)
+
+    def test_reports_that_were_held_up(self):
+        async def report(ready, early_ms):
+            for written_ms in (early_ms, early_ms + 1, early_ms + 2):
+                await self.send(messages.Heartbeat(ready, written_ms, written_ms))
+
+        self.check_stays_draining(report)
+
+    def test_reports_that_were_held_up_come_while_it_no_longer_reports(self):
+        async def report(ready, early_ms):
+            self.incarnations.pop("w1")
+            for written_ms in (early_ms, early_ms + 1, early_ms + 400):
+                await self.send(messages.Heartbeat(ready, written_ms, written_ms))
+                await asyncio.sleep(1)
+
+        self.check_stays_draining(report)
+
+    def test_reports_that_were_held_up_come_to_a_new_leader(self):
+        async def report(ready, early_ms):
+            self.incarnations.pop("w1")
+            self.replica.lead(False)
+            await asyncio.sleep(0.3)
+            self.replica.lead()
+            for written_ms in (early_ms, early_ms + 1, early_ms + 400):
+                await self.send(messages.Heartbeat(ready, written_ms, written_ms))
+                await asyncio.sleep(0.2)
+
+        self.check_stays_draining(report)
+
+    def test_one_report_of_another_writer(self):
+        async def report(ready, early_ms):
+            for _ in range(3):
+                now_ms = self.loop.now_ms()
+                await self.send(messages.Heartbeat(ready, FAR, now_ms))
+                await asyncio.sleep(2 * HEARTBEAT_S)
+
+        self.check_stays_draining(report)
+
+    def test_a_report_that_it_drains_is_acknowledged_only_if_it_is_used(self):
+        async def scenario():
+            await asyncio.sleep(5)
+            draining = self.own(state=WorkerState.DRAINING)
+            now_ms = self.loop.now_ms()
+            late = messages.Heartbeat(draining, now_ms - 9_000, now_ms - 9_000)
+            self.assertNotEqual(messages.Done(), await self.send(late))
+            self.assertEqual(WorkerState.READY, self.ledger.workers["w1"].state)
+            own = messages.Heartbeat(draining, now_ms, now_ms)
+            self.assertEqual(messages.Done(), await self.send(own))
+            self.assertEqual(WorkerState.DRAINING, self.ledger.workers["w1"].state)
+
+        self.check(scenario)
+
+
+class RandomBeliefTests(testtools.TestCase):
+    """Whatever came before, a worker that is up, answers and reports is used."""
+
+    SEEDS = range(20)
+
+    def test_no_worker_is_left_unused(self):
+        for seed in self.SEEDS:
+            case = RandomBeliefScenario("play")
+            case.seed = seed
+            case.play()
+
+
+class RandomBeliefScenario(UnusedWorkerCase):
+    """A worker that is idle between jobs, beside odd reports, cuts, restarts and new leaders."""
+
+    seed = 0
+    ROUNDS = 12
+
+    def play(self):
+        self.rng = random.Random(self.seed)
+        self.check(self.play_rounds)
+
+    async def play_rounds(self):
+        for number in range(self.ROUNDS):
+            for _ in range(self.rng.randint(1, 4)):
+                await self.rng.choice((self.report_odd, self.hold_up, self.cut, self.change))()
+                await asyncio.sleep(self.rng.choice((0, 0.2, 1.5)))
+            await asyncio.sleep(self.rng.choice((SETTLE_S, SETTLE_S, 120)))
+            await self.check_next_job(f"{self.seed:012x}{number:04x}")
+
+    async def check_next_job(self, id):
+        await self.submit(id)
+        await asyncio.sleep(1)
+        self.assertEqual(["w1:80"], self.running(id), f"seed {self.seed}, job {id}")
+        _, port = self.at["w1:80"]
+        for key in list(port.running):
+            port.end(key, "done")
+        await asyncio.sleep(2)
+
+    async def report_odd(self):
+        """Report as another writer does, with fields of any kind."""
+        now_ms = self.loop.now_ms()
+        rng = self.rng
+        fields = {
+            "service": rng.choice(("pool", "pool", "unnamed")),
+            "zone": rng.choice(("zone-a", "zone-a", "zone-b")),
+            "born": rng.choice((self.own().born,) * 4 + (0, FAR)),
+            "address": rng.choice(("w1:80",) * 4 + ("w7:80",)),
+            "state": rng.choice((WorkerState.READY, WorkerState.READY, WorkerState.DRAINING)),
+            "slots": rng.choice((8, 0)),
+        }
+        clock_ms = rng.choice((0, 1, now_ms, now_ms + rng.randint(-9_000, 9_000), FAR * 1_000))
+        sequence = rng.choice((0, 1, now_ms, FAR))
+        cold_ms = rng.choice((0, FAR))
+        heartbeat = messages.Heartbeat(self.own(**fields), sequence, clock_ms, None, cold_ms)
+        await self.send(heartbeat)
+
+    async def hold_up(self):
+        """Let a report arrive late, while the worker's others are lost."""
+        own = self.incarnations.pop("w1")
+        written_ms = self.loop.now_ms()
+        await asyncio.sleep(self.rng.choice((0.3, 1.2, 2.6, 5.5, 40)))
+        await self.send(messages.Heartbeat(own, written_ms, written_ms))
+        self.incarnations["w1"] = own
+
+    async def cut(self):
+        """Cut the worker off in one direction or both."""
+        port = self.at["w1:80"][1]
+        own = self.incarnations["w1"]
+        port.is_unreachable = self.rng.random() < 0.7
+        if self.rng.random() < 0.7:
+            self.incarnations.pop("w1")
+        await asyncio.sleep(self.rng.choice((0.3, 2.6, 5.5)))
+        port.is_unreachable = False
+        self.incarnations["w1"] = own
+
+    async def change(self):
+        """Change the leader, or start the worker again under its id."""
+        if self.rng.random() < 0.5:
+            self.replica.lead(False)
+            await asyncio.sleep(self.rng.choice((0.3, 3)))
+            self.replica.lead()
+            return
+        born = self.own().born + 1
+        restarted = self.own(born=born)
+        self.at["w1:80"] = ("w1", ModelWorker(self.loop, born))
+        self.incarnations["w1"] = restarted
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -6,7 +6,7 @@
 import msgspec
 from expression import Ok, Result
 
-from agateferry_core.clock import MS_PER_S
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs.calls import messages
 from agateferry_jobs.cell import events
@@ -48,13 +48,14 @@
         sessions: WorkerSessions,
         hooks: LeaderHooks,
         proposer: Proposer,
+        clock: Clock,
     ) -> None:
         self._ledger = ledger
         self._sessions = sessions
         self._hooks = hooks
         self._proposer = proposer
         self._claims = RegistrationClaims(ledger, sessions, self._admit)
-        self._checks = ReportChecks()
+        self._checks = ReportChecks(ledger, clock)
         self._leaving: set[WorkerSession] = set()
         """The sessions whose workers said that they leave, and are looked at until they have."""
         self._removals: set[asyncio.Future[bool]] = set()
@@ -125,16 +126,23 @@
     async def _propose_update(self, heartbeat: messages.Heartbeat) -> Result[Any, ProposeError]:
         """Record what a report says, also where the record comes from one of another writer.
 
-        Such a record may have a number that keeps later reports out; an `AdmitWorker` replaces it.
+        Such a record may have a number that keeps later reports out, or say that the worker drains.
+        An `AdmitWorker` goes before the number, and after a removal before the draining too.
         """
         incarnation = heartbeat.worker
         known = self._ledger.workers.get(incarnation.id)
         command: commands.Command
         command = commands.NoteWorker(incarnation, self._hooks.now_ms, sequence=heartbeat.sequence)
         if known is not None and known.born == incarnation.born:
-            if contradicts_record(known, incarnation):
+            is_contradiction = contradicts_record(known, incarnation)
+            if is_contradiction and not self._is_clock_proved(heartbeat):
                 return Ok(False)
-            if self._is_numbered_before(heartbeat):
+            if is_draining(known) and not is_draining(incarnation):
+                removal = commands.NoteWorker(departed_record(known), self._hooks.now_ms)
+                removed = await self._proposer.propose(removal)
+                if removed.is_error():
+                    return removed
+            if is_contradiction or self._is_numbered_before(heartbeat):
                 command = commands.AdmitWorker(incarnation, heartbeat.sequence)
         result = await self._proposer.propose(command)
         if result.is_ok() and result.ok:
--- a/packages/agateferry-jobs/agateferry_jobs/workers/report_verdict.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/report_verdict.py
@@ -19,6 +19,8 @@
     """The clock of the incarnation can't have got as far as this."""
     NO_CLOCK = "no clock"
     """It gives no clock, unlike those before it."""
+    OTHER_RECORD = "other record"
+    """It says what can't change in an incarnation; used if the next one repeats it."""
     UNANSWERED = "unanswered"
     """The worker was asked for its clock, to check the report by it, and has not answered."""
 
