Look for a new worker at its address where very many never answer

What callers would see: a new worker gets no work for up to 300 s after reports of a thousand invented ids.

Cause: beside 1,000 recorded workers that have never answered, reports of unknown ids were acknowledged and dropped, and the limit says nothing about who reports.

Reports of services that the manifest doesn't name are counted and logged too (7337).

--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -97,7 +97,7 @@
 )
 REPORT_UNUSED = Event(
     7337,
-    "report of a known worker not used",
+    "report not used",
     "Nothing to do unless the worker gets no work: then compare sequence and clock with its own.",
 )
 MANIFEST_IN_FORCE = Event(
--- a/packages/agateferry-jobs/agateferry_jobs/cell/report_checks.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/report_checks.py
@@ -11,7 +11,6 @@
 
 from agateferry_core.clock import Clock
 from agateferry_jobs.calls import messages
-from agateferry_jobs.cell import events
 from agateferry_jobs.cell.ignored_reports import IgnoredReports
 from agateferry_jobs.ledger import Ledger, WorkerIncarnation, WorkerState
 from agateferry_jobs.workers.report_verdict import ReportVerdict
@@ -36,13 +35,13 @@
 
 
 class ReportChecks:
-    """Judge the reports of incarnations that have a session."""
+    """Judge the reports of incarnations that have a session; those not used go to `ignored`."""
 
-    def __init__(self, ledger: Ledger, clock: Clock) -> None:
+    def __init__(self, ledger: Ledger, clock: Clock, ignored: IgnoredReports) -> None:
         self._ledger = ledger
         self._clock = clock
         self._doubts: WeakKeyDictionary[WorkerSession, Doubt] = WeakKeyDictionary()
-        self._ignored = IgnoredReports(events.REPORT_UNUSED)
+        self._ignored = ignored
 
     async def is_used(self, session: WorkerSession, heartbeat: messages.Heartbeat) -> bool:
         """Return whether a report is to be recorded; one that isn't is logged and counted."""
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_foreign_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_foreign_reports.py
@@ -381,3 +381,19 @@
             self.assertEqual({"w1"}, set(self.ledger.workers))
 
         self.check(scenario)
+
+    def test_a_new_worker_is_used_beside_very_many_that_never_answer(self):
+        """It was kept out for 300 s, until some of them were forgotten."""
+
+        async def scenario():
+            del self.incarnations["w1"]
+            for number in range(MAX_UNANSWERED + 200):
+                id = f"invented-{number}"
+                await self.send(messages.Heartbeat(report_of(id, f"{id}:80"), 1))
+            self.boot("w2")
+            self.at.pop("w1:80")
+            await asyncio.sleep(2)
+            await self.submit()
+            await eventually(lambda: self.running() == ["w2:80"], "started on w2")
+
+        self.check(scenario)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -15,6 +15,7 @@
     crash_report,
     departed_record,
 )
+from agateferry_jobs.cell.ignored_reports import IgnoredReports
 from agateferry_jobs.cell.proposing import Proposer, reply_for_error
 from agateferry_jobs.cell.registration_claims import RegistrationClaims
 from agateferry_jobs.cell.report_checks import ReportChecks, contradicts_record, is_draining
@@ -31,7 +32,7 @@
 MAX_FORGOTTEN_AT_ONCE = 10
 """How many of them one check removes, since each is a commit."""
 MAX_UNANSWERED = 1_000
-"""How many workers that have never answered are recorded; the reports of others come again."""
+"""How many workers that have never answered are recorded; others are looked for first."""
 LEAVING_MS = 200
 """How often a draining worker that says that it leaves is asked whether it is still there."""
 
@@ -55,7 +56,8 @@
         self._hooks = hooks
         self._proposer = proposer
         self._claims = RegistrationClaims(ledger, sessions, self._admit)
-        self._checks = ReportChecks(ledger, clock)
+        self._ignored = IgnoredReports(events.REPORT_UNUSED)
+        self._checks = ReportChecks(ledger, clock, self._ignored)
         self._leaving: set[WorkerSession] = set()
         """The sessions whose workers said that they leave, and are looked at until they have."""
         self._removals: set[asyncio.Future[bool]] = set()
@@ -91,12 +93,14 @@
         """Register a worker, or record its new state; `Done` means that this is committed.
 
         A report that contradicts the ledger changes nothing until the worker has been found at its
-        address. One that is late, or of a service that the manifest doesn't name, records nothing.
+        address. So does one of a new worker beside very many that have not answered. One that is
+        late, or of a service that the manifest doesn't name, records nothing.
         """
         incarnation = heartbeat.worker
         if self._is_unusable(incarnation):
+            self._ignored.record(incarnation, "service not named", sequence=heartbeat.sequence)
             return messages.Done()
-        if self._claims.is_claim(incarnation):
+        if self._claims.is_claim(incarnation) or self._is_one_too_many(incarnation):
             return await self._claims.handle(heartbeat)
         return await self._on_own_report(heartbeat)
 
@@ -266,20 +270,19 @@
             await self._deregister(session.incarnation, LossCause.SILENT)
 
     def _is_unusable(self, incarnation: WorkerIncarnation) -> bool:
-        """Return whether a report names no worker to use.
-
-        It is one that is not known, of a service that the manifest doesn't name or beside very many
-        that have not answered.
-        """
+        """Return whether a worker is not known, and of a service that the manifest doesn't name."""
         if incarnation.id in self._ledger.workers:
             return False
-        if len(self._sessions.never_answered()) >= MAX_UNANSWERED:
-            return True
         manifest = self._ledger.manifest
         if manifest is None:
             return False
         return all(service.name != incarnation.service for service in manifest.services)
 
+    def _is_one_too_many(self, incarnation: WorkerIncarnation) -> bool:
+        """Return whether a worker is not known, beside very many that have not answered."""
+        is_known = incarnation.id in self._ledger.workers
+        return not is_known and len(self._sessions.never_answered()) >= MAX_UNANSWERED
+
     def _others_at_address_of(self, incarnation: WorkerIncarnation) -> list[WorkerIncarnation]:
         return [
             other
