--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_foreign_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_foreign_reports.py
@@ -75,6 +75,7 @@
 
 class ForeignReportCase(testtools.TestCase):
     max_report_age_ms: int | None = None
+    max_lease_ms: int | None = None
 
     def check(self, scenario, has_manifest=True, prepare=lambda ledger: None):
         async def main(loop):
@@ -85,7 +86,13 @@
             prepare(self.ledger)
             self.replica = MemoryReplica(self.ledger)
             self.leader = Leader(
-                self.replica, self.ledger, loop, self.port_to, LEASE_MS, self.max_report_age_ms
+                self.replica,
+                self.ledger,
+                loop,
+                self.port_to,
+                LEASE_MS,
+                self.max_report_age_ms,
+                max_lease_ms=self.max_lease_ms,
             )
             self.replica.lead()
             await asyncio.sleep(60)
