Let the newest answer limit what drift allows of a worker's clock

Cause: a report may be ahead of the upper bound by the drift of both clocks since that bound. The bound that was kept was the one closest without drift, so a new answer of a clock that keeps time didn't replace it.

Change: the newest answer's bound is kept beside it, and a report has to fit both. The closest one still caps what a report proves for a lease.

--- a/packages/agateferry-jobs/agateferry_jobs/workers/clock_bounds.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/clock_bounds.py
@@ -42,20 +42,21 @@
 class ClockBounds:
     """The bounds of an incarnation's clock.
 
-    `answered_ms` is the local time at which the order was sent that was answered last, and
-    `alive_ms` one at which the incarnation was certainly there.
+    `most` is the closest upper bound of a clock that is not fast, and `newest` that of the newest
+    answer, on which the drift of the two clocks has had the least effect. `alive_ms` is a local
+    time at which the incarnation was certainly there.
     """
 
     least: ClockReading
     most: ClockReading
-    answered_ms: int
+    newest: ClockReading
     alive_ms: int
 
     @classmethod
     def of_answer(cls, clock_ms: int, sent_ms: int, now_ms: int) -> "ClockBounds":
         """Return what an answer proves that arrives now, to an order that was sent at `sent_ms`."""
-        least = ClockReading(clock_ms, now_ms)
-        return cls(least, ClockReading(clock_ms, sent_ms), sent_ms, sent_ms)
+        most = ClockReading(clock_ms, sent_ms)
+        return cls(ClockReading(clock_ms, now_ms), most, newest=most, alive_ms=sent_ms)
 
     def contradicts_answer(self, clock_ms: int, sent_ms: int, now_ms: int) -> bool:
         """Return whether these bounds and an answer can't both be of one incarnation's clock."""
@@ -63,14 +64,12 @@
 
     def with_answer(self, clock_ms: int, sent_ms: int, now_ms: int) -> "ClockBounds":
         """Return the bounds after an answer that agrees with them; the closer ones are kept."""
-        most = self.most
-        if clock_ms < most.most_at(sent_ms):
-            most = ClockReading(clock_ms, sent_ms)
+        answered = ClockReading(clock_ms, sent_ms)
         return replace(
             self,
             least=self._later_least(clock_ms, now_ms),
-            most=most,
-            answered_ms=max(self.answered_ms, sent_ms),
+            most=answered if clock_ms < self.most.most_at(sent_ms) else self.most,
+            newest=answered if sent_ms >= self.newest.at_ms else self.newest,
             alive_ms=max(self.alive_ms, sent_ms),
         )
 
@@ -108,7 +107,10 @@
         return not self.excludes(clock_ms, sent_ms) and clock_ms > newest_other_ms
 
     def _allows(self, clock_ms: int, now_ms: int) -> bool:
-        return clock_ms <= self.most.clock_ms + max_local_ms(now_ms - self.most.at_ms)
+        return all(
+            clock_ms <= bound.clock_ms + max_local_ms(now_ms - bound.at_ms)
+            for bound in (self.most, self.newest)
+        )
 
     def _later_least(self, clock_ms: int, now_ms: int) -> ClockReading:
         is_later = clock_ms >= self.least.least_at(now_ms)
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -208,7 +208,7 @@
         bounds = self._lease.bounds
         if bounds is None or self._contact.is_failing:
             return False
-        return self._clock.now_ms() - bounds.answered_ms <= RECENT_ANSWER_MS
+        return self._clock.now_ms() - bounds.newest.at_ms <= RECENT_ANSWER_MS
 
     async def ask(self, timeout_ms: int) -> bool:
         """Poll the worker now; return whether it has answered as this incarnation in time."""
--- a/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_clock_bounds.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/tests/test_clock_bounds.py
@@ -37,6 +37,13 @@
         self.assertEqual(self.bounds.least, held_up.least)
         self.assertEqual(50_000, held_up.most.clock_ms)
 
+    def test_a_new_answer_limits_what_drift_allows(self):
+        """A clock that is 9 s ahead fits after an hour without an answer, but not after one."""
+        clock_ms = 50_000 + HOUR_MS
+        self.assertFalse(self.bounds.is_ahead(clock_ms + 9_000, HOUR_MS))
+        answered = self.bounds.with_answer(clock_ms, HOUR_MS, HOUR_MS)
+        self.assertTrue(answered.is_ahead(clock_ms + 9_000, HOUR_MS))
+
     def test_an_answer_to_an_order_sent_before_a_later_reading_agrees(self):
         later = self.bounds.with_report(52_000, now_ms=2_000)
         self.assertFalse(later.contradicts_answer(51_200, sent_ms=1_000, now_ms=2_100))
