--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_capacity_reports.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+from structlog.testing import capture_logs
+
 from agateferry_core.support import run_virtual
 from agateferry_jobs.calls import messages
+from agateferry_jobs.cell import events
 from agateferry_jobs.cell.leader import Leader
 from agateferry_jobs.cell.tests.test_leader import LeaderCase, target
 from agateferry_jobs.ledger import Ledger
@@ -53,6 +56,18 @@
 
         self.check(scenario)
 
+    def test_a_report_that_a_new_leader_does_not_record_is_logged(self):
+        async def scenario():
+            await self.heartbeat(sized(SHRUNK), sequence=3)
+            self.replica.lead(False)
+            self.replica.lead()
+            with capture_logs() as lines:
+                await self.heartbeat(sized(WORKER_CAPACITY), sequence=2)
+            unused = [line for line in lines if line["number"] == events.REPORT_UNUSED.number]
+            self.assertEqual(["not news"], [line["reason"] for line in unused])
+
+        self.check(scenario)
+
     def test_two_reports_that_are_stored_at_the_same_time(self):
         async def scenario():
             await self.heartbeat(sized(WORKER_CAPACITY), sequence=1)
--- a/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/worker_registry.py
@@ -106,6 +106,8 @@
                 return reply_for_error(result.error)
             if result.ok:
                 self._update_session(incarnation)
+            else:
+                self._ignored.record(incarnation, "not news", sequence=heartbeat.sequence)
         if self._is_without_session(incarnation):
             await self._register(incarnation)
         self._record_report(heartbeat)
