--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_unused_workers.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_unused_workers.py
@@ -120,6 +120,23 @@
         self.check_after(hold_up)
 
 
+class UnansweredWorkerTests(UnusedWorkerCase):
+    """Reports in doubt of a worker that doesn't answer held up those of others in their batch."""
+
+    def test_a_worker_that_is_known_not_to_answer_is_not_waited_for(self):
+        async def scenario():
+            await self.start()
+            own = self.incarnations.pop("w1")
+            self.at["w1:80"][1].is_unreachable = True
+            await asyncio.sleep(3)
+            late_ms = self.loop.now_ms() - 3_000
+            began_ms = self.loop.now_ms()
+            await self.send(messages.Heartbeat(own, late_ms, late_ms))
+            self.assertLess(self.loop.now_ms() - began_ms, 50)
+
+        self.check(scenario)
+
+
 class ForeignNumberTests(UnusedWorkerCase):
     """A report of another writer with a number far ahead kept all later ones out."""
 
--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -211,7 +211,13 @@
         return self._clock.now_ms() - bounds.newest.at_ms <= RECENT_ANSWER_MS
 
     async def ask(self, timeout_ms: int) -> bool:
-        """Poll the worker now; return whether it has answered as this incarnation in time."""
+        """Poll the worker now; return whether it has answered as this incarnation in time.
+
+        One that did not answer the last poll is polled already, and is not waited for: the reports
+        of others may be in the same batch.
+        """
+        if self._contact.is_failing:
+            return False
         self._answered.clear()
         self._is_asked = True
         self._wake.set()
