--- a/packages/agateferry-jobs/agateferry_jobs/workers/session.py
+++ b/packages/agateferry-jobs/agateferry_jobs/workers/session.py
@@ -101,7 +101,7 @@
         """Whether the last poll timed out because this process was busy with other work."""
         self._reports = ReportOrder()
         self._is_asked = False
-        """Whether the worker is to be polled soon, although no run needs it."""
+        """Whether the worker is to be polled until it answers, although no run needs it."""
         self._answered = asyncio.Event()
         self._opened_ms = clock.now_ms()
         self._ends = EndCursor()
@@ -204,7 +204,7 @@
 
     @property
     def has_answered_lately(self) -> bool:
-        """Return whether an answer has shown the worker's clock so lately that no other need."""
+        """Return whether the last answer is new enough to judge a report by it."""
         bounds = self._lease.bounds
         if bounds is None or self._contact.is_failing:
             return False
@@ -332,8 +332,7 @@
         Without the wait, polls that are sent all at once may each time take longer to send than
         their timeout, so that none is ever answered.
         """
-        is_in_touch = self._contact.has_answered and not self._contact.is_failing
-        if is_in_touch and not self._was_held_up and not self._is_asked:
+        if self.answers and not self._was_held_up and not self._is_asked:
             return await self._poll_once()
         async with self._listener.contact_slot():
             return await self._poll_once()
@@ -343,8 +342,7 @@
             bool(self.runs or self.unexpected_runs or self._ends.held)
             or self._ends.position > self._acknowledged_cursor
         )
-        is_in_touch = self._contact.has_answered and not self._contact.is_failing
-        return is_poll_due or self._is_asked or not is_in_touch
+        return is_poll_due or self._is_asked or not self.answers
 
     async def _poll_once(self) -> bool:
         if not self._listener.may_send_orders():
