Remove learners that are gone, and admit none by an old greeting

Cause: a cell that replaces hosts by itself admits the confirmed member of each first host, however long ago its greeting was. A first host that had greeted once (after it lost its disk, or after a freeze) and then was gone for good was removed after its silence and admitted again as a learner at once. Learners are never removed, so it got every heartbeat for good.

Change: such a cell admits hosts by greetings of the last 3 s only, as it already did for other hosts, and removes a learner that was silent for `replace_after_ms`. Hosts that are not members greet every 0.6 s until a leader contacts them, so a learner that was cut off is admitted again.

--- a/packages/agateferry-state/agateferry_state/members/replacement.py
+++ b/packages/agateferry-state/agateferry_state/members/replacement.py
@@ -3,7 +3,8 @@
 Any host with a disk is admitted as a learner, unless an operator removed it or a forced recovery
 excluded it. It replaces a voter that was silent for `replace_after_ms`, or becomes an additional
 voter if that makes the number of voters odd. A replaced voter that returns is admitted as a learner
-too, with the log that it had.
+too, with the log that it had. A learner that was silent for as long is removed; if it runs, it
+makes itself known again.
 """
 
 from collections.abc import Collection, Mapping
@@ -25,11 +26,15 @@
     """Return the members that should follow `members`, or None if no change is needed.
 
     `present` maps a host name to the member that recently proved that it runs there. `caught_up`
-    are the members that hold every committed entry, `silent` the voters that the leader has not
-    heard for `replace_after_ms`. For example, with voters a, b and c, if learner d has caught up
-    and a is silent, the result has voters b and c.
+    are the members that hold every committed entry, `silent` those that the leader has not heard
+    for `replace_after_ms`. For example, with voters a, b and c, if learner d has caught up and a is
+    silent, the result has voters b and c.
     """
-    return _admit(members, present) or _remove_silent(members, caught_up, silent)
+    return (
+        _admit(members, present)
+        or _remove_silent(members, caught_up, silent)
+        or _remove_silent_learner(members, present, silent)
+    )
 
 
 def promotable_learners(members: Members, caught_up: Collection[MemberId]) -> set[MemberId]:
@@ -72,3 +77,14 @@
         if voter.id in silent:
             return members.without(voter.id)
     return None
+
+
+def _remove_silent_learner(
+    members: Members, present: Mapping[str, Member], silent: Collection[MemberId]
+) -> Members | None:
+    """Remove one silent learner, unless it was just confirmed to run and has not answered yet."""
+    running = {member.id for member in present.values()}
+    for learner in members.learners:
+        if learner.id in silent and learner.id not in running:
+            return members.without(learner.id)
+    return None
--- a/packages/agateferry-state/agateferry_state/members/tests/test_replacement.py
+++ b/packages/agateferry-state/agateferry_state/members/tests/test_replacement.py
@@ -41,6 +41,12 @@
             ids("a", "b", "c"), next_replacement(members, {}, set(), ids("d")).voter_ids
         )
 
+    def test_a_learner_that_is_gone_does_not_stay(self):
+        """It was sent every heartbeat for good."""
+        members = THREE.with_learner(member("d"))
+        self.assertEqual(THREE, next_replacement(members, {}, set(), ids("d")))
+        self.assertIsNone(next_replacement(members, {"d": member("d")}, set(), ids("d")))
+
 
 class PromotableLearnersTests(testtools.TestCase):
     def test_a_single_learner_does_not_make_an_even_number_of_voters(self):
--- a/packages/agateferry-state/agateferry_state/replication/membership_changes.py
+++ b/packages/agateferry-state/agateferry_state/replication/membership_changes.py
@@ -43,46 +43,46 @@
     if is_settled and not state.is_voter:
         state.become_follower(state.term)
         return
-    confirmed = {host: c.member for host, c in state.confirmed_members.items()}
     caught_up = _caught_up(state, leader_state) if is_settled else set()
-    hosts = state.settings.first_host_names
     if state.settings.replaces_hosts:
-        members = _next_automatic_change(state, leader_state, confirmed, caught_up, is_settled)
+        members = _next_automatic_change(state, leader_state, caught_up, is_settled)
     else:
+        confirmed = {host: c.member for host, c in state.confirmed_members.items()}
+        hosts = state.settings.first_host_names
         members = next_membership_change(state.log.members, confirmed, caught_up, hosts, is_settled)
     if members is not None:
         leader.append(state, EntryKind.MEMBERS, members.encode())
 
 
 def _next_automatic_change(
-    state: State,
-    leader_state: LeaderState,
-    confirmed: dict[str, Member],
-    caught_up: set[MemberId],
-    is_settled: bool,
+    state: State, leader_state: LeaderState, caught_up: set[MemberId], is_settled: bool
 ) -> Members | None:
     """Return the next change in a cell that replaces hosts without an operator, or None.
 
-    `confirmed` has the confirmed member of each host name. Voters count as silent only once this
-    member has led for `replace_after_ms`.
+    Members count as silent only once this member has led for `replace_after_ms`.
     """
     members = state.log.members
+    confirmed = _running_members(state)
     hosts = state.settings.first_host_names
     ready = promotable_learners(members, caught_up)
     change = next_membership_change(members, confirmed, ready, hosts, is_settled)
     if change is not None or not is_settled:
         return change
-    recently_confirmed = {
+    alive = leader_state.recently_acked(state.now_ms, state.settings.replace_after_ms)
+    leader_for_ms = state.now_ms - leader_state.started_ms
+    silent = {m.id for m in members.all} - alive - {state.me.id}
+    if leader_for_ms < state.settings.replace_after_ms:
+        silent = set()
+    return next_replacement(members, confirmed, caught_up, silent)
+
+
+def _running_members(state: State) -> dict[str, Member]:
+    """Return the member of each host name that was confirmed to run there a short time ago."""
+    return {
         host: c.member
         for host, c in state.confirmed_members.items()
         if state.now_ms - c.confirmed_ms <= HOST_CONFIRMED_MAX_AGE_MS
     }
-    alive = leader_state.recently_acked(state.now_ms, state.settings.replace_after_ms)
-    leader_for_ms = state.now_ms - leader_state.started_ms
-    silent = members.voter_ids - alive - {state.me.id}
-    if leader_for_ms < state.settings.replace_after_ms:
-        silent = frozenset()
-    return next_replacement(members, recently_confirmed, caught_up, silent)
 
 
 def on_change_requested(state: State, event: MemberChangeRequested) -> None:
--- a/packages/agateferry-state/agateferry_state/replication/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/support.py
@@ -6,7 +6,7 @@
 import os
 import random
 import zlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.replication import Core, Settings, StoredState, messages
@@ -67,6 +67,7 @@
         self.applied_commands = []
         self.accepted = {}
         self.timer = (0, 0)
+        self.settings = None
 
 
 class History:
@@ -178,7 +179,8 @@
         me = Member(MemberId(name, host.disk.incarnation), host.has_disk)
         rng = random.Random(self.rng.random())
         now = self.local_ms(host)
-        host.core = Core(me, self.settings, host.disk.stored(), rng, now)
+        settings = host.settings or self.settings
+        host.core = Core(me, settings, host.disk.stored(), rng, now)
         snapshot = host.disk.snapshot
         host.applied_commands = json.loads(snapshot.data) if snapshot else []
         self.step(host, messages.Tick())
@@ -195,6 +197,22 @@
         self.kill(name)
         self.hosts[name].disk = Disk()
 
+    def add_host(self, name):
+        """Start a host with an empty disk that the others don't know."""
+        self.hosts[name] = Host(name, True, *self._clock())
+        self.start_empty(name)
+
+    def start_empty(self, name):
+        """Start a host with an empty disk; it knows the present hosts, as its seeds name them."""
+        known = tuple(Member(MemberId(other)) for other in self.hosts)
+        self.hosts[name].settings = replace(self.settings, first_hosts=known)
+        self.start(name)
+
+    def remove_host(self, name):
+        """Take a host away for good."""
+        self.kill(name)
+        del self.hosts[name]
+
     def freeze(self, name):
         self.hosts[name].is_frozen = self.hosts[name].core is not None
 
