Let a successor vote before the next host may be lost

Callers saw: the leader's machine is gone for good, an empty one follows 0.5 s later; 4.02 s after that one's start another machine is gone for good.

Cause: DEPLOY.md lets the next machine be lost `catchUpS` (4 s) after the successor was started. The successor took the lost host's vote only after 4 s of silence under one leader, so with an election before it at 4.8 s and later. Until then each majority needs both other voters.

Change: the cell reads `catchUpS` and replaces a voter that was silent for half of it (not over 4 s, as before; not under two of the longest election timeouts).

--- a/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/cell.py
@@ -41,6 +41,11 @@
 Four suffice for the delay of some ms between zones and for a slow disk that blocks the event loop
 for 0.2 s. Urgent jobs have a slack of about 1.5 s, which an election must not use up.
 """
+MIN_REPLACE_AFTER_MS = 2 * REPLICATION_SETTINGS.election_timeout_max_ms
+"""How long a host of the cell must be silent at least before a successor gets its vote.
+
+A leader that is asked to elect anew, or a process that restarts, is silent for less.
+"""
 WORKER_LEASE_MS = 8_000
 """How long a worker keeps its runs without contact.
 
@@ -57,6 +62,19 @@
 """How long calls in flight may take after the host has transferred its leadership."""
 
 
+def replace_after_ms(catch_up_ms: int | None) -> int:
+    """Return how long a host must be silent before a successor that caught up gets its vote.
+
+    Another host may be lost `catch_up_ms` after the successor was started, so it has to vote by
+    then. Half of that time is for the silence; the other half is for an election before it and for
+    the two changes of the members after it.
+    """
+    longest_ms = REPLICATION_SETTINGS.replace_after_ms
+    if catch_up_ms is None:
+        return longest_ms
+    return min(longest_ms, max(MIN_REPLACE_AFTER_MS, catch_up_ms // 2))
+
+
 class CellHost:
     """The replica, leader, gRPC server and client of one host of the cell."""
 
@@ -216,7 +234,11 @@
     def _make_replica(self, hosts: tuple[str, ...], may_bootstrap: bool) -> NodeReplica:
         port = self.cfg.internal_port
         peers = tuple(Peer(host, f"{host}:{port}") for host in hosts)
-        settings = replace(REPLICATION_SETTINGS, may_bootstrap=may_bootstrap)
+        settings = replace(
+            REPLICATION_SETTINGS,
+            may_bootstrap=may_bootstrap,
+            replace_after_ms=replace_after_ms(self.cfg.bounds.catch_up_ms),
+        )
         cfg = NodeConfig(
             REPLICATION_GROUP,
             self.cfg.ip,
--- a/packages/agateferry-jobs/agateferry_jobs/settings.py
+++ b/packages/agateferry-jobs/agateferry_jobs/settings.py
@@ -28,7 +28,8 @@
     Nothing starts in an evacuated zone from `evacuation_ms` after the acknowledgement on; this is
     None where zones are never evacuated. Urgent work within its team's guarantee begins within
     `reclaim_ms`, and a worker takes up to `stop_timeout_ms` to stop a run; None where the platform
-    does not say.
+    does not say. The next host of the cell may be lost `catch_up_ms` after the last one was back or
+    its successor was started.
     """
 
     grace_ms: int = 6000
@@ -38,6 +39,7 @@
     evacuation_ms: int | None = None
     reclaim_ms: int | None = None
     stop_timeout_ms: int | None = None
+    catch_up_ms: int | None = None
 
     @property
     def start_budget(self) -> StartBudget:
