Let a host that stops hand its vote to its successor

Callers saw: an empty host is started, over `catchUpS` later its predecessor gets SIGTERM and ends; 0.5 s after that another host is gone for good.

Cause: by DEPLOY.md a removed machine stops counting once its successor has had `catchUpS`, here before the SIGTERM. The one that stopped kept its vote until it had been silent for `replace_after_ms`.

Change: a replica that stops marks its acknowledgements. The leader lets a learner that has caught up vote, then removes the one that stops. If there is a learner, that one waits until the leader sends it nothing more, 2 s at most, and it starts no election: where the transfer of leadership was lost, it led again until it ended.

--- a/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_host_losses.py
+++ b/packages/agateferry-jobs/agateferry_jobs/daemon/tests/test_host_losses.py
@@ -19,17 +19,20 @@
 """The default number of seeds of the other searches plays each order of losses once."""
 SUCCESSOR_DELAYS_MS = (0, 500)
 BACK_AGAIN = (Kind.WIPED, Kind.KILLED, Kind.CUT, Kind.FROZEN)
+PLANNED = [Loss(target, Kind.STOPPED, -CATCH_UP_MS) for target in Target]
 GONE = [Loss(target, Kind.GONE, delay) for target in Target for delay in SUCCESSOR_DELAYS_MS]
-FIRST_LOSSES = [*GONE, *(Loss(Target.LEADER, kind) for kind in BACK_AGAIN)]
-SECOND_LOSSES = [Loss(target, kind) for target in Target for kind in Kind]
+FIRST_LOSSES = [*GONE, *PLANNED, *(Loss(Target.LEADER, kind) for kind in BACK_AGAIN)]
+SECOND_LOSSES = [
+    Loss(target, kind) for target in Target for kind in Kind if kind is not Kind.STOPPED
+]
 LAST_LOSS = Loss(Target.LEADER, Kind.KILLED)
 
 
 class LossesOneAfterTheOtherTests(testtools.TestCase):
     """A host is lost `catchUpS` after the successor of another one was started, or was back.
 
-    A successor took a lost host's vote only after 4 s of silence under one leader. Another loss
-    before that left no majority, and the cell had no leader for good.
+    A successor took a lost host's vote only after 4 s of silence under one leader, also that of a
+    host that was stopped. Another loss before that left no majority: no leader for good.
     """
 
     def play(self, host_count):
--- a/packages/agateferry-state/agateferry_state/members/replacement.py
+++ b/packages/agateferry-state/agateferry_state/members/replacement.py
@@ -37,19 +37,23 @@
     )
 
 
-def promotable_learners(members: Members, caught_up: Collection[MemberId]) -> set[MemberId]:
+def promotable_learners(
+    members: Members, caught_up: Collection[MemberId], stopping: Collection[MemberId] = ()
+) -> set[MemberId]:
     """Return the learners that may be promoted to voters, out of `caught_up`.
 
     A learner on the host of a voter may always be promoted, to replace that voter. Any learner may
     while the cell forms, has fewer than three voters or has an even number of them. With an odd
     number, learners are promoted only if at least two are ready and two more voters do not exceed
-    `MAX_AUTOMATIC_VOTERS`, so that the number can stay odd.
+    `MAX_AUTOMATIC_VOTERS`, so that the number can stay odd, or if a voter is in `stopping`. Such a
+    voter votes until the learner does, so that another host may be lost meanwhile.
     """
     voter_hosts = {m.id.host for m in members.voters}
     ready_learners = {m.id for m in members.learners if m.id in caught_up}
     successors = {member_id for member_id in ready_learners if member_id.host in voter_hosts}
     count = len(members.voters)
-    if members.is_forming or count < MIN_VOTERS or count % 2 == 0:
+    is_voter_stopping = any(members.is_voter(member_id) for member_id in stopping)
+    if members.is_forming or count < MIN_VOTERS or count % 2 == 0 or is_voter_stopping:
         return ready_learners
     if len(ready_learners) >= 2 and count + 2 <= MAX_AUTOMATIC_VOTERS:
         return ready_learners
--- a/packages/agateferry-state/agateferry_state/members/tests/test_replacement.py
+++ b/packages/agateferry-state/agateferry_state/members/tests/test_replacement.py
@@ -56,6 +56,12 @@
         members = THREE.with_learner(member("d")).with_learner(member("e"))
         self.assertEqual(ids("d", "e"), promotable_learners(members, ids("d", "e")))
 
+    def test_a_learner_is_promoted_before_a_voter_stops(self):
+        """With the voter removed first, the loss of another one meanwhile leaves no majority."""
+        members = THREE.with_learner(member("d"))
+        self.assertEqual(ids("d"), promotable_learners(members, ids("d"), ids("a")))
+        self.assertEqual(set(), promotable_learners(members, ids("d"), ids("d")))
+
     def test_a_learner_is_promoted_if_the_number_of_voters_is_even(self):
         members = Members((member("b"), member("c"))).with_learner(member("d"))
         self.assertEqual(ids("d"), promotable_learners(members, ids("d")))
--- a/packages/agateferry-state/agateferry_state/replica/node.py
+++ b/packages/agateferry-state/agateferry_state/replica/node.py
@@ -1,5 +1,6 @@
 """One member of a replicated group, as other packages use it."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -7,7 +8,7 @@
 
 from expression import Error, Ok, Result
 
-from agateferry_core.clock import Clock
+from agateferry_core.clock import MS_PER_S, Clock
 from agateferry_core.logs import EventLogger
 from agateferry_state.events import DATA_FOLDER_OPENED, DATA_FOLDER_UNUSABLE, TORN_BATCH_DROPPED
 from agateferry_state.journal import Files, JournalError
@@ -23,6 +24,13 @@
 from agateferry_state.replication.leader_contact import LeaderContact
 
 STOP_TIMEOUT_MS = 3000
+HAND_OVER_TIMEOUT_MS = 2000
+"""How long a stopping voter waits at most for a learner to take its vote.
+
+It suffices for an election that begins with the stop, where the transfer of leadership was lost.
+"""
+DROPPED_HEARTBEATS = 3
+"""After so many missed heartbeats, a stopping voter takes it that the leader has removed it."""
 
 PreviewResult = Result[Members, ProposeError]
 
@@ -144,19 +152,39 @@
                 self._on_open_error(error)
 
     async def stop(self) -> None:
-        """Transfer leadership, wait for pending proposals and close the files."""
+        """Hand over leadership and vote, wait for pending proposals and close the files."""
         driver = self._driver
         if driver is None:
             return
+        driver.put(messages.StopAnnounced())
         has_others = len(driver.core.members.voters) > 1
         if driver.failure is None and driver.core.role is Role.LEADER and has_others:
             driver.put(messages.TransferLeadership())
             await driver.wait_until(lambda: driver.core.role is not Role.LEADER, STOP_TIMEOUT_MS)
+        await self._hand_over_vote(driver)
         await driver.wait_until(lambda: driver.proposals.is_idle, STOP_TIMEOUT_MS)
         self._failure = driver.failure or ProposeError(ProposeErrorKind.STOPPED)
         self._driver = None
         driver.close()
 
+    async def _hand_over_vote(self, driver: Driver) -> None:
+        """Wait until a learner has taken this voter's vote, if there is one.
+
+        The leader sends nothing to a member that it has removed, so its silence tells.
+        """
+        members, cfg = driver.core.members, self._cfg.settings
+        can_hand_over = members.is_voter(driver.core.me.id) and bool(members.learners)
+        if not cfg.replaces_hosts or not can_hand_over:
+            return
+        began_ms = self._clock.now_ms()
+        while driver.failure is None and self._clock.now_ms() - began_ms < HAND_OVER_TIMEOUT_MS:
+            await asyncio.sleep(cfg.heartbeat_ms / MS_PER_S)
+            contact = driver.core.leader_contact
+            if contact is None or contact.last_ms < began_ms:
+                continue
+            if self._clock.now_ms() - contact.last_ms > DROPPED_HEARTBEATS * cfg.heartbeat_ms:
+                return
+
     async def propose(self, command: bytes) -> ProposalResult:
         """Commit and apply a command; return the state machine's result."""
         return await self._submit(lambda proposal_id: messages.Proposed(proposal_id, command))
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_codec.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_codec.py
@@ -26,6 +26,7 @@
     VoteResponse(3, 4, True, True),
     AppendRequest(3, 4, 2, 4, 11, ENTRIES),
     AppendResponse(3, 11, False, 4, 2, 1),
+    AppendResponse(3, 11, True, 4, is_stopping=True),
     SnapshotChunk(3, META, 1, b"abc", 12),
     SnapshotResponse(3, 12, 7, 3, True),
     TimeoutNow(3),
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_host_replacement.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_host_replacement.py
@@ -1,5 +1,6 @@
 import asyncio
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 from agateferry_core.support import free_port, run_async
 from agateferry_state.replica.node import Peer
@@ -43,6 +44,30 @@
 
         run_async(main())
 
+    def test_a_voter_that_stops_hands_its_vote_to_a_learner(self):
+        """Until it had been silent for long, the loss of another host left no leader for good."""
+
+        async def main():
+            hosts = self.make_hosts([True] * 3, replaces_hosts=True, replace_after_ms=600_000)
+            async with AsyncExitStack() as stack:
+                for host in hosts:
+                    await host.start()
+                stopped = await self.wait_for_voters(hosts)
+                others = [host for host in hosts if host is not stopped]
+                peers = (*hosts[0].peers, Peer("d", f"127.0.0.1:{free_port()}"))
+                settings = replace(hosts[0].settings, may_bootstrap=False)
+                new = Host(peers, "d", self.folder / "d", 9, settings)
+                for host in (*others, new):
+                    stack.push_async_callback(host.stop)
+                await new.start()
+                await self.until(lambda: new.replica.members.voters, "the learner has the log")
+                await stopped.stop()
+                leader = await self.wait_for_leader(others)
+                wanted = {host.name for host in others} | {"d"}
+                await self.until(lambda: self.voters(leader) == wanted, "the learner votes")
+
+        run_async(main())
+
     def test_empty_hosts_form_no_second_cell(self):
         async def main():
             hosts = self.make_hosts([True] * 3, may_bootstrap=False, **REPLACE_SOON)
--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -50,6 +50,7 @@
     SnapshotChunk,
     SnapshotResponse,
     SnapshotTaken,
+    StopAnnounced,
     StoredState,
     Synced,
     SyncFailed,
@@ -241,6 +242,8 @@
         match event:
             case TransferLeadership():
                 requests.on_transfer(state)
+            case StopAnnounced():
+                state.is_stopping = True
             case MemberChangeRequested():
                 membership_changes.on_change_requested(state, event)
             case RecoveryForced():
--- a/packages/agateferry-state/agateferry_state/replication/election.py
+++ b/packages/agateferry-state/agateferry_state/replication/election.py
@@ -21,11 +21,14 @@
 
 
 def start_pre_vote_if_due(state: State) -> None:
-    """Start a pre-vote once the election deadline has passed without contact to a leader."""
+    """Start a pre-vote once the election deadline has passed without contact to a leader.
+
+    A member that is about to stop starts none: it would lead until it ends, and keep its vote.
+    """
     if state.role is Role.LEADER or state.now_ms < state.election_deadline_ms:
         return
     state.leader = None
-    if not state.is_voter:
+    if not state.is_voter or state.is_stopping:
         state.reset_election_deadline()
         return
     state.reset_retry_deadline()
--- a/packages/agateferry-state/agateferry_state/replication/follower.py
+++ b/packages/agateferry-state/agateferry_state/replication/follower.py
@@ -102,7 +102,9 @@
 def _acknowledge(state: State, leader: MemberId, round_number: int) -> None:
     match = min(state.log.synced_index, state.follower_state.verified_index)
     state.follower_state.acked_round = max(state.follower_state.acked_round, round_number)
-    response = AppendResponse(state.term, round_number, success=True, match_index=match)
+    response = AppendResponse(
+        state.term, round_number, success=True, match_index=match, is_stopping=state.is_stopping
+    )
     state.send(leader, response)
 
 
--- a/packages/agateferry-state/agateferry_state/replication/leader.py
+++ b/packages/agateferry-state/agateferry_state/replication/leader.py
@@ -107,6 +107,7 @@
     if progress is None:
         return
     if response.success:
+        progress.is_stopping = response.is_stopping
         progress.acknowledge(response.match_index)
         if progress.snapshot and progress.match_index >= progress.snapshot.meta.index:
             progress.snapshot = None
--- a/packages/agateferry-state/agateferry_state/replication/leader_state.py
+++ b/packages/agateferry-state/agateferry_state/replication/leader_state.py
@@ -16,6 +16,7 @@
     send. `in_flight` has the first and last index of each unacknowledged batch. While `is_probing`,
     the leader does not know up to where the logs agree and sends one batch at a time. During a
     snapshot transfer, `snapshot` is the one being sent and `snapshot_offset` the next byte.
+    `is_stopping` is what the peer's last acknowledgement said of it.
     """
 
     next_index: int
@@ -27,6 +28,7 @@
     snapshot: Snapshot | None = None
     snapshot_offset: int = 0
     is_chunk_in_flight: bool = False
+    is_stopping: bool = False
 
     def acknowledge(self, match_index: int) -> None:
         """Record that the peer holds the log up to `match_index` durably."""
--- a/packages/agateferry-state/agateferry_state/replication/membership_changes.py
+++ b/packages/agateferry-state/agateferry_state/replication/membership_changes.py
@@ -59,12 +59,15 @@
 ) -> Members | None:
     """Return the next change in a cell that replaces hosts without an operator, or None.
 
-    Members count as silent only once this member has led for `replace_after_ms`.
+    Members count as silent only once this member has led for `replace_after_ms`. A voter that is
+    about to stop counts as silent at once.
     """
     members = state.log.members
     confirmed = _running_members(state)
     hosts = state.settings.first_host_names
-    ready = promotable_learners(members, caught_up)
+    stopping = {peer for peer, progress in leader_state.peers.items() if progress.is_stopping}
+    caught_up = caught_up - stopping
+    ready = promotable_learners(members, caught_up, stopping)
     change = next_membership_change(members, confirmed, ready, hosts, is_settled)
     if change is not None or not is_settled:
         return change
@@ -73,6 +76,7 @@
     silent = {m.id for m in members.all} - alive - {state.me.id}
     if leader_for_ms < state.settings.replace_after_ms:
         silent = set()
+    silent |= stopping & members.voter_ids
     return next_replacement(members, confirmed, caught_up, silent)
 
 
--- a/packages/agateferry-state/agateferry_state/replication/messages.py
+++ b/packages/agateferry-state/agateferry_state/replication/messages.py
@@ -102,6 +102,7 @@
     "SnapshotMeta",
     "SnapshotResponse",
     "SnapshotTaken",
+    "StopAnnounced",
     "StoredState",
     "SyncFailed",
     "Synced",
@@ -169,6 +170,11 @@
     """Transfer leadership to the most caught-up voter, before a planned stop."""
 
 
+@dataclass(frozen=True, slots=True)
+class StopAnnounced:
+    """Let the leader know that this member is about to stop, so that a learner takes its vote."""
+
+
 class MemberAction(StrEnum):
     """The membership changes that an operator can request."""
 
@@ -216,6 +222,7 @@
     | SyncFailed
     | SnapshotTaken
     | TransferLeadership
+    | StopAnnounced
     | MemberChangeRequested
     | BootstrapForced
     | RecoveryForced
--- a/packages/agateferry-state/agateferry_state/replication/peer_messages.py
+++ b/packages/agateferry-state/agateferry_state/replication/peer_messages.py
@@ -53,7 +53,8 @@
 
     Where `success` is false, `hint_index` is the last index at which the logs may agree, from which
     the leader tries again, and `hint_term` the term of the follower's entry there (0 where it has
-    none). A response with a newer `term` carries no hint: its recipient must step down.
+    none). A response with a newer `term` carries no hint: its recipient must step down. With
+    `is_stopping` the sender is about to stop, and a learner that caught up should take its vote.
     """
 
     term: int
@@ -62,6 +63,7 @@
     match_index: int = 0
     hint_index: int = 0
     hint_term: int = 0
+    is_stopping: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -86,6 +86,8 @@
     """Whether this election needs only the members with a disk, as all others are superseded."""
     follower_state: FollowerState = field(default_factory=FollowerState)
     leader_state: LeaderState | None = None
+    is_stopping: bool = False
+    """Whether this member is about to stop; the leader learns it from the acknowledgements."""
     confirmed_members: dict[str, ConfirmedMember] = field(default_factory=dict)
     """For each host name, the member whose greeting last proved that it runs there."""
     pending_nonces: dict[MemberId, tuple[int, int]] = field(default_factory=dict)
--- a/packages/agateferry-state/agateferry_state/replication/tests/replacement_orders.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/replacement_orders.py
@@ -14,6 +14,9 @@
 FIRST_LOSS_MS = 2500
 CUT_MS = 3000
 DOWN_MS = 400
+HAND_OVER_TIMEOUT_MS = 2000
+DROPPED_MS = 300
+"""A stopping voter waits until the leader has sent it nothing for as long, as replicas do."""
 
 
 class Target(StrEnum):
@@ -34,6 +37,8 @@
     KILLED = "killed"
     CUT = "cut"
     FROZEN = "frozen"
+    STOPPED = "stopped"
+    """For good, after its successor was started, with the time to hand over."""
 
 
 @dataclass(frozen=True)
@@ -75,7 +80,7 @@
         cluster.check_recovered()
 
     def _schedule_spare(self, delay_ms: int, loss: Loss) -> str | None:
-        if loss.kind is not Kind.GONE:
+        if loss.kind not in (Kind.GONE, Kind.STOPPED):
             return None
         name = next(self._spare_names)
         self._cluster.schedule(delay_ms + loss.process_after_ms, self._cluster.add_host, name)
@@ -87,10 +92,16 @@
         name = self._choose(loss.target)
         match loss.kind:
             case Kind.GONE:
-                cluster.remove_host(name)
                 assert spare is not None
+                cluster.remove_host(name)
                 self._newest = spare
                 return loss.successor_after_ms
+            case Kind.STOPPED:
+                assert spare is not None
+                began_ms = cluster.now
+                self._stop(name)
+                self._newest = spare
+                return loss.successor_after_ms - (cluster.now - began_ms)
             case Kind.WIPED:
                 cluster.wipe(name)
                 cluster.schedule(DOWN_MS, cluster.start_empty, name)
@@ -109,6 +120,21 @@
                 cluster.schedule(CUT_MS, cluster.blocked_links.difference_update, links)
                 return CUT_MS
 
+    def _stop(self, name: str) -> None:
+        """Let a host stop, which waits for a learner to take its vote if there is one."""
+        cluster = self._cluster
+        host = cluster.hosts[name]
+        began_ms = cluster.local_ms(host)
+        cluster.announce_stop(name)
+        members = host.core.members
+        waits = members.is_voter(host.core.me.id) and bool(members.learners)
+        while waits and cluster.local_ms(host) - began_ms < HAND_OVER_TIMEOUT_MS:
+            cluster.run_until(cluster.now + 100)
+            contact = host.core.leader_contact
+            if contact is not None and contact.last_ms >= began_ms:
+                waits = cluster.local_ms(host) - contact.last_ms <= DROPPED_MS
+        cluster.remove_host(name)
+
     def _choose(self, target: Target) -> str:
         leader = self._cluster.leader()
         names = self._voting_hosts()
--- a/packages/agateferry-state/agateferry_state/replication/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/support.py
@@ -208,6 +208,12 @@
         self.hosts[name].settings = replace(self.settings, first_hosts=known)
         self.start(name)
 
+    def announce_stop(self, name):
+        """Let a host hand over its leadership and vote, as before a planned stop."""
+        host = self.hosts[name]
+        for event in (messages.StopAnnounced(), messages.TransferLeadership()):
+            self.deliver(host, host.start_count, event)
+
     def remove_host(self, name):
         """Take a host away for good."""
         self.kill(name)
