Begin a new cell with all first hosts as voters

Callers saw: the cell of the lowest address loses its disk right after the first manifest was acknowledged.

Cause: the host that formed a cell was its only voter and let in the others one by one. Proposals were taken once two of three voted. What these acknowledged needs both for an election; the third voter came a heartbeat later. An operator's first order waits for just that moment.

Change: the first entry makes all first hosts voters, as the incarnations that proved to run with an empty log. Nothing is committed before a majority holds it, so two of three can go on whichever is lost. No host waits for another one to vote any more. Cells of an earlier version that still form go on as before.

--- a/packages/agateferry-state/agateferry_state/members/members.py
+++ b/packages/agateferry-state/agateferry_state/members/members.py
@@ -41,8 +41,8 @@
 
     `removed` are the names of hosts that an operator removed; they are not admitted again until an
     operator asks for it. `given_up` are the incarnations that a forced recovery excluded: their
-    logs may have diverged, so they are never admitted again. `is_forming` is true from the
-    bootstrap until more than half of the first hosts are voters.
+    logs may have diverged, so they are never admitted again. `is_forming` is true in a cell of an
+    earlier version from its bootstrap until more than half of the first hosts are voters.
     """
 
     voters: tuple[Member, ...] = ()
--- a/packages/agateferry-state/agateferry_state/replication/greeting.py
+++ b/packages/agateferry-state/agateferry_state/replication/greeting.py
@@ -67,13 +67,18 @@
     state.send(sender, greeting)
 
 
-def bootstrap(state: State, forming: bool) -> None:
-    """Start a new cell in which this member is the only voter."""
+def bootstrap(state: State, voters: tuple[Member, ...]) -> None:
+    """Start a new cell with these voters, of which this member is one, and lead it."""
     state.enter_term(state.term + 1, state.me.id)
-    leader.become_leader(state, Members(voters=(state.me,), is_forming=forming))
+    leader.become_leader(state, Members(voters=voters))
 
 
 def _bootstrap_if_safe(state: State) -> None:
+    """Start a new cell of all first hosts if each proved that its log is empty.
+
+    All of them are voters at once. So nothing is committed before a majority of them holds it, and
+    the loss of any one host or disk is borne from the first acknowledgement on.
+    """
     if not state.settings.may_bootstrap:
         return
     if not state.log.is_empty or state.role is not Role.FOLLOWER:
@@ -82,8 +87,9 @@
     for host, confirmed in state.confirmed_members.items():
         if confirmed.is_empty and state.now_ms - confirmed.confirmed_ms <= GREETING_VALID_MS:
             empty_members[host] = confirmed.member
-    if bootstrap_host(empty_members, state.settings.first_host_names) == state.me.id.host:
-        bootstrap(state, forming=len(state.settings.first_hosts) > 1)
+    first_hosts = state.settings.first_host_names
+    if bootstrap_host(empty_members, first_hosts) == state.me.id.host:
+        bootstrap(state, tuple(empty_members[host] for host in first_hosts))
 
 
 def _known_hosts(state: State) -> set[str]:
