Let the next first host form a cell where the first may only join

Callers saw: the host of the lowest address loses its disk, or is killed, 0.5 s after the first start, and comes back.

Cause: only the first host by name may start a new cell. After a restart its settings say that it may start none, and the others waited for it.

Change: greetings tell whether their sender may only join, and the next first host by name takes its place. Each other first host has to prove that it is empty by an answer to a question asked after the restart was known, since the restarted host may have started a cell with it. Hosts of earlier versions say nothing and count as before.

--- a/packages/agateferry-state/agateferry_state/members/admission.py
+++ b/packages/agateferry-state/agateferry_state/members/admission.py
@@ -48,15 +48,18 @@
     return any(m.has_disk for m in members.voters)
 
 
-def bootstrap_host(hosts: Mapping[str, Member], first_hosts: Collection[str]) -> str | None:
+def bootstrap_host(
+    hosts: Mapping[str, Member], first_hosts: Collection[str], joining: Collection[str] = ()
+) -> str | None:
     """Return the host that bootstraps a new cell, or None while that is not safe.
 
     `hosts` are the hosts known to have an empty log; all of `first_hosts` must be among them. Every
     host computes the same answer, so that hosts that restart in two groups never form two cells.
+    Those in `joining` may only join a cell.
     """
     if not first_hosts or not set(first_hosts) <= set(hosts):
         return None
-    return min((h for h in first_hosts if hosts[h].has_disk), default=None)
+    return min((h for h in first_hosts if hosts[h].has_disk and h not in joining), default=None)
 
 
 def _admit(
--- a/packages/agateferry-state/agateferry_state/members/tests/test_admission.py
+++ b/packages/agateferry-state/agateferry_state/members/tests/test_admission.py
@@ -61,5 +61,12 @@
         hosts = {"a": member("a", has_disk=False), "b": member("b"), "c": member("c")}
         self.assertEqual("b", bootstrap_host(hosts, "abc"))
 
+    def test_the_next_host_bootstraps_if_the_first_may_only_join(self):
+        """A first host that was restarted before the cell was formed kept it from forming."""
+        hosts = {host: member(host) for host in "abc"}
+        self.assertEqual("b", bootstrap_host(hosts, "abc", {"a"}))
+        self.assertEqual("a", bootstrap_host(hosts, "abc", {"b"}))
+        self.assertIsNone(bootstrap_host(hosts, "abc", set("abc")))
+
     def test_no_host_bootstraps_while_a_first_host_is_not_known_to_be_empty(self):
         self.assertIsNone(bootstrap_host({"a": member("a"), "b": member("b")}, "abc"))
--- a/packages/agateferry-state/agateferry_state/replica/codec.py
+++ b/packages/agateferry-state/agateferry_state/replica/codec.py
@@ -163,11 +163,13 @@
         member=_encode_member(message.member),
         is_empty=message.is_empty,
         nonce=message.nonce,
+        joins_only=message.joins_only,
     )
 
 
 def _decode_greeting(wire: pb.Greeting) -> Greeting:
-    return Greeting(wire.term, _decode_member(wire.member), wire.is_empty, wire.nonce)
+    member = _decode_member(wire.member)
+    return Greeting(wire.term, member, wire.is_empty, wire.nonce, wire.joins_only)
 
 
 ENCODERS: dict[type, tuple[str, Any]] = {
--- a/packages/agateferry-state/agateferry_state/replication/greeting.py
+++ b/packages/agateferry-state/agateferry_state/replication/greeting.py
@@ -11,6 +11,7 @@
 from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.members.admission import bootstrap_host
 from agateferry_state.replication import leader
+from agateferry_state.replication.election import RECOVERY_TERM_STEP
 from agateferry_state.replication.messages import Greeting, GreetingRequest
 from agateferry_state.replication.state import ConfirmedMember, Role, State
 
@@ -28,7 +29,7 @@
     if state.is_voter and state.now_ms - state.last_leader_contact_ms < VOTER_GREETING_DELAY_MS:
         return
     state.greeting_deadline_ms = state.now_ms + GREETING_INTERVAL_MS
-    greeting = Greeting(state.term, state.me, state.log.is_empty)
+    greeting = _greeting(state)
     for host in sorted(_known_hosts(state) - {state.me.id.host}):
         state.send(MemberId(host), greeting)
     _bootstrap_if_safe(state)
@@ -44,9 +45,7 @@
     nonce, asked_ms = state.pending_nonces.get(sender, (0, 0))
     if nonce == greeting.nonce and state.now_ms - asked_ms <= GREETING_VALID_MS:
         del state.pending_nonces[sender]
-        state.confirmed_members[sender.host] = ConfirmedMember(
-            greeting.member, greeting.is_empty, state.now_ms
-        )
+        _record(state, greeting, asked_ms)
 
 
 def send_request(state: State, member_id: MemberId) -> None:
@@ -63,16 +62,36 @@
 
 def on_request(state: State, sender: MemberId, request: GreetingRequest) -> None:
     """Answer with a greeting that repeats the nonce."""
-    greeting = Greeting(state.term, state.me, state.log.is_empty, request.nonce)
-    state.send(sender, greeting)
+    state.send(sender, _greeting(state, request.nonce))
 
 
-def bootstrap(state: State, voters: tuple[Member, ...]) -> None:
-    """Start a new cell with these voters, of which this member is one, and lead it."""
-    state.enter_term(state.term + 1, state.me.id)
+def bootstrap(state: State, voters: tuple[Member, ...], rank: int = 0) -> None:
+    """Start a new cell with these voters, of which this member is one, and lead it.
+
+    `rank` counts the first hosts that come before this one. Each has terms of its own, so that the
+    first entry of a cell that one of them started never passes for that of this one.
+    """
+    state.enter_term(state.term + 1 + rank * RECOVERY_TERM_STEP, state.me.id)
     leader.become_leader(state, Members(voters=voters))
 
 
+def _greeting(state: State, nonce: int = 0) -> Greeting:
+    joins_only = not state.settings.may_bootstrap
+    return Greeting(state.term, state.me, state.log.is_empty, nonce, joins_only)
+
+
+def _record(state: State, greeting: Greeting, asked_ms: int) -> None:
+    """Record a member that was confirmed to run, as it was some time after `asked_ms`."""
+    member = greeting.member
+    old = state.confirmed_members.get(member.id.host)
+    since_ms = old.joins_only_since_ms if old is not None and old.member.id == member.id else None
+    if greeting.joins_only and since_ms is None:
+        since_ms = state.now_ms
+    state.confirmed_members[member.id.host] = ConfirmedMember(
+        member, greeting.is_empty, state.now_ms, asked_ms, since_ms
+    )
+
+
 def _bootstrap_if_safe(state: State) -> None:
     """Start a new cell of all first hosts if each proved that its log is empty.
 
@@ -83,13 +102,35 @@
         return
     if not state.log.is_empty or state.role is not Role.FOLLOWER:
         return
-    empty_members: dict[str, Member] = {state.me.id.host: state.me}
-    for host, confirmed in state.confirmed_members.items():
-        if confirmed.is_empty and state.now_ms - confirmed.confirmed_ms <= GREETING_VALID_MS:
-            empty_members[host] = confirmed.member
+    empty = {
+        host: confirmed
+        for host, confirmed in state.confirmed_members.items()
+        if confirmed.is_empty and state.now_ms - confirmed.confirmed_ms <= GREETING_VALID_MS
+    }
+    members = {host: c.member for host, c in empty.items()} | {state.me.id.host: state.me}
+    joining = {host for host, c in empty.items() if c.joins_only_since_ms is not None}
     first_hosts = state.settings.first_host_names
-    if bootstrap_host(empty_members, first_hosts) == state.me.id.host:
-        bootstrap(state, tuple(empty_members[host] for host in first_hosts))
+    if bootstrap_host(members, first_hosts, joining) != state.me.id.host:
+        return
+    if not _are_empty_since_restarts([empty[host] for host in first_hosts if host in empty]):
+        return
+    rank = sum(1 for host in joining if members[host].has_disk and host < state.me.id.host)
+    bootstrap(state, tuple(members[host] for host in first_hosts), rank)
+
+
+def _are_empty_since_restarts(confirmed: list[ConfirmedMember]) -> bool:
+    """Return whether each of these members proved to be empty after the restart of each other one.
+
+    A host that may only join a cell may have started one before its restart, with another host that
+    acknowledged what was proposed to it.
+    """
+    restarted = [each for each in confirmed if each.joins_only_since_ms is not None]
+    return all(
+        other.asked_ms > (each.joins_only_since_ms or 0)
+        for each in restarted
+        for other in confirmed
+        if other is not each
+    )
 
 
 def _known_hosts(state: State) -> set[str]:
--- a/packages/agateferry-state/agateferry_state/replication/peer_messages.py
+++ b/packages/agateferry-state/agateferry_state/replication/peer_messages.py
@@ -101,12 +101,14 @@
 
     `nonce` is 0 in a greeting sent without a request, and else that of the `GreetingRequest` which
     it answers. Only a greeting with the recipient's own nonce proves that the incarnation runs now.
+    A sender that `joins_only` forms no cell: it was restarted after the first start.
     """
 
     term: int
     member: Member
     is_empty: bool
     nonce: int = 0
+    joins_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -49,11 +49,17 @@
 
 @dataclass(slots=True)
 class ConfirmedMember:
-    """A member that was confirmed to run on its host, when, and whether its log was empty then."""
+    """A member that was confirmed to run on its host, when, and whether its log was empty then.
+
+    Its answer was sent between `asked_ms` and `confirmed_ms`. `joins_only_since_ms` is when it was
+    first confirmed that this member may form no cell, or None.
+    """
 
     member: Member
     is_empty: bool
     confirmed_ms: int
+    asked_ms: int = 0
+    joins_only_since_ms: int | None = None
 
 
 @dataclass(slots=True)
--- a/packages/agateferry-state/agateferry_state/replication/tests/support.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/support.py
@@ -214,6 +214,12 @@
         for event in (messages.StopAnnounced(), messages.TransferLeadership()):
             self.deliver(host, host.start_count, event)
 
+    def start_again(self, name):
+        """Start a host after the first start of the whole cell: it may only join."""
+        host = self.hosts[name]
+        host.settings = replace(host.settings or self.settings, may_bootstrap=False)
+        self.start(name)
+
     def remove_host(self, name):
         """Take a host away for good."""
         self.kill(name)
