Let a new cell's first leader be elected too

The host that starts a cell in the place of a restarted one led without an election. An entry of the earlier cell could still reach another host just after that one had proved to be empty. If the restarted host had kept its disk, the two could commit it in the earlier term, and the new leader's later term would have overwritten it.

Change: the first leader asks the first hosts for their votes, in its own term, as the incarnations that proved to be empty. A host with an entry refuses, and one that grants its vote accepts nothing of an earlier term after it, so the proof of Raft holds from the first entry on. It costs a round trip.

--- a/packages/agateferry-state/agateferry_state/replication/core.py
+++ b/packages/agateferry-state/agateferry_state/replication/core.py
@@ -250,7 +250,7 @@
                 membership_changes.force_recovery(state, event)
             case BootstrapForced():
                 if state.log.is_empty:
-                    greeting.bootstrap(state, (state.me,))
+                    election.campaign_to_form(state, (state.me,))
 
     def _handle_message(self, sender: MemberId, message: Message) -> None:
         state = self._state
--- a/packages/agateferry-state/agateferry_state/replication/election.py
+++ b/packages/agateferry-state/agateferry_state/replication/election.py
@@ -10,7 +10,7 @@
 remaining members has seen.
 """
 
-from agateferry_state.members import MemberId
+from agateferry_state.members import Member, MemberId, Members
 from agateferry_state.members.quorum import includes_all_survivors, is_majority
 from agateferry_state.replication import leader
 from agateferry_state.replication.messages import TimeoutNow, VoteRequest, VoteResponse
@@ -38,6 +38,17 @@
     _count_votes(state)
 
 
+def campaign_to_form(state: State, voters: tuple[Member, ...], rank: int = 0) -> None:
+    """Start the election of this member as the leader of a new cell with these voters.
+
+    A vote is granted by an empty log only. So a voter of a cell that was started before refuses,
+    and one that grants its vote accepts no entry of such a cell after it. `rank` counts the first
+    hosts that come before this one; each has terms of its own. Votes are not withheld, since no
+    leader is there to protect.
+    """
+    _campaign(state, state.term + 1 + rank * RECOVERY_TERM_STEP, transfer=True, forming=voters)
+
+
 def on_timeout_now(state: State, request: TimeoutNow) -> None:
     """Start an election at once, as the target of a leadership transfer."""
     if request.term == state.term and state.is_voter and state.role is not Role.LEADER:
@@ -80,6 +91,12 @@
 
 
 def _count_votes(state: State) -> None:
+    if state.forming_voters:
+        formed = Members(state.forming_voters)
+        if is_majority(formed, state.votes):
+            state.forming_voters = ()
+            leader.become_leader(state, formed)
+        return
     members = state.log.members
     if is_majority(members, state.votes):
         if state.role is Role.PRE_CANDIDATE:
@@ -95,9 +112,16 @@
         leader.become_leader(state)
 
 
-def _campaign(state: State, term: int, transfer: bool = False, recovery: bool = False) -> None:
+def _campaign(
+    state: State,
+    term: int,
+    transfer: bool = False,
+    recovery: bool = False,
+    forming: tuple[Member, ...] = (),
+) -> None:
     state.role = Role.CANDIDATE
     state.is_recovery_candidate = recovery
+    state.forming_voters = forming
     state.leader = None
     state.enter_term(term, state.me.id)
     state.votes = {state.me.id}
@@ -108,7 +132,7 @@
 
 def _request_votes(state: State, term: int, pre_vote: bool = False, transfer: bool = False) -> None:
     request = VoteRequest(term, state.log.last_index, state.log.last_term, pre_vote, transfer)
-    for member in state.log.members.voters:
+    for member in state.forming_voters or state.log.members.voters:
         if member.id != state.me.id:
             state.send(member.id, request)
 
--- a/packages/agateferry-state/agateferry_state/replication/greeting.py
+++ b/packages/agateferry-state/agateferry_state/replication/greeting.py
@@ -8,10 +8,9 @@
 may be the newer one.
 """
 
-from agateferry_state.members import Member, MemberId, Members
+from agateferry_state.members import MemberId
 from agateferry_state.members.admission import bootstrap_host
-from agateferry_state.replication import leader
-from agateferry_state.replication.election import RECOVERY_TERM_STEP
+from agateferry_state.replication import election
 from agateferry_state.replication.messages import Greeting, GreetingRequest
 from agateferry_state.replication.state import ConfirmedMember, Role, State
 
@@ -65,16 +64,6 @@
     state.send(sender, _greeting(state, request.nonce))
 
 
-def bootstrap(state: State, voters: tuple[Member, ...], rank: int = 0) -> None:
-    """Start a new cell with these voters, of which this member is one, and lead it.
-
-    `rank` counts the first hosts that come before this one. Each has terms of its own, so that the
-    first entry of a cell that one of them started never passes for that of this one.
-    """
-    state.enter_term(state.term + 1 + rank * RECOVERY_TERM_STEP, state.me.id)
-    leader.become_leader(state, Members(voters=voters))
-
-
 def _greeting(state: State, nonce: int = 0) -> Greeting:
     joins_only = not state.settings.may_bootstrap
     return Greeting(state.term, state.me, state.log.is_empty, nonce, joins_only)
@@ -93,14 +82,15 @@
 
 
 def _bootstrap_if_safe(state: State) -> None:
-    """Start a new cell of all first hosts if each proved that its log is empty.
+    """Ask the first hosts to elect this member as the leader of a new cell, if all are empty.
 
-    All of them are voters at once. So nothing is committed before a majority of them holds it, and
-    the loss of any one host or disk is borne from the first acknowledgement on.
+    All of them are its voters at once. So nothing is committed before a majority of them holds it,
+    and the loss of any one host or disk is borne from the first acknowledgement on.
     """
     if not state.settings.may_bootstrap:
         return
-    if not state.log.is_empty or state.role is not Role.FOLLOWER:
+    is_free = state.role is Role.FOLLOWER or bool(state.forming_voters)
+    if not state.log.is_empty or not is_free:
         return
     empty = {
         host: confirmed
@@ -115,7 +105,7 @@
     if not _are_empty_since_restarts([empty[host] for host in first_hosts if host in empty]):
         return
     rank = sum(1 for host in joining if members[host].has_disk and host < state.me.id.host)
-    bootstrap(state, tuple(members[host] for host in first_hosts), rank)
+    election.campaign_to_form(state, tuple(members[host] for host in first_hosts), rank)
 
 
 def _are_empty_since_restarts(confirmed: list[ConfirmedMember]) -> bool:
--- a/packages/agateferry-state/agateferry_state/replication/state.py
+++ b/packages/agateferry-state/agateferry_state/replication/state.py
@@ -90,6 +90,8 @@
     """The members that granted the current vote or pre-vote."""
     is_recovery_candidate: bool = False
     """Whether this election needs only the members with a disk, as all others are superseded."""
+    forming_voters: tuple[Member, ...] = ()
+    """The voters of the new cell as whose leader this member asks to be elected, if it does."""
     follower_state: FollowerState = field(default_factory=FollowerState)
     leader_state: LeaderState | None = None
     is_stopping: bool = False
@@ -145,6 +147,7 @@
     def become_follower(self, term: int, leader: MemberId | None = None) -> None:
         """Become follower in this term or a newer one; `leader` is None while not known."""
         self.clear_leader_state()
+        self.forming_voters = ()
         if term > self.term:
             self.enter_term(term)
             self.follower_state = FollowerState()
--- a/packages/agateferry-state/agateferry_state/replication/tests/test_forming.py
+++ b/packages/agateferry-state/agateferry_state/replication/tests/test_forming.py
@@ -3,7 +3,7 @@
 import testtools
 
 from agateferry_state.members import Member, MemberId
-from agateferry_state.replication import Core, Settings, StoredState, messages
+from agateferry_state.replication import Core, Role, Settings, StoredState, messages
 from agateferry_state.replication.election import RECOVERY_TERM_STEP
 from agateferry_state.replication.tests.support import SEEDS as SEEDS_OF_SEARCHES
 from agateferry_state.replication.tests.support import Cluster
@@ -15,6 +15,10 @@
 """The platform asks that an operator's order is acknowledged by then."""
 
 
+def is_sent(effect):
+    return isinstance(effect, messages.Send)
+
+
 class FormingTests(testtools.TestCase):
     """The first proposals to a new cell, with the loss of one host around their acknowledgement."""
 
@@ -108,8 +112,8 @@
         super().setUp()
         first_hosts = tuple(Member(MemberId(host)) for host in "abc")
         me = Member(MemberId("b", "b1"))
-        settings = Settings(first_hosts=first_hosts)
-        self.core = Core(me, settings, StoredState(), random.Random(1), 0)
+        self.settings = Settings(first_hosts=first_hosts)
+        self.core = Core(me, self.settings, StoredState(), random.Random(1), 0)
 
     def confirm(self, host, now_ms, **says):
         """Let a host greet, and answer the request for a proof that follows."""
@@ -119,19 +123,50 @@
             greeting = messages.Greeting(0, member, True, nonce, **says)
             event = messages.MessageReceived(member.id, self.core.me.id, greeting)
             for effect in self.core.step(event, now_ms):
-                if isinstance(getattr(effect, "message", None), messages.GreetingRequest):
+                if is_sent(effect) and isinstance(effect.message, messages.GreetingRequest):
                     self.nonce = effect.message.nonce
 
+    def vote(self, host, now_ms, granted):
+        """Let a host answer the request for its vote."""
+        term = self.core.term
+        response = messages.VoteResponse(term, term, granted)
+        sender = MemberId(host, f"{host}1")
+        self.core.step(messages.MessageReceived(sender, self.core.me.id, response), now_ms)
+
     def test_the_others_have_to_prove_that_they_are_empty_after_its_restart(self):
         """One that was empty before may have acknowledged an entry of the restarted host."""
         self.confirm("c", 1000)
         self.confirm("a", 1500, joins_only=True)
         self.core.step(messages.Tick(), 2100)
         self.assertEqual(0, self.core.last_index)
+        self.assertIs(Role.FOLLOWER, self.core.role)
         self.confirm("c", 2200)
         self.core.step(messages.Tick(), 2800)
-        self.assertEqual(1, self.core.last_index)
+        self.assertIs(Role.CANDIDATE, self.core.role)
         self.assertGreater(self.core.term, RECOVERY_TERM_STEP)
+        self.vote("c", 2810, granted=True)
+        self.assertEqual(1, self.core.last_index)
+        self.assertEqual(set("abc"), {m.host for m in self.core.members.voter_ids})
+
+    def test_it_starts_none_without_the_vote_of_another_first_host(self):
+        """One that got an entry of an earlier cell refuses, and may have committed it since."""
+        self.confirm("a", 1500, joins_only=True)
+        self.confirm("c", 2200)
+        self.core.step(messages.Tick(), 2800)
+        self.vote("c", 2810, granted=False)
+        self.assertEqual(0, self.core.last_index)
+
+    def test_a_vote_is_refused_by_a_host_that_got_an_entry_of_an_earlier_cell(self):
+        """Its entry could be committed later, by a host that was restarted with its disk."""
+        entry = messages.LogEntry(1, 1, messages.EntryKind.NOOP, b"")
+        for entries, granted in (((), True), ((entry,), False)):
+            stored = StoredState(term=1, entries=entries)
+            core = Core(Member(MemberId("c", "c1")), self.settings, stored, random.Random(1), 0)
+            request = messages.VoteRequest(RECOVERY_TERM_STEP + 1, 0, 0, transfer=True)
+            event = messages.MessageReceived(self.core.me.id, core.me.id, request)
+            sent = [effect.message for effect in core.step(event, 10) if is_sent(effect)]
+            votes = [each for each in sent if isinstance(each, messages.VoteResponse)]
+            self.assertEqual([granted], [vote.granted for vote in votes])
 
     def test_it_starts_none_where_the_first_host_may(self):
         """Two hosts that may start one make two cells."""
