Name no round in an answer to a leader of an earlier term

Cause: a member answers a late message of an earlier term with its own, newer term, and repeated the message's round. Where the sender leads again in just that term, the answer counted as one to a round of the new term. A round that was not begun yet ended the replica with a KeyError; one that was begun could extend the lease without an answer.

Change: such answers name round 0, and a leader ignores answers that name no round of its term, as hosts of earlier versions may send them.

--- a/packages/agateferry-state/agateferry_state/replication/acks.py
+++ b/packages/agateferry-state/agateferry_state/replication/acks.py
@@ -15,11 +15,15 @@
 ) -> Progress | None:
     """Record that a peer answered a round of this term, and return its progress.
 
-    Returns None where this member does not lead in that term or the sender is not a peer.
+    Returns None where this member does not lead in that term, the sender is not a peer, or the
+    round is none of this term. A peer that is in this term already answers so what this member sent
+    as the leader of an earlier one.
     """
     leader_state = state.leader_state
     if leader_state is None or term != state.term or sender not in leader_state.peers:
         return None
+    if not 0 < round_number <= leader_state.lease.round:
+        return None
     progress = leader_state.peers[sender]
     progress.acked_ms = state.now_ms
     progress.acked_round = max(progress.acked_round, round_number)
--- a/packages/agateferry-state/agateferry_state/replication/follower.py
+++ b/packages/agateferry-state/agateferry_state/replication/follower.py
@@ -18,11 +18,17 @@
 )
 from agateferry_state.replication.state import State
 
+NO_ROUND = 0
+"""The round in an answer to a leader of an earlier term; rounds begin at 1.
+
+If that leader leads again in the current term, its round of before must not count as one of now.
+"""
+
 
 def on_append(state: State, sender: MemberId, request: AppendRequest) -> None:
     """Append entries from the leader, or answer its heartbeat."""
     if request.term < state.term:
-        state.send(sender, AppendResponse(state.term, request.round, success=False))
+        state.send(sender, AppendResponse(state.term, NO_ROUND, success=False))
         return
     _accept_leader(state, request.term, sender)
     if request.prev_index < state.log.base_index:
@@ -45,7 +51,7 @@
 def on_snapshot_chunk(state: State, sender: MemberId, chunk: SnapshotChunk) -> None:
     """Collect a chunk of a snapshot, or acknowledge it where the log covers the snapshot."""
     if chunk.term < state.term:
-        response = SnapshotResponse(state.term, chunk.round, chunk.meta.index, 0)
+        response = SnapshotResponse(state.term, NO_ROUND, chunk.meta.index, 0)
         state.send(sender, response)
         return
     _accept_leader(state, chunk.term, sender)
