Log calls that are answered 410 about a job of another team

The leader left no line of its own, so that its log could not tell a job that is unknown from one whose team, as the manifest in force has it, is not the caller's.

Change: 7306 names the job, its team and the caller's.

Result: the new test fails without the line.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -230,7 +230,10 @@
         """Return the job at an address, None if there is none that this team may know of."""
         id = _job_id_in(target.path, queue)
         job = self._ledger.job_at(target.host, target.path, id, queue)
-        return job if job is not None and self._may_access(team, job, queue) else None
+        if job is not None and not self._may_access(team, job, queue):
+            self._log.info(events.JOB_HIDDEN, job=job.id, team=job.team, caller_team=team)
+            return None
+        return job
 
     def _may_access(self, team: str, job: Job, queue: Queue) -> bool:
         """Return whether calls with a key of a team are about its own job.
--- a/packages/agateferry-jobs/agateferry_jobs/cell/events.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/events.py
@@ -13,6 +13,11 @@
 JOB_REFUSED = Event(
     7311, "job not accepted", "See the reason; flaw says what is wrong with the job's description."
 )
+JOB_HIDDEN = Event(
+    7306,
+    "call answered as if there were no such job, since it is of another team",
+    "Nothing to do unless the caller is the job's own; see docs/OPERATIONS.md, who may see a job.",
+)
 JOB_CANCELLED = Event(
     7312, "job cancelled", "Nothing to do; 7322 follows for each run of the job that is active."
 )
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_team_access.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_team_access.py
@@ -1,6 +1,8 @@
 from msgspec.structs import replace
+from structlog.testing import capture_logs
 
 from agateferry_jobs.calls import messages
+from agateferry_jobs.cell import events
 from agateferry_jobs.cell.tests.test_leader import JOB, LeaderCase, target
 from agateferry_jobs.ledger import JobState
 from agateferry_jobs.manifest import Team
@@ -10,6 +12,10 @@
 SECOND_KEY = "second-key"
 
 
+def _teams_in(entry):
+    return entry["team"], entry["caller_team"]
+
+
 class TeamAccessTests(LeaderCase):
     """A key read and cancelled the jobs of other teams in the same queue."""
 
@@ -40,6 +46,17 @@
 
         self.check(scenario)
 
+    def test_a_call_about_a_job_of_another_team_is_logged(self):
+        async def scenario():
+            await self.install()
+            await self.submit()
+            with capture_logs() as logs:
+                await self.status(OTHER_KEY)
+            hidden = [each for each in logs if each["number"] == events.JOB_HIDDEN.number]
+            self.assertEqual([("team", "other-team")], [_teams_in(each) for each in hidden])
+
+        self.check(scenario)
+
     def test_each_key_of_the_team_is_good(self):
         async def scenario():
             await self.install()
