Follow teams by their keys, and let a key reach its earlier team's jobs

Callers saw: a key goes to another team. Where a team was renamed, removed or replaced under its name, any other team's key got 200 for the state and ended the job.

Cause: whose a job is was decided by comparing the name of its team at its acceptance with the names in the manifest in force. The owner failed the comparison under another name; where the manifest had no such name, all passed. Cancellations, guarantees and the room for jobs went by the same name.

Teams are followed from version to version by keys and names, and what is kept of them goes along. The state keeps the digests of keys that left, with their last version. Commands name the key's digest and the version that they were checked under, so a manifest that is committed in between changes nothing. Logs of earlier versions are replayed as before.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -14,6 +14,7 @@
 from agateferry_jobs.ledger import Job, Ledger, commands
 from agateferry_jobs.ledger.cancellations import AcceptResult, CancelResult
 from agateferry_jobs.ledger.specs import declared_critical_path_ms
+from agateferry_jobs.ledger.team_records import NO_TEAM, Caller, digest_of
 from agateferry_jobs.manifest import Manifest, Queue
 
 NO_MANIFEST_RETRY_MS = 1_000
@@ -69,17 +70,17 @@
         found = self._resolve_target(call.target)
         if not isinstance(found, tuple):
             return found
-        queue, team = found
+        queue, caller = found
         id = _job_id_in(call.target.path, queue)
         if len(id) > MAX_ID_CHARS:
             return messages.Invalid(f"the id has over {MAX_ID_CHARS} characters")
         if not id or call.job is None:
             return messages.Invalid(call.parse_error or "no id in the path")
-        if self._find_job(call.target, queue, team) is not None:
+        if self._find_job(call.target, queue, caller) is not None:
             return messages.Done()
         if id in self._ledger.jobs:
             return messages.Invalid("id is in use")
-        item = job_item(id, team, call.job)
+        item = job_item(id, caller.team, call.job)
         shortage = self._admission.find_shortage(item, now_ms)
         if shortage is not None:
             return messages.Refused(shortage, JOBS_FULL_RETRY_MS)
@@ -87,7 +88,7 @@
             id,
             queue.name,
             queue.service,
-            team,
+            caller.team,
             queue.priority,
             queue.attempts,
             now_ms,
@@ -95,19 +96,21 @@
             call.target.host,
             call.target.path,
             call.call_id,
+            caller.key,
+            caller.version,
         )
         with self._admission.committing(item):
             result = await self._proposer.propose(command)
         if result.is_error():
             return reply_for_error(result.error)
         if result.ok is AcceptResult.CANCELLED:
-            return self._refuse_cancelled(call.target, team, now_ms)
+            return self._refuse_cancelled(call.target, caller, now_ms)
         metrics.ACCEPTED.labels(str(queue.priority)).inc()
         self._log.info(
             events.JOB_ACCEPTED,
             job=id,
             queue=queue.name,
-            team=team,
+            team=caller.team,
             priority=queue.priority,
             objective_ms=round(
                 queue.stretch * declared_critical_path_ms(call.job) + queue.target_ms
@@ -129,9 +132,9 @@
         return True
 
     def _refuse_cancelled(
-        self, target: messages.CallTarget, team: str, now_ms: int
+        self, target: messages.CallTarget, caller: Caller, now_ms: int
     ) -> messages.Reply:
-        until_ms = self._ledger.cancelled_until_ms(target.host, target.path, team, now_ms)
+        until_ms = self._ledger.cancelled_until_ms(caller, target.host, target.path, now_ms)
         return messages.Refused("cancelled before it arrived", max(1, (until_ms or 0) - now_ms))
 
     def get_status(self, call: messages.GetStatus) -> messages.Reply:
@@ -139,10 +142,10 @@
         found = self._resolve_target(call.target)
         if not isinstance(found, tuple):
             return found
-        queue, team = found
+        queue, caller = found
         if not _job_id_in(call.target.path, queue):
             return messages.QueueDepth(self._queue_depth(queue))
-        job = self._find_job(call.target, queue, team)
+        job = self._find_job(call.target, queue, caller)
         if job is None:
             return messages.UnknownJob()
         reason = job.failure if job.is_failed and job.failure else UNSET
@@ -156,9 +159,9 @@
         found = self._resolve_target(call.target)
         if not isinstance(found, tuple):
             return found
-        queue, team = found
+        queue, caller = found
         id = _job_id_in(call.target.path, queue)
-        job = self._find_job(call.target, queue, team)
+        job = self._find_job(call.target, queue, caller)
         if not id:
             return messages.UnknownJob()
         if job is not None and job.is_over:
@@ -171,13 +174,16 @@
                 now_ms,
                 call.target.host,
                 call.target.path,
-                team,
-                until_ms=now_ms + queue.timeout_ms + CANCELLATION_MS,
+                caller.team,
+                now_ms + queue.timeout_ms + CANCELLATION_MS,
+                caller.key,
+                caller.version,
             )
         result = await self._proposer.propose(command)
         if result.is_error():
             return reply_for_error(result.error)
-        return self._reply_to_cancel(result.ok, self._find_job(call.target, queue, team), id, team)
+        job = self._find_job(call.target, queue, caller)
+        return self._reply_to_cancel(result.ok, job, id, caller.team)
 
     def _reply_to_cancel(
         self, result: CancelResult, job: Job | None, id: str, team: str
@@ -199,7 +205,7 @@
         current = self._ledger.manifest
         if current is not None and manifest.version <= current.version:
             return messages.Done()
-        result = await self._proposer.propose(commands.PutManifest(manifest))
+        result = await self._proposer.propose(commands.PutManifest(manifest, moves_teams=True))
         if result.is_error():
             return reply_for_error(result.error)
         self._log.info(events.MANIFEST_IN_FORCE, version=manifest.version)
@@ -213,8 +219,8 @@
             return messages.Refused("no manifest yet", NO_MANIFEST_RETRY_MS)
         return messages.ManifestRead(manifest.source)
 
-    def _resolve_target(self, target: messages.CallTarget) -> tuple[Queue, str] | messages.Reply:
-        """Return the queue and the team's name, or the reply that rejects the call."""
+    def _resolve_target(self, target: messages.CallTarget) -> tuple[Queue, Caller] | messages.Reply:
+        """Return the queue and the caller, or the reply that rejects the call."""
         manifest = self._ledger.manifest
         if manifest is None:
             return messages.Refused("no manifest yet", NO_MANIFEST_RETRY_MS)
@@ -224,26 +230,20 @@
         team = manifest.team_of(target.key)
         if team is None and not queue.is_public:
             return messages.InvalidApiKey()
-        return queue, team.name if team is not None else ""
+        name = team.name if team is not None else NO_TEAM
+        return queue, Caller(name, digest_of(target.key), manifest.version)
 
-    def _find_job(self, target: messages.CallTarget, queue: Queue, team: str) -> Job | None:
-        """Return the job at an address, None if there is none that this team may know of."""
-        id = _job_id_in(target.path, queue)
-        job = self._ledger.job_at(target.host, target.path, id, queue)
-        if job is not None and not self._may_access(team, job, queue):
-            self._log.info(events.JOB_HIDDEN, job=job.id, team=job.team, caller_team=team)
-            return None
-        return job
-
-    def _may_access(self, team: str, job: Job, queue: Queue) -> bool:
-        """Return whether calls with a key of a team are about its own job.
+    def _find_job(self, target: messages.CallTarget, queue: Queue, caller: Caller) -> Job | None:
+        """Return the job at an address, None if there is none that this caller may know of.
 
-        A public queue asks for no key. A team that the manifest no longer names may have another
-        name now, with the same keys, so its jobs stay known.
+        A public queue asks for no key, so its jobs are everybody's.
         """
-        manifest = self._ledger.manifest
-        is_team_known = manifest is not None and manifest.team_named(job.team) is not None
-        return job.team == team or queue.is_public or not is_team_known
+        id = _job_id_in(target.path, queue)
+        job = self._ledger.job_at(target.host, target.path, id, queue)
+        if job is None or queue.is_public or self._ledger.may_access(caller, job):
+            return job
+        self._log.info(events.JOB_HIDDEN, job=job.id, team=job.team, caller_team=caller.team)
+        return None
 
     def _queue_depth(self, queue: Queue) -> int:
         return sum(
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/commands.py
@@ -81,9 +81,14 @@
 
 
 class PutManifest(Struct, frozen=True, tag="manifest"):
-    """Put a manifest in force if its version is higher than that of the current one."""
+    """Put a manifest in force if its version is higher than that of the current one.
+
+    With `moves_teams` jobs follow their teams into it. Commands of earlier versions are without, so
+    that all hosts have the same state after them, whether they replay them or read a snapshot.
+    """
 
     manifest: Manifest
+    moves_teams: bool = False
 
 
 class AcceptJob(Struct, frozen=True, tag="accept"):
@@ -91,7 +96,8 @@
 
     The result is an `AcceptResult`. `host` and `path` are the address of the job, by which its
     callers know it. `call_id` names the call that submitted it; it is unset if the caller's host is
-    of an earlier version.
+    of an earlier version. `key` and `manifest_version` are of the call's `Caller`; they are unset
+    if the leader is of an earlier version.
     """
 
     id: str
@@ -105,13 +111,16 @@
     host: str = ""
     path: str = ""
     call_id: str | UnsetType = UNSET
+    key: bytes | UnsetType = UNSET
+    manifest_version: int | UnsetType = UNSET
 
 
 class CancelJob(Struct, frozen=True, tag="cancel"):
     """Cancel a job at its caller's request; the result is a `CancelResult`.
 
     With `path` it is the job of `team` at this address, whatever its id. If none is known, a
-    submission of the team to the address counts as cancelled until `until_ms`.
+    submission of the team to the address counts as cancelled until `until_ms`. `key` and
+    `manifest_version` are as in `AcceptJob`.
     """
 
     id: str
@@ -120,6 +129,8 @@
     path: str = ""
     team: str = ""
     until_ms: int = 0
+    key: bytes | UnsetType = UNSET
+    manifest_version: int | UnsetType = UNSET
 
 
 class NoteWorker(Struct, frozen=True, tag="worker"):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+from msgspec import UNSET
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
@@ -16,10 +17,8 @@
 from agateferry_jobs.ledger.active_runs import ActiveRuns
 from agateferry_jobs.ledger.cancellations import (
     AcceptResult,
+    CancellationRecords,
     CancelResult,
-    cancelled_until_ms,
-    drop_expired,
-    store_cancellation,
 )
 from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.ledger.crashes import (
@@ -48,6 +47,7 @@
 )
 from agateferry_jobs.ledger.stored_sizes import StoredSizes
 from agateferry_jobs.ledger.stored_state import State
+from agateferry_jobs.ledger.team_records import Caller, TeamRecords
 from agateferry_jobs.ledger.worker_records import WorkerRecords
 from agateferry_jobs.manifest import Manifest, Queue
 from agateferry_state.replica.protocols import NotApplied
@@ -72,18 +72,26 @@
     """The jobs and workers, and the state machine that the replicated log drives."""
 
     def __init__(self) -> None:
-        self.state = State()
         self._log = EventLogger()
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(State)
-        self._wide_failures: WideFailures | None = None
-        self._ids_by_address: dict[tuple[str, str], str] = {}
-        self._progress: dict[str, JobProgress] = {}
-        self.active_runs = ActiveRuns()
-        self.stored_sizes = StoredSizes()
         self.clock: Clock | None = None
         """The clock of this host, by which leases of silent workers expire; not replicated."""
-        self._worker_records = WorkerRecords(self.state)
+        self._use_state(State())
+
+    def _use_state(self, state: State) -> None:
+        """Replace the whole state, and all that is derived from it."""
+        self.state = state
+        self._wide_failures: WideFailures | None = None
+        self._worker_records = WorkerRecords(state)
+        self._cancellations = CancellationRecords(state.cancellations, state.cancelled_in)
+        self._team_records = TeamRecords(state.teams, state.jobs, self._cancellations)
+        self._progress: dict[str, JobProgress] = {}
+        self.active_runs = ActiveRuns(self.jobs.values())
+        self.stored_sizes = StoredSizes(self.jobs.values())
+        self._ids_by_address = {
+            (job.host, job.path): job.id for job in self.jobs.values() if job.path
+        }
 
     @property
     def manifest(self) -> Manifest | None:
@@ -173,8 +181,8 @@
 
     def _apply(self, command: commands.Command) -> Any:
         match command:
-            case commands.PutManifest(manifest):
-                return self._put_manifest(manifest)
+            case commands.PutManifest() as put:
+                return self._put_manifest(put)
             case commands.AcceptJob() as accepted:
                 return self._accept(accepted)
             case commands.CancelJob() as cancelled:
@@ -213,40 +221,50 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot."""
-        self.state = self._decoder.decode(data)
-        self._wide_failures = None
-        self._worker_records = WorkerRecords(self.state)
-        self._progress = {}
-        self.active_runs = ActiveRuns(self.jobs.values())
-        self.stored_sizes = StoredSizes(self.jobs.values())
-        self._ids_by_address = {
-            (job.host, job.path): job.id for job in self.jobs.values() if job.path
-        }
+        self._use_state(self._decoder.decode(data))
 
-    def _put_manifest(self, manifest: Manifest) -> bool:
-        current = self.state.manifest
+    def _put_manifest(self, command: commands.PutManifest) -> bool:
+        current, manifest = self.state.manifest, command.manifest
         if current is not None and manifest.version <= current.version:
             return False
+        if current is not None and command.moves_teams:
+            new_names = self._team_records.change_teams(current, manifest)
+            self.stored_sizes.rename_teams(new_names)
         self.state.manifest = manifest
         return True
 
-    def cancelled_until_ms(self, host: str, path: str, team: str, at_ms: int) -> int | None:
+    def may_access(self, caller: Caller, job: Job) -> bool:
+        """Return whether a call is about a job of a team that its key belongs or belonged to."""
+        return self._team_records.may_access(caller, job)
+
+    def cancelled_until_ms(self, caller: Caller, host: str, path: str, at_ms: int) -> int | None:
         """Return until when a submission counts as cancelled, None if it doesn't."""
-        return cancelled_until_ms(self.state.cancellations, team, host + path, at_ms)
+        return self._team_records.cancelled_until_ms(caller, host + path, at_ms)
+
+    def _caller_of(self, command: commands.AcceptJob | commands.CancelJob) -> Caller:
+        """Return the caller that a command is of, as of the version that it was checked under.
+
+        A command of an earlier version of agateferry doesn't tell, and counts as of the one in
+        force.
+        """
+        version = command.manifest_version
+        if version is UNSET:
+            version = self.manifest.version if self.manifest is not None else 0
+        return Caller(command.team, b"" if command.key is UNSET else command.key, version)
 
     def _accept(self, command: commands.AcceptJob) -> AcceptResult:
         if command.id in self.jobs:
             return AcceptResult.KNOWN
-        host, path, at_ms = command.host, command.path, command.at_ms
-        if self.cancelled_until_ms(host, path, command.team, at_ms) is not None:
+        caller, at_ms = self._caller_of(command), command.at_ms
+        if self.cancelled_until_ms(caller, command.host, command.path, at_ms) is not None:
             return AcceptResult.CANCELLED
-        drop_expired(self.state.cancellations, at_ms)
+        self._cancellations.drop_expired(at_ms)
         self._drop_expired_jobs(at_ms)
         job = Job(
             id=command.id,
             queue=command.queue,
             service=command.service,
-            team=command.team,
+            team=self._team_records.current_name(caller.team, caller.version),
             priority=command.priority,
             attempts=command.attempts,
             accepted_ms=command.at_ms,
@@ -255,6 +273,7 @@
             path=command.path,
             call_id=command.call_id,
             is_known_begun=False,
+            manifest_version=command.manifest_version or 0,
         )
         job.subtasks = {name: Subtask() for name in _subtask_names(command.spec)}
         self.jobs[job.id] = job
@@ -279,10 +298,12 @@
 
     def _cancel(self, command: commands.CancelJob) -> CancelResult:
         id, host, path = command.id, command.host, command.path
+        caller, at_ms = self._caller_of(command), command.at_ms
         job = self.jobs.get(self._ids_by_address.get((host, path), "") if path else id)
-        if job is None or (path and job.team != command.team):
-            return store_cancellation(
-                self.state.cancellations, command.team, host + path, command.until_ms, command.at_ms
+        if job is None or (path and not self.may_access(caller, job)):
+            team = self._team_records.current_name(caller.team, caller.version)
+            return self._cancellations.store(
+                team, host + path, command.until_ms, at_ms, caller.version
             )
         if not job.is_over:
             job.is_cancelled = True
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/state.py
@@ -145,7 +145,8 @@
     """An accepted job. Subtasks have the key `OCCURRENCE.STEP.INDEX`, gangs `OCCURRENCE.STEP`.
 
     `queue` is the name that its queue had then. An operator may give the name to another queue, or
-    the queue another name, so callers know a job by its address.
+    the queue another name, so callers know a job by its address. `team` is the name that its team
+    has now; `TeamRecords` keeps it.
     """
 
     id: str
@@ -175,6 +176,8 @@
     """The call by which the job was accepted, whose further attempts are answered alike."""
     is_known_begun: bool | UnsetType = field(default=UNSET, name="begun")
     """Whether a worker is known to have begun a run; unset where an earlier version accepted it."""
+    manifest_version: int = 0
+    """The version of the manifest that it was accepted under; 0 where an earlier version did so."""
 
     @property
     def has_begun(self) -> bool:
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/stored_sizes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/stored_sizes.py
@@ -6,10 +6,11 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from agateferry_jobs.ledger.specs import JobSpec
 from agateferry_jobs.ledger.state import Job
+from agateferry_jobs.ledger.team_names import renamed
 
 JOB_BYTES = 4 * 1024
 STEP_BYTES = 1_536
@@ -67,6 +68,10 @@
         self._add(job.team, -self._bytes.pop(job.id, 0))
         self._spec_bytes.pop(job.id, None)
 
+    def rename_teams(self, new_names: Mapping[str, str]) -> None:
+        """Count the jobs of teams under their new names."""
+        self._by_team = defaultdict(int, renamed(self._by_team, new_names))
+
     def _add(self, team: str, size: int) -> None:
         self.total += size
         self._by_team[team] += size
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/stored_state.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/stored_state.py
@@ -12,6 +12,7 @@
     WorkerIncarnation,
     WorkerReports,
 )
+from agateferry_jobs.ledger.team_records import TeamHistory
 from agateferry_jobs.ledger.worker_speeds import WorkerSpeeds
 from agateferry_jobs.manifest import Manifest
 
@@ -40,5 +41,9 @@
     """By worker that is granted no lease, `born` of its incarnation."""
     cancellations: Cancellations = field(default_factory=dict)
     """The cancellations of jobs that have not arrived."""
+    cancelled_in: Cancellations = field(default_factory=dict)
+    """By team and address, the version of the manifest under which each was checked."""
+    teams: TeamHistory = field(default_factory=TeamHistory)
+    """What is kept of the teams of earlier manifests."""
     evacuation_revisions: dict[str, int] = field(default_factory=dict)
     """The revision of each zone, which counts the commands that evacuated or readmitted it."""
