Answer 401 to unknown and revoked keys on public queues too

Cause: the leader asked for a valid key only where the queue isn't public, so an invalid key counted as none. PROTOCOL.md: a call carries a key unless its route is public, and one with an unknown key receives a 401.

Change: a key that is given has to be valid on each queue, for each call. A call without a key is served on a public queue as before.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -220,7 +220,10 @@
         return messages.ManifestRead(manifest.source)
 
     def _resolve_target(self, target: messages.CallTarget) -> tuple[Queue, Caller] | messages.Reply:
-        """Return the queue and the caller, or the reply that rejects the call."""
+        """Return the queue and the caller, or the reply that rejects the call.
+
+        A public queue asks for no key, but one that is given has to be valid.
+        """
         manifest = self._ledger.manifest
         if manifest is None:
             return messages.Refused("no manifest yet", NO_MANIFEST_RETRY_MS)
@@ -228,7 +231,7 @@
         if queue is None:
             return messages.UnknownQueue()
         team = manifest.team_of(target.key)
-        if team is None and not queue.is_public:
+        if team is None and (target.key or not queue.is_public):
             return messages.InvalidApiKey()
         name = team.name if team is not None else NO_TEAM
         return queue, Caller(name, digest_of(target.key), manifest.version)
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/team_records.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/team_records.py
@@ -27,7 +27,7 @@
 MAX_FORMER_KEYS = 20_000
 """How many keys that left their teams are remembered; some 3 MB. The oldest are dropped first."""
 NO_TEAM = ""
-"""The team of calls to public queues whose key is no team's."""
+"""The team of calls to public queues that have no key."""
 
 
 class TeamChange(Struct, frozen=True):
@@ -50,7 +50,7 @@
 class Caller(Struct, frozen=True):
     """The digest of a call's key, and the team that has it in a version of the manifest.
 
-    A call to a public queue may have no key, or one of no team.
+    A call to a public queue may have no key.
     """
 
     team: str
