Never give up a subtask that lasts; start it again after growing pauses

Callers saw: the worker of a job's only subtask, which lasts, crashed twice, 7 s apart.

Cause: two crashes with no other job on the worker prove a subtask guilty, whatever kind of step it is. A subtask that lasts is alone on its accelerators for long, so two crashes of sound workers are enough.

Change: a subtask that lasts is never given up. It starts again after a pause of 0.5 to 5 s from the crash on, doubled with each crash. One that is known as the cause runs with nothing beside it for as long as its crashes are kept, and they don't count against others. 16 of its crashes are kept. Work that ends is given up as before.

--- a/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/crashes.py
@@ -27,6 +27,8 @@
 CRASH_RETENTION_MS = 600_000
 """How long a crash of a worker counts against what ran there."""
 MAX_CRASHES_KEPT = 300
+MAX_CRASHES_OF_LASTING = 16
+"""How many crashes are kept of a subtask that lasts, which may go on to crash its workers."""
 LONG_RUN_MS = 60_000
 """A run that worked for this long before its worker crashed is hardly the cause."""
 SILENCE_RESOLUTION_MS = 30_000
@@ -182,8 +184,11 @@
         job.crashes.pop(name, None)
         return
     known = job.crashes.get(name, ())
-    if all(each.run != crash.run for each in known):
-        job.crashes[name] = (*known, crash)
+    if any(each.run == crash.run for each in known):
+        return
+    if job.step_of(name).is_long_running:
+        known = known[1 - MAX_CRASHES_OF_LASTING :]
+    job.crashes[name] = (*known, crash)
 
 
 def _confirm_silences(jobs: Mapping[str, Job], report: CrashReport, at_ms: int) -> None:
--- a/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
@@ -3,6 +3,9 @@
 All that ran on a crashed worker is suspected. A suspect is told from the innocent by running it
 where no other suspect runs: if its worker crashes again, no other cause is in question. Crashes of
 many workers at once accuse nobody.
+
+A subtask that lasts is never given up, since the platform wants it restarted however it ends. It
+starts again after growing pauses, and once it is known as the cause nothing else runs beside it.
 """
 
 from collections import Counter
@@ -27,6 +30,9 @@
 """How long jobs that were given up make the others of their queue suspect."""
 GIVEN_UP_FOR_PROBATION = 2
 """How many jobs of a queue must be given up in that time."""
+FIRST_PAUSE_MS = 500
+MAX_PAUSE_MS = 5_000
+"""The longest pause of a subtask that lasts, which the platform misses 6 s after its last run."""
 MIN_TRIAL_MS = 1_000
 MAX_TRIAL_MS = 4_000
 """The limits of how long a suspect runs apart from others until it counts as safe."""
@@ -61,6 +67,14 @@
             if sure_crashes(job, name, self._wide)
         }
         self._suspect_steps = {(id, step_number(name)) for id, name in self._suspects}
+        self._explained_workers = {
+            crash.run.worker_key
+            for job in self._jobs
+            for name in job.crashes
+            if job.step_of(name).is_long_running and self._is_cause(job, name)
+            for crash in job.crashes[name]
+        }
+        """The workers that crashed under subtasks that last and are known as the cause."""
         self._queues = _queues_on_probation(ledger, now_ms)
         self._new_jobs = [
             job for job in ledger.jobs.values() if job.queue in self._queues and not job.is_over
@@ -76,11 +90,36 @@
                     break
 
     def is_guilty(self, job: Job, name: str) -> bool:
-        """Return whether the crashes under a subtask show that it causes them."""
-        if name not in job.crashes:
+        """Return whether a subtask is to be given up, as the cause or after too many crashes."""
+        if name not in job.crashes or job.step_of(name).is_long_running:
             return False
-        if len(_known_crashes(job, name)) >= MAX_CRASHES:
-            return True
+        return self._has_too_many_crashes(job, name) or self._is_cause(job, name)
+
+    def is_paused(self, job: Job, name: str) -> bool:
+        """Return whether a subtask that lasts may not start again yet after a crash.
+
+        The pause begins with the crash, and doubles with each further one.
+        """
+        if name not in job.crashes or not job.step_of(name).is_long_running:
+            return False
+        subtask, crashes = job.subtasks[name], sure_crashes(job, name, self._wide)
+        if not crashes or crashes[-1].run.number != subtask.last_run:
+            return False
+        crashed_ms = subtask.started_ms + crashes[-1].ran_ms
+        pause_ms = min(MAX_PAUSE_MS, FIRST_PAUSE_MS * 2 ** (len(crashes) - 1))
+        return self._now_ms < crashed_ms + pause_ms
+
+    def _has_too_many_crashes(self, job: Job, name: str) -> bool:
+        """Return whether a subtask has had the most crashes of any kind, but those explained."""
+        counted = [
+            crash
+            for crash in _known_crashes(job, name)
+            if crash.run.worker_key not in self._explained_workers
+        ]
+        return len(counted) >= MAX_CRASHES
+
+    def _is_cause(self, job: Job, name: str) -> bool:
+        """Return whether the crashes under a subtask show that it causes them."""
         sure = sure_crashes(job, name, self._wide)
         alone = sum(crash.is_alone for crash in sure)
         at_start = sum(crash.ran_ms <= START_CRASH_MS for crash in sure)
@@ -104,8 +143,14 @@
         return job.queue in self._queues or (job.id, step_number(name)) in self._suspect_steps
 
     def is_on_trial(self, job: Job, name: str) -> bool:
-        """Return whether the active run of a suspect has yet to show that it harms nothing."""
+        """Return whether the active run of a suspect has yet to show that it harms nothing.
+
+        One of a subtask that lasts and is known as the cause does not until its crashes are
+        forgotten.
+        """
         subtask = job.subtasks[name]
+        if job.step_of(name).is_long_running and self._is_cause(job, name):
+            return True
         trial_ms = 0
         if (job.id, name) in self._suspects:
             longest_ms = max(crash.ran_ms for crash in sure_crashes(job, name, self._wide))
--- a/packages/agateferry-jobs/agateferry_jobs/planning/readiness.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/readiness.py
@@ -95,7 +95,7 @@
         return min(spec.occurrences, passed)
 
     def _waiting_names(self, job: Job, waiting: Iterator[str], limit: int) -> tuple[str, ...]:
-        """Return up to `limit` subtasks of a step that wait, without those that crash workers.
+        """Return up to `limit` subtasks of a step that wait, without those that crashed workers.
 
         Held ones are not counted, so that the others get their turn.
         """
@@ -104,7 +104,7 @@
         names: list[str] = []
         counted = 0
         for name in waiting:
-            if job.crashes and self.suspects.is_guilty(job, name):
+            if job.crashes and self._may_not_start(job, name):
                 continue
             names.append(name)
             counted += (job.id, name) not in self.held
@@ -112,6 +112,9 @@
                 break
         return tuple(names)
 
+    def _may_not_start(self, job: Job, name: str) -> bool:
+        return self.suspects.is_guilty(job, name) or self.suspects.is_paused(job, name)
+
     def _ready_of_step(
         self, job: Job, occurrence: int, number: int, names: tuple[str, ...]
     ) -> Iterator[ReadySubtasks]:
