--- a/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
+++ b/packages/agateferry-service/agateferry_service/daemon/tests/test_host.py
@@ -59,6 +59,13 @@
             (400, "broken-json", "not-run", 200), self.submit(data=b'{"team": ', headers=JSON)
         )
 
+    def test_a_field_that_stands_twice(self):
+        """The request of the last team was run."""
+        twice = b'{"team": "a", "job": "j", "team": "b"}'
+        self.assertEqual(
+            (400, "broken-json", "not-run", 200), self.submit(data=twice, headers=JSON)
+        )
+
     def test_an_unknown_field_is_named(self):
         document = {"team": "t", "job": "j", "colour": "red"}
         self.assertEqual((422, "invalid", "not-run", 200), self.submit(json=document))
--- a/packages/agateferry-service/agateferry_service/http/bodies.py
+++ b/packages/agateferry-service/agateferry_service/http/bodies.py
@@ -9,6 +9,7 @@
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response
 
+from agateferry_core.repeated_fields import find_repeated_field
 from agateferry_service.http.collecting import collect_body
 from agateferry_service.http.limits import RejectionReason
 from agateferry_service.http.memory import memory_of
@@ -79,9 +80,11 @@
 
 def _parse(model: type[ModelT], data: bytes) -> Result[ModelT, Response]:
     try:
-        return Ok(model.model_validate_json(data))
+        parsed = model.model_validate_json(data)
     except ValidationError as exc:
         return Error(_invalid(exc))
+    repeated = find_repeated_field(data)
+    return Error(problem(400, "broken-json", repeated)) if repeated else Ok(parsed)
 
 
 def _invalid(exc: ValidationError) -> Response:
