Move what callers know of jobs out of the ledger into JobRecords

Change: JobRecords has the first four, and the ledger calls it. No behaviour changes. Two tests import a constant from its new module, and the one of failing commands puts its bug into JobRecords.accept, where the code is now.

The ledger's tests and those of team changes, cancellations, replaced routes and admission pass.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_job_admission.py
@@ -12,7 +12,7 @@
 )
 from agateferry_jobs.cell.tests.test_leader import LeaderCase, target
 from agateferry_jobs.ledger import Ledger, commands
-from agateferry_jobs.ledger.ledger import ENDED_JOB_RETENTION_MS
+from agateferry_jobs.ledger.job_records import ENDED_JOB_RETENTION_MS
 from agateferry_jobs.ledger.specs import JobSpec, StepSpec
 from agateferry_jobs.ledger.stored_sizes import new_job_bytes
 from agateferry_jobs.manifest import Manifest, Queue, Service, Team
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/ledger.py
@@ -8,18 +8,13 @@
 from typing import Any
 
 import msgspec
-from msgspec import UNSET
 
 from agateferry_core.clock import Clock
 from agateferry_core.logs import EventLogger
 from agateferry_jobs import metrics
 from agateferry_jobs.ledger import commands, events
 from agateferry_jobs.ledger.active_runs import ActiveRuns
-from agateferry_jobs.ledger.cancellations import (
-    AcceptResult,
-    CancellationRecords,
-    CancelResult,
-)
+from agateferry_jobs.ledger.cancellations import CancelResult
 from agateferry_jobs.ledger.commands import LossCause
 from agateferry_jobs.ledger.crashes import (
     WideFailures,
@@ -35,8 +30,9 @@
     update_job_end,
 )
 from agateferry_jobs.ledger.job_progress import JobProgress
+from agateferry_jobs.ledger.job_records import JobRecords
 from agateferry_jobs.ledger.run_durations import record_run
-from agateferry_jobs.ledger.specs import JobSpec, Resources
+from agateferry_jobs.ledger.specs import Resources
 from agateferry_jobs.ledger.state import (
     Gang,
     GivenUp,
@@ -47,17 +43,11 @@
 )
 from agateferry_jobs.ledger.stored_sizes import StoredSizes
 from agateferry_jobs.ledger.stored_state import State
-from agateferry_jobs.ledger.team_records import Caller, TeamRecords
+from agateferry_jobs.ledger.team_records import Caller
 from agateferry_jobs.ledger.worker_records import WorkerRecords
 from agateferry_jobs.manifest import Manifest, Queue
 from agateferry_state.replica.protocols import NotApplied
 
-ENDED_JOB_RETENTION_MS = 300_000
-"""How long the state of an ended job can be queried.
-
-It is over twice the longest time that the platform requires.
-"""
-
 MAX_GIVEN_UP_KEPT = 100
 """How many of the jobs that were given up are remembered, to find the queues of many."""
 
@@ -84,14 +74,9 @@
         self.state = state
         self._wide_failures: WideFailures | None = None
         self._worker_records = WorkerRecords(state)
-        self._cancellations = CancellationRecords(state.cancellations, state.cancelled_in)
-        self._team_records = TeamRecords(state.teams, state.jobs, self._cancellations)
+        self._job_records = JobRecords(state)
         self._progress: dict[str, JobProgress] = {}
         self.active_runs = ActiveRuns(self.jobs.values())
-        self.stored_sizes = StoredSizes(self.jobs.values())
-        self._ids_by_address = {
-            (job.host, job.path): job.id for job in self.jobs.values() if job.path
-        }
 
     @property
     def manifest(self) -> Manifest | None:
@@ -142,9 +127,9 @@
         job without an address of its own: it is the one with this id, if it was accepted for a
         queue of this name or its queue's name is in use no more.
         """
-        known = self._ids_by_address.get((host, path))
+        known = self._job_records.at_address(host, path)
         if known is not None:
-            return self.jobs[known]
+            return known
         job = self.jobs.get(id)
         if job is None or job.path:
             return None
@@ -182,9 +167,9 @@
     def _apply(self, command: commands.Command) -> Any:
         match command:
             case commands.PutManifest() as put:
-                return self._put_manifest(put)
+                return self._job_records.put_manifest(put)
             case commands.AcceptJob() as accepted:
-                return self._accept(accepted)
+                return self._job_records.accept(accepted)
             case commands.CancelJob() as cancelled:
                 return self._cancel(cancelled)
             case commands.NoteWorker() | commands.AdmitWorker() | commands.NoteSilences():
@@ -223,88 +208,27 @@
         """Replace the whole state by a snapshot."""
         self._use_state(self._decoder.decode(data))
 
-    def _put_manifest(self, command: commands.PutManifest) -> bool:
-        current, manifest = self.state.manifest, command.manifest
-        if current is not None and manifest.version <= current.version:
-            return False
-        if current is not None and command.moves_teams:
-            new_names = self._team_records.change_teams(current, manifest)
-            self.stored_sizes.rename_teams(new_names)
-        self.state.manifest = manifest
-        return True
-
     def may_access(self, caller: Caller, job: Job) -> bool:
         """Return whether a call is about a job of a team that its key belongs or belonged to."""
-        return self._team_records.may_access(caller, job)
+        return self._job_records.teams.may_access(caller, job)
 
     def cancelled_until_ms(self, caller: Caller, host: str, path: str, at_ms: int) -> int | None:
         """Return until when a submission counts as cancelled, None if it doesn't."""
-        return self._team_records.cancelled_until_ms(caller, host + path, at_ms)
-
-    def _caller_of(self, command: commands.AcceptJob | commands.CancelJob) -> Caller:
-        """Return the caller that a command is of, as of the version that it was checked under.
-
-        A command of an earlier version of agateferry doesn't tell, and counts as of the one in
-        force.
-        """
-        version = command.manifest_version
-        if version is UNSET:
-            version = self.manifest.version if self.manifest is not None else 0
-        return Caller(command.team, b"" if command.key is UNSET else command.key, version)
-
-    def _accept(self, command: commands.AcceptJob) -> AcceptResult:
-        if command.id in self.jobs:
-            return AcceptResult.KNOWN
-        caller, at_ms = self._caller_of(command), command.at_ms
-        if self.cancelled_until_ms(caller, command.host, command.path, at_ms) is not None:
-            return AcceptResult.CANCELLED
-        self._cancellations.drop_expired(at_ms)
-        self._drop_expired_jobs(at_ms)
-        job = Job(
-            id=command.id,
-            queue=command.queue,
-            service=command.service,
-            team=self._team_records.current_name(caller.team, caller.version),
-            priority=command.priority,
-            attempts=command.attempts,
-            accepted_ms=command.at_ms,
-            spec=command.spec,
-            host=command.host,
-            path=command.path,
-            call_id=command.call_id,
-            is_known_begun=False,
-            manifest_version=command.manifest_version or 0,
-        )
-        job.subtasks = {name: Subtask() for name in _subtask_names(command.spec)}
-        self.jobs[job.id] = job
-        self.stored_sizes.update(job)
-        if job.path:
-            self._ids_by_address[job.host, job.path] = job.id
-        return AcceptResult.ACCEPTED
+        return self._job_records.teams.cancelled_until_ms(caller, host + path, at_ms)
 
     def expired_jobs(self, now_ms: int) -> list[Job]:
         """Return the ended jobs that are dropped when a job is accepted now."""
-        return [
-            job
-            for job in self.jobs.values()
-            if job.is_over and not job.subtasks and now_ms - job.ended_ms > ENDED_JOB_RETENTION_MS
-        ]
+        return self._job_records.expired(now_ms)
 
-    def _drop_expired_jobs(self, now_ms: int) -> None:
-        for job in self.expired_jobs(now_ms):
-            del self.jobs[job.id]
-            self.stored_sizes.remove(job)
-            self._ids_by_address.pop((job.host, job.path), None)
+    @property
+    def stored_sizes(self) -> StoredSizes:
+        """Return the estimated bytes of all jobs."""
+        return self._job_records.stored_sizes
 
     def _cancel(self, command: commands.CancelJob) -> CancelResult:
-        id, host, path = command.id, command.host, command.path
-        caller, at_ms = self._caller_of(command), command.at_ms
-        job = self.jobs.get(self._ids_by_address.get((host, path), "") if path else id)
-        if job is None or (path and not self.may_access(caller, job)):
-            team = self._team_records.current_name(caller.team, caller.version)
-            return self._cancellations.store(
-                team, host + path, command.until_ms, at_ms, caller.version
-            )
+        job = self._job_records.find_cancelled(command)
+        if job is None:
+            return self._job_records.store_cancellation(command)
         if not job.is_over:
             job.is_cancelled = True
             job.ended_ms = command.at_ms
@@ -447,12 +371,3 @@
             if end.run.number > gang.failed_run:
                 gang.failed_run = end.run.number
                 gang.failures += 1
-
-
-def _subtask_names(spec: JobSpec) -> list[str]:
-    return [
-        f"{occurrence}.{step}.{index}"
-        for occurrence in range(spec.occurrences)
-        for step, each in enumerate(spec.steps)
-        for index in range(each.count)
-    ]
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_failing_commands.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_failing_commands.py
@@ -5,21 +5,22 @@
 from agateferry_core.support import run_async
 from agateferry_jobs.cell.proposing import Proposer
 from agateferry_jobs.ledger import Ledger, commands
+from agateferry_jobs.ledger.job_records import JobRecords
 from agateferry_jobs.ledger.tests.test_ledger import LedgerCase
 from agateferry_jobs.support import MemoryReplica, job_command
 from agateferry_state.replica.protocols import NotApplied, ProposeErrorKind
 
 
 def failing_for(id):
-    """Return a stand-in for `Ledger._accept` with a bug that one job meets."""
-    accept = Ledger._accept
+    """Return a stand-in for `JobRecords.accept` with a bug that one job meets."""
+    accept = JobRecords.accept
 
-    def accept_or_fail(ledger, command):
+    def accept_or_fail(records, command):
         if command.id == id:
             raise KeyError(id)
-        return accept(ledger, command)
+        return accept(records, command)
 
-    return mock.patch.object(Ledger, "_accept", accept_or_fail)
+    return mock.patch.object(JobRecords, "accept", accept_or_fail)
 
 
 class FailingCommandTests(LedgerCase):
--- a/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_stored_sizes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/ledger/tests/test_stored_sizes.py
@@ -1,7 +1,7 @@
 import testtools
 
 from agateferry_jobs.ledger import Ledger, commands
-from agateferry_jobs.ledger.ledger import ENDED_JOB_RETENTION_MS
+from agateferry_jobs.ledger.job_records import ENDED_JOB_RETENTION_MS
 from agateferry_jobs.ledger.specs import JobSpec, StepSpec
 from agateferry_jobs.ledger.stored_sizes import StoredSizes, new_job_bytes, spec_bytes
 from agateferry_jobs.support.builders import SUBTASK_RESOURCES, job_command
