Reject a submission whose id another team's took while it was committed

Callers saw: two teams submit the same id side by side. Both are answered 200, though only the first one's job is kept; the second caller's GET is 410 then. Found while looking for other places that tell whose a job is.

Cause: the leader checks the id before it proposes the command. A command that is applied to a known id changes nothing, and its result was taken for accepted.

Change: such a submission is answered by whose the known job is: 200 for its own team, 400 "id is in use" for others, as without the race. It is no longer logged and counted as accepted once more.

Tests: SharedIdTests; that of two teams failed before.

--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -33,6 +33,7 @@
 """Ids are kept several times for each job; callers choose ids of 16 digits."""
 JOBS_FULL_RETRY_MS = 5_000
 """When to resubmit a job for which there is no room; by then some others have been dropped."""
+ID_IN_USE = "id is in use"
 CANCELLATIONS_FULL_RETRY_MS = 5_000
 """When to repeat a cancellation that cannot be stored; by then some others have expired."""
 
@@ -79,7 +80,7 @@
         if self._find_job(call.target, queue, caller) is not None:
             return messages.Done()
         if id in self._ledger.jobs:
-            return messages.Invalid("id is in use")
+            return messages.Invalid(ID_IN_USE)
         item = job_item(id, caller.team, call.job)
         shortage = self._admission.find_shortage(item, now_ms)
         if shortage is not None:
@@ -105,6 +106,10 @@
             return reply_for_error(result.error)
         if result.ok is AcceptResult.CANCELLED:
             return self._refuse_cancelled(call.target, caller, now_ms)
+        if result.ok is AcceptResult.KNOWN:
+            # Another submission with this id was committed meanwhile.
+            is_own = self._find_job(call.target, queue, caller) is not None
+            return messages.Done() if is_own else messages.Invalid(ID_IN_USE)
         metrics.ACCEPTED.labels(str(queue.priority)).inc()
         self._log.info(
             events.JOB_ACCEPTED,
--- a/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_team_changes.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/tests/test_team_changes.py
@@ -270,6 +270,35 @@
         run_async(main())
 
 
+class SharedIdTests(TeamChangeCase):
+    """A submission was answered as accepted though another team's had taken the id meanwhile."""
+
+    async def submit_both(self, first, second):
+        cell = Cell()
+        await cell.install(FIRST, 0)
+        cell.replica.gate.clear()
+        tasks = [asyncio.create_task(cell.submit(key)) for key in (first, second)]
+        await asyncio.sleep(0)
+        cell.replica.gate.set()
+        return cell, await asyncio.gather(*tasks)
+
+    def test_only_the_first_of_two_teams_is_accepted(self):
+        async def main():
+            cell, replies = await self.submit_both("own", "other")
+            self.assertEqual([messages.Done, messages.Invalid], [type(each) for each in replies])
+            self.assertEqual("a", cell.ledger.jobs[ID].team)
+
+        run_async(main())
+
+    def test_both_of_one_team_are_one_job(self):
+        async def main():
+            cell, replies = await self.submit_both("own", "sibling")
+            self.assertEqual([messages.Done(), messages.Done()], replies)
+            self.assertEqual(1, len(cell.ledger.jobs))
+
+        run_async(main())
+
+
 class PublicQueueTests(TeamChangeCase):
     """Work with a revoked key, or with one that no manifest held, ran on a public queue."""
 
