--- a/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
+++ b/packages/agateferry-jobs/agateferry_jobs/cell/call_handler.py
@@ -33,9 +33,9 @@
 """Ids are kept several times for each job; callers choose ids of 16 digits."""
 JOBS_FULL_RETRY_MS = 5_000
 """When to resubmit a job for which there is no room; by then some others have been dropped."""
-ID_IN_USE = "id is in use"
 CANCELLATIONS_FULL_RETRY_MS = 5_000
 """When to repeat a cancellation that cannot be stored; by then some others have expired."""
+ID_IN_USE = "id is in use"
 
 
 class CallHandler:
