Find the lasting subtasks that cause crashes once for each plan

Cause: seen on reading the whole change again. CrashSuspects asked for the cause of each lasting subtask when it is made, and once more for each active run of a suspected job.

Change: the causes are kept as a set, from which the explained workers and the runs on trial are told. No behaviour changes.

--- a/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
+++ b/packages/agateferry-jobs/agateferry_jobs/planning/crash_suspects.py
@@ -67,12 +67,16 @@
             if sure_crashes(job, name, self._wide)
         }
         self._suspect_steps = {(id, step_number(name)) for id, name in self._suspects}
-        self._explained_workers = {
-            crash.run.worker_key
+        self._lasting_causes = {
+            (job.id, name)
             for job in self._jobs
             for name in job.crashes
             if job.step_of(name).is_long_running and self._is_cause(job, name)
-            for crash in job.crashes[name]
+        }
+        self._explained_workers = {
+            crash.run.worker_key
+            for id, name in self._lasting_causes
+            for crash in ledger.jobs[id].crashes[name]
         }
         """The workers that crashed under subtasks that last and are known as the cause."""
         self._queues = _queues_on_probation(ledger, now_ms)
@@ -149,7 +153,7 @@
         forgotten.
         """
         subtask = job.subtasks[name]
-        if job.step_of(name).is_long_running and self._is_cause(job, name):
+        if (job.id, name) in self._lasting_causes:
             return True
         trial_ms = 0
         if (job.id, name) in self._suspects:
