--- a/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/member_process.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from agateferry_core.clock import SystemClock
+from agateferry_core.logs import configure
 from agateferry_state.replica import GrpcTransport, NodeConfig, NodeReplica, Peer, start_server
 from agateferry_state.replication import Settings
 
@@ -44,6 +45,7 @@
 
 
 async def main(name, folder, addresses):
+    configure()
     rng = random.Random(name)
     peers = tuple(Peer(*pair.split("=")) for pair in addresses)
     own = next(peer for peer in peers if peer.name == name)
--- a/packages/agateferry-state/agateferry_state/replica/tests/test_process.py
+++ b/packages/agateferry-state/agateferry_state/replica/tests/test_process.py
@@ -9,6 +9,7 @@
 
 import pytest
 import testtools
+from testtools.content import text_content
 
 from agateferry_core.support import free_port, wait_until
 
@@ -26,16 +27,18 @@
     def __init__(self, name, folder, addresses):
         self._command = [sys.executable, str(MEMBER), name, str(folder), *addresses]
         self.name = name
+        self.log_path = folder.with_suffix(".log")
 
     def start(self):
-        self._process = subprocess.Popen(
-            self._command,
-            stdin=subprocess.PIPE,
-            stdout=subprocess.PIPE,
-            stderr=subprocess.DEVNULL,
-            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
-            text=True,
-        )
+        with self.log_path.open("a") as log:
+            self._process = subprocess.Popen(
+                self._command,
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+                text=True,
+            )
 
     def call(self, line):
         self._process.stdin.write(line + "\n")
@@ -67,6 +70,13 @@
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
         self.members = []
+        self.addOnException(lambda _: self.show_logs())
+
+    def show_logs(self):
+        """Add the members' logs to a failure, which may not come again."""
+        for member in self.members:
+            text = member.log_path.read_text(errors="replace")
+            self.addDetail(f"log of {member.name}", text_content(text))
 
     def start_member(self, name, addresses):
         member = Process(name, self.folder / name, addresses)
