--- a/packages/agateferry-cli/agateferry_cli/main.py
+++ b/packages/agateferry-cli/agateferry_cli/main.py
@@ -16,6 +16,7 @@
 from agateferry_cli.verbs.check_config import check_config
 from agateferry_cli.verbs.evacuation import evacuate, evacuations, readmit
 from agateferry_cli.verbs.explain import explain
+from agateferry_cli.verbs.explore import explore
 from agateferry_cli.verbs.put import put
 from agateferry_cli.verbs.queue import queue
 from agateferry_cli.verbs.replay import replay
@@ -54,6 +55,7 @@
     },
     "check-config": check_config,
     "replay": replay,
+    "explore": explore,
     "trace": trace,
     "analyze": analyze,
 }
