--- a/packages/agateferry-cli/agateferry_cli/verbs/explore.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/explore.py
@@ -71,7 +71,10 @@
 
 def _describe(day: "PlayedDay") -> str:
     rules = ", ".join(f"{each.rule} at {each.at_ms} ms ({each.detail})" for each in day.violations)
-    faults = ", ".join(f"{f.kind.value} {f.ip} {f.from_ms} to {f.until_ms}" for f in day.faults)
+    faults = ", ".join(
+        f"{each.kind.value} {' '.join(each.ips)} {each.from_ms} to {each.until_ms} ms"
+        for each in day.faults
+    )
     return f"seed {day.seed}: {rules}; faults: {faults or 'none'}"
 
 
--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_explore.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_explore.py
@@ -7,16 +7,15 @@
 from agateferry_platform.exploration.faults import Fault, FaultKind
 from agateferry_platform.exploration.search import play_drawn
 
-CUT = Fault(FaultKind.CUT, "10.0.2.1", 8_000, 13_000)
-"""In the day of seed 1 this worker runs something then."""
-NEEDLESS = Fault(FaultKind.FREEZE, "10.0.1.1", 20_000, 20_500)
+CUT = Fault(FaultKind.CUT, tuple(f"10.0.2.{number}" for number in range(4)), 8_000, 13_000)
+NEEDLESS = Fault(FaultKind.FREEZE, ("10.0.1.1",), 20_000, 20_500)
 
 
 class OptionsTests(VerbCase):
     def test_an_unknown_kind_of_fault(self):
         self.assertEqual(ExitCode.USAGE, self.run_verb("explore", "--faults", "kill,rain"))
         self.assertIn("no kind of fault: rain", self.err)
-        self.assertIn("kill, freeze, cut", self.err)
+        self.assertIn("The kinds are kill, power, blackout, freeze, cut", self.err)
 
     def test_no_days_and_too_many_jobs(self):
         self.assertEqual(ExitCode.USAGE, self.run_verb("explore", "--days", "0"))
