--- a/packages/agateferry-cli/agateferry_cli/verbs/tests/test_explore.py
+++ b/packages/agateferry-cli/agateferry_cli/verbs/tests/test_explore.py
@@ -3,11 +3,12 @@
 from agateferry_cli.client import ExitCode
 from agateferry_cli.verbs.tests.case import VerbCase
 from agateferry_jobs.workers.lease import Lease
-from agateferry_platform.exploration import day
+from agateferry_platform.exploration import day, search
 from agateferry_platform.exploration.faults import Fault, FaultKind
 from agateferry_platform.exploration.search import play_drawn
 
 CUT = Fault(FaultKind.CUT, tuple(f"10.0.2.{number}" for number in range(4)), 8_000, 13_000)
+SEEDS = (1, 2, 3, 4, 5, 6)
 NEEDLESS = Fault(FaultKind.FREEZE, ("10.0.1.1",), 20_000, 20_500)
 
 
@@ -39,6 +40,14 @@
         return summary["days"], summary["days_by_fault"], summary["broken_rules"]
 
 
+class SearchTests(VerbCase):
+    def test_days_go_on_in_new_processes(self):
+        """A search once stopped for good when a process had played its days."""
+        with mock.patch.object(search, "DAYS_PER_PROCESS", 2):
+            played = list(search.explore(SEEDS, (FaultKind.KILL,), 2))
+        self.assertEqual(SEEDS, tuple(each.seed for each in played))
+
+
 class ShrinkTests(VerbCase):
     def test_a_day_keeps_only_the_faults_that_break_its_rule(self):
         """Leases that are not waited for are seen where a worker is cut off, not where it isn't."""
